--- /dev/null
+++ b/crates/daemon/src/admin/status.rs
@@ -0,0 +1,54 @@
+//! Where this entry stands.
+
+use cactuswheel_http::{Reply, json};
+use cactuswheel_model::{EntryId, Offset, Refusal};
+use hyper::StatusCode;
+use serde::Serialize;
+
+use crate::Phase;
+use crate::shared::Shared;
+
+#[derive(Serialize)]
+struct Status<'a> {
+    entry: &'a str,
+    dc: &'a str,
+    ready: bool,
+    next: Offset,
+    upstreams: usize,
+    peers: Vec<PeerStatus>,
+}
+
+#[derive(Serialize)]
+struct PeerStatus {
+    entry: EntryId,
+    next: Offset,
+    /// Age of its last beat.
+    age_ms: u64,
+}
+
+/// Shows the entry's name, phase and offset.
+pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
+    let status = Status {
+        entry: shared.settings.entry.as_str(),
+        dc: shared.settings.dc.as_str(),
+        ready: shared.phase.get() == Phase::Ready,
+        next: shared.state.load().next(),
+        upstreams: shared.routes.load().upstreams().count(),
+        peers: peers(shared),
+    };
+    Ok(json(StatusCode::OK, &status))
+}
+
+fn peers(shared: &Shared) -> Vec<PeerStatus> {
+    let heard = shared.heard();
+    let mut peers: Vec<_> = heard
+        .iter()
+        .map(|(entry, heard)| PeerStatus {
+            entry: entry.clone(),
+            next: heard.head,
+            age_ms: heard.at.elapsed().as_millis() as u64,
+        })
+        .collect();
+    peers.sort_by(|a, b| a.entry.cmp(&b.entry));
+    peers
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,26 @@
+//! The entry instance: a thin shell that gives the decision crates their clock, sockets and
+//! threads.
+//!
+//! Takes callers' requests, follows the platform's log and roster, answers operators. What may
+//! start, where it goes and which record holds is decided in `admission`, `routing` and
+//! `fleet`; nothing here decides.
+
+mod admin;
+mod embedded;
+mod error;
+mod follower;
+mod logging;
+mod node;
+mod peers;
+mod phase;
+mod proxy;
+mod settings;
+mod shared;
+mod sightings;
+
+pub use embedded::run_embedded;
+pub use error::StartError;
+pub use logging::init_log;
+pub use node::Node;
+pub use phase::Phase;
+pub use settings::{Listen, LogSettings, Operator, Settings, SettingsError};
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,110 @@
+//! One entry instance in a process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_http::serve;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::peers::Answerer;
+use crate::shared::Shared;
+use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
+
+/// Longest that a planned stop waits for running requests.
+const LONGEST_STOP: Duration = Duration::from_secs(600);
+
+/// Time for which a stopping entry goes on accepting, since the balancer lags.
+const BALANCER_LAG: Duration = Duration::from_millis(500);
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    callers: SocketAddr,
+    admin: SocketAddr,
+    /// Connections of callers that are open.
+    open: TaskTracker,
+    /// Tells callers' connections to end after the exchange they are in.
+    stop: CancellationToken,
+}
+
+impl Node {
+    /// Listens and starts all tasks.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let callers = bind(settings.listen.callers).await?;
+        let admin = bind(settings.listen.admin).await?;
+        let peer = bind(settings.listen.peer).await?;
+        let shared = Arc::new(Shared::new(settings));
+        let node = Self {
+            callers: addr(&callers)?,
+            admin: addr(&admin)?,
+            shared: shared.clone(),
+            open: TaskTracker::new(),
+            stop: CancellationToken::new(),
+        };
+        tokio::spawn(follower::follow(shared.clone()));
+        tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
+        for peer in shared.settings.peers.clone() {
+            tokio::spawn(peers::beat(shared.clone(), peer));
+        }
+        let operators = shared.clone();
+        tokio::spawn(serve(admin, move |r| admin::answer(operators.clone(), r)));
+        tokio::spawn(proxy::serve(
+            callers,
+            shared,
+            node.open.clone(),
+            node.stop.clone(),
+        ));
+        Ok(node)
+    }
+
+    /// Where callers reach it.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where operators reach it.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Serves until SIGTERM or SIGINT, then stops without cutting a request.
+    pub async fn run_until_signal(self) -> Result<(), StartError> {
+        let mut term = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
+        tokio::select! {
+            _ = term.recv() => {}
+            done = tokio::signal::ctrl_c() => done.map_err(StartError::Signal)?,
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    /// Not ready first, then no new connections, then the end of all that run.
+    pub async fn stop(self) {
+        self.shared.phase.advance(Phase::Stopping);
+        tokio::time::sleep(BALANCER_LAG).await;
+        self.stop.cancel();
+        self.open.close();
+        if timeout(LONGEST_STOP, self.open.wait()).await.is_err() {
+            log::error!("stopping with {} connections still busy", self.open.len());
+        }
+    }
+}
+
+async fn bind(at: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(at)
+        .await
+        .map_err(|e| StartError::Listen(at, e))
+}
+
+fn addr(listener: &TcpListener) -> Result<SocketAddr, StartError> {
+    listener
+        .local_addr()
+        .map_err(|e| StartError::Listen(([0, 0, 0, 0], 0).into(), e))
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/held.rs
@@ -0,0 +1,36 @@
+//! What a request holds until its answer is out.
+
+use std::sync::Arc;
+
+use cactuswheel_model::{Refusal, Team, TeamId};
+
+use crate::shared::Shared;
+
+/// A unit of a team's limit; dropping it gives the unit back.
+#[derive(Debug)]
+pub(super) struct Permit {
+    shared: Arc<Shared>,
+    team: TeamId,
+}
+
+impl Permit {
+    /// Takes a unit, or refuses at the team's limit.
+    pub(super) fn take(shared: &Arc<Shared>, team: &Team) -> Result<Self, Refusal> {
+        shared.gate().enter(&team.id, team.limit)?;
+        Ok(Self {
+            shared: shared.clone(),
+            team: team.id.clone(),
+        })
+    }
+
+    /// The team.
+    pub(super) fn team(&self) -> &TeamId {
+        &self.team
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.shared.gate().leave(&self.team);
+    }
+}
--- /dev/null
+++ b/crates/e2e/src/lib.rs
@@ -0,0 +1,12 @@
+//! Runs the real programs as separate processes on loopback, for tests of failures that only
+//! processes have: kills, freezes, cut connections.
+//!
+//! Test support only. Processes are stopped by their own ids when a [`Fleet`] is dropped.
+
+mod fleet;
+mod hosts;
+mod process;
+
+pub use fleet::{Fleet, OPERATOR_KEY, TEAM_KEY};
+pub use hosts::Hosts;
+pub use process::Process;
--- /dev/null
+++ b/crates/e2e/src/process.rs
@@ -0,0 +1,84 @@
+//! One program as a child process.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A running program; killed by its id when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program of this workspace and waits for its line `ready ...`.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started or ends before it is ready.
+    pub fn start(program: &str, args: &[&str]) -> Self {
+        let path = binary(program);
+        let child = Command::new(&path)
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn();
+        let mut child = child.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        let out = child.stdout.take().expect("standard output is piped");
+        let mut lines = BufReader::new(out).lines();
+        let first = lines.next().and_then(Result::ok).unwrap_or_default();
+        assert!(
+            first.starts_with("ready"),
+            "{program} {args:?} said `{first}`"
+        );
+        Self { child }
+    }
+
+    /// Runs a program to its end.
+    pub fn output(program: &str, args: &[&str]) -> std::process::Output {
+        Command::new(binary(program))
+            .args(args)
+            .output()
+            .expect("the program starts")
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, by name as `kill` takes it.
+    pub fn signal(&self, name: &str) {
+        let id = self.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(status.is_ok_and(|s| s.success()), "kill -s {name} {id}");
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process can be waited for")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already; there is nothing to do then.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A program built beside the test that runs.
+fn binary(name: &str) -> PathBuf {
+    let mut dir = std::env::current_exe().expect("a test knows its own file");
+    dir.pop();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    let path = dir.join(name);
+    assert!(
+        path.exists(),
+        "{} is not built: run cargo test --workspace",
+        path.display()
+    );
+    path
+}
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,67 @@
+//! Ordered tables that are cheap to copy.
+
+use std::borrow::Borrow;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// An ordered map whose copies share their content until one of them changes.
+///
+/// The order makes a snapshot's bytes the same on every node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Table<K: Ord, V> {
+    rows: Arc<BTreeMap<K, Arc<V>>>,
+}
+
+impl<K: Ord + Clone, V> Table<K, V> {
+    /// The row under `key`.
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&Arc<V>>
+    where
+        K: Borrow<Q>,
+    {
+        self.rows.get(key)
+    }
+
+    /// Whether there is a row under `key`.
+    pub fn contains<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    where
+        K: Borrow<Q>,
+    {
+        self.rows.contains_key(key)
+    }
+
+    /// Sets the row under `key`.
+    pub fn insert(&mut self, key: K, value: V) {
+        Arc::make_mut(&mut self.rows).insert(key, Arc::new(value));
+    }
+
+    /// Removes the row under `key`; whether there was one.
+    pub fn remove(&mut self, key: &K) -> bool {
+        Arc::make_mut(&mut self.rows).remove(key).is_some()
+    }
+
+    /// The rows in order of their keys.
+    pub fn values(&self) -> impl Iterator<Item = &Arc<V>> {
+        self.rows.values()
+    }
+
+    /// Number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there is no row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+impl<K: Ord, V> Default for Table<K, V> {
+    fn default() -> Self {
+        Self {
+            rows: Arc::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,14 @@
+//! The little HTTP that the control side shares: one JSON call with a time limit, and a
+//! server loop for JSON handlers.
+//!
+//! Not the path of a caller's request: `cactuswheeld` has its own proxy for that.
+
+mod body;
+mod call;
+mod reply;
+mod server;
+
+pub use body::{MAX_JSON, read_json};
+pub use call::{Answer, Call, CallError};
+pub use reply::{Body, Reply, json, text};
+pub use server::serve;
--- /dev/null
+++ b/crates/http/src/reply.rs
@@ -0,0 +1,39 @@
+//! Answers of control servers.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+/// Body of an answer.
+pub type Body = Full<Bytes>;
+
+/// An answer.
+pub type Reply = Response<Body>;
+
+/// Answers with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
+    match serde_json::to_vec(value) {
+        Ok(body) => reply(status, "application/json", body),
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+/// Answers with plain text.
+pub fn text(status: StatusCode, body: impl Into<String>) -> Reply {
+    reply(
+        status,
+        "text/plain; charset=utf-8",
+        body.into().into_bytes(),
+    )
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    *reply.status_mut() = status;
+    let kind = hyper::header::HeaderValue::from_static(kind);
+    reply
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/crates/model/src/record.rs
@@ -0,0 +1,13 @@
+//! Records of the fleet's log stream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Ticket;
+
+/// One record: a proposal that the fold accepts or refuses, alike on every node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Record {
+    /// An operator's change.
+    Ticket(Ticket),
+}
--- /dev/null
+++ b/crates/model/src/size.rs
@@ -0,0 +1,12 @@
+//! Sizes of instances and of work.
+
+use crate::number::number;
+
+number! {
+    /// Processor cores.
+    Cores(u32)
+}
+number! {
+    /// Memory, in MiB.
+    Mebibytes(u64)
+}
--- /dev/null
+++ b/crates/model/src/team.rs
@@ -0,0 +1,17 @@
+//! Teams.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Share, Slots, TeamId};
+
+/// A team, its share of a full fleet and its upper limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Its name.
+    pub id: TeamId,
+    /// Weight when the fleet is full.
+    pub share: Share,
+    /// Most requests that run at once, over the whole fleet.
+    pub limit: Slots,
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,89 @@
+//! The platform over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_http::{Answer, Call, CallError};
+use cactuswheel_model::Offset;
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::{Appended, Batch, Log, LogError, Roster, RosterError, Sightings, Stream};
+
+/// Time limit of a call, on top of the wait that it asks for.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Client of the platform's services.
+#[derive(Debug, Clone)]
+pub struct Client {
+    platform: SocketAddr,
+}
+
+impl Client {
+    /// A client of the platform at `platform`.
+    pub fn new(platform: SocketAddr) -> Self {
+        Self { platform }
+    }
+}
+
+impl Log for Client {
+    async fn append(&self, stream: Stream, bodies: Vec<String>) -> Result<Appended, LogError> {
+        let call = Call::post(self.platform, format!("/log/{stream}"))
+            .with_json(&bodies)
+            .map_err(|e| LogError::Unavailable(e.to_string()))?
+            .with_limit(LIMIT);
+        decode(call.send().await.map_err(LogError::from)?)
+    }
+
+    async fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Batch, LogError> {
+        let path = format!(
+            "/log/{stream}?from={from}&max={max}&wait={}",
+            wait.as_millis()
+        );
+        let call = Call::get(self.platform, path).with_limit(wait + LIMIT);
+        decode(call.send().await.map_err(LogError::from)?)
+    }
+}
+
+impl Roster for Client {
+    async fn list(&self) -> Result<Sightings, RosterError> {
+        let call = Call::get(self.platform, "/roster").with_limit(LIMIT);
+        let answer = call.send().await.map_err(|e| RosterError(e.to_string()))?;
+        if answer.status != StatusCode::OK {
+            return Err(RosterError(answer.status.to_string()));
+        }
+        answer.json().map_err(|e| RosterError(e.to_string()))
+    }
+}
+
+impl From<CallError> for LogError {
+    fn from(e: CallError) -> Self {
+        match e {
+            CallError::NotSent(..) => Self::Unavailable(e.to_string()),
+            CallError::Unknown(..) => Self::Unknown(e.to_string()),
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(answer: Answer) -> Result<T, LogError> {
+    match answer.status {
+        StatusCode::OK => answer.json().map_err(|e| LogError::Unknown(e.to_string())),
+        StatusCode::GONE => Err(trimmed(&answer)),
+        // The platform says by this status that it did nothing.
+        StatusCode::SERVICE_UNAVAILABLE => Err(LogError::Unavailable("it is down".into())),
+        status => Err(LogError::Unknown(status.to_string())),
+    }
+}
+
+fn trimmed(answer: &Answer) -> LogError {
+    match answer.json::<Batch>() {
+        Ok(batch) => LogError::Trimmed(batch.first),
+        Err(e) => LogError::Unknown(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! The platform as cactuswheel sees it: an append-only log and a roster of instances.
+//!
+//! Traits that decision drivers are generic over, the messages that cross the wire, and the
+//! HTTP client that speaks them. The platform's real protocol is not known yet; it is met in
+//! this crate alone.
+
+mod batch;
+mod client;
+mod error;
+mod log;
+mod roster;
+mod sighting;
+
+pub use batch::{Appended, Batch, Entry};
+pub use client::Client;
+pub use error::LogError;
+pub use log::{Log, Stream};
+pub use roster::{Roster, RosterError};
+pub use sighting::{Presence, Sighting, Sightings};
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for what cactuswheel meets outside itself: the platform and upstreams.
+//!
+//! For tests and for the embedded default only. They keep everything in memory, and their
+//! faults are switched over HTTP by whoever tests.
+
+mod fault;
+mod log;
+mod platform;
+mod run;
+mod upstream;
+
+pub use fault::Fault;
+pub use platform::Platform;
+pub use run::Run;
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,168 @@
+//! The platform's stand-in: log, roster and the switches for their faults.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cactuswheel_http::{Reply, json, read_json, serve, text};
+use cactuswheel_model::{InstanceId, Offset};
+use cactuswheel_platform::{Appended, Sighting, Sightings};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::fault::Fault;
+use crate::log::Log;
+
+/// Records that a stream keeps.
+const KEPT: usize = 100_000;
+
+/// Records in one answer, whatever is asked for.
+const MOST: usize = 1_000;
+
+/// Longest wait of a reader.
+const LONGEST: Duration = Duration::from_secs(30);
+
+/// A platform in memory.
+#[derive(Debug, Clone, Default)]
+pub struct Platform {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    fleet: Log,
+    snapshots: Log,
+    roster: BTreeMap<InstanceId, Sighting>,
+    fault: Fault,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            fleet: Log::new(KEPT),
+            snapshots: Log::new(KEPT),
+            roster: BTreeMap::new(),
+            fault: Fault::default(),
+        }
+    }
+}
+
+impl Inner {
+    fn stream(&mut self, name: &str) -> Option<&mut Log> {
+        match name {
+            "fleet" => Some(&mut self.fleet),
+            "snapshots" => Some(&mut self.snapshots),
+            _ => None,
+        }
+    }
+}
+
+impl Platform {
+    /// Answers on `listener` until the task is dropped.
+    pub async fn serve(self, listener: TcpListener) {
+        serve(listener, move |request| self.clone().answer(request)).await;
+    }
+
+    /// Lists an instance, or changes how it is listed.
+    pub fn list(&self, sighting: Sighting) {
+        self.lock().roster.insert(sighting.id.clone(), sighting);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
+        if path == "/fault" {
+            return self.set_fault(request).await;
+        }
+        let fault = self.lock().fault;
+        sleep(Duration::from_millis(fault.slow)).await;
+        if fault.down {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "down");
+        }
+        match (request.method().clone(), path.split_at_checked(5)) {
+            (Method::POST, Some(("/log/", stream))) => self.append(stream, request, fault).await,
+            (Method::GET, Some(("/log/", stream))) => self.read(stream, &request).await,
+            (Method::GET, _) if path == "/roster" => self.roster(),
+            (Method::POST, _) if path == "/roster" => self.set_roster(request).await,
+            (Method::POST, Some(("/trim", _))) => self.trim(&request),
+            _ => text(StatusCode::NOT_FOUND, "no such service"),
+        }
+    }
+
+    async fn append(&self, stream: &str, request: Request<Incoming>, fault: Fault) -> Reply {
+        let bodies: Vec<String> = match read_json(request.into_body()).await {
+            Ok(bodies) => bodies,
+            Err(e) => return text(StatusCode::BAD_REQUEST, e),
+        };
+        let offset = match self.lock().stream(stream) {
+            Some(log) => log.append(bodies),
+            None => return text(StatusCode::NOT_FOUND, "no such stream"),
+        };
+        if fault.deaf {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "answer lost");
+        }
+        json(StatusCode::OK, &Appended { offset })
+    }
+
+    async fn read(&self, stream: &str, request: &Request<Incoming>) -> Reply {
+        let from = Offset::new(query(request, "from"));
+        let max = (query(request, "max") as usize).min(MOST);
+        let wait = Duration::from_millis(query(request, "wait")).min(LONGEST);
+        let until = Instant::now() + wait;
+        loop {
+            let (batch, mut moved) = match self.lock().stream(stream) {
+                Some(log) => (log.read(from, max), log.watch()),
+                None => return text(StatusCode::NOT_FOUND, "no such stream"),
+            };
+            if from < batch.first {
+                return json(StatusCode::GONE, &batch);
+            }
+            let quiet = batch.entries.is_empty() && batch.head <= from;
+            if !quiet || timeout_at(until, moved.changed()).await.is_err() {
+                return json(StatusCode::OK, &batch);
+            }
+        }
+    }
+
+    fn roster(&self) -> Reply {
+        let instances = self.lock().roster.values().cloned().collect();
+        json(StatusCode::OK, &Sightings { instances })
+    }
+
+    async fn set_roster(&self, request: Request<Incoming>) -> Reply {
+        match read_json::<Sighting>(request.into_body()).await {
+            Ok(sighting) => self.list(sighting),
+            Err(e) => return text(StatusCode::BAD_REQUEST, e),
+        }
+        text(StatusCode::OK, "listed")
+    }
+
+    fn trim(&self, request: &Request<Incoming>) -> Reply {
+        let kept = query(request, "kept") as usize;
+        self.lock().fleet.trim(kept);
+        text(StatusCode::OK, "trimmed")
+    }
+
+    async fn set_fault(&self, request: Request<Incoming>) -> Reply {
+        match read_json(request.into_body()).await {
+            Ok(fault) => self.lock().fault = fault,
+            Err(e) => return text(StatusCode::BAD_REQUEST, e),
+        }
+        text(StatusCode::OK, "set")
+    }
+}
+
+/// A number from the query, 0 if it is not there.
+fn query(request: &Request<Incoming>, name: &str) -> u64 {
+    let query = request.uri().query().unwrap_or_default();
+    let pair = query
+        .split('&')
+        .filter_map(|p| p.split_once('='))
+        .find(|(k, _)| *k == name);
+    pair.and_then(|(_, v)| v.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/wire/peer.thrift
@@ -0,0 +1,27 @@
+// Messages between entries. After a change, from the workspace's root:
+//   thrift --gen rs -out crates/wire/src/generated crates/wire/peer.thrift
+
+// What an entry tells a peer about itself, every period.
+struct Beat {
+  1: required string entry;
+  2: required string dc;
+  // The offset of the next record it will apply.
+  3: required i64 head;
+}
+
+// Records of the fleet's stream, without a gap.
+struct Tail {
+  1: required i64 first;
+  2: required list<string> bodies;
+}
+
+// Part of a snapshot.
+struct Chunk {
+  // The snapshot holds all records below this offset.
+  1: required i64 head;
+  // Bytes of the whole snapshot.
+  2: required i64 size;
+  // Where this part starts.
+  3: required i64 start;
+  4: required binary bytes;
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,35 @@
+//! Thrift's compact encoding, bounded.
+
+use bytes::Bytes;
+use thrift::TConfiguration;
+use thrift::protocol::{TCompactInputProtocol, TCompactOutputProtocol, TSerializable};
+
+use crate::WireError;
+
+/// Deepest nesting of a message.
+const DEPTH: usize = 16;
+
+/// Encodes a message.
+pub fn encode<T: TSerializable>(message: &T) -> Result<Bytes, WireError> {
+    let mut bytes = Vec::new();
+    message.write_to_out_protocol(&mut TCompactOutputProtocol::new(&mut bytes))?;
+    Ok(Bytes::from(bytes))
+}
+
+/// Decodes a message.
+///
+/// Failure: a damaged or hostile message declares a list of billions, and the generated code
+/// reserves memory for it at once. No list or string can be longer than the bytes that came,
+/// so that is the bound.
+pub fn decode<T: TSerializable>(bytes: &[u8]) -> Result<T, WireError> {
+    let size = bytes.len().max(1);
+    let config = TConfiguration::builder()
+        .max_message_size(Some(size))
+        .max_frame_size(Some(size))
+        .max_container_size(Some(size))
+        .max_string_size(Some(size))
+        .max_recursion_depth(Some(DEPTH))
+        .build()?;
+    let mut input = TCompactInputProtocol::with_config(bytes, config);
+    Ok(T::read_from_in_protocol(&mut input)?)
+}
--- /dev/null
+++ b/crates/wire/src/generated.rs
@@ -0,0 +1,5 @@
+//! Code written by the Thrift compiler from `peer.thrift`.
+
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub(crate) mod peer;
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,70 @@
+//! Messages survive the wire, damaged ones are errors.
+
+use cactuswheel_testkit::check;
+use quickcheck::Arbitrary;
+
+use cactuswheel_wire::{Beat, Tail, decode, encode};
+
+fn tail(first: i64, bodies: Vec<String>) -> Tail {
+    Tail { first, bodies }
+}
+
+#[test]
+fn round_trip() {
+    check(
+        1,
+        200,
+        (|first, bodies| {
+            let sent = tail(first, bodies);
+            decode::<Tail>(&encode(&sent).unwrap()).unwrap() == sent
+        }) as fn(i64, Vec<String>) -> bool,
+    );
+}
+
+#[test]
+fn cut_short() {
+    let bytes = encode(&Beat {
+        entry: "e1".into(),
+        dc: "lj1".into(),
+        head: 7,
+    })
+    .unwrap();
+    for end in 0..bytes.len() {
+        assert!(
+            decode::<Beat>(&bytes[..end]).is_err(),
+            "{end} of {}",
+            bytes.len()
+        );
+    }
+}
+
+#[test]
+fn huge_list() {
+    // Field 1 is an i64; field 2 declares a list of 2^31 - 1 strings that never come.
+    let bytes = [0x16, 0x00, 0x19, 0xf8, 0xff, 0xff, 0xff, 0xff, 0x07];
+    assert!(decode::<Tail>(&bytes).is_err());
+}
+
+#[test]
+fn damaged_byte() {
+    // A changed byte gives an error or another message, never a panic or a huge allocation.
+    let whole = encode(&tail(9, vec!["a".into(), "bc".into()])).unwrap();
+    check(2, 2_000, move_byte(whole.to_vec()));
+}
+
+fn move_byte(whole: Vec<u8>) -> impl quickcheck::Testable {
+    Damage(whole)
+}
+
+struct Damage(Vec<u8>);
+
+impl quickcheck::Testable for Damage {
+    fn result(&self, g: &mut quickcheck::Gen) -> quickcheck::TestResult {
+        let mut bytes = self.0.clone();
+        let at = *g.choose(&(0..bytes.len()).collect::<Vec<_>>()).unwrap();
+        bytes[at] = u8::arbitrary(g);
+        let read = decode::<Tail>(&bytes);
+        let size = read.map_or(0, |t| t.bodies.iter().map(String::len).sum());
+        quickcheck::TestResult::from_bool(size <= bytes.len())
+    }
+}
