--- /dev/null
+++ b/crates/fleet/src/jobs/sheet.rs
@@ -0,0 +1,353 @@
+//! All jobs, and the rules for what may happen to them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use cactuswheel_model::{
+    Attempt, AttemptEnd, Code, Incarnation, InstanceId, JobEvent, JobId, JobSpec, Offset, Refusal,
+    Retry, Room, TeamId,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{Job, JobPhase, Worker};
+use crate::{Config, Table};
+
+/// Ended jobs that are remembered, so that a repeated submission is told what became of it.
+const ENDED: usize = 20_000;
+
+/// Waiting jobs of one team.
+const WAITING: u32 = 5_000;
+
+/// Longest payload, in bytes.
+const PAYLOAD: usize = 4 << 10;
+
+/// Different workers that a job may fail on.
+const WORKERS: usize = 3;
+
+/// Attempts of one job that may be lost.
+const LOST: u32 = 10;
+
+/// Jobs by name, workers by what is placed on them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Jobs {
+    jobs: Table<JobId, Job>,
+    /// Jobs that wait, by team.
+    ///
+    /// Invariant: the sum over teams is the number of queued jobs.
+    waiting: Table<TeamId, u32>,
+    /// Jobs that are placed, by team.
+    ///
+    /// Invariant: at most the team's `jobs` when the last one was placed.
+    placed: Table<TeamId, u32>,
+    /// Workers with something placed or something to remember.
+    ///
+    /// Invariant: `used` is the sum of what is set aside there, and fits the instance.
+    workers: Table<InstanceId, Worker>,
+    /// Ended jobs, oldest first.
+    ///
+    /// Invariant: at most `ENDED`.
+    ended: Arc<VecDeque<JobId>>,
+    /// The next of the workers' reports to take over.
+    reports: Offset,
+}
+
+impl Jobs {
+    /// A job.
+    pub fn get(&self, job: &JobId) -> Option<&Arc<Job>> {
+        self.jobs.get(job)
+    }
+
+    /// All jobs that are remembered.
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Arc<Job>)> {
+        self.jobs.iter()
+    }
+
+    /// What is placed on a worker; nothing if it is not listed.
+    pub fn worker(&self, id: &InstanceId) -> Option<&Arc<Worker>> {
+        self.workers.get(id)
+    }
+
+    /// Number of a team's jobs that are placed.
+    pub fn placed(&self, team: &TeamId) -> u32 {
+        self.placed.get(team).map_or(0, |n| **n)
+    }
+
+    /// Number of a team's jobs that wait.
+    pub fn waiting(&self, team: &TeamId) -> u32 {
+        self.waiting.get(team).map_or(0, |n| **n)
+    }
+
+    /// The next of the workers' reports to take over.
+    pub fn reports(&self) -> Offset {
+        self.reports
+    }
+
+    /// Applies one event.
+    pub(crate) fn apply(&mut self, event: &JobEvent, config: &Config) -> Result<(), Refusal> {
+        match event {
+            JobEvent::Submit { job, spec, at } => self.submit(job, spec, *at, config),
+            JobEvent::Place {
+                job,
+                attempt,
+                worker,
+                incarnation,
+                room,
+            } => self.place(job, *attempt, (worker, *incarnation), *room, config),
+            JobEvent::Checkpoint { job, attempt, mark } => self.mark(job, *attempt, mark),
+            JobEvent::End { job, attempt, end } => self.end(job, *attempt, *end),
+            JobEvent::Cancel { job } => self.cancel(job),
+            JobEvent::Reports { next } => {
+                self.reports = self.reports.max(*next);
+                Ok(())
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        id: &JobId,
+        spec: &JobSpec,
+        at: u64,
+        config: &Config,
+    ) -> Result<(), Refusal> {
+        if let Some(first) = self.jobs.get(id) {
+            // A submission whose answer was lost comes again: the first one stands.
+            let same = first.spec == *spec;
+            return if same {
+                Ok(())
+            } else {
+                Err(Refusal::new(Code::JobUsed))
+            };
+        }
+        check_spec(id, spec, config)?;
+        if self.waiting(&id.team) >= WAITING {
+            return Err(Refusal::new(Code::JobsFull));
+        }
+        self.jobs.insert(id.clone(), Job::new(spec.clone(), at));
+        count(&mut self.waiting, &id.team, 1);
+        Ok(())
+    }
+
+    fn place(
+        &mut self,
+        id: &JobId,
+        attempt: Attempt,
+        (worker, incarnation): (&InstanceId, Incarnation),
+        room: Room,
+        config: &Config,
+    ) -> Result<(), Refusal> {
+        let job = self
+            .jobs
+            .get(id)
+            .ok_or_else(|| Refusal::new(Code::NotFound))?;
+        if job.phase != JobPhase::Queued || attempt != job.attempt.next() {
+            return Err(Refusal::new(Code::JobMoved));
+        }
+        self.check_team(&id.team, config)?;
+        let load = self.check_worker(&job.spec, worker, room, config)?;
+        let phase = JobPhase::Placed {
+            worker: worker.clone(),
+            incarnation,
+            room,
+        };
+        let job = Job {
+            phase,
+            attempt,
+            ..Job::clone(job)
+        };
+        let load = Worker {
+            used: load.used + room,
+            placed: load.placed + 1,
+            ..load
+        };
+        self.jobs.insert(id.clone(), job);
+        self.workers.insert(worker.clone(), load);
+        count(&mut self.waiting, &id.team, -1);
+        count(&mut self.placed, &id.team, 1);
+        Ok(())
+    }
+
+    fn check_team(&self, team: &TeamId, config: &Config) -> Result<(), Refusal> {
+        let most = config
+            .teams
+            .get(team)
+            .map_or(0, |t| t.jobs.get().min(t.limit.get()));
+        if self.placed(team) < most {
+            return Ok(());
+        }
+        Err(Refusal::new(Code::TeamLimit))
+    }
+
+    fn check_worker(
+        &self,
+        spec: &JobSpec,
+        worker: &InstanceId,
+        room: Room,
+        config: &Config,
+    ) -> Result<Worker, Refusal> {
+        let full = || Refusal::new(Code::WorkerFull);
+        let instance = config.instances.get(worker).ok_or_else(full)?;
+        let load = self
+            .workers
+            .get(worker)
+            .map(|w| Worker::clone(w))
+            .unwrap_or_default();
+        let fits = (load.used + room).fits(Room::of(instance));
+        if instance.pool != spec.pool || !fits || !load.takes_work() {
+            return Err(full());
+        }
+        Ok(load)
+    }
+
+    fn mark(&mut self, id: &JobId, attempt: Attempt, mark: &str) -> Result<(), Refusal> {
+        let job = self.running(id, attempt)?;
+        let job = Job {
+            mark: Some(mark.to_owned()),
+            ..Job::clone(job)
+        };
+        self.jobs.insert(id.clone(), job);
+        Ok(())
+    }
+
+    fn end(&mut self, id: &JobId, attempt: Attempt, end: AttemptEnd) -> Result<(), Refusal> {
+        let mut job = Job::clone(self.running(id, attempt)?);
+        let JobPhase::Placed { worker, room, .. } = &job.phase else {
+            return Err(Refusal::new(Code::JobMoved));
+        };
+        let worker = worker.clone();
+        self.release(id, &worker, *room, end);
+        if end == AttemptEnd::Lost {
+            job.lost += 1;
+        }
+        if end == AttemptEnd::Failed && !job.failed.contains(&worker) {
+            job.failed.push(worker);
+        }
+        job.phase = after(&job, end);
+        let queued = job.phase == JobPhase::Queued;
+        self.jobs.insert(id.clone(), job);
+        count(&mut self.placed, &id.team, -1);
+        if queued {
+            count(&mut self.waiting, &id.team, 1);
+        } else {
+            self.forget(id);
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, id: &JobId, worker: &InstanceId, room: Room, end: AttemptEnd) {
+        let Some(load) = self.workers.get(worker) else {
+            return;
+        };
+        let mut load = Worker::clone(load);
+        load.used = load.used - room;
+        load.placed -= 1;
+        match end {
+            AttemptEnd::Done => load.streak.clear(),
+            AttemptEnd::Failed if !load.streak.contains(id) => load.streak.push(id.clone()),
+            _ => {}
+        }
+        if load.is_blank() {
+            self.workers.remove(worker);
+        } else {
+            self.workers.insert(worker.clone(), load);
+        }
+    }
+
+    fn cancel(&mut self, id: &JobId) -> Result<(), Refusal> {
+        let job = self
+            .jobs
+            .get(id)
+            .ok_or_else(|| Refusal::new(Code::NotFound))?;
+        match &job.phase {
+            JobPhase::Queued => {
+                let job = Job {
+                    phase: JobPhase::Cancelled,
+                    ..Job::clone(job)
+                };
+                self.jobs.insert(id.clone(), job);
+                count(&mut self.waiting, &id.team, -1);
+                self.forget(id);
+                Ok(())
+            }
+            JobPhase::Placed { .. } => {
+                let job = Job {
+                    cancel: true,
+                    ..Job::clone(job)
+                };
+                self.jobs.insert(id.clone(), job);
+                Ok(())
+            }
+            JobPhase::Cancelled => Ok(()),
+            _ => Err(Refusal::new(Code::JobMoved)),
+        }
+    }
+
+    /// The job, if exactly this attempt is placed; a late word of an older one is refused.
+    fn running(&self, id: &JobId, attempt: Attempt) -> Result<&Arc<Job>, Refusal> {
+        let job = self
+            .jobs
+            .get(id)
+            .ok_or_else(|| Refusal::new(Code::NotFound))?;
+        if matches!(job.phase, JobPhase::Placed { .. }) && job.attempt == attempt {
+            return Ok(job);
+        }
+        Err(Refusal::new(Code::JobMoved))
+    }
+
+    /// Notes a job's end and drops the oldest ended one beyond the bound.
+    fn forget(&mut self, id: &JobId) {
+        let ended = Arc::make_mut(&mut self.ended);
+        ended.push_back(id.clone());
+        if ended.len() > ENDED
+            && let Some(oldest) = ended.pop_front()
+        {
+            self.jobs.remove(&oldest);
+        }
+    }
+}
+
+fn check_spec(id: &JobId, spec: &JobSpec, config: &Config) -> Result<(), Refusal> {
+    if !config.teams.contains(&id.team) || !config.pools.contains(&spec.pool) {
+        let detail = format!("team {} and pool {} have to exist", id.team, spec.pool);
+        return Err(Refusal::new(Code::MissingReference).with_detail(detail));
+    }
+    if spec.payload.len() > PAYLOAD || spec.room.cores.get() == 0 {
+        let detail = format!("takes a core or more and a payload up to {PAYLOAD} bytes");
+        return Err(Refusal::new(Code::BadJob).with_detail(detail));
+    }
+    let mut pool = config.instances.values().filter(|i| i.pool == spec.pool);
+    if pool.any(|i| spec.room.fits(Room::of(i))) {
+        return Ok(());
+    }
+    Err(Refusal::new(Code::JobTooLarge))
+}
+
+/// The phase after an attempt ended.
+fn after(job: &Job, end: AttemptEnd) -> JobPhase {
+    match end {
+        AttemptEnd::Done => JobPhase::Done,
+        AttemptEnd::Failed if job.failed.len() >= WORKERS => JobPhase::Failed,
+        _ if job.cancel => JobPhase::Cancelled,
+        AttemptEnd::Refused => JobPhase::Queued,
+        // The task ran a part and its word that it failed or stopped is itself an answer; what
+        // it did before may have had effects, so only a repeatable job goes on.
+        AttemptEnd::Failed | AttemptEnd::Stopped | AttemptEnd::Lost => match job.spec.retry {
+            Retry::Never if end == AttemptEnd::Failed => JobPhase::Failed,
+            Retry::Never => JobPhase::Unknown,
+            Retry::Restart | Retry::Resume if job.lost >= LOST => JobPhase::Failed,
+            Retry::Restart | Retry::Resume => JobPhase::Queued,
+        },
+    }
+}
+
+fn count(table: &mut Table<TeamId, u32>, team: &TeamId, change: i32) {
+    let n = table
+        .get(team)
+        .map_or(0, |n| **n)
+        .saturating_add_signed(change);
+    if n == 0 {
+        table.remove(team);
+    } else {
+        table.insert(team.clone(), n);
+    }
+}
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, Offset, Record, Refusal, Ticket};
+use cactuswheel_model::{Code, JobEvent, Offset, Record, Refusal, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Config, Ledger, Outcome, rules};
+use crate::{Config, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     next: Offset,
     config: Config,
     ledger: Ledger,
+    #[serde(default)]
+    jobs: Jobs,
 }
 
 /// What applying a record did.
@@ -25,6 +27,8 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// Events of jobs, with what became of each.
+    Jobs(Vec<Result<(), Refusal>>),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -47,6 +51,11 @@
         &self.ledger
     }
 
+    /// Jobs and what is placed where.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -64,10 +73,18 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
+            Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(&events)),
             Err(e) => Applied::Undecodable(e.to_string()),
         }
     }
 
+    fn apply_jobs(&mut self, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
+        events
+            .iter()
+            .map(|e| self.jobs.apply(e, &self.config))
+            .collect()
+    }
+
     fn apply_ticket(&mut self, offset: Offset, ticket: &Ticket) -> Arc<Outcome> {
         let digest = ticket.digest();
         let outcome = |refusal: Refusal| Outcome {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -42,6 +42,11 @@
         Arc::make_mut(&mut self.rows).remove(key).is_some()
     }
 
+    /// Keys and rows in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &Arc<V>)> {
+        self.rows.iter()
+    }
+
     /// The rows in order of their keys.
     pub fn values(&self) -> impl Iterator<Item = &Arc<V>> {
         self.rows.values()
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -106,6 +106,19 @@
 
     /// The settings cannot be used.
     BadSettings = 501, 400, NotRun, "settings cannot be used";
+
+    /// A job of this name was submitted with another description.
+    JobUsed = 601, 409, NotRun, "job name used with another description";
+    /// The job is larger than every worker of its pool.
+    JobTooLarge = 602, 422, NotRun, "job larger than every worker of its pool";
+    /// The team has too many jobs waiting.
+    JobsFull = 603, 429, NotRun, "too many jobs waiting";
+    /// The job was overtaken: it is not in the state that the event is about.
+    JobMoved = 604, 409, NotRun, "job is in another state";
+    /// The worker has no room, or takes no work just now.
+    WorkerFull = 605, 409, NotRun, "worker takes no such job now";
+    /// The job cannot be read or breaks its schema.
+    BadJob = 606, 400, NotRun, "malformed job";
 }
 
 impl Code {
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -128,3 +128,7 @@
     /// Name of an operator, as it stands in the audit trail.
     OperatorId
 }
+name_id! {
+    /// Idempotency key of a job within its team.
+    JobName
+}
--- a/crates/model/src/team.rs
+++ b/crates/model/src/team.rs
@@ -12,6 +12,12 @@
     pub id: TeamId,
     /// Weight when the fleet is full.
     pub share: Share,
-    /// Most requests that run at once, over the whole fleet.
+    /// Most requests and jobs that run at once, over the whole fleet.
     pub limit: Slots,
+    /// Part of `limit` that is set aside for jobs; requests have the rest.
+    ///
+    /// Two parts with a fixed border need no agreement between the log, which counts jobs, and
+    /// the entries, which count requests.
+    #[serde(default)]
+    pub jobs: Slots,
 }
--- /dev/null
+++ b/crates/scheduling/src/load.rs
@@ -0,0 +1,27 @@
+//! Workers as a planner sees them.
+
+use cactuswheel_model::{Incarnation, InstanceId, PoolId, Room};
+
+/// A worker that is seen live, and which of its lives it is in.
+#[derive(Debug, Clone)]
+pub struct WorkerLife {
+    /// The worker.
+    pub id: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// A worker that takes jobs, with the room that is free on it.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The worker's life.
+    pub life: WorkerLife,
+    /// Its pool.
+    pub pool: PoolId,
+    /// What is free.
+    pub free: Room,
+    /// All that it has.
+    pub whole: Room,
+    /// Whether it takes a single job only, to be tried out.
+    pub probe: bool,
+}
