--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,9 +6,13 @@
 use cactuswheel_http::{Answer, Call, CallError};
 use cactuswheel_model::Offset;
 use hyper::StatusCode;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Appended, Batch, Log, LogError, Roster, RosterError, Sightings, Stream};
+use crate::{
+    Appended, Batch, Log, LogError, Roster, RosterError, Sightings, Stream, TaskError, TaskId,
+    TaskOrder, Tasks,
+};
 
 /// Time limit of a call, on top of the wait that it asks for.
 const LIMIT: Duration = Duration::from_secs(3);
@@ -62,6 +66,39 @@
     }
 }
 
+impl Tasks for Client {
+    async fn start(&self, order: &TaskOrder) -> Result<(), TaskError> {
+        self.tell("/tasks/start", order).await
+    }
+
+    async fn renew(&self, tasks: &[TaskId], lease: u64) -> Result<(), TaskError> {
+        self.tell("/tasks/renew", &(tasks, lease)).await
+    }
+
+    async fn stop(&self, tasks: &[TaskId]) -> Result<(), TaskError> {
+        self.tell("/tasks/stop", &tasks).await
+    }
+}
+
+impl Client {
+    async fn tell<T: Serialize + Sync>(&self, path: &str, what: &T) -> Result<(), TaskError> {
+        let unknown = |e: &dyn std::fmt::Display| TaskError::Unknown(e.to_string());
+        let call = Call::post(self.platform, path)
+            .with_json(what)
+            .map_err(|e| unknown(&e))?;
+        let answer = call
+            .with_limit(LIMIT)
+            .send()
+            .await
+            .map_err(|e| unknown(&e))?;
+        match answer.status {
+            StatusCode::OK => Ok(()),
+            StatusCode::CONFLICT => Err(TaskError::OtherLife),
+            status => Err(unknown(&status)),
+        }
+    }
+}
+
 impl From<CallError> for LogError {
     fn from(e: CallError) -> Self {
         match e {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod log;
 mod roster;
 mod sighting;
+mod tasks;
 
 pub use batch::{Appended, Batch, Entry};
 pub use client::Client;
@@ -17,3 +18,4 @@
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
+pub use tasks::{TaskError, TaskId, TaskNews, TaskOrder, TaskReport, Tasks};
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -14,6 +14,8 @@
     Fleet,
     /// Snapshots of the fold.
     Snapshots,
+    /// What workers report of their tasks; the platform writes it.
+    Tasks,
 }
 
 /// An append-only log with offsets.
@@ -42,6 +44,7 @@
         f.write_str(match self {
             Self::Fleet => "fleet",
             Self::Snapshots => "snapshots",
+            Self::Tasks => "tasks",
         })
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,9 +7,11 @@
 mod log;
 mod platform;
 mod run;
+mod tasks;
 mod upstream;
 
 pub use fault::Fault;
 pub use platform::Platform;
 pub use run::Run;
+pub use tasks::TaskScript;
 pub use upstream::Upstream;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cactuswheel_http::{Reply, json, read_json, serve, text};
-use cactuswheel_model::{InstanceId, Offset};
-use cactuswheel_platform::{Appended, Sighting, Sightings};
+use cactuswheel_model::{Incarnation, InstanceId, Offset};
+use cactuswheel_platform::{Appended, Sighting, Sightings, TaskReport};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use tokio::net::TcpListener;
@@ -14,6 +14,7 @@
 
 use crate::fault::Fault;
 use crate::log::Log;
+use crate::tasks::Workers;
 
 /// Records that a stream keeps.
 const KEPT: usize = 100_000;
@@ -28,12 +29,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct Platform {
     inner: Arc<Mutex<Inner>>,
+    workers: Workers,
 }
 
 #[derive(Debug)]
 struct Inner {
     fleet: Log,
     snapshots: Log,
+    tasks: Log,
     roster: BTreeMap<InstanceId, Sighting>,
     fault: Fault,
 }
@@ -43,6 +46,7 @@
         Self {
             fleet: Log::new(KEPT),
             snapshots: Log::new(KEPT),
+            tasks: Log::new(KEPT),
             roster: BTreeMap::new(),
             fault: Fault::default(),
         }
@@ -54,6 +58,7 @@
         match name {
             "fleet" => Some(&mut self.fleet),
             "snapshots" => Some(&mut self.snapshots),
+            "tasks" => Some(&mut self.tasks),
             _ => None,
         }
     }
@@ -70,6 +75,17 @@
         self.lock().roster.insert(sighting.id.clone(), sighting);
     }
 
+    /// The life that an instance is in, as the roster has it.
+    pub(crate) fn incarnation(&self, id: &InstanceId) -> Option<Incarnation> {
+        self.lock().roster.get(id).map(|s| s.incarnation)
+    }
+
+    /// Appends a worker's report.
+    pub(crate) fn report(&self, report: &TaskReport) {
+        let body = serde_json::to_string(report).unwrap_or_default();
+        self.lock().tasks.append(vec![body]);
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -89,6 +105,9 @@
             (Method::GET, Some(("/log/", stream))) => self.read(stream, &request).await,
             (Method::GET, _) if path == "/roster" => self.roster(),
             (Method::POST, _) if path == "/roster" => self.set_roster(request).await,
+            (Method::POST, _) if path.starts_with("/tasks/") => {
+                self.workers.answer(&self, request).await
+            }
             (Method::POST, Some(("/trim", _))) => self.trim(&request),
             _ => text(StatusCode::NOT_FOUND, "no such service"),
         }
