--- /dev/null
+++ b/crates/testkit/src/check.rs
@@ -0,0 +1,27 @@
+//! Property runs with a fixed seed.
+
+use std::fmt::Debug;
+
+use quickcheck::{Gen, QuickCheck, Testable};
+
+/// Largest size of a generated value.
+const SIZE: usize = 60;
+
+/// Runs `property` on `cases` inputs drawn from `seed`.
+///
+/// # Panics
+///
+/// If the property fails; the message names the seed.
+pub fn check<P: Testable>(seed: u64, cases: u64, property: P) {
+    let mut runner = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SIZE, seed))
+        .tests(cases)
+        .max_tests(cases * 10);
+    if let Err(failure) = runner.quicktest(property).map_err(describe) {
+        panic!("seed {seed}: {failure}");
+    }
+}
+
+fn describe(failure: impl Debug) -> String {
+    format!("{failure:?}")
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,27 +1,19 @@
 //! Property tests that give the same verdict every time. Test support only.
+//!
+//! [`check`] runs a property on inputs drawn from a seed. [`World`] steps several nodes
+//! against fakes whose faults are drawn from a seed as well. A property takes the seed as
+//! its input, builds a world from it, injects faults, heals and asserts.
 
-use std::fmt::Debug;
+mod chaos;
+mod check;
+mod dice;
+mod fake_log;
+mod node;
+mod world;
 
-use quickcheck::{Gen, QuickCheck, Testable};
-
-/// Largest size of a generated value.
-const SIZE: usize = 60;
-
-/// Runs `property` on `cases` inputs drawn from `seed`.
-///
-/// # Panics
-///
-/// If the property fails; the message names the seed.
-pub fn check<P: Testable>(seed: u64, cases: u64, property: P) {
-    let mut runner = QuickCheck::new()
-        .rng(Gen::from_size_and_seed(SIZE, seed))
-        .tests(cases)
-        .max_tests(cases * 10);
-    if let Err(failure) = runner.quicktest(property).map_err(describe) {
-        panic!("seed {seed}: {failure}");
-    }
-}
-
-fn describe(failure: impl Debug) -> String {
-    format!("{failure:?}")
-}
+pub use chaos::Chaos;
+pub use check::check;
+pub use dice::Dice;
+pub use fake_log::{FakeBatch, FakeLog, FakeLogError, LogFaults};
+pub use node::{Node, Post};
+pub use world::World;
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,186 @@
+//! Several nodes, one platform, a made-up clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+
+use crate::{Chaos, Dice, Node, Post};
+
+/// Longest time that a message travels; later ones may overtake earlier ones.
+const TRAVEL: Duration = Duration::from_millis(300);
+
+/// Longest time between two steps.
+const STEP: Duration = Duration::from_millis(500);
+
+/// Steps nodes in an order, and with faults, drawn from a seed.
+pub struct World<N: Node> {
+    /// The nodes by number.
+    pub nodes: Vec<N>,
+    /// What they share; out of reach for nodes whose data centre is cut off from it.
+    pub platform: N::Platform,
+    /// Faults drawn at each step.
+    pub chaos: Chaos,
+    /// More choices for the test.
+    pub dice: Dice,
+    now: Time,
+    dcs: Vec<usize>,
+    paused: Vec<Time>,
+    platform_cuts: BTreeMap<usize, Time>,
+    cuts: BTreeMap<(usize, usize), Time>,
+    letters: Vec<Letter<N::Message>>,
+    fresh: Box<dyn FnMut(usize) -> N>,
+}
+
+struct Letter<M> {
+    due: Time,
+    from: usize,
+    to: usize,
+    message: M,
+}
+
+impl<N: Node> World<N> {
+    /// Nodes made by `fresh`, one for each entry of `dcs`, which names its data centre.
+    pub fn new(
+        seed: u64,
+        dcs: &[usize],
+        platform: N::Platform,
+        mut fresh: impl FnMut(usize) -> N + 'static,
+    ) -> Self {
+        Self {
+            nodes: (0..dcs.len()).map(&mut fresh).collect(),
+            platform,
+            chaos: Chaos::NONE,
+            dice: Dice::new(seed),
+            now: Time::new(1),
+            dcs: dcs.to_vec(),
+            paused: vec![Time::default(); dcs.len()],
+            platform_cuts: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            letters: Vec::new(),
+            fresh: Box::new(fresh),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Stops a node for `time`; what is sent to it waits, as in a frozen process.
+    pub fn pause(&mut self, node: usize, time: Duration) {
+        self.paused[node] = self.now.after(time);
+    }
+
+    /// Puts an empty node in the place of one; what was under way to it is lost.
+    pub fn replace(&mut self, node: usize) {
+        self.nodes[node] = (self.fresh)(node);
+        self.paused[node] = Time::default();
+        self.letters.retain(|l| l.to != node);
+    }
+
+    /// Cuts a data centre off from the platform for `time`.
+    pub fn cut_platform(&mut self, dc: usize, time: Duration) {
+        self.platform_cuts.insert(dc, self.now.after(time));
+    }
+
+    /// Cuts two data centres off from each other for `time`.
+    pub fn cut(&mut self, a: usize, b: usize, time: Duration) {
+        self.cuts.insert((a.min(b), a.max(b)), self.now.after(time));
+    }
+
+    /// Ends all pauses and cuts and draws no more faults.
+    pub fn heal(&mut self) {
+        self.chaos = Chaos::NONE;
+        self.paused.fill(Time::default());
+        self.platform_cuts.clear();
+        self.cuts.clear();
+    }
+
+    /// Steps until `time` has passed.
+    pub fn run(&mut self, time: Duration) {
+        let until = self.now.after(time);
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Draws faults, moves the clock, then lets every node that runs do what is due.
+    pub fn step(&mut self) {
+        self.draw_faults();
+        let millis = 1 + self.dice.below(STEP.as_millis() as u64);
+        self.now = self.now.after(Duration::from_millis(millis));
+        let count = self.nodes.len();
+        let start = self.dice.below(count as u64) as usize;
+        for n in (0..count).map(|i| (start + i) % count) {
+            if self.paused[n] <= self.now {
+                self.step_node(n);
+            }
+        }
+    }
+
+    fn step_node(&mut self, n: usize) {
+        let mut post = Post::default();
+        // Stable order of arrival: by due time, then by the order of sending.
+        let now = self.now;
+        let (mut due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.letters)
+            .into_iter()
+            .partition(|l| l.to == n && l.due <= now);
+        self.letters = rest;
+        due.sort_by_key(|l| l.due);
+        for letter in due {
+            self.nodes[n].receive(now, letter.from, letter.message, &mut post);
+        }
+        let cut = self.platform_cuts.get(&self.dcs[n]);
+        let platform = match cut.is_some_and(|until| *until > now) {
+            true => None,
+            false => Some(&mut self.platform),
+        };
+        self.nodes[n].step(now, platform, &mut post);
+        self.deliver(n, post);
+    }
+
+    fn deliver(&mut self, from: usize, post: Post<N::Message>) {
+        for (to, message) in post.sent {
+            if self.is_cut(from, to) || self.dice.chance(self.chaos.loss) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.dice.chance(self.chaos.twice));
+            for _ in 0..copies {
+                let millis = self.dice.below(TRAVEL.as_millis() as u64);
+                self.letters.push(Letter {
+                    due: self.now.after(Duration::from_millis(millis)),
+                    from,
+                    to,
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let (a, b) = (self.dcs[from], self.dcs[to]);
+        let until = self.cuts.get(&(a.min(b), a.max(b)));
+        until.is_some_and(|until| *until > self.now)
+    }
+
+    fn draw_faults(&mut self) {
+        let chaos = self.chaos;
+        let node = self.dice.below(self.nodes.len() as u64) as usize;
+        let (a, b) = (*self.dice.pick(&self.dcs), *self.dice.pick(&self.dcs));
+        let millis = self.dice.below(chaos.longest.as_millis() as u64);
+        let time = Duration::from_millis(millis);
+        if self.dice.chance(chaos.pause) {
+            self.pause(node, time);
+        }
+        if self.dice.chance(chaos.replace) {
+            self.replace(node);
+        }
+        if self.dice.chance(chaos.platform_cut) {
+            self.cut_platform(a, time);
+        }
+        if a != b && self.dice.chance(chaos.cut) {
+            self.cut(a, b, time);
+        }
+    }
+}
