--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::{Listen, LogSettings, Node, Operator, Settings, StartError, init_log};
+use crate::{Limits, Listen, LogSettings, Node, Operator, Settings, StartError, init_log};
 
 /// Key of the team in the small fleet.
 const TEAM_KEY: &str = "demo-key";
@@ -85,6 +85,7 @@
         log: LogSettings {
             level: LevelFilter::Warn,
         },
+        limits: Limits::default(),
     })
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,4 +23,4 @@
 pub use logging::init_log;
 pub use node::Node;
 pub use phase::Phase;
-pub use settings::{Listen, LogSettings, Operator, Settings, SettingsError};
+pub use settings::{Limits, Listen, LogSettings, Operator, Settings, SettingsError, SettingsFault};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cactuswheel_http::serve;
 use tokio::net::TcpListener;
@@ -15,12 +14,6 @@
 use crate::shared::Shared;
 use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
 
-/// Longest that a planned stop waits for running requests.
-const LONGEST_STOP: Duration = Duration::from_secs(600);
-
-/// Time for which a stopping entry goes on accepting, since the balancer lags.
-const BALANCER_LAG: Duration = Duration::from_millis(500);
-
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -88,10 +81,14 @@
     /// Not ready first, then no new connections, then the end of all that run.
     pub async fn stop(self) {
         self.shared.phase.advance(Phase::Stopping);
-        tokio::time::sleep(BALANCER_LAG).await;
+        let limits = &self.shared.settings.limits;
+        tokio::time::sleep(limits.balancer_ms.duration()).await;
         self.stop.cancel();
         self.open.close();
-        if timeout(LONGEST_STOP, self.open.wait()).await.is_err() {
+        if timeout(limits.drain_ms.duration(), self.open.wait())
+            .await
+            .is_err()
+        {
             log::error!("stopping with {} connections still busy", self.open.len());
         }
     }
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -15,12 +15,6 @@
 use super::request;
 use crate::shared::Shared;
 
-/// Time in which a caller has to send the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
-
-/// Largest head of a request, in bytes.
-const MAX_HEAD: usize = 32 << 10;
-
 /// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,14 +41,15 @@
 }
 
 async fn converse(stream: TcpStream, shared: Arc<Shared>, stop: CancellationToken) {
+    let limits = shared.settings.limits.clone();
     let service = service_fn(move |r| {
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(request::answer(shared, r).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
-        .max_buf_size(MAX_HEAD)
+        .header_read_timeout(limits.head_ms.duration())
+        .max_buf_size(limits.head_bytes.get() as usize)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     tokio::select! {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,12 +1,25 @@
 //! Settings of an entry instance.
 
+mod addr;
+mod check;
+mod error;
+mod limits;
+mod listen;
+mod log_settings;
+mod operator;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
-use cactuswheel_model::{DcId, Digest, EntryId, OperatorId};
-use log::LevelFilter;
+use cactuswheel_model::{DcId, EntryId};
 use serde::Deserialize;
 
+pub use error::{SettingsError, SettingsFault};
+pub use limits::Limits;
+pub use listen::Listen;
+pub use log_settings::LogSettings;
+pub use operator::Operator;
+
 /// Settings, as read from a JSON file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -18,75 +31,21 @@
     /// Where it listens.
     pub listen: Listen,
     /// Where the platform's services are.
+    #[serde(deserialize_with = "addr::one")]
     pub platform: SocketAddr,
     /// Where other entries listen for this one.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "addr::many")]
     pub peers: Vec<SocketAddr>,
     /// Who may change the fleet.
-    #[serde(default)]
+    ///
+    /// Invariant: not empty, names and digests all different.
     pub operators: Vec<Operator>,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
-}
-
-/// Addresses that an entry listens on.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Listen {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For operators and for metrics.
-    pub admin: SocketAddr,
-    /// For other entries.
-    pub peer: SocketAddr,
-}
-
-/// An operator and the digest of the operator's key.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Operator {
-    /// The name for the audit trail.
-    pub name: OperatorId,
-    /// Digest of the key; the key itself does not belong into a file.
-    pub digest: Digest,
-}
-
-/// Settings of the log.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct LogSettings {
-    /// Least severe level that is written.
-    pub level: LevelFilter,
-}
-
-/// Settings that cannot be used.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("code 501: {}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// What happened.
-        source: std::io::Error,
-    },
-    /// The text is not what settings look like.
-    #[error("code 501: {}: {source}", path.display())]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// What happened.
-        source: serde_json::Error,
-    },
-}
-
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self {
-            level: LevelFilter::Info,
-        }
-    }
+    /// Sizes and times that may need tuning.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 impl Settings {
@@ -96,9 +55,13 @@
             path: path.into(),
             source: e,
         })?;
-        serde_json::from_slice(&text).map_err(|e| SettingsError::Parse {
-            path: path.into(),
-            source: e,
-        })
+        let mut json = serde_json::Deserializer::from_slice(&text);
+        let parsed: Result<Self, _> = serde_path_to_error::deserialize(&mut json);
+        let settings = parsed.map_err(|e| SettingsError::parse(path, &e))?;
+        json.end().map_err(|e| SettingsError::rest(path, &e))?;
+        settings
+            .check()
+            .map_err(|e| SettingsError::check(path, e))?;
+        Ok(settings)
     }
 }
--- /dev/null
+++ b/crates/daemon/src/settings/limits.rs
@@ -0,0 +1,71 @@
+//! Sizes and times that may need tuning.
+
+use std::ops::RangeInclusive;
+
+use cactuswheel_model::{ByteSize, Millis};
+use serde::Deserialize;
+
+use super::SettingsFault;
+
+/// Bounds of callers' requests and of a planned stop.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest head of a request.
+    ///
+    /// Invariant: 8 KiB to 1 MiB.
+    pub head_bytes: ByteSize,
+    /// Time in which a caller has to send the head of a request.
+    ///
+    /// Invariant: 100 ms to 5 min.
+    pub head_ms: Millis,
+    /// Largest body of a request.
+    ///
+    /// Invariant: 1 byte to 1 TiB.
+    pub body_bytes: ByteSize,
+    /// Time for a connection to an upstream.
+    ///
+    /// Invariant: 10 ms to 1 min.
+    pub connect_ms: Millis,
+    /// Time for which a stopping entry goes on accepting, since the balancer lags.
+    ///
+    /// Invariant: at most 5 min.
+    pub balancer_ms: Millis,
+    /// Longest that a planned stop waits for running requests.
+    ///
+    /// Invariant: 1 s to 7 days.
+    pub drain_ms: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: ByteSize::new(32 << 10),
+            head_ms: Millis::new(10_000),
+            body_bytes: ByteSize::new(256 << 20),
+            connect_ms: Millis::new(1_000),
+            balancer_ms: Millis::new(500),
+            drain_ms: Millis::new(600_000),
+        }
+    }
+}
+
+impl Limits {
+    /// Finds a limit that is out of its range.
+    pub(super) fn check(&self) -> Result<(), SettingsFault> {
+        within("head_bytes", self.head_bytes.get(), 8 << 10..=1 << 20)?;
+        within("head_ms", self.head_ms.get(), 100..=300_000)?;
+        within("body_bytes", self.body_bytes.get(), 1..=1 << 40)?;
+        within("connect_ms", self.connect_ms.get(), 10..=60_000)?;
+        within("balancer_ms", self.balancer_ms.get(), 0..=300_000)?;
+        within("drain_ms", self.drain_ms.get(), 1_000..=604_800_000)
+    }
+}
+
+fn within(name: &str, got: u64, range: RangeInclusive<u64>) -> Result<(), SettingsFault> {
+    if range.contains(&got) {
+        return Ok(());
+    }
+    let takes = format!("{} to {}", range.start(), range.end());
+    Err(SettingsFault::new(format!("limits.{name}"), got, takes))
+}
--- a/crates/model/src/size.rs
+++ b/crates/model/src/size.rs
@@ -10,3 +10,7 @@
     /// Memory, in MiB.
     Mebibytes(u64)
 }
+number! {
+    /// Size of a message or a part of it, in bytes.
+    ByteSize(u64)
+}
