--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -40,8 +40,10 @@
 fn take(shared: &Shared, batch: &Batch) {
     let mut state = State::clone(&shared.state.load());
     for entry in &batch.entries {
-        if let Applied::Undecodable(e) = state.apply(entry.offset, &entry.body) {
-            log::error!("record {} passed over: {e}", entry.offset);
+        match state.apply(entry.offset, &entry.body) {
+            Applied::Undecodable(e) => log::error!("record {} passed over: {e}", entry.offset),
+            Applied::Jobs(results) => shared.jobs.settle(entry.offset, results),
+            Applied::Ticket(_) | Applied::Old => {}
         }
     }
     let next = state.next();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cactuswheel_http::serve;
 use tokio::net::TcpListener;
@@ -13,13 +12,7 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
-
-/// Longest that a planned stop waits for running requests.
-const LONGEST_STOP: Duration = Duration::from_secs(600);
-
-/// Time for which a stopping entry goes on accepting, since the balancer lags.
-const BALANCER_LAG: Duration = Duration::from_millis(500);
+use crate::{Phase, Settings, StartError, admin, follower, jobs, peers, proxy, sightings};
 
 /// A running entry instance.
 #[derive(Debug)]
@@ -49,6 +42,8 @@
         };
         tokio::spawn(follower::follow(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(jobs::write(shared.clone()));
+        tokio::spawn(jobs::drive(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
         for peer in shared.settings.peers.clone() {
             tokio::spawn(peers::beat(shared.clone(), peer));
@@ -88,10 +83,14 @@
     /// Not ready first, then no new connections, then the end of all that run.
     pub async fn stop(self) {
         self.shared.phase.advance(Phase::Stopping);
-        tokio::time::sleep(BALANCER_LAG).await;
+        let limits = &self.shared.settings.limits;
+        tokio::time::sleep(limits.balancer_ms.duration()).await;
         self.stop.cancel();
         self.open.close();
-        if timeout(LONGEST_STOP, self.open.wait()).await.is_err() {
+        if timeout(limits.drain_ms.duration(), self.open.wait())
+            .await
+            .is_err()
+        {
             log::error!("stopping with {} connections still busy", self.open.len());
         }
     }
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -8,11 +8,11 @@
 use hyper::header::AUTHORIZATION;
 use hyper::{HeaderMap, Request, Response};
 
-use super::answer::{Answer, refuse};
+use super::answer::{Answer, mark, refuse};
 use super::forward;
 use super::held::Permit;
-use crate::Phase;
 use crate::shared::Shared;
+use crate::{Phase, jobs};
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
@@ -35,6 +35,10 @@
         return Err(Refusal::new(Code::NotReady));
     }
     let state = shared.state.load_full();
+    if request.uri().path().starts_with("/jobs") {
+        let team = find_team(&state, request.headers())?;
+        return answer_jobs(shared, &team, request, id).await;
+    }
     let (service, rest) = find_service(&state, request.uri().path())?;
     let rest = match request.uri().query() {
         Some(query) => format!("{rest}?{query}"),
@@ -46,6 +50,18 @@
     forward::send(request, &rest, id, permit, lease).await
 }
 
+async fn answer_jobs(
+    shared: Arc<Shared>,
+    team: &Team,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Answer>, Refusal> {
+    let reply = jobs::answer(shared, team.id.clone(), request).await?;
+    let mut response = reply.map(Answer::Own);
+    mark(&mut response, Code::Ok, id);
+    Ok(response)
+}
+
 /// Splits `/s/SERVICE/REST` and finds the service.
 fn find_service(state: &State, path: &str) -> Result<(Arc<Service>, String), Refusal> {
     let Some(path) = path.strip_prefix("/s/") else {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,17 +1,19 @@
 //! What the tasks of a node share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
 use cactuswheel_fleet::State;
-use cactuswheel_model::{EntryId, Map, Offset};
+use cactuswheel_model::{EntryId, Map, Offset, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Candidate, Routes};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::Settings;
+use crate::jobs::Desk;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 
@@ -26,6 +28,7 @@
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
     pub(crate) routes: ArcSwap<Routes>,
+    pub(crate) jobs: Desk,
     gate: Mutex<Gate>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
@@ -45,6 +48,7 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            jobs: Desk::default(),
             gate: Mutex::default(),
             heard: Mutex::default(),
             reached,
@@ -96,3 +100,9 @@
         pool: instance.pool.clone(),
     })
 }
+
+/// Now, on a clock that starts with the process.
+pub(crate) fn now() -> Time {
+    static START: OnceLock<Instant> = OnceLock::new();
+    Time::new(START.get_or_init(Instant::now).elapsed().as_millis() as u64)
+}
