--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod embedded;
 mod error;
 mod follower;
+mod jobs;
 mod logging;
 mod node;
 mod peers;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
+use crate::{Phase, Settings, StartError, admin, follower, jobs, peers, proxy, sightings};
 
 /// A running entry instance.
 #[derive(Debug)]
@@ -42,6 +42,8 @@
         };
         tokio::spawn(follower::follow(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(jobs::write(shared.clone()));
+        tokio::spawn(jobs::drive(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
         for peer in shared.settings.peers.clone() {
             tokio::spawn(peers::beat(shared.clone(), peer));
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -198,6 +198,31 @@
     NotEverywhere = 505, 504, Ran,
         "in force, but not confirmed everywhere",
         "See `cactuswheel status`; look at the entries that did not answer.";
+
+    /// A job of this name was submitted with another description.
+    JobUsed = 601, 409, NotRun,
+        "job name used with another description",
+        "Choose another name for another job.";
+    /// The job is larger than every worker of its pool.
+    JobTooLarge = 602, 422, NotRun,
+        "job larger than every worker of its pool",
+        "Ask for less, or for another pool.";
+    /// The team has too many jobs waiting.
+    JobsFull = 603, 429, NotRun,
+        "too many jobs waiting",
+        "Come back after the time given.";
+    /// The job was overtaken: it is not in the state that the event is about.
+    JobMoved = 604, 409, NotRun,
+        "job is in another state",
+        "Look the job up; what was asked no longer applies.";
+    /// The worker has no room, or takes no work just now.
+    WorkerFull = 605, 409, NotRun,
+        "worker takes no such job now",
+        "Nothing: the job is placed elsewhere.";
+    /// The job cannot be read or breaks its schema.
+    BadJob = 606, 400, NotRun,
+        "malformed job",
+        "Mend the job as the detail says.";
 }
 
 impl Code {
