--- /dev/null
+++ b/crates/fleet/src/audit.rs
@@ -0,0 +1,96 @@
+//! Who changed what.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use cactuswheel_model::{Change, ObjectId, Offset, Ticket};
+use serde::{Deserialize, Serialize};
+
+use crate::{AuditRow, Config, Outcome};
+
+/// Rows kept. Older ones can still be read from the log itself, as far as it keeps them.
+const KEPT: usize = 4_000;
+
+/// Objects of a refused ticket that are listed; so one refused giant does not push out the
+/// trail of what did change.
+const REFUSED: usize = 16;
+
+/// The newest rows of the audit trail.
+///
+/// Part of the state, and so of every snapshot: it outlives the replacement of every entry.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Audit {
+    /// Invariant: at most `KEPT` and ordered by offset.
+    rows: Arc<VecDeque<Arc<AuditRow>>>,
+}
+
+impl Audit {
+    /// All rows, oldest first.
+    pub fn rows(&self) -> impl DoubleEndedIterator<Item = &Arc<AuditRow>> {
+        self.rows.iter()
+    }
+
+    /// Up to `max` rows, oldest first: from offset `from` on, or the newest if it is not given.
+    pub fn query(
+        &self,
+        object: Option<&ObjectId>,
+        from: Option<Offset>,
+        max: usize,
+    ) -> Vec<Arc<AuditRow>> {
+        let wanted = |row: &&Arc<AuditRow>| object.is_none_or(|o| row.object.as_ref() == Some(o));
+        let found = self.rows.iter().filter(wanted).cloned();
+        if let Some(from) = from {
+            return found.filter(|r| r.offset >= from).take(max).collect();
+        }
+        let mut newest: Vec<_> = found.rev().take(max).collect();
+        newest.reverse();
+        newest
+    }
+
+    /// Notes a ticket that came into force between `old` and `next`.
+    pub(crate) fn accept(
+        &mut self,
+        ticket: &Ticket,
+        outcome: &Outcome,
+        old: &Config,
+        next: &Config,
+    ) {
+        let objects = ticket.changes.iter().map(Change::object);
+        let rows = objects.map(|object| AuditRow {
+            before: old.image(&object),
+            after: next.image(&object),
+            ..row(ticket, outcome, Some(object))
+        });
+        self.extend(rows);
+    }
+
+    /// Notes a ticket that was refused.
+    pub(crate) fn refuse(&mut self, ticket: &Ticket, outcome: &Outcome) {
+        if ticket.changes.is_empty() {
+            return self.extend([row(ticket, outcome, None)]);
+        }
+        let listed = ticket.changes.iter().take(REFUSED);
+        self.extend(listed.map(|c| row(ticket, outcome, Some(c.object()))));
+    }
+
+    fn extend(&mut self, rows: impl IntoIterator<Item = AuditRow>) {
+        let kept = Arc::make_mut(&mut self.rows);
+        kept.extend(rows.into_iter().map(Arc::new));
+        let surplus = kept.len().saturating_sub(KEPT);
+        kept.drain(..surplus);
+    }
+}
+
+fn row(ticket: &Ticket, outcome: &Outcome, object: Option<ObjectId>) -> AuditRow {
+    AuditRow {
+        at: ticket.at,
+        author: ticket.author.clone(),
+        ticket: ticket.ticket,
+        offset: outcome.offset,
+        object,
+        before: None,
+        after: None,
+        code: outcome.code,
+        detail: outcome.detail.clone(),
+    }
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::Table;
+use crate::{Image, Table};
 
 /// The current objects of every kind.
 ///
@@ -53,6 +53,18 @@
         }
     }
 
+    /// An object as it stands, if it exists.
+    pub fn image(&self, id: &ObjectId) -> Option<Image> {
+        match id {
+            ObjectId::Dc(id) => self.dcs.get(id).cloned().map(Image::Dc),
+            ObjectId::Pool(id) => self.pools.get(id).cloned().map(Image::Pool),
+            ObjectId::Service(id) => self.services.get(id).cloned().map(Image::Service),
+            ObjectId::Team(id) => self.teams.get(id).cloned().map(Image::Team),
+            ObjectId::Key(digest) => self.keys.get(digest).cloned().map(Image::Key),
+            ObjectId::Instance(id) => self.instances.get(id).cloned().map(Image::Instance),
+        }
+    }
+
     /// Number of instances in a pool.
     pub fn pool_size(&self, pool: &PoolId) -> usize {
         self.instances.values().filter(|i| i.pool == *pool).count()
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -49,9 +49,9 @@
     }
 
     /// Records the result of the first record with its number.
-    pub(crate) fn record(&mut self, outcome: Outcome) {
+    pub(crate) fn record(&mut self, outcome: Arc<Outcome>) {
         let outcomes = Arc::make_mut(&mut self.outcomes);
-        outcomes.insert(outcome.ticket, Arc::new(outcome));
+        outcomes.insert(outcome.ticket, outcome);
         if outcomes.len() > KEPT {
             self.forget();
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,15 +5,32 @@
 //! offset. This crate does no I/O and reads no clock; drivers feed it records and publish the
 //! state that comes out.
 
+mod assembler;
+mod audit;
+mod audit_row;
 mod config;
+mod image;
 mod ledger;
 mod outcome;
+mod recent;
+mod replica;
 mod rules;
+mod snapshot;
+mod snapshot_part;
+mod snapshot_timer;
 mod state;
 mod table;
 
+pub use assembler::Assembler;
+pub use audit::Audit;
+pub use audit_row::AuditRow;
 pub use config::Config;
+pub use image::Image;
 pub use ledger::Ledger;
 pub use outcome::Outcome;
+pub use recent::Recent;
+pub use replica::{Gap, Progress, Replica};
+pub use snapshot::{Snapshot, SnapshotError};
+pub use snapshot_timer::{SnapshotPolicy, SnapshotTimer};
 pub use state::{Applied, State};
 pub use table::Table;
--- /dev/null
+++ b/crates/fleet/src/replica.rs
@@ -0,0 +1,107 @@
+//! One node's copy of the state, and how far the fleet is known to be.
+
+use std::sync::Arc;
+
+use cactuswheel_model::Offset;
+
+use crate::{Applied, Recent, State};
+
+/// Records that do not follow on what was applied.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("records from {got} on leave a gap after {next}")]
+pub struct Gap {
+    /// The offset that had to come next.
+    pub next: Offset,
+    /// The first offset that came.
+    pub got: Offset,
+}
+
+/// What a run of records did.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Records applied that had not been applied before.
+    pub applied: usize,
+    /// Offset and error of those that did not decode.
+    pub undecodable: Vec<(Offset, String)>,
+}
+
+/// Takes records and snapshots from the log or from peers, in any order and any number of
+/// times; the state only ever moves forward.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    state: Arc<State>,
+    recent: Recent,
+    /// Highest head that the log or a peer told.
+    known: Offset,
+}
+
+impl Replica {
+    /// The state, to be read without regard to this replica.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// The newest raw records.
+    pub fn recent(&self) -> &Recent {
+        &self.recent
+    }
+
+    /// The highest head that was heard of.
+    pub fn known(&self) -> Offset {
+        self.known
+    }
+
+    /// Notes how far the log or a peer is.
+    pub fn hear(&mut self, head: Offset) {
+        self.known = self.known.max(head);
+    }
+
+    /// Whether the state holds everything that the fleet is known to hold.
+    pub fn is_current(&self) -> bool {
+        self.state.next() >= self.known
+    }
+
+    /// Applies records that follow each other from `first` on; those known already do nothing.
+    ///
+    /// Failure: a peer or a trimmed log hands out records beyond the next one; applied, they
+    /// would leave a change out, and this node alone would serve by another configuration.
+    /// Nothing of a run that leaves a gap is applied.
+    pub fn apply<T: AsRef<str>>(&mut self, first: Offset, bodies: &[T]) -> Result<Progress, Gap> {
+        let next = self.state.next();
+        if first > next {
+            return Err(Gap { next, got: first });
+        }
+        let mut progress = Progress::default();
+        let known = (next.get() - first.get()) as usize;
+        let Some(fresh) = bodies.get(known..).filter(|b| !b.is_empty()) else {
+            return Ok(progress);
+        };
+        // Readers hold the old state as long as they like; they never see one half applied.
+        let mut state = State::clone(&self.state);
+        for body in fresh {
+            let offset = state.next();
+            if let Applied::Undecodable(e) = state.apply(offset, body.as_ref()) {
+                progress.undecodable.push((offset, e));
+            }
+            self.recent.push(body.as_ref());
+        }
+        progress.applied = fresh.len();
+        self.hear(state.next());
+        self.state = Arc::new(state);
+        Ok(progress)
+    }
+
+    /// Takes the state of a snapshot, unless this node's is as new.
+    ///
+    /// Failure: a snapshot from a paused writer, or from a peer that was cut off, would bring
+    /// back what was changed since. An older one is never taken, so nothing reverts.
+    pub fn adopt(&mut self, state: State) -> bool {
+        if state.next() <= self.state.next() {
+            return false;
+        }
+        self.hear(state.next());
+        self.recent.restart(state.next());
+        self.state = Arc::new(state);
+        true
+    }
+}
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, Offset, Record, Refusal, Ticket};
+use cactuswheel_model::{Code, Offset, Record, Refusal, SnapshotMark, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Config, Ledger, Outcome, rules};
+use crate::{Audit, Config, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,12 @@
     next: Offset,
     config: Config,
     ledger: Ledger,
+    #[serde(default)]
+    audit: Audit,
+    /// The snapshot with the highest head among those marked complete.
+    snapshot: Option<SnapshotMark>,
+    /// Records that did not decode.
+    undecodable: u64,
 }
 
 /// What applying a record did.
@@ -25,6 +31,8 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// Word of a snapshot.
+    Snapshot,
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -47,6 +55,21 @@
         &self.ledger
     }
 
+    /// Who changed what, lately.
+    pub fn audit(&self) -> &Audit {
+        &self.audit
+    }
+
+    /// The newest snapshot that was marked complete.
+    pub fn snapshot(&self) -> Option<&SnapshotMark> {
+        self.snapshot.as_ref()
+    }
+
+    /// Number of records that were passed over because they do not decode.
+    pub fn undecodable(&self) -> u64 {
+        self.undecodable
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -64,10 +87,23 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
-            Err(e) => Applied::Undecodable(e.to_string()),
+            Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
+            Err(e) => {
+                self.undecodable += 1;
+                Applied::Undecodable(e.to_string())
+            }
         }
     }
 
+    /// A paused writer marks an old snapshot late; the newest stays the one that counts.
+    fn apply_mark(&mut self, mark: SnapshotMark) -> Applied {
+        let newest = self.snapshot.as_ref().map(|s| s.head);
+        if newest.is_none_or(|newest| newest < mark.head) {
+            self.snapshot = Some(mark);
+        }
+        Applied::Snapshot
+    }
+
     fn apply_ticket(&mut self, offset: Offset, ticket: &Ticket) -> Arc<Outcome> {
         let digest = ticket.digest();
         let outcome = |refusal: Refusal| Outcome {
@@ -83,29 +119,41 @@
                 return first.clone();
             }
             let detail = format!("used at offset {}", first.offset);
-            return Arc::new(outcome(Refusal::new(Code::TicketUsed).with_detail(detail)));
+            let refused = outcome(Refusal::new(Code::TicketUsed).with_detail(detail));
+            return self.refuse(ticket, refused);
         }
         if self.ledger.is_forgotten(ticket.ticket) {
             let detail = "its number is below all that are remembered";
-            return Arc::new(outcome(Refusal::new(Code::TicketStale).with_detail(detail)));
+            let refused = outcome(Refusal::new(Code::TicketStale).with_detail(detail));
+            return self.refuse(ticket, refused);
         }
-        let outcome = match self.try_ticket(ticket) {
-            Ok(()) => outcome(Refusal::new(Code::Ok)),
-            Err(refusal) => outcome(refusal),
+        let outcome = match self.next_config(ticket) {
+            Ok(next) => self.accept(ticket, outcome(Refusal::new(Code::Ok)), next),
+            Err(refusal) => self.refuse(ticket, outcome(refusal)),
         };
         self.ledger.record(outcome.clone());
-        Arc::new(outcome)
+        outcome
     }
 
-    fn try_ticket(&mut self, ticket: &Ticket) -> Result<(), Refusal> {
+    fn next_config(&self, ticket: &Ticket) -> Result<Config, Refusal> {
         rules::check_order(ticket, &self.ledger)?;
         let mut next = self.config.clone();
         ticket.changes.iter().for_each(|c| next.set(c));
         rules::check_sense(ticket, &self.config, &next)?;
+        Ok(next)
+    }
+
+    fn accept(&mut self, ticket: &Ticket, outcome: Outcome, next: Config) -> Arc<Outcome> {
+        self.audit.accept(ticket, &outcome, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
             self.ledger.touch(change.object(), ticket.ticket);
         }
-        Ok(())
+        Arc::new(outcome)
+    }
+
+    fn refuse(&mut self, ticket: &Ticket, outcome: Outcome) -> Arc<Outcome> {
+        self.audit.refuse(ticket, &outcome);
+        Arc::new(outcome)
     }
 }
--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -1,6 +1,7 @@
 //! What a ticket changes.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +63,38 @@
     }
 }
 
+/// Text that names no object.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "`{0}` names no object: takes KIND/NAME, KIND one of dc, pool, service, team, key, instance"
+)]
+pub struct ParseObjectError(String);
+
+impl ObjectId {
+    /// Kind and name as they stand in the administration API, such as `pool/render`.
+    pub fn path(&self) -> String {
+        self.to_string().replacen(' ', "/", 1)
+    }
+}
+
+impl FromStr for ObjectId {
+    type Err = ParseObjectError;
+
+    fn from_str(s: &str) -> Result<Self, ParseObjectError> {
+        let error = || ParseObjectError(s.chars().take(80).collect());
+        let (kind, name) = s.split_once('/').ok_or_else(error)?;
+        match kind {
+            "dc" => name.parse().map(Self::Dc).map_err(|_| error()),
+            "pool" => name.parse().map(Self::Pool).map_err(|_| error()),
+            "service" => name.parse().map(Self::Service).map_err(|_| error()),
+            "team" => name.parse().map(Self::Team).map_err(|_| error()),
+            "key" => name.parse().map(Self::Key).map_err(|_| error()),
+            "instance" => name.parse().map(Self::Instance).map_err(|_| error()),
+            _ => Err(error()),
+        }
+    }
+}
+
 impl fmt::Display for ObjectId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/model/src/ticket.rs
+++ b/crates/model/src/ticket.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, Digest, OperatorId, TicketNo};
+use crate::{Change, Digest, OperatorId, TicketNo, WallTime};
 
 /// A change that operators put in, applied whole or not at all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,7 +13,10 @@
     /// Who put it in; set by the entry from the operator's key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub author: Option<OperatorId>,
-    /// Why, for the audit trail.
+    /// When it was put in; set by the entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at: Option<WallTime>,
+    /// Why, for people who read the log.
     #[serde(default)]
     pub reason: String,
     /// New states; no object twice.
@@ -23,7 +26,7 @@
 impl Ticket {
     /// Digest of what the ticket changes, which tells a repeat from a conflict.
     ///
-    /// The author is left out: a repeat through another operator's key is still a repeat.
+    /// Author and time are left out: a repeat through another operator's key is still a repeat.
     pub fn digest(&self) -> Digest {
         let bytes = serde_json::to_vec(&self.changes).unwrap_or_default();
         Digest::of(&bytes)
