--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,6 @@
 //! The operators' API, JSON over HTTP.
 
+mod audit;
 mod status;
 mod tickets;
 
@@ -36,6 +37,7 @@
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::GET, "/v1/status") => status::show(&shared),
         (&Method::GET, "/v1/config") => Ok(json(StatusCode::OK, shared.state.load().config())),
+        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
         _ => Err(Refusal::new(Code::NotFound).with_detail(path)),
     };
     done.unwrap_or_else(|refusal| refused(&refusal))
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -14,6 +14,12 @@
     dc: &'a str,
     ready: bool,
     next: Offset,
+    /// Head of the last snapshot in the log.
+    snapshot: Option<Offset>,
+    /// Records that did not decode.
+    undecodable: u64,
+    /// Whether the platform's log does not answer.
+    log_down: bool,
     upstreams: usize,
     peers: Vec<PeerStatus>,
 }
@@ -28,11 +34,15 @@
 
 /// Shows the entry's name, phase and offset.
 pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
+    let state = shared.state.load();
     let status = Status {
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
-        next: shared.state.load().next(),
+        next: state.next(),
+        snapshot: state.snapshot().map(|s| s.head),
+        undecodable: state.undecodable(),
+        log_down: shared.link.is_down(),
         upstreams: shared.routes.load().upstreams().count(),
         peers: peers(shared),
     };
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_fleet::{Applied, State};
+use cactuswheel_model::Offset;
 use cactuswheel_platform::{Batch, Log, LogError, Stream};
 use tokio::time::sleep;
 
-use crate::Phase;
 use crate::shared::Shared;
+use crate::{Phase, snapshots};
 
 /// Records asked for at once.
 const BATCH: usize = 500;
@@ -21,36 +21,58 @@
 
 /// Applies records as they come, for as long as the task lives.
 pub(crate) async fn follow(shared: Arc<Shared>) {
+    if let Err(e) = snapshots::restore(&shared, Offset::default()).await {
+        log::warn!("no snapshot: {e}");
+    }
     loop {
         let from = shared.state.load().next();
-        match shared.platform.read(Stream::Fleet, from, BATCH, WAIT).await {
-            Ok(batch) => take(&shared, &batch),
-            Err(LogError::Trimmed(first)) => {
-                log::error!("log starts at {first}, this node needs {from}");
-                sleep(PAUSE).await;
-            }
+        // Until it serves, a node has to learn soon that the log does not answer.
+        let wait = match shared.phase.get() {
+            Phase::Starting => Duration::ZERO,
+            _ => WAIT,
+        };
+        match shared.platform.read(Stream::Fleet, from, BATCH, wait).await {
+            Ok(batch) => take(&shared, from, &batch).await,
+            Err(LogError::Trimmed(first)) => recover(&shared, from, first).await,
             Err(e) => {
                 log::warn!("{e}");
+                shared.link.failed();
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
-fn take(shared: &Shared, batch: &Batch) {
-    let mut state = State::clone(&shared.state.load());
-    for entry in &batch.entries {
-        if let Applied::Undecodable(e) = state.apply(entry.offset, &entry.body) {
-            log::error!("record {} passed over: {e}", entry.offset);
-        }
+async fn take(shared: &Shared, from: Offset, batch: &Batch) {
+    shared.link.answered(batch.first);
+    shared.link.set_gap(false);
+    shared.hear_head(batch.head);
+    let first = batch.entries.first().map_or(from, |e| e.offset);
+    let bodies: Vec<_> = batch.entries.iter().map(|e| e.body.as_str()).collect();
+    if let Err(gap) = shared.take(first, &bodies) {
+        log::error!("log: {gap}");
+        return sleep(PAUSE).await;
     }
-    let next = state.next();
-    if !batch.entries.is_empty() {
-        shared.state.store(Arc::new(state));
-        shared.reroute();
-        shared.reached.send_replace(next);
+    if shared.is_current() {
+        return shared.phase.advance(Phase::Ready);
     }
-    if next >= batch.head {
-        shared.phase.advance(Phase::Ready);
+    if batch.entries.is_empty() {
+        // A peer knows of records that the log does not show yet.
+        sleep(PAUSE).await;
+    }
+}
+
+/// The log no longer keeps what comes next: only a snapshot leads on.
+///
+/// Failure: after a long freeze the node would otherwise serve an old configuration for ever.
+/// A snapshot that ends before `first` leaves a gap and is not taken; then a peer may help.
+async fn recover(shared: &Shared, from: Offset, first: Offset) {
+    shared.link.answered(first);
+    match snapshots::restore(shared, first).await {
+        Ok(true) => return shared.link.set_gap(false),
+        Ok(false) => log::error!("log starts at {first}, this node needs {from}; no snapshot"),
+        Err(e) => log::error!("log starts at {first}, this node needs {from}: {e}"),
     }
+    shared.link.set_gap(true);
+    sleep(PAUSE).await;
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,17 +6,23 @@
 //! `fleet`; nothing here decides.
 
 mod admin;
+mod appender;
+mod catch_up;
 mod embedded;
 mod error;
 mod follower;
+mod intake;
+mod log_link;
 mod logging;
 mod node;
+mod peer_state;
 mod peers;
 mod phase;
 mod proxy;
 mod settings;
 mod shared;
 mod sightings;
+mod snapshots;
 
 pub use embedded::run_embedded;
 pub use error::StartError;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,10 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
+use crate::{
+    Phase, Settings, StartError, admin, appender, catch_up, follower, peers, proxy, sightings,
+    snapshots,
+};
 
 /// Longest that a planned stop waits for running requests.
 const LONGEST_STOP: Duration = Duration::from_secs(600);
@@ -48,6 +51,9 @@
             stop: CancellationToken::new(),
         };
         tokio::spawn(follower::follow(shared.clone()));
+        tokio::spawn(catch_up::watch(shared.clone()));
+        tokio::spawn(snapshots::write_when_due(shared.clone()));
+        tokio::spawn(appender::run(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
         for peer in shared.settings.peers.clone() {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,6 +8,7 @@
 use cactuswheel_wire::{Answers, Beat, Chunk, Link, Tail, WireError};
 use tokio::time::{Instant, sleep};
 
+use crate::peer_state;
 use crate::shared::Shared;
 
 /// Time between two beats to one peer.
@@ -32,15 +33,12 @@
         own_beat(&self.0)
     }
 
-    fn records(&self, from: Offset, _max: u32) -> Tail {
-        Tail {
-            first: from.get() as i64,
-            bodies: Vec::new(),
-        }
+    fn records(&self, from: Offset, max: u32) -> Tail {
+        peer_state::records(&self.0, from, max)
     }
 
-    fn snapshot(&self, _head: Offset, _start: u64, _max: u32) -> Option<Chunk> {
-        None
+    fn snapshot(&self, head: Offset, start: u64, max: u32) -> Option<Chunk> {
+        peer_state::snapshot(&self.0, head, start, max)
     }
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,13 +5,15 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::State;
+use cactuswheel_fleet::{Replica, Snapshot, State};
 use cactuswheel_model::{EntryId, Map, Offset};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Candidate, Routes};
 use tokio::sync::watch;
 
 use crate::Settings;
+use crate::appender::Appender;
+use crate::log_link::LogLink;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 
@@ -21,11 +23,17 @@
     pub(crate) settings: Settings,
     pub(crate) platform: Client,
     pub(crate) phase: PhaseCell,
-    /// The newest state; only the follower stores here.
+    /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
     pub(crate) routes: ArcSwap<Routes>,
+    /// What the log and peers gave; its state is what `state` shows.
+    pub(crate) replica: Mutex<Replica>,
+    pub(crate) link: LogLink,
+    pub(crate) appender: Appender,
+    /// The snapshot that peers are taking in chunks.
+    pub(crate) served: Mutex<Option<Snapshot>>,
     gate: Mutex<Gate>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
@@ -45,6 +53,10 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            replica: Mutex::default(),
+            link: LogLink::default(),
+            appender: Appender::default(),
+            served: Mutex::default(),
             gate: Mutex::default(),
             heard: Mutex::default(),
             reached,
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -3,7 +3,7 @@
 use cactuswheel_model::Offset;
 
 /// Why a call to the log has no result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, Clone, thiserror::Error)]
 pub enum LogError {
     /// The call did not take effect.
     #[error("log unavailable: {0}")]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! this crate alone.
 
 mod batch;
+mod budget;
 mod client;
 mod error;
 mod log;
@@ -12,6 +13,7 @@
 mod sighting;
 
 pub use batch::{Appended, Batch, Entry};
+pub use budget::{AppendBudget, Use};
 pub use client::Client;
 pub use error::LogError;
 pub use log::{Log, Stream};
