--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,10 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, jobs, peers, proxy, sightings};
+use crate::{
+    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, peers, proxy,
+    sightings, snapshots,
+};
 
 /// A running entry instance.
 #[derive(Debug)]
@@ -41,6 +44,9 @@
             stop: CancellationToken::new(),
         };
         tokio::spawn(follower::follow(shared.clone()));
+        tokio::spawn(catch_up::watch(shared.clone()));
+        tokio::spawn(snapshots::write_when_due(shared.clone()));
+        tokio::spawn(appender::run(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
         tokio::spawn(jobs::write(shared.clone()));
         tokio::spawn(jobs::drive(shared.clone()));
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::State;
+use cactuswheel_fleet::{Replica, Snapshot, State};
 use cactuswheel_model::{EntryId, Map, Offset, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Candidate, Routes};
@@ -13,7 +13,9 @@
 use tokio::time::Instant;
 
 use crate::Settings;
+use crate::appender::Appender;
 use crate::jobs::Desk;
+use crate::log_link::LogLink;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 
@@ -23,12 +25,18 @@
     pub(crate) settings: Settings,
     pub(crate) platform: Client,
     pub(crate) phase: PhaseCell,
-    /// The newest state; only the follower stores here.
+    /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
     pub(crate) routes: ArcSwap<Routes>,
     pub(crate) jobs: Desk,
+    /// What the log and peers gave; its state is what `state` shows.
+    pub(crate) replica: Mutex<Replica>,
+    pub(crate) link: LogLink,
+    pub(crate) appender: Appender,
+    /// The snapshot that peers are taking in chunks.
+    pub(crate) served: Mutex<Option<Snapshot>>,
     gate: Mutex<Gate>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
@@ -49,6 +57,10 @@
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
             jobs: Desk::default(),
+            replica: Mutex::default(),
+            link: LogLink::default(),
+            appender: Appender::default(),
+            served: Mutex::default(),
             gate: Mutex::default(),
             heard: Mutex::default(),
             reached,
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{JobEvent, Ticket};
+use crate::{JobEvent, SnapshotMark, Ticket};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,4 +12,6 @@
     Ticket(Ticket),
     /// Events of jobs, each judged by itself, in their order.
     Jobs(Vec<JobEvent>),
+    /// Word of a complete snapshot; none is due for a while.
+    Snapshot(SnapshotMark),
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! this crate alone.
 
 mod batch;
+mod budget;
 mod client;
 mod error;
 mod log;
@@ -13,6 +14,7 @@
 mod tasks;
 
 pub use batch::{Appended, Batch, Entry};
+pub use budget::{AppendBudget, Use};
 pub use client::Client;
 pub use error::LogError;
 pub use log::{Log, Stream};
