--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -87,6 +87,9 @@
     if seen.presence != cactuswheel_platform::Presence::Live {
         return None;
     }
+    if state.disruptions().is_drained(&seen.id) {
+        return None;
+    }
     let instance = state.config().instances.get(&seen.id)?;
     Some(Candidate {
         id: seen.id.clone(),
--- /dev/null
+++ b/crates/fleet/src/disruptions.rs
@@ -0,0 +1,77 @@
+//! Outages, planned and not, and what they leave of every disruption budget.
+//!
+//! A grant occupies the budget from its record until a record tells that the instance was
+//! seen back healthy. No time-out frees it: the holder may be paused between the grant and
+//! the action, and act after any time.
+
+mod budget;
+mod hold;
+mod room;
+mod steps;
+mod tickets;
+mod waves;
+
+use cactuswheel_model::{Incarnation, InstanceId, PoolId, Wave, WaveNo};
+use serde::{Deserialize, Serialize};
+
+use crate::{Config, Table};
+
+pub use budget::Budget;
+pub use hold::{Hold, Stage};
+
+/// Every outage that is under way.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Disruptions {
+    /// Instances that are unavailable or about to be.
+    ///
+    /// Invariant: every one is in the configuration.
+    holds: Table<InstanceId, Hold>,
+    /// Newest incarnation that a record told of.
+    ///
+    /// Invariant: never goes back while the instance is in the configuration.
+    lives: Table<InstanceId, Incarnation>,
+    /// The newest wave.
+    wave: Option<Wave>,
+    /// The wave in which an instance last had its turn.
+    turns: Table<InstanceId, WaveNo>,
+}
+
+impl Disruptions {
+    /// Outages under way, in order of the instances' names.
+    pub fn holds(&self) -> impl Iterator<Item = &Hold> {
+        self.holds.values().map(|hold| &**hold)
+    }
+
+    /// The outage of an instance.
+    pub fn hold(&self, instance: &InstanceId) -> Option<&Hold> {
+        self.holds.get(instance).map(|hold| &**hold)
+    }
+
+    /// Newest incarnation of an instance that a record told of.
+    pub fn life(&self, instance: &InstanceId) -> Incarnation {
+        self.lives.get(instance).map(|n| **n).unwrap_or_default()
+    }
+
+    /// Whether an instance is to get no new work because of a planned outage.
+    ///
+    /// A loss does not count: whether a lost instance can be reached is for the roster to say.
+    pub fn is_drained(&self, instance: &InstanceId) -> bool {
+        self.hold(instance)
+            .is_some_and(|hold| hold.stage != Stage::Lost)
+    }
+
+    /// What is left of a pool's budget.
+    pub fn budget(&self, pool: &PoolId, config: &Config) -> Budget {
+        Budget::of(pool, config, self)
+    }
+
+    /// The newest wave.
+    pub fn wave(&self) -> Option<&Wave> {
+        self.wave.as_ref()
+    }
+
+    /// The wave in which an instance last had its turn.
+    pub fn turn(&self, instance: &InstanceId) -> Option<WaveNo> {
+        self.turns.get(instance).map(|n| **n)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/disruptions/room.rs
@@ -0,0 +1,37 @@
+//! Whether a pool holds its demand after the loss of a rack.
+
+use cactuswheel_model::{Code, DcId, InstanceId, Map, PoolId, RackId, Refusal};
+
+use super::Disruptions;
+use crate::Config;
+
+/// Refuses to take `leaver` out of `pool` for good if the rest would be too small.
+///
+/// Two plans that were each sound may race; this rule holds them together.
+pub(super) fn check_leaving(
+    leaver: &InstanceId,
+    pool: &PoolId,
+    config: &Config,
+    disruptions: &Disruptions,
+) -> Result<(), Refusal> {
+    let services = config.services.values().filter(|s| s.pool == *pool);
+    let demand: u64 = services.map(|s| u64::from(s.demand.get())).sum();
+    let mut total = 0;
+    let mut racks: Map<(&DcId, &RackId), u64> = Map::default();
+    for instance in config.instances.values().filter(|i| i.pool == *pool) {
+        if instance.id == *leaver || disruptions.hold(&instance.id).is_some() {
+            continue;
+        }
+        let slots = u64::from(instance.slots.get());
+        total += slots;
+        *racks.entry((&instance.dc, &instance.rack)).or_default() += slots;
+    }
+    let largest = racks.values().copied().max().unwrap_or(0);
+    if total - largest >= demand {
+        return Ok(());
+    }
+    let detail = format!(
+        "pool {pool}: {total} slots stay, {largest} of them in one rack, demand is {demand}"
+    );
+    Err(Refusal::new(Code::NoRoom).with_detail(detail))
+}
--- /dev/null
+++ b/crates/fleet/src/disruptions/tickets.rs
@@ -0,0 +1,110 @@
+//! How tickets and outages bind each other.
+
+use std::collections::BTreeSet;
+
+use cactuswheel_model::{Change, Code, InstanceId, ObjectId, PoolId, Refusal, Ticket};
+
+use super::steps::refuse;
+use super::{Budget, Disruptions, Stage};
+use crate::Config;
+
+impl Disruptions {
+    /// Refuses a ticket that would break a budget with the outages under way.
+    pub(crate) fn check_ticket(
+        &self,
+        ticket: &Ticket,
+        old: &Config,
+        next: &Config,
+    ) -> Result<(), Refusal> {
+        for id in ticket.changes.iter().filter_map(removed) {
+            self.check_removed(id)?;
+        }
+        for pool in pools(ticket, old, next) {
+            let before = self.budget(&pool, old);
+            let after = self.budget(&pool, next);
+            check_pool(&pool, &before, &after)?;
+        }
+        Ok(())
+    }
+
+    /// Ends outages that the ticket has made pointless.
+    pub(crate) fn follow_ticket(&mut self, ticket: &Ticket, old: &Config, next: &Config) {
+        for change in &ticket.changes {
+            match change {
+                Change::Remove(ObjectId::Instance(id)) => self.forget(id),
+                Change::Instance(x) => {
+                    let before = old.instances.get(&x.id).map(|i| &i.pool);
+                    let draining = self
+                        .hold(&x.id)
+                        .is_some_and(|h| matches!(h.stage, Stage::Draining(_)));
+                    // A drain for another pool's sake; its commit will be refused.
+                    if draining && before != next.instances.get(&x.id).map(|i| &i.pool) {
+                        self.holds.remove(&x.id);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Failure: a committed reboot is forgotten with its instance, the same name is added
+    /// again, and a paused driver still reboots it; symptom: an outage that no budget counts.
+    /// Committed instances therefore stay until they are back.
+    fn check_removed(&self, id: &InstanceId) -> Result<(), Refusal> {
+        match self.hold(id).map(|h| &h.stage) {
+            Some(Stage::Rebooting(_)) => Err(refuse(
+                Code::InstanceHeld,
+                format!("{id} is being rebooted"),
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    fn forget(&mut self, id: &InstanceId) {
+        self.holds.remove(id);
+        self.lives.remove(id);
+        self.turns.remove(id);
+    }
+}
+
+/// Judges one pool before and after.
+///
+/// What was over its limit before, by losses, may stay over it but not get worse, nor may the
+/// limit sink further below what is down. A pool that is short of members by outages gives no
+/// healthy one away beyond its budget.
+fn check_pool(pool: &PoolId, before: &Budget, after: &Budget) -> Result<(), Refusal> {
+    let over = after.excess(0).unwrap_or(0);
+    let worse = over > before.excess(0).unwrap_or(0);
+    let lowered = over > 0 && after.most() < before.most();
+    let healthy = |b: &Budget| b.members - b.down;
+    let given = healthy(before).saturating_sub(healthy(after));
+    let short = after.down > 0 && given > 0 && after.excess(given).is_some();
+    if !worse && !lowered && !short {
+        return Ok(());
+    }
+    let detail = format!("{}, {given} healthy ones leave", after.describe(pool));
+    Err(refuse(Code::BudgetFull, detail))
+}
+
+fn removed(change: &Change) -> Option<&InstanceId> {
+    match change {
+        Change::Remove(ObjectId::Instance(id)) => Some(id),
+        _ => None,
+    }
+}
+
+/// Pools whose members or budgets the ticket touches.
+fn pools(ticket: &Ticket, old: &Config, next: &Config) -> BTreeSet<PoolId> {
+    let mut pools = BTreeSet::new();
+    for object in ticket.changes.iter().map(Change::object) {
+        for config in [old, next] {
+            let pool = match &object {
+                ObjectId::Instance(id) => config.instances.get(id).map(|i| &i.pool),
+                ObjectId::Service(id) => config.services.get(id).map(|s| &s.pool),
+                _ => None,
+            };
+            pools.extend(pool.cloned());
+        }
+    }
+    pools
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! state that comes out.
 
 mod config;
+mod disruptions;
 mod ledger;
 mod outcome;
 mod rules;
@@ -13,6 +14,7 @@
 mod table;
 
 pub use config::Config;
+pub use disruptions::{Budget, Disruptions, Hold, Stage};
 pub use ledger::Ledger;
 pub use outcome::Outcome;
 pub use state::{Applied, State};
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::{Code, Offset, Record, Refusal, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Config, Ledger, Outcome, rules};
+use crate::{Config, Disruptions, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     next: Offset,
     config: Config,
     ledger: Ledger,
+    #[serde(default)]
+    disruptions: Disruptions,
 }
 
 /// What applying a record did.
@@ -25,6 +27,10 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// A step of an outage, with the fence of the outage it belongs to.
+    Disruption(Result<Offset, Refusal>),
+    /// A wave's wanted state.
+    Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -47,6 +53,11 @@
         &self.ledger
     }
 
+    /// Outages, planned and not.
+    pub fn disruptions(&self) -> &Disruptions {
+        &self.disruptions
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -64,6 +75,10 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
+            Ok(Record::Disruption(step)) => {
+                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+            }
+            Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => Applied::Undecodable(e.to_string()),
         }
     }
@@ -102,6 +117,8 @@
         let mut next = self.config.clone();
         ticket.changes.iter().for_each(|c| next.set(c));
         rules::check_sense(ticket, &self.config, &next)?;
+        self.disruptions.check_ticket(ticket, &self.config, &next)?;
+        self.disruptions.follow_ticket(ticket, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
             self.ledger.touch(change.object(), ticket.ticket);
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -106,6 +106,19 @@
 
     /// The settings cannot be used.
     BadSettings = 501, 400, NotRun, "settings cannot be used";
+
+    /// A service's disruption budget has no room.
+    BudgetFull = 601, 409, NotRun, "disruption budget has no room";
+    /// The grant or the life of the instance is not the one that the step names.
+    GrantStale = 602, 409, NotRun, "grant or incarnation is stale";
+    /// The instance is held by another outage.
+    InstanceHeld = 603, 409, NotRun, "instance is held by another outage";
+    /// The step is not possible at this stage of the outage.
+    WrongStage = 604, 409, NotRun, "outage is at another stage";
+    /// No such wave, it is paused, or the instance had its turn in it.
+    WaveClosed = 605, 409, NotRun, "wave takes no such step";
+    /// A pool would not hold its demand after the loss of a rack.
+    NoRoom = 606, 409, NotRun, "pool would not hold its demand after losing a rack";
 }
 
 impl Code {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod code;
 mod dc;
 mod digest;
+mod disruption;
 mod ids;
 mod incarnation;
 mod instance;
@@ -27,11 +28,13 @@
 mod ticket;
 mod ticket_no;
 mod time;
+mod wave;
 
 pub use change::{Change, ObjectId};
 pub use code::Code;
 pub use dc::DataCentre;
 pub use digest::{Digest, ParseDigestError};
+pub use disruption::{Disruption, Purpose};
 pub use ids::{
     DcId, EntryId, InstanceId, OperatorId, ParseIdError, PoolId, RackId, RegionId, ServiceId,
     TeamId,
@@ -53,3 +56,4 @@
 pub use ticket::Ticket;
 pub use ticket_no::TicketNo;
 pub use time::Time;
+pub use wave::{Wave, WaveNo};
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Ticket;
+use crate::{Disruption, Ticket, Wave};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,4 +10,8 @@
 pub enum Record {
     /// An operator's change.
     Ticket(Ticket),
+    /// A step of a planned outage, or a report of an unplanned one.
+    Disruption(Disruption),
+    /// A maintenance wave's wanted state.
+    Wave(Wave),
 }
