--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -85,7 +85,7 @@
             match state.apply(offset, body.as_ref()) {
                 Applied::Undecodable(e) => progress.undecodable.push((offset, e)),
                 Applied::Jobs(results) => progress.jobs.push((offset, results)),
-                Applied::Ticket(_) | Applied::Snapshot | Applied::Old => {}
+                _ => {}
             }
             self.recent.push(body.as_ref());
         }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::{Code, JobEvent, Offset, Record, Refusal, SnapshotMark, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Audit, Config, Jobs, Ledger, Outcome, rules};
+use crate::{Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     config: Config,
     ledger: Ledger,
     #[serde(default)]
+    disruptions: Disruptions,
+    #[serde(default)]
     jobs: Jobs,
     #[serde(default)]
     audit: Audit,
@@ -37,6 +39,10 @@
     Jobs(Vec<Result<(), Refusal>>),
     /// Word of a snapshot.
     Snapshot,
+    /// A step of an outage, with the fence of the outage it belongs to.
+    Disruption(Result<Offset, Refusal>),
+    /// A wave's wanted state.
+    Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -79,6 +85,11 @@
         self.undecodable
     }
 
+    /// Outages, planned and not.
+    pub fn disruptions(&self) -> &Disruptions {
+        &self.disruptions
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -98,6 +109,10 @@
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
             Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(&events)),
             Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
+            Ok(Record::Disruption(step)) => {
+                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+            }
+            Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
                 self.undecodable += 1;
                 Applied::Undecodable(e.to_string())
@@ -157,11 +172,13 @@
         let mut next = self.config.clone();
         ticket.changes.iter().for_each(|c| next.set(c));
         rules::check_sense(ticket, &self.config, &next)?;
+        self.disruptions.check_ticket(ticket, &self.config, &next)?;
         Ok(next)
     }
 
     fn accept(&mut self, ticket: &Ticket, outcome: Outcome, next: Config) -> Arc<Outcome> {
         self.audit.accept(ticket, &outcome, &self.config, &next);
+        self.disruptions.follow_ticket(ticket, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
             self.ledger.touch(change.object(), ticket.ticket);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod code;
 mod dc;
 mod digest;
+mod disruption;
 mod ids;
 mod incarnation;
 mod instance;
@@ -35,12 +36,14 @@
 mod ticket_no;
 mod time;
 mod wall_time;
+mod wave;
 
 pub use attempt::Attempt;
 pub use change::{Change, ObjectId, ParseObjectError};
 pub use code::Code;
 pub use dc::DataCentre;
 pub use digest::{Digest, ParseDigestError};
+pub use disruption::{Disruption, Purpose};
 pub use ids::{
     DcId, EntryId, InstanceId, JobName, OperatorId, ParseIdError, PoolId, RackId, RegionId,
     ServiceId, TeamId,
@@ -69,3 +72,4 @@
 pub use ticket_no::TicketNo;
 pub use time::Time;
 pub use wall_time::WallTime;
+pub use wave::{Wave, WaveNo};
