--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! `fleet`; nothing here decides.
 
 mod admin;
+mod candidates;
 mod embedded;
 mod error;
 mod follower;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -1,9 +1,19 @@
 //! The path of a caller's request: key, limit, upstream, answer.
 
+mod abandoned;
 mod answer;
+mod attempt;
+mod conns;
 mod forward;
+mod headers;
 mod held;
+mod job;
+mod live;
+mod payload;
+mod relay;
 mod request;
 mod server;
+mod traffic;
 
+pub(crate) use conns::Conns;
 pub(crate) use server::serve;
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -5,39 +5,32 @@
 
 use bytes::Bytes;
 use cactuswheel_model::{Code, Ran, Refusal};
-use cactuswheel_routing::Lease;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
-use super::held::Permit;
+use super::headers::{CODE, RAN, REQUEST_ID, strip_answer};
+use super::live::Live;
+use super::relay::Relay;
+use super::traffic::Busy;
 
-/// Header with the number of the result.
-pub(super) const CODE: &str = "x-cactuswheel-code";
-
-/// Header that says whether the request ran.
-pub(super) const RAN: &str = "x-cactuswheel-ran";
-
-/// Header with the request's id.
-pub(super) const REQUEST_ID: &str = "x-request-id";
+/// Body of an answer, and a mark that it is not out yet.
+#[derive(Debug)]
+pub(super) struct Answer {
+    kind: Kind,
+    /// Dropped when the last byte is passed on or the caller is gone.
+    _busy: Option<Busy>,
+}
 
-/// Body of an answer.
+/// Where an answer comes from.
 #[derive(Debug)]
-pub(super) enum Answer {
+enum Kind {
     /// One of our own.
     Own(Full<Bytes>),
-    /// An upstream's, passed on as it comes.
-    ///
-    /// A body that ends short is an error here too: hyper then breaks the caller's connection
-    /// off instead of ending the answer as if it were whole.
-    Upstream {
-        /// What comes.
-        body: Incoming,
-        /// Held until the last byte is passed on or the caller is gone.
-        _held: (Permit, Lease),
-    },
+    /// An upstream's.
+    Relay(Relay),
 }
 
 /// The body of a refusal.
@@ -52,6 +45,21 @@
     retry_ms: Option<u64>,
 }
 
+impl Answer {
+    fn own(text: Vec<u8>) -> Self {
+        Self {
+            kind: Kind::Own(Full::new(Bytes::from(text))),
+            _busy: None,
+        }
+    }
+
+    /// Adds the mark that its connection is busy.
+    pub(super) fn with_busy(mut self, busy: Busy) -> Self {
+        self._busy = Some(busy);
+        self
+    }
+}
+
 impl Body for Answer {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -60,27 +68,37 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match self.get_mut() {
-            Self::Own(body) => Pin::new(body).poll_frame(cx).map_err(|e| match e {}),
-            Self::Upstream { body, .. } => Pin::new(body).poll_frame(cx),
+        match &mut self.get_mut().kind {
+            Kind::Own(body) => Pin::new(body).poll_frame(cx).map_err(|e| match e {}),
+            Kind::Relay(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Own(body) => body.is_end_stream(),
-            Self::Upstream { body, .. } => body.is_end_stream(),
+        match &self.kind {
+            Kind::Own(body) => body.is_end_stream(),
+            Kind::Relay(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Own(body) => body.size_hint(),
-            Self::Upstream { body, .. } => body.size_hint(),
+        match &self.kind {
+            Kind::Own(body) => body.size_hint(),
+            Kind::Relay(body) => body.size_hint(),
         }
     }
 }
 
+/// Passes an upstream's answer on.
+pub(super) fn pass(answer: Response<Incoming>, live: Live, id: &str) -> Response<Answer> {
+    let (mut head, body) = answer.into_parts();
+    strip_answer(&mut head.headers);
+    let kind = Kind::Relay(Relay::new(body, live));
+    let mut response = Response::from_parts(head, Answer { kind, _busy: None });
+    mark(&mut response, Code::Ok, id);
+    response
+}
+
 /// Answers with a refusal.
 pub(super) fn refuse(refusal: &Refusal, id: &str) -> Response<Answer> {
     let code = refusal.code;
@@ -92,7 +110,7 @@
         retry_ms: refusal.retry.map(|d| d.as_millis() as u64),
     };
     let text = serde_json::to_vec(&body).unwrap_or_default();
-    let mut response = Response::new(Answer::Own(Full::new(Bytes::from(text))));
+    let mut response = Response::new(Answer::own(text));
     let status = StatusCode::from_u16(code.status());
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
@@ -109,7 +127,7 @@
 }
 
 /// Adds the headers that every answer carries.
-pub(super) fn mark(response: &mut Response<Answer>, code: Code, id: &str) {
+fn mark(response: &mut Response<Answer>, code: Code, id: &str) {
     let headers = response.headers_mut();
     headers.insert(CODE, HeaderValue::from(code.number()));
     headers.insert(RAN, HeaderValue::from_static(ran_text(code.ran())));
--- /dev/null
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -0,0 +1,141 @@
+//! One attempt at an upstream.
+
+use std::sync::Arc;
+
+use cactuswheel_model::{Code, Ran, Refusal};
+use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use super::abandoned::{Sent, Waiting};
+use super::conns::Conns;
+use super::headers::{LEAVING, NOT_RUN, is_set};
+use super::held::Permit;
+use super::live::Live;
+use super::payload::Payload;
+use crate::shared::Shared;
+
+/// A failed attempt.
+#[derive(Debug)]
+pub(super) struct Failure {
+    /// The reason, if it is the last attempt.
+    pub(super) refusal: Refusal,
+    /// What is known of this attempt's execution.
+    pub(super) ran: Ran,
+    /// The team's unit, unless this attempt may still be running on it.
+    pub(super) permit: Option<Permit>,
+    /// The request, if it was not given to a connection or came back from it.
+    pub(super) request: Option<Box<Request<Payload>>>,
+}
+
+/// Sends the request; the head of the answer with its body, or why there is none by `until`.
+pub(super) async fn send(
+    shared: &Arc<Shared>,
+    request: Request<Payload>,
+    permit: Permit,
+    lease: Lease<Conns>,
+    until: Instant,
+) -> Result<(Response<Incoming>, Live), Failure> {
+    let upstream = lease.upstream();
+    let conn = upstream
+        .link
+        .get(upstream.addr, upstream.conns, until)
+        .await;
+    let mut conn = match conn {
+        Ok(conn) => conn,
+        Err(detail) => {
+            lease.learn(Outcome::Failed, shared.now());
+            return Err(Failure {
+                refusal: Refusal::new(Code::Unreachable).with_detail(detail),
+                ran: Attempt::Connecting.step(Event::NoConnection).ran(),
+                permit: Some(permit),
+                request: Some(Box::new(request)),
+            });
+        }
+    };
+    let sent = conn.sender.try_send_request(request);
+    let live = Live::new(permit, lease, conn, shared.clone());
+    let until = until.min(live.last());
+    match Waiting::new(sent, live).head(until).await {
+        Some((sent, live)) => judge(shared, sent, live),
+        None => Err(timed_out()),
+    }
+}
+
+fn judge(
+    shared: &Shared,
+    sent: Sent,
+    mut live: Live,
+) -> Result<(Response<Incoming>, Live), Failure> {
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(mut e) => {
+            // Given back unsent is the one proof from a connection that nothing ran.
+            let request = e.take_message();
+            let event = request.as_ref().map_or(Event::Broke, |_| Event::GivenBack);
+            let code = request.as_ref().map_or(Code::Lost, |_| Code::Unreachable);
+            return Err(fail(live, event, code, e.error().to_string(), request));
+        }
+    };
+    if is_set(answer.headers(), LEAVING) {
+        shared.hear_leaving(live.lease().upstream());
+    }
+    if is_set(answer.headers(), NOT_RUN) {
+        return Err(fail(
+            live,
+            Event::Declined,
+            Code::Declined,
+            String::new(),
+            None,
+        ));
+    }
+    if is_unframed(&answer) {
+        return Err(fail(
+            live,
+            Event::Broke,
+            Code::Unframed,
+            String::new(),
+            None,
+        ));
+    }
+    live.step(Event::Head);
+    Ok((answer, live))
+}
+
+fn fail(
+    mut live: Live,
+    event: Event,
+    code: Code,
+    detail: String,
+    request: Option<Request<Payload>>,
+) -> Failure {
+    live.step(event);
+    Failure {
+        refusal: Refusal::new(code).with_detail(detail),
+        ran: live.ran(),
+        permit: live.unrun(),
+        request: request.map(Box::new),
+    }
+}
+
+fn timed_out() -> Failure {
+    Failure {
+        refusal: Refusal::new(Code::Timeout),
+        ran: Ran::Unknown,
+        permit: None,
+        request: None,
+    }
+}
+
+/// Whether only the end of the connection ends the answer.
+///
+/// Such an answer looks whole wherever it is cut. A switch of protocols is no answer either:
+/// the header that asks for one is not passed on.
+fn is_unframed(answer: &Response<Incoming>) -> bool {
+    let headers = answer.headers();
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let switched = answer.status() == StatusCode::SWITCHING_PROTOCOLS;
+    switched || !(framed || answer.body().is_end_stream())
+}
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -1,105 +1,140 @@
-//! One attempt at an upstream.
+//! A request's way through one attempt or several.
 
-use std::time::Duration;
+use std::sync::Arc;
 
-use cactuswheel_model::{Code, Refusal};
-use cactuswheel_routing::Lease;
+use cactuswheel_model::{Code, Ran, Refusal};
+use cactuswheel_routing::{Exchange, Lease, Upstream};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::header::{
-    AUTHORIZATION, CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, UPGRADE,
-};
-use hyper::{Request, Response, Uri};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use hyper::{Request, Response};
+use tokio::time::Instant;
 
-use super::answer::{Answer, REQUEST_ID, mark};
+use super::attempt::{self, Failure};
+use super::conns::Conns;
 use super::held::Permit;
+use super::job::Job;
+use super::live::Live;
+use super::payload::Payload;
+use super::request::enter;
 
-/// Time for a connection to an upstream.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// What is known of a request while it is being sent.
+#[derive(Debug)]
+pub(super) struct Forward {
+    job: Job,
+    exchange: Exchange,
+    /// Upstreams that failed.
+    tried: Vec<Arc<Upstream<Conns>>>,
+    /// Why the last attempt failed.
+    last: Option<Refusal>,
+}
+
+impl Forward {
+    /// A request that was not sent yet.
+    pub(super) fn new(job: Job) -> Self {
+        Self {
+            exchange: Exchange::new(job.idempotent, job.deadline),
+            job,
+            tried: Vec::new(),
+            last: None,
+        }
+    }
+
+    /// Sends the request until an answer comes or nothing more may be tried; the head of the
+    /// answer, its body to follow.
+    pub(super) async fn send(
+        mut self,
+        permit: Permit,
+        request: Request<Payload>,
+    ) -> Result<(Response<Incoming>, Live), Refusal> {
+        let done = self.try_all(permit, request).await;
+        done.map_err(|refusal| self.honest(refusal))
+    }
 
-/// Header that names the caller's team to the upstream.
-const TEAM: &str = "x-cactuswheel-team";
+    async fn try_all(
+        &mut self,
+        mut permit: Permit,
+        mut request: Request<Payload>,
+    ) -> Result<(Response<Incoming>, Live), Refusal> {
+        loop {
+            let lease = self.pick()?;
+            let upstream = lease.upstream().clone();
+            self.job.address(&mut request, upstream.addr)?;
+            let copy = copy(&request);
+            self.exchange.begin();
+            let until = Instant::now() + self.job.left();
+            match attempt::send(&self.job.shared, request, permit, lease, until).await {
+                Ok(answered) => return Ok(answered),
+                Err(failure) => (permit, request) = self.again(failure, copy).await?,
+            }
+            self.tried.push(upstream);
+        }
+    }
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_BY_HOP: [HeaderName; 6] = [
-    CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    UPGRADE,
-];
+    fn pick(&mut self) -> Result<Lease<Conns>, Refusal> {
+        let routes = self.job.shared.routes.load();
+        let pool = &self.job.service.pool;
+        let (now, draw) = (self.job.shared.now(), rand::random());
+        let picked = routes.pick(pool, &self.tried, now, draw);
+        let lease = picked.map_err(|refusal| self.last.take().unwrap_or(refusal))?;
+        if self.tried.is_empty() {
+            lease.budget().deposit();
+        }
+        Ok(lease)
+    }
 
-/// Sends the request and gives back the head of the answer, its body to follow.
-pub(super) async fn send(
-    request: Request<Incoming>,
-    path: &str,
-    id: &str,
-    permit: Permit,
-    lease: Lease,
-) -> Result<Response<Answer>, Refusal> {
-    let addr = lease.upstream().addr;
-    let request = rewrite(request, path, id, &permit, &lease)?;
-    let unreachable =
-        |e: &dyn std::fmt::Display| Refusal::new(Code::Unreachable).with_detail(e.to_string());
-    let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await {
-        Ok(stream) => stream.map_err(|e| unreachable(&e))?,
-        Err(e) => return Err(unreachable(&e)),
-    };
-    let _ = stream.set_nodelay(true);
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| unreachable(&e))?;
-    tokio::spawn(conn);
-    let response = sender.try_send_request(request).await.map_err(|mut e| {
-        // Given back unsent is the one proof that it did not run.
-        let code = if e.take_message().is_some() {
-            Code::Unreachable
-        } else {
-            Code::Lost
+    /// What another attempt needs, if there may be one.
+    async fn again(
+        &mut self,
+        failure: Failure,
+        copy: Option<Request<Payload>>,
+    ) -> Result<(Permit, Request<Payload>), Refusal> {
+        let request = failure.request.map(|r| *r).or(copy);
+        if !self.may_retry(failure.ran, request.is_some()) {
+            return Err(failure.refusal);
+        }
+        let Some(request) = request else {
+            return Err(failure.refusal);
         };
-        Refusal::new(code).with_detail(e.into_error().to_string())
-    })?;
-    let (mut head, body) = response.into_parts();
-    strip(&mut head.headers);
-    let mut response = Response::from_parts(
-        head,
-        Answer::Upstream {
-            body,
-            _held: (permit, lease),
-        },
-    );
-    mark(&mut response, Code::Ok, id);
-    Ok(response)
-}
+        // An attempt that may still be running keeps its unit; another attempt beside it needs
+        // one more, or the team would have more running than its limit.
+        let permit = match failure.permit {
+            Some(permit) => permit,
+            None => match enter(&self.job).await {
+                Ok(permit) => permit,
+                Err(_) => return Err(failure.refusal),
+            },
+        };
+        self.last = Some(failure.refusal);
+        Ok((permit, request))
+    }
 
-fn rewrite(
-    request: Request<Incoming>,
-    path: &str,
-    id: &str,
-    permit: &Permit,
-    lease: &Lease,
-) -> Result<Request<Incoming>, Refusal> {
-    let bad = |e: &dyn std::fmt::Display| Refusal::new(Code::BadRequest).with_detail(e.to_string());
-    let (mut head, body) = request.into_parts();
-    head.uri = path.parse::<Uri>().map_err(|e| bad(&e))?;
-    let headers = &mut head.headers;
-    strip(headers);
-    // The key is between the caller and us; the upstream is told the team.
-    headers.remove(AUTHORIZATION);
-    let text = |s: &str| HeaderValue::from_str(s).map_err(|e| bad(&e));
-    headers.insert(TEAM, text(permit.team().as_str())?);
-    headers.insert(REQUEST_ID, text(id)?);
-    headers.insert(HOST, text(&lease.upstream().addr.to_string())?);
-    Ok(Request::from_parts(head, body))
-}
+    fn may_retry(&mut self, ran: Ran, whole: bool) -> bool {
+        let shared = &self.job.shared;
+        let routes = shared.routes.load();
+        let Some(budget) = routes.budget(&self.job.service.pool) else {
+            return false;
+        };
+        self.exchange.failed(ran, whole, shared.now(), budget)
+    }
 
-fn strip(headers: &mut HeaderMap) {
-    for name in &HOP_BY_HOP {
-        headers.remove(name);
+    /// The refusal, not claiming more than all attempts together prove.
+    fn honest(&self, refusal: Refusal) -> Refusal {
+        let ran = refusal.code.ran();
+        if self.exchange.ran(ran) == ran {
+            return refusal;
+        }
+        Refusal {
+            code: Code::Lost,
+            retry: None,
+            ..refusal
+        }
     }
 }
+
+/// The same request for another attempt, if its body is at hand.
+fn copy(request: &Request<Payload>) -> Option<Request<Payload>> {
+    let mut copy = Request::new(request.body().again()?);
+    *copy.method_mut() = request.method().clone();
+    *copy.uri_mut() = request.uri().clone();
+    *copy.headers_mut() = request.headers().clone();
+    Some(copy)
+}
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -6,11 +6,15 @@
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
-use hyper::{HeaderMap, Request, Response};
+use hyper::http::uri::InvalidUri;
+use hyper::{HeaderMap, Request, Response, Version};
 
-use super::answer::{Answer, refuse};
-use super::forward;
+use super::answer::{Answer, pass, refuse};
+use super::forward::Forward;
+use super::headers::REQUEST_ID;
 use super::held::Permit;
+use super::job::{Job, deadline, is_idempotent};
+use super::payload::Payload;
 use crate::Phase;
 use crate::shared::Shared;
 
@@ -34,16 +38,47 @@
     if shared.phase.get() == Phase::Starting {
         return Err(Refusal::new(Code::NotReady));
     }
-    let state = shared.state.load_full();
+    check_version(&request)?;
+    let job = job(shared, &request, id)?;
+    let permit = enter(&job).await?;
+    let (head, body) = request.into_parts();
+    let mut request = Request::from_parts(head, Payload::read(body).await?);
+    job.dress(&mut request, permit.team())?;
+    let (answer, live) = Forward::new(job).send(permit, request).await?;
+    Ok(pass(answer, live, id))
+}
+
+/// Takes a unit of the team for one attempt.
+pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
+    Permit::take(&job.shared, &job.team)
+}
+
+/// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
+fn check_version(request: &Request<Incoming>) -> Result<(), Refusal> {
+    match request.version() {
+        Version::HTTP_11 => Ok(()),
+        _ => Err(Refusal::new(Code::BadRequest).with_detail("HTTP/1.1 is needed")),
+    }
+}
+
+fn job(shared: Arc<Shared>, request: &Request<Incoming>, id: &str) -> Result<Job, Refusal> {
+    let state = shared.state.load();
+    let headers = request.headers();
     let (service, rest) = find_service(&state, request.uri().path())?;
     let rest = match request.uri().query() {
         Some(query) => format!("{rest}?{query}"),
         None => rest,
     };
-    let team = find_team(&state, request.headers())?;
-    let permit = Permit::take(&shared, &team)?;
-    let lease = shared.routes.load().pick(&service.pool)?;
-    forward::send(request, &rest, id, permit, lease).await
+    let bad = |e: InvalidUri| Refusal::new(Code::BadRequest).with_detail(e.to_string());
+    Ok(Job {
+        id: id.to_owned(),
+        uri: rest.parse().map_err(bad)?,
+        service,
+        team: find_team(&state, headers)?,
+        idempotent: is_idempotent(request.method(), headers),
+        deadline: deadline(headers, shared.now())?,
+        shared,
+    })
 }
 
 /// Splits `/s/SERVICE/REST` and finds the service.
@@ -83,7 +118,7 @@
 
 /// The caller's id of the request, or one of our own.
 fn request_id(shared: &Shared, headers: &HeaderMap) -> String {
-    let given = headers.get("x-request-id").and_then(|v| v.to_str().ok());
+    let given = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
     match given {
         Some(id) if !id.is_empty() && id.len() <= 128 => id.to_owned(),
         _ => format!("{}-{}", shared.settings.entry, shared.next_request()),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,19 +1,21 @@
 //! What the tasks of a node share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
 use cactuswheel_fleet::State;
-use cactuswheel_model::{EntryId, Map, Offset};
+use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
 use cactuswheel_platform::{Client, Sightings};
-use cactuswheel_routing::{Candidate, Routes};
+use cactuswheel_routing::{Presences, Routes, Upstream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-use crate::Settings;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
+use crate::proxy::Conns;
+use crate::{Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
 #[derive(Debug)]
@@ -25,13 +27,19 @@
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
-    pub(crate) routes: ArcSwap<Routes>,
+    pub(crate) routes: ArcSwap<Routes<Conns>>,
+    /// Which instances are there; the lock is held while routes are built from them.
+    presences: Mutex<Presences>,
+    /// Instances that maintenance keeps free of new work, as of the newest state.
+    pub(crate) drained: ArcSwap<Set<InstanceId>>,
     gate: Mutex<Gate>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
     /// Tells how far the state has come.
     pub(crate) reached: watch::Sender<Offset>,
     requests: AtomicU64,
+    /// Zero of this node's [`Time`].
+    epoch: Instant,
 }
 
 impl Shared {
@@ -45,10 +53,13 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            presences: Mutex::default(),
+            drained: ArcSwap::default(),
             gate: Mutex::default(),
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
+            epoch: Instant::now(),
         }
     }
 
@@ -67,32 +78,42 @@
         self.requests.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Builds the routes anew from the newest state and sightings.
-    pub(crate) fn reroute(&self) {
-        let state = self.state.load();
-        let sightings = self.sightings.load();
-        let candidates = sightings
-            .instances
-            .iter()
-            .filter_map(|s| candidate(&state, s));
-        // Two writers may race here; either builds from the newest parts, and the loser runs
-        // the closure again on the winner's routes, so no count of running requests is lost.
-        let candidates: Vec<_> = candidates.collect();
-        self.routes
-            .rcu(|old| Routes::new(candidates.iter().cloned(), old));
+    /// The time now.
+    pub(crate) fn now(&self) -> Time {
+        Time::default().after(self.epoch.elapsed())
     }
-}
 
-fn candidate(state: &State, seen: &cactuswheel_platform::Sighting) -> Option<Candidate> {
-    if seen.presence != cactuswheel_platform::Presence::Live {
-        return None;
+    /// Which instances are there, locked for a moment.
+    pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
+        self.presences
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an upstream's own word that it leaves.
+    pub(crate) fn hear_leaving(&self, upstream: &Upstream<Conns>) {
+        if !upstream.leave() {
+            return;
+        }
+        let news = self.presences().leave(&upstream.id, upstream.incarnation);
+        if news {
+            self.reroute();
+        }
+    }
+
+    /// Builds the routes anew from the newest state and presences.
+    ///
+    /// The lock makes the last writer the one that saw the newest parts. Without it a writer
+    /// that was overtaken would put routes back that still list an instance that leaves.
+    pub(crate) fn reroute(&self) {
+        let presences = self.presences();
+        let candidates = candidates::list(
+            self.state.load().config(),
+            &presences,
+            &self.drained.load(),
+            &self.settings,
+        );
+        let routes = Routes::new(candidates, &self.routes.load());
+        self.routes.store(Arc::new(routes));
     }
-    let instance = state.config().instances.get(&seen.id)?;
-    Some(Candidate {
-        id: seen.id.clone(),
-        incarnation: seen.incarnation,
-        addr: seen.addr,
-        slots: instance.slots,
-        pool: instance.pool.clone(),
-    })
 }
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_platform::Roster;
+use cactuswheel_platform::{Presence, Roster, Sightings};
+use cactuswheel_routing::Life;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -15,13 +16,33 @@
 pub(crate) async fn watch(shared: Arc<Shared>) {
     loop {
         match shared.platform.list().await {
-            Ok(list) if **shared.sightings.load() != list => {
-                shared.sightings.store(Arc::new(list));
-                shared.reroute();
-            }
+            Ok(list) if **shared.sightings.load() != list => take(&shared, list),
             Ok(_) => {}
             Err(e) => log::warn!("{e}"),
         }
+        shared
+            .routes
+            .load()
+            .upstreams()
+            .for_each(|u| u.link.sweep());
         sleep(PERIOD).await;
     }
 }
+
+fn take(shared: &Shared, list: Sightings) {
+    let mut changed = false;
+    let mut presences = shared.presences();
+    for seen in &list.instances {
+        let life = Life {
+            incarnation: seen.incarnation,
+            addr: seen.addr,
+            leaving: seen.presence == Presence::Leaving,
+        };
+        changed |= presences.see(&seen.id, life);
+    }
+    drop(presences);
+    shared.sightings.store(Arc::new(list));
+    if changed {
+        shared.reroute();
+    }
+}
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -84,6 +84,10 @@
     Lost = 302, 502, Unknown, "no answer from the upstream: outcome unknown";
     /// The answer did not come in time.
     Timeout = 303, 504, Unknown, "upstream timed out: outcome unknown";
+    /// The upstream itself said that it did not run the request.
+    Declined = 304, 503, NotRun, "upstream is full and did not run it";
+    /// The upstream's answer ends with its connection, so a cut one would look whole.
+    Unframed = 305, 502, Unknown, "upstream's answer has no length";
 
     /// The ticket cannot be read or breaks its schema.
     BadTicket = 401, 400, NotRun, "malformed ticket";
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -2,29 +2,50 @@
 
 use std::sync::Arc;
 
-use crate::Upstream;
+use cactuswheel_model::Time;
+
+use crate::pool::Pool;
+use crate::{Outcome, RetryBudget, Upstream};
 
 /// Holds one slot; dropping it gives the slot back.
 #[derive(Debug)]
-pub struct Lease {
-    upstream: Arc<Upstream>,
+pub struct Lease<C> {
+    upstream: Arc<Upstream<C>>,
+    pool: Arc<Pool<C>>,
 }
 
-impl Lease {
+impl<C> Lease<C> {
     /// Takes a slot of `upstream` if one is free.
-    pub fn take(upstream: &Arc<Upstream>) -> Option<Self> {
-        upstream.take().then(|| Self {
+    pub(crate) fn take(
+        upstream: &Arc<Upstream<C>>,
+        pool: &Arc<Pool<C>>,
+        now: Time,
+    ) -> Option<Self> {
+        upstream.take(now).then(|| Self {
             upstream: upstream.clone(),
+            pool: pool.clone(),
         })
     }
 
     /// The upstream.
-    pub fn upstream(&self) -> &Arc<Upstream> {
+    pub fn upstream(&self) -> &Arc<Upstream<C>> {
         &self.upstream
     }
+
+    /// The pool's retries.
+    pub fn budget(&self) -> &RetryBudget {
+        &self.pool.kept.budget
+    }
+
+    /// Notes what became of the request; a failure may eject the upstream.
+    pub fn learn(&self, outcome: Outcome, now: Time) {
+        if self.upstream.learn(outcome, now) {
+            self.pool.eject(&self.upstream, now);
+        }
+    }
 }
 
-impl Drop for Lease {
+impl<C> Drop for Lease<C> {
     fn drop(&mut self) {
         self.upstream.give();
     }
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, Incarnation, InstanceId, Map, PoolId, Refusal, Slots};
+use cactuswheel_model::{Code, Incarnation, InstanceId, Map, PoolId, Refusal, Slots, Time};
 
-use crate::{Lease, Upstream};
+use crate::pool::Pool;
+use crate::{Lease, Nearness, RetryBudget, Upstream};
 
-/// An instance that may take work: described by operators and seen live by the platform.
+/// An instance that may take work: described by operators, not leaving, not drained.
 #[derive(Debug, Clone)]
 pub struct Candidate {
     /// The instance.
@@ -18,47 +19,86 @@
     pub addr: SocketAddr,
     /// Requests that it runs at once.
     pub slots: Slots,
+    /// This entry's part of the slots, which it counts on in any case.
+    pub part: u32,
+    /// Connections that this entry may have open to it.
+    pub conns: u32,
     /// Its pool.
     pub pool: PoolId,
+    /// How far it is.
+    pub nearness: Nearness,
 }
 
 /// Upstreams by pool; a new value replaces the old one whenever either changes.
-#[derive(Debug, Default)]
-pub struct Routes {
-    pools: Map<PoolId, Vec<Arc<Upstream>>>,
+#[derive(Debug)]
+pub struct Routes<C> {
+    pools: Map<PoolId, Arc<Pool<C>>>,
 }
 
-impl Routes {
-    /// Routes over `candidates`, which go on counting what `old` has running.
+impl<C: Default> Routes<C> {
+    /// Routes over `candidates`, which go on with what `old` knows and has running.
     pub fn new(candidates: impl IntoIterator<Item = Candidate>, old: &Self) -> Self {
         let known: Map<_, _> = old
             .upstreams()
-            .map(|u| ((&u.id, u.incarnation, u.addr, u.slots), u))
+            .map(|u| ((&u.id, u.incarnation, u.addr, u.slots, u.conns), u))
             .collect();
-        let mut pools: Map<PoolId, Vec<Arc<Upstream>>> = Map::default();
+        let mut pools: Map<PoolId, Pool<C>> = Map::default();
         for c in candidates {
-            let upstream = match known.get(&(&c.id, c.incarnation, c.addr, c.slots)) {
+            let (pool, nearness) = (c.pool.clone(), c.nearness);
+            let upstream = match known.get(&(&c.id, c.incarnation, c.addr, c.slots, c.conns)) {
                 Some(u) => Arc::clone(u),
-                None => Arc::new(Upstream::new(c.id, c.incarnation, c.addr, c.slots)),
+                None => Arc::new(Upstream::new(c)),
             };
-            pools.entry(c.pool).or_default().push(upstream);
+            let kept = || match old.pools.get(&pool) {
+                Some(p) => p.kept.clone(),
+                None => Arc::default(),
+            };
+            let entry = pools.entry(pool.clone());
+            let pool = entry.or_insert_with(|| Pool::new(kept()));
+            pool.add(nearness, upstream);
+        }
+        let pools = pools.into_iter().map(|(id, p)| (id, Arc::new(p)));
+        Self {
+            pools: pools.collect(),
         }
-        Self { pools }
+    }
+}
+
+impl<C> Routes<C> {
+    /// Takes a slot at an upstream of `pool` that is not among `tried`; `draw` is any random
+    /// number.
+    pub fn pick(
+        &self,
+        pool: &PoolId,
+        tried: &[Arc<Upstream<C>>],
+        now: Time,
+        draw: u64,
+    ) -> Result<Lease<C>, Refusal> {
+        let pool = self.pools.get(pool);
+        let lease = pool.and_then(|p| p.pick(tried, now, draw));
+        lease.ok_or_else(|| Refusal::new(Code::NoUpstream))
     }
 
-    /// Takes a slot at the upstream of `pool` with the fewest requests from here.
-    pub fn pick(&self, pool: &PoolId) -> Result<Lease, Refusal> {
-        let none = || Refusal::new(Code::NoUpstream);
-        let upstreams = self.pools.get(pool).ok_or_else(none)?;
-        let best = upstreams
-            .iter()
-            .min_by_key(|u| u.running())
-            .ok_or_else(none)?;
-        Lease::take(best).ok_or_else(none)
+    /// Slots of `pool` that this entry may count on at `now`, taken ones included.
+    pub fn usable(&self, pool: &PoolId, now: Time) -> u32 {
+        self.pools.get(pool).map_or(0, |p| p.usable(now))
+    }
+
+    /// Retries of requests to `pool`.
+    pub fn budget(&self, pool: &PoolId) -> Option<&RetryBudget> {
+        self.pools.get(pool).map(|p| &p.kept.budget)
     }
 
     /// All upstreams.
-    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.pools.values().flatten()
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream<C>>> {
+        self.pools.values().flat_map(|p| p.upstreams())
+    }
+}
+
+impl<C> Default for Routes<C> {
+    fn default() -> Self {
+        Self {
+            pools: Map::default(),
+        }
     }
 }
