--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -39,9 +39,11 @@
     until: Instant,
 ) -> Result<(Response<Incoming>, Live), Failure> {
     let upstream = lease.upstream();
+    let limit = shared.settings.limits.connect_ms.duration();
+    let connected = until.min(Instant::now() + limit);
     let conn = upstream
         .link
-        .get(upstream.addr, upstream.conns, until)
+        .get(upstream.addr, upstream.conns, connected)
         .await;
     let mut conn = match conn {
         Ok(conn) => conn,
--- a/crates/daemon/src/proxy/conns.rs
+++ b/crates/daemon/src/proxy/conns.rs
@@ -13,9 +13,6 @@
 
 use super::payload::Payload;
 
-/// Time for a connection to an upstream.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-
 /// Time for which a connection is kept without a request.
 ///
 /// Shorter than the shortest keep-alive timeout that HTTP servers commonly have, 5 s: a request
@@ -55,7 +52,8 @@
 struct Open(Arc<AtomicU32>);
 
 impl Conns {
-    /// A connection to `addr`: an idle one, or a new one if fewer than `most` are open.
+    /// A connection to `addr`: an idle one, or by `until` a new one if fewer than `most` are
+    /// open.
     ///
     /// The error is a line for people; nothing was sent then.
     pub(super) async fn get(
@@ -127,7 +125,6 @@
 }
 
 async fn connect(addr: SocketAddr, open: Open, until: Instant) -> Result<Conn, String> {
-    let until = until.min(Instant::now() + CONNECT_LIMIT);
     let stream = match timeout_at(until, TcpStream::connect(addr)).await {
         Ok(stream) => stream.map_err(|e| e.to_string())?,
         Err(_) => return Err("connect timed out".to_owned()),
--- a/crates/daemon/src/proxy/payload.rs
+++ b/crates/daemon/src/proxy/payload.rs
@@ -13,9 +13,6 @@
 /// Largest body that is read before it is sent on, in bytes, so that it can be sent again.
 const BUFFERED: u64 = 64 << 10;
 
-/// Largest body, in bytes.
-const MOST: u64 = 256 << 20;
-
 /// Time in which a body that is read first has to come.
 const READ_LIMIT: Duration = Duration::from_secs(10);
 
@@ -45,14 +42,15 @@
 }
 
 impl Payload {
-    /// Reads a small body whole, and leaves a larger one, or one of unknown length, to stream.
-    pub(super) async fn read(body: Incoming) -> Result<Self, Refusal> {
+    /// Reads a small body whole, and leaves a larger one, or one of unknown length, to stream,
+    /// up to `most` bytes.
+    pub(super) async fn read(body: Incoming, most: u64) -> Result<Self, Refusal> {
         let hint = body.size_hint();
-        if hint.lower() > MOST {
+        if hint.lower() > most {
             return Err(Refusal::new(Code::BodyTooLarge));
         }
         if hint.exact().is_none_or(|n| n > BUFFERED) {
-            return Ok(Self::Stream { body, left: MOST });
+            return Ok(Self::Stream { body, left: most });
         }
         if body.is_end_stream() {
             return Ok(Self::Whole(Bytes::new()));
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -42,7 +42,8 @@
     let job = job(shared, &request, id)?;
     let permit = enter(&job).await?;
     let (head, body) = request.into_parts();
-    let mut request = Request::from_parts(head, Payload::read(body).await?);
+    let most = job.shared.settings.limits.body_bytes.get();
+    let mut request = Request::from_parts(head, Payload::read(body, most).await?);
     job.dress(&mut request, permit.team())?;
     let (answer, live) = Forward::new(job).send(permit, request).await?;
     Ok(pass(answer, live, id))
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -21,15 +21,6 @@
 use crate::Phase;
 use crate::shared::Shared;
 
-/// Time in which a caller has to send the head of the next request.
-///
-/// It runs on an idle connection too. Longer than balancers commonly keep one, 60 s, so that it
-/// is the balancer that closes and no request crosses our close.
-const HEAD_LIMIT: Duration = Duration::from_secs(75);
-
-/// Largest head of a request, in bytes.
-const MAX_HEAD: usize = 32 << 10;
-
 /// Time without a byte after which a stopping entry closes a caller's connection.
 ///
 /// HTTP/1 has no way to close an idle connection that a caller cannot race: a request that is
@@ -70,14 +61,15 @@
     let traffic = Arc::new(Traffic::default());
     let io = Counted::new(stream, traffic.clone());
     let counter = traffic.clone();
+    let limits = shared.settings.limits.clone();
     let service = service_fn(move |r| {
         let (shared, busy) = (shared.clone(), Busy::new(counter.clone()));
         async move { Ok::<_, Infallible>(answer(shared, r, busy).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
-        .max_buf_size(MAX_HEAD)
+        .header_read_timeout(limits.head_ms.duration())
+        .max_buf_size(limits.head_bytes.get() as usize)
         .serve_connection(TokioIo::new(io), service);
     tokio::pin!(conn);
     tokio::select! {
