--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -74,6 +74,8 @@
         if self.state.load().next() == replica.state().next() {
             return;
         }
+        let drained = replica.state().disruptions().drained();
+        self.drained.store(Arc::new(drained.cloned().collect()));
         self.state.store(Arc::clone(replica.state()));
         self.reached.send_replace(replica.state().next());
     }
--- a/crates/daemon/src/jobs/driver.rs
+++ b/crates/daemon/src/jobs/driver.rs
@@ -88,7 +88,9 @@
     async fn place(&mut self) {
         let state = self.shared.state.load_full();
         let seen = self.shared.sightings.load_full();
-        let (events, stops) = round::place(&state, &seen, &mut self.planner);
+        let drained = self.shared.drained.load_full();
+        let now = self.shared.now();
+        let (events, stops) = round::place(&state, &seen, &drained, &mut self.planner, now);
         self.put(events).await;
         self.stop(stops).await;
     }
--- a/crates/daemon/src/jobs/round.rs
+++ b/crates/daemon/src/jobs/round.rs
@@ -1,12 +1,10 @@
 //! Reports and placements of one round.
 
 use cactuswheel_fleet::State;
-use cactuswheel_model::{JobEvent, Set};
+use cactuswheel_model::{InstanceId, JobEvent, Set, Time};
 use cactuswheel_platform::{Batch, Presence, Sightings, TaskId, TaskNews, TaskReport};
 use cactuswheel_scheduling::{Planner, Proposal, WorkerLife};
 
-use crate::shared::now;
-
 /// The events that workers' reports come to; usage is learnt here and goes no further.
 pub(super) fn report(batch: &Batch, state: &State, planner: &mut Planner) -> Vec<JobEvent> {
     let mut events = Vec::new();
@@ -38,7 +36,9 @@
 pub(super) fn place(
     state: &State,
     seen: &Sightings,
+    drained: &Set<InstanceId>,
     planner: &mut Planner,
+    now: Time,
 ) -> (Vec<JobEvent>, Vec<TaskId>) {
     let live: Vec<_> = seen
         .instances
@@ -49,7 +49,7 @@
             incarnation: s.incarnation,
         })
         .collect();
-    let proposals = planner.plan(now(), state, &live, &Set::default());
+    let proposals = planner.plan(now, state, &live, drained);
     let events = proposals.iter().filter_map(Proposal::event).collect();
     let stops = proposals.into_iter().filter_map(|p| match p {
         Proposal::Preempt { job, attempt, .. } => Some(TaskId { job, attempt }),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod appender;
+mod candidates;
 mod catch_up;
 mod embedded;
 mod error;
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -139,6 +139,14 @@
     Timeout = 303, 504, Unknown,
         "upstream timed out: outcome unknown",
         "Find out whether it ran before it is sent again, unless it is idempotent.";
+    /// The upstream itself said that it did not run the request.
+    Declined = 304, 503, NotRun,
+        "upstream is full and did not run it",
+        "Send it again later, as `retry-after` says.";
+    /// The upstream's answer ends with its connection, so a cut one would look whole.
+    Unframed = 305, 502, Unknown,
+        "upstream's answer has no length",
+        "Have the upstream send `content-length` or chunks.";
 
     /// The ticket cannot be read or breaks its schema.
     BadTicket = 401, 400, NotRun,
