--- a/crates/daemon/src/jobs/driver.rs
+++ b/crates/daemon/src/jobs/driver.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::round;
-use super::workers::{LEASE, Told, cancelled, lost};
+use super::workers::{LEASE, Told, lost, unwanted};
 use crate::Phase;
 use crate::shared::Shared;
 
@@ -65,7 +65,7 @@
         self.take_reports().await;
         self.place().await;
         self.start().await;
-        self.stop(cancelled(&self.shared.state.load())).await;
+        self.stop(unwanted(&self.shared.state.load())).await;
         self.renew().await;
     }
 
--- a/crates/daemon/src/jobs/workers.rs
+++ b/crates/daemon/src/jobs/workers.rs
@@ -1,7 +1,7 @@
 //! What this entry has told workers.
 
-use cactuswheel_fleet::{JobPhase, State};
-use cactuswheel_model::{Attempt, AttemptEnd, JobEvent, JobId, Map, Set};
+use cactuswheel_fleet::{Job, JobPhase, State};
+use cactuswheel_model::{Attempt, AttemptEnd, JobEvent, JobId, Map, Retry, Set};
 use cactuswheel_platform::{Sightings, TaskId, TaskOrder};
 
 /// Time after which a worker stops a task whose lease is not renewed, in ms.
@@ -61,10 +61,13 @@
     }
 }
 
-/// Attempts that are to be stopped because their jobs were cancelled.
-pub(crate) fn cancelled(state: &State) -> Vec<TaskId> {
-    let jobs = state.jobs().iter();
-    let jobs = jobs.filter(|(_, j)| j.cancel && matches!(j.phase, JobPhase::Placed { .. }));
+/// Attempts that are to be stopped: their jobs were cancelled, or their workers are drained
+/// and they can be resumed elsewhere. Other jobs are waited for.
+pub(crate) fn unwanted(state: &State) -> Vec<TaskId> {
+    let jobs = state
+        .jobs()
+        .iter()
+        .filter(|(_, job)| is_unwanted(state, job));
     jobs.map(|(id, job)| TaskId {
         job: id.clone(),
         attempt: job.attempt,
@@ -72,6 +75,14 @@
     .collect()
 }
 
+fn is_unwanted(state: &State, job: &Job) -> bool {
+    let JobPhase::Placed { worker, .. } = &job.phase else {
+        return false;
+    };
+    let leaves = job.spec.retry == Retry::Resume && state.disruptions().is_drained(worker);
+    job.cancel || leaves
+}
+
 /// Ends for attempts whose worker is in a later life, or was removed by an operator.
 ///
 /// A worker that is only missing from the roster may still run its tasks: the roster lags, and
--- a/crates/fleet/src/jobs/sheet.rs
+++ b/crates/fleet/src/jobs/sheet.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Job, JobPhase, Worker};
-use crate::{Config, Table};
+use crate::{Config, Disruptions, Table};
 
 /// Ended jobs that are remembered, so that a repeated submission is told what became of it.
 const ENDED: usize = 20_000;
@@ -83,9 +83,17 @@
     }
 
     /// Applies one event.
-    pub(crate) fn apply(&mut self, event: &JobEvent, config: &Config) -> Result<(), Refusal> {
+    pub(crate) fn apply(
+        &mut self,
+        event: &JobEvent,
+        config: &Config,
+        disruptions: &Disruptions,
+    ) -> Result<(), Refusal> {
         match event {
             JobEvent::Submit { job, spec, at } => self.submit(job, spec, *at, config),
+            JobEvent::Place { worker, .. } if disruptions.is_drained(worker) => {
+                Err(Refusal::new(Code::WorkerFull))
+            }
             JobEvent::Place {
                 job,
                 attempt,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, JobEvent, Offset, Record, Refusal, SnapshotMark, Ticket};
+use cactuswheel_model::{
+    Code, Disruption, JobEvent, Offset, Record, Refusal, SnapshotMark, Ticket,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
@@ -110,7 +112,7 @@
             Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(&events)),
             Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
             Ok(Record::Disruption(step)) => {
-                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+                Applied::Disruption(self.apply_disruption(offset, &step))
             }
             Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
@@ -120,10 +122,23 @@
         }
     }
 
+    /// A step of an outage; the action itself waits for the jobs on the instance.
+    ///
+    /// Failure: a reboot under a job that may not be repeated loses its outcome for good. A
+    /// drain keeps new jobs away, so the commit only has to wait for those that are there.
+    fn apply_disruption(&mut self, offset: Offset, step: &Disruption) -> Result<Offset, Refusal> {
+        let placed = self.jobs.worker(step.instance()).map_or(0, |w| w.placed);
+        if matches!(step, Disruption::Commit { .. }) && placed > 0 {
+            let detail = format!("{placed} jobs are placed on {}", step.instance());
+            return Err(Refusal::new(Code::WrongStage).with_detail(detail));
+        }
+        self.disruptions.apply(offset, step, &mut self.config)
+    }
+
     fn apply_jobs(&mut self, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
         events
             .iter()
-            .map(|e| self.jobs.apply(e, &self.config))
+            .map(|e| self.jobs.apply(e, &self.config, &self.disruptions))
             .collect()
     }
 
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -188,3 +188,31 @@
     let mut state = base();
     assert_eq!(one(&mut state, submit("a", 9, "never")), Code::JobTooLarge);
 }
+
+#[test]
+fn drained_worker() {
+    // Maintenance takes a worker out while a job runs there. Nothing more is placed on it, and
+    // the reboot cannot be committed before the job has ended.
+    let mut state = base();
+    one(&mut state, submit("a", 4, "never"));
+    one(&mut state, submit("b", 4, "never"));
+    one(&mut state, place("a", 1, "w1"));
+    let wave = json!({"wave": {"number": 1}});
+    state.apply(state.next(), &wave.to_string());
+    let fence = state.next();
+    let take = json!({"take": {"instance": "w1", "incarnation": 1,
+        "purpose": {"reboot": 1}, "holder": "e1"}});
+    assert_eq!(disrupt(&mut state, take), Code::Ok);
+    assert_eq!(one(&mut state, place("b", 1, "w1")), Code::WorkerFull);
+    let commit = json!({"commit": {"instance": "w1", "fence": fence}});
+    assert_eq!(disrupt(&mut state, commit.clone()), Code::WrongStage);
+    one(&mut state, end("a", 1, "done"));
+    assert_eq!(disrupt(&mut state, commit), Code::Ok);
+}
+
+fn disrupt(state: &mut State, step: Value) -> Code {
+    match state.apply(state.next(), &json!({ "disruption": step }).to_string()) {
+        Applied::Disruption(done) => done.map_or_else(|e| e.code, |_| Code::Ok),
+        other => panic!("{other:?}"),
+    }
+}
