--- /dev/null
+++ b/crates/cli/src/diff.rs
@@ -0,0 +1,134 @@
+//! What a ticket would change.
+
+use cactuswheel_model::{Change, ObjectId, Ticket};
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::CliError;
+use crate::table::cell;
+
+/// One object that a ticket names, beside its present state.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct DiffRow {
+    /// Its kind and name.
+    pub object: String,
+    /// `add`, `change`, `same`, `remove` or `missing`.
+    pub action: &'static str,
+    /// Fields that differ.
+    pub fields: Vec<FieldDiff>,
+}
+
+/// One field that differs.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct FieldDiff {
+    /// Its name.
+    pub field: String,
+    /// Its value in force.
+    pub before: Value,
+    /// Its value in the ticket.
+    pub after: Value,
+}
+
+/// Compares a ticket with the objects in force, as `/v1/config` gives them.
+pub fn diff(config: &Value, ticket: &Ticket) -> Result<Vec<DiffRow>, CliError> {
+    ticket.changes.iter().map(|c| row(config, c)).collect()
+}
+
+/// The rows as text, one object a line and one field a line below it.
+pub(crate) fn show_diff(rows: &[DiffRow]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        text.push_str(&format!("{:7} {}\n", row.action, row.object));
+        for FieldDiff {
+            field,
+            before,
+            after,
+        } in &row.fields
+        {
+            let (before, after) = (cell(before), cell(after));
+            text.push_str(&format!("          {field}: {before} -> {after}\n"));
+        }
+    }
+    text
+}
+
+fn row(config: &Value, change: &Change) -> Result<DiffRow, CliError> {
+    let object = change.object();
+    let before = &config[table_of(&object)][name_of(&object)];
+    let object = object.to_string();
+    if matches!(change, Change::Remove(_)) {
+        let action = if before.is_null() {
+            "missing"
+        } else {
+            "remove"
+        };
+        let fields = Vec::new();
+        return Ok(DiffRow {
+            object,
+            action,
+            fields,
+        });
+    }
+    let after = content(change)?;
+    let fields = match before.as_object() {
+        Some(before) => differing(before, &after),
+        None => Vec::new(),
+    };
+    let action = match (before.is_null(), fields.is_empty()) {
+        (true, _) => "add",
+        (false, true) => "same",
+        (false, false) => "change",
+    };
+    Ok(DiffRow {
+        object,
+        action,
+        fields,
+    })
+}
+
+/// The fields of the object in a change, which is written as `{"kind": {...}}`.
+fn content(change: &Change) -> Result<Map<String, Value>, CliError> {
+    let value = serde_json::to_value(change).map_err(|e| CliError::Answer(e.to_string()))?;
+    let fields = value
+        .as_object()
+        .and_then(|o| o.values().next()?.as_object());
+    Ok(fields.cloned().unwrap_or_default())
+}
+
+fn differing(before: &Map<String, Value>, after: &Map<String, Value>) -> Vec<FieldDiff> {
+    let mut names: Vec<_> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let value = |map: &Map<String, Value>, name: &str| map.get(name).cloned().unwrap_or_default();
+    names
+        .into_iter()
+        .filter(|name| before.get(*name) != after.get(*name))
+        .map(|name| FieldDiff {
+            field: name.clone(),
+            before: value(before, name),
+            after: value(after, name),
+        })
+        .collect()
+}
+
+fn table_of(object: &ObjectId) -> &'static str {
+    match object {
+        ObjectId::Dc(_) => "dcs",
+        ObjectId::Pool(_) => "pools",
+        ObjectId::Service(_) => "services",
+        ObjectId::Team(_) => "teams",
+        ObjectId::Key(_) => "keys",
+        ObjectId::Instance(_) => "instances",
+    }
+}
+
+fn name_of(object: &ObjectId) -> String {
+    match object {
+        ObjectId::Dc(id) => id.to_string(),
+        ObjectId::Pool(id) => id.to_string(),
+        ObjectId::Service(id) => id.to_string(),
+        ObjectId::Team(id) => id.to_string(),
+        ObjectId::Key(digest) => digest.to_string(),
+        ObjectId::Instance(id) => id.to_string(),
+    }
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,48 +1,112 @@
 //! Why a command failed.
 
-use std::path::PathBuf;
-use std::process::ExitCode;
+use std::path::{Path, PathBuf};
 
 use cactuswheel_http::CallError;
+use cactuswheel_model::{Code, Ran};
 
-/// A failed command; prints as one line.
+use crate::Exit;
+
+/// A failed command; prints as one line that starts with its code.
 #[derive(Debug, thiserror::Error)]
 pub enum CliError {
-    /// A file cannot be read.
-    #[error("{}: {source}", path.display())]
-    Read {
+    /// A file cannot be read or does not hold what it should.
+    #[error("{} {}: {message}", Code::BadFile, path.display())]
+    File {
         /// The file.
         path: PathBuf,
-        /// What happened.
-        source: std::io::Error,
+        /// What happened, with the place in the file.
+        message: String,
     },
-    /// A file does not hold what it should.
-    #[error("{}: {source}", path.display())]
-    Parse {
+    /// Standard input does not hold what it should.
+    #[error("{code} standard input: {0}", code = Code::BadFile)]
+    Input(String),
+    /// A ticket can be read but no fleet could take it.
+    #[error("{code} {}: {detail}", path.display())]
+    Ticket {
         /// The file.
         path: PathBuf,
-        /// What happened.
-        source: serde_json::Error,
+        /// Why.
+        code: Code,
+        /// What was wrong.
+        detail: String,
     },
-    /// The entry gave no answer.
-    #[error(transparent)]
-    Call(#[from] CallError),
+    /// No operator key was given.
+    #[error("{}: set CACTUSWHEEL_KEY", Code::NotOperator)]
+    NoKey,
+    /// The entry could not be reached.
+    #[error("{code}: {0}", code = Code::EntryUnreachable)]
+    Unreachable(String),
+    /// The entry may have carried the command out.
+    #[error("{code}: {0}", code = Code::EntryLost)]
+    Lost(String),
     /// The entry refused.
-    #[error("refused: {0}")]
-    Refused(String),
-    /// The entry answered something else than JSON.
-    #[error("entry's answer cannot be read: {0}")]
-    Answer(#[from] serde_json::Error),
+    #[error("{code} {message}{}{detail}", if detail.is_empty() { "" } else { ": " })]
+    Refused {
+        /// The number of its code.
+        code: u16,
+        /// The code's text.
+        message: String,
+        /// What was wrong.
+        detail: String,
+    },
+    /// The entry answered something that cannot be read.
+    #[error("{code}: its answer cannot be read: {0}", code = Code::EntryLost)]
+    Answer(String),
 }
 
 impl CliError {
+    /// A file that cannot be used.
+    pub(crate) fn file(path: &Path, message: impl ToString) -> Self {
+        Self::File {
+            path: path.into(),
+            message: message.to_string(),
+        }
+    }
+
+    /// Adds what the user has to know to go on.
+    pub(crate) fn with_note(self, note: &str) -> Self {
+        match self {
+            Self::Lost(text) => Self::Lost(format!("{text} ({note})")),
+            Self::Answer(text) => Self::Answer(format!("{text} ({note})")),
+            Self::Refused {
+                code,
+                message,
+                detail,
+            } => Self::Refused {
+                code,
+                message,
+                detail: format!("{detail} ({note})"),
+            },
+            other => other,
+        }
+    }
+
+    /// Whether the entry refused with `code`.
+    pub(crate) fn is(&self, code: Code) -> bool {
+        matches!(self, Self::Refused { code: c, .. } if *c == code.number())
+    }
+
     /// The exit status.
-    pub fn exit_code(&self) -> ExitCode {
-        ExitCode::from(match self {
-            Self::Read { .. } | Self::Parse { .. } => 2,
-            Self::Refused(_) => 3,
-            Self::Call(CallError::NotSent(..)) => 4,
-            Self::Call(CallError::Unknown(..)) | Self::Answer(_) => 5,
-        })
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::File { .. } | Self::Input(_) | Self::Ticket { .. } => Exit::Input,
+            Self::NoKey => Exit::Usage,
+            Self::Unreachable(_) => Exit::Unreachable,
+            Self::Lost(_) | Self::Answer(_) => Exit::Unknown,
+            Self::Refused { code, .. } => match Code::from_number(*code).map(Code::ran) {
+                Some(Ran::Unknown) => Exit::Unknown,
+                _ => Exit::Refused,
+            },
+        }
+    }
+}
+
+impl From<CallError> for CliError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotSent(..) => Self::Unreachable(error.to_string()),
+            CallError::Unknown(..) => Self::Lost(error.to_string()),
+        }
     }
 }
--- /dev/null
+++ b/crates/cli/src/files.rs
@@ -0,0 +1,35 @@
+//! Files and standard input.
+
+use std::io::Read;
+use std::path::Path;
+
+use cactuswheel_http::parse_json;
+use cactuswheel_model::Ticket;
+
+use crate::CliError;
+
+/// Longest key read from standard input, in bytes.
+const MAX_KEY: u64 = 4096;
+
+/// Reads a ticket.
+pub(crate) fn read_ticket(file: &Path) -> Result<Ticket, CliError> {
+    let text = std::fs::read(file).map_err(|e| CliError::file(file, e))?;
+    parse_json(&text).map_err(|e| CliError::file(file, e))
+}
+
+/// Reads a key; one line end after it does not belong to it.
+pub(crate) fn read_key(input: impl Read) -> Result<String, CliError> {
+    let mut text = String::new();
+    input
+        .take(MAX_KEY)
+        .read_to_string(&mut text)
+        .map_err(|e| CliError::Input(e.to_string()))?;
+    let key = text.strip_suffix('\n').unwrap_or(&text);
+    let key = key.strip_suffix('\r').unwrap_or(key);
+    let plain = |b: u8| b.is_ascii_graphic();
+    if key.is_empty() || !key.bytes().all(plain) {
+        let message = "a key is one line of printable characters without spaces";
+        return Err(CliError::Input(message.into()));
+    }
+    Ok(key.to_owned())
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,13 +1,27 @@
-//! The operators' command line: it talks to one entry's admin API and to nothing else.
+//! The operators' command line: it talks to entries' admin API and to nothing else.
 
+mod client;
+mod diff;
 mod error;
 mod exit;
+mod files;
+mod keys;
 mod options;
+mod output;
 mod page;
 mod run;
+mod status;
+mod table;
+mod ticket;
+mod validate;
+mod views;
+mod wait;
 
+pub use diff::{DiffRow, FieldDiff, diff};
 pub use error::CliError;
 pub use exit::Exit;
-pub use options::{Command, Options, TicketCommand, options};
+pub use options::{Command, KeyCommand, Options, TicketCommand, WaitOptions, options};
+pub use output::Output;
 pub use page::code_page;
 pub use run::run;
+pub use table::table;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,14 +5,15 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = cactuswheel_cli::options().run();
+    let json = options.json;
     match cactuswheel_cli::run(options).await {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
+        Ok(output) => {
+            println!("{}", output.show(json));
+            output.exit().into()
         }
         Err(e) => {
             eprintln!("cactuswheel: {e}");
-            e.exit_code()
+            e.exit().into()
         }
     }
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,14 +1,27 @@
 //! Command line options.
 
+mod key;
+mod ticket;
+mod wait;
+
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use cactuswheel_model::PoolId;
+
+pub use self::key::KeyCommand;
+use self::key::key_command;
+pub use self::ticket::TicketCommand;
+use self::ticket::ticket_command;
+pub use self::wait::WaitOptions;
 
 /// Where the small fleet's entry listens for operators.
 const DEFAULT_ENTRY: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 8081);
 
+/// Rows of a history unless told otherwise.
+const MAX: usize = 20;
+
 /// Operate a cactuswheel fleet
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -21,9 +34,12 @@
         fallback(DEFAULT_ENTRY)
     )]
     pub entry: SocketAddr,
-    /// Operator key; better given in the environment
-    #[bpaf(long, argument("KEY"), env("CACTUSWHEEL_KEY"))]
-    pub key: String,
+    /// Operator key; give it in the environment, where other users do not see it
+    #[bpaf(long, argument("KEY"), env("CACTUSWHEEL_KEY"), optional)]
+    pub key: Option<String>,
+    /// Print JSON instead of tables
+    #[bpaf(long)]
+    pub json: bool,
     /// What to do
     #[bpaf(external)]
     pub command: Command,
@@ -35,22 +51,56 @@
     /// Change tickets
     #[bpaf(command)]
     Ticket(#[bpaf(external(ticket_command))] TicketCommand),
-    /// Where an entry stands
+    /// Keys of teams
+    #[bpaf(command, long("keys"))]
+    Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Where entries stand
+    #[bpaf(command)]
+    Status {
+        /// Admin addresses of more entries, with commas between
+        #[bpaf(argument::<String>("ADDR,.."), parse(parse_addrs), fallback(Vec::new()))]
+        entries: Vec<SocketAddr>,
+    },
+    /// Pools, their sizes and the demand on them
+    #[bpaf(command)]
+    Pools,
+    /// Instances as described and as the platform sees them
+    #[bpaf(command)]
+    Instances {
+        /// Only those of one pool
+        #[bpaf(argument("POOL"), optional)]
+        pool: Option<PoolId>,
+    },
+    /// Teams, their shares and upper limits
     #[bpaf(command)]
-    Status,
-    /// The objects in force
+    Teams,
+    /// Services and their pools
+    #[bpaf(command)]
+    Services,
+    /// Availability budgets and what is left of them
+    #[bpaf(command)]
+    Budgets,
+    /// Data centres
+    #[bpaf(command)]
+    Dcs,
+    /// Who changed what, and what came of it
+    #[bpaf(command)]
+    Audit {
+        /// Most rows
+        #[bpaf(argument("N"), fallback(MAX))]
+        max: usize,
+    },
+    /// All objects in force, as JSON
     #[bpaf(command)]
     Config,
 }
 
-/// What to do with a ticket.
-#[derive(Debug, Clone, Bpaf)]
-pub enum TicketCommand {
-    /// Put a ticket into force
-    #[bpaf(command)]
-    Apply {
-        /// The ticket, JSON
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
-    },
+/// Reads addresses with commas between them.
+pub(crate) fn parse_addrs(text: String) -> Result<Vec<SocketAddr>, String> {
+    let parse = |s: &str| {
+        s.trim()
+            .parse()
+            .map_err(|_| format!("`{s}` is not an IP number with a port, such as 10.0.0.1:8081"))
+    };
+    text.split(',').map(parse).collect()
 }
--- /dev/null
+++ b/crates/cli/src/views.rs
@@ -0,0 +1,95 @@
+//! Lists of objects.
+
+use cactuswheel_model::PoolId;
+use serde_json::{Value, json};
+
+use crate::client::{Client, items};
+use crate::{CliError, Output, table};
+
+/// A list and the columns shown of it.
+pub(crate) struct View {
+    path: &'static str,
+    columns: &'static [&'static str],
+}
+
+/// Pools.
+pub(crate) const POOLS: View = View {
+    path: "/v1/pools",
+    columns: &[
+        "id",
+        "spare",
+        "instances",
+        "live",
+        "slots",
+        "demand",
+        "services",
+    ],
+};
+
+/// Teams.
+pub(crate) const TEAMS: View = View {
+    path: "/v1/teams",
+    columns: &["id", "share", "limit"],
+};
+
+/// Services.
+pub(crate) const SERVICES: View = View {
+    path: "/v1/services",
+    columns: &["id", "pool", "demand", "max_down"],
+};
+
+/// Availability budgets.
+pub(crate) const BUDGETS: View = View {
+    path: "/v1/budgets",
+    columns: &["service", "pool", "instances", "down", "max_down", "room"],
+};
+
+/// Data centres.
+pub(crate) const DCS: View = View {
+    path: "/v1/dcs",
+    columns: &["id", "region"],
+};
+
+/// Keys.
+pub(crate) const KEYS: View = View {
+    path: "/v1/keys",
+    columns: &["digest", "team", "withdrawn"],
+};
+
+const INSTANCES: View = View {
+    path: "/v1/instances",
+    columns: &[
+        "id", "pool", "dc", "rack", "cores", "memory", "slots", "presence", "addr",
+    ],
+};
+
+const AUDIT: &[&str] = &[
+    "offset", "ticket", "author", "code", "object", "before", "after", "reason", "detail",
+];
+
+/// Shows a list.
+pub(crate) async fn list(client: &Client, view: &View) -> Result<Output, CliError> {
+    let list: Value = client.get(view.path).await?;
+    Output::new(table(view.columns, items(&list)), &list)
+}
+
+/// Shows instances, of one pool if it is given.
+pub(crate) async fn instances(client: &Client, pool: Option<PoolId>) -> Result<Output, CliError> {
+    let mut list: Value = client.get(INSTANCES.path).await?;
+    if let (Some(pool), Some(rows)) = (pool, list["items"].as_array_mut()) {
+        rows.retain(|row| row["pool"] == pool.as_str());
+    }
+    Output::new(table(INSTANCES.columns, items(&list)), &list)
+}
+
+/// Shows the audit trail, newest first.
+pub(crate) async fn audit(client: &Client, max: usize) -> Result<Output, CliError> {
+    let list: Value = client.get(&format!("/v1/audit?max={max}")).await?;
+    Output::new(table(AUDIT, items(&list)), &list)
+}
+
+/// Shows all objects.
+pub(crate) async fn config(client: &Client) -> Result<Output, CliError> {
+    let config: Value = client.get("/v1/config").await?;
+    Output::new(format!("{config:#}"), &json!(config))
+}
--- /dev/null
+++ b/crates/cli/tests/diff.rs
@@ -0,0 +1,40 @@
+//! Tickets beside what is in force.
+
+use cactuswheel_cli::{DiffRow, diff};
+use cactuswheel_model::Ticket;
+use serde_json::{Value, json};
+
+fn rows(changes: Value) -> Vec<DiffRow> {
+    let config = json!({
+        "pools": {"render": {"id": "render", "spare": false}},
+        "teams": {"ads": {"id": "ads", "share": 1, "limit": 8}},
+        "instances": {}, "services": {}, "keys": {}, "dcs": {},
+    });
+    let ticket: Ticket = serde_json::from_value(json!({"ticket": 2, "changes": changes})).unwrap();
+    diff(&config, &ticket).unwrap()
+}
+
+#[test]
+fn added_same() {
+    let rows = rows(json!([{"pool": {"id": "x"}}, {"pool": {"id": "render"}}]));
+    let actions: Vec<_> = rows.iter().map(|r| (r.object.as_str(), r.action)).collect();
+    assert_eq!(actions, [("pool x", "add"), ("pool render", "same")]);
+}
+
+#[test]
+fn changed_field() {
+    let rows = rows(json!([{"team": {"id": "ads", "share": 1, "limit": 16}}]));
+    assert_eq!(rows[0].action, "change");
+    let fields = serde_json::to_value(&rows[0].fields).unwrap();
+    assert_eq!(
+        fields,
+        json!([{"field": "limit", "before": 8, "after": 16}])
+    );
+}
+
+#[test]
+fn removed_missing() {
+    let rows = rows(json!([{"remove": {"pool": "render"}}, {"remove": {"pool": "none"}}]));
+    let actions: Vec<_> = rows.iter().map(|r| r.action).collect();
+    assert_eq!(actions, ["remove", "missing"]);
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,11 @@
-//! The operators' API, JSON over HTTP.
+//! The operators' API, JSON over HTTP; `docs/API.md` describes it.
 
+mod check;
+mod history;
+mod instances;
+mod list;
+mod pools;
+mod refused;
 mod status;
 mod tickets;
 
@@ -10,19 +16,12 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, StatusCode};
-use serde::Serialize;
 
+use self::list::list;
+use self::refused::refused;
 use crate::Phase;
 use crate::shared::Shared;
 
-/// The body of a refusal.
-#[derive(Serialize)]
-struct Refused<'a> {
-    code: u16,
-    message: &'a str,
-    detail: &'a str,
-}
-
 /// Answers one request of an operator.
 pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
@@ -34,13 +33,40 @@
     };
     let done = match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
-        (&Method::GET, "/v1/status") => status::show(&shared),
-        (&Method::GET, "/v1/config") => Ok(json(StatusCode::OK, shared.state.load().config())),
-        _ => Err(Refusal::new(Code::NotFound).with_detail(path)),
+        (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
+        (&Method::GET, path) => show(&shared, path, request.uri().query()),
+        (method, path) => Err(not_found(format!("{method} {path}"))),
     };
     done.unwrap_or_else(|refusal| refused(&refusal))
 }
 
+/// Answers what only reads.
+fn show(shared: &Shared, path: &str, query: Option<&str>) -> Result<Reply, Refusal> {
+    let state = shared.state.load();
+    let seen = shared.sightings.load();
+    let config = state.config();
+    if let Some(name) = path.strip_prefix("/v1/tickets/") {
+        return history::show(&state, name);
+    }
+    Ok(match path {
+        "/v1/status" => return status::show(shared),
+        "/v1/tickets" => return history::newest(&state, query),
+        "/v1/config" => json(StatusCode::OK, config),
+        "/v1/dcs" => list(&state, config.dcs.values()),
+        "/v1/pools" => list(&state, pools::pools(&state, &seen)),
+        "/v1/budgets" => list(&state, pools::budgets(&state, &seen)),
+        "/v1/services" => list(&state, config.services.values()),
+        "/v1/teams" => list(&state, config.teams.values()),
+        "/v1/keys" => list(&state, config.keys.values()),
+        "/v1/instances" => list(&state, instances::instances(&state, &seen)),
+        _ => return Err(not_found(format!("GET {path}"))),
+    })
+}
+
+fn not_found(what: String) -> Refusal {
+    Refusal::new(Code::NotFound).with_detail(what)
+}
+
 /// For the balancer: whether new callers may be sent here.
 fn ready(shared: &Shared) -> Reply {
     match shared.phase.get() {
@@ -63,14 +89,3 @@
         .find(|o| o.digest == digest)
         .map(|o| o.name.clone())
 }
-
-fn refused(refusal: &Refusal) -> Reply {
-    let code = refusal.code;
-    let status = StatusCode::from_u16(code.status());
-    let body = Refused {
-        code: code.number(),
-        message: code.text(),
-        detail: &refusal.detail,
-    };
-    json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body)
-}
--- /dev/null
+++ b/crates/daemon/src/admin/instances.rs
@@ -0,0 +1,42 @@
+//! Instances as described and as seen.
+
+use std::net::SocketAddr;
+
+use cactuswheel_fleet::State;
+use cactuswheel_model::{Incarnation, Instance, InstanceId, Map};
+use cactuswheel_platform::{Presence, Sighting, Sightings};
+use serde::Serialize;
+
+/// One instance.
+#[derive(Serialize)]
+pub(super) struct InstanceView<'a> {
+    #[serde(flatten)]
+    described: &'a Instance,
+    /// What the platform's list says; `null` if it is not there.
+    presence: Option<Presence>,
+    incarnation: Option<Incarnation>,
+    addr: Option<SocketAddr>,
+}
+
+/// Shows every described instance beside its sighting.
+pub(super) fn instances<'a>(
+    state: &'a State,
+    sightings: &'a Sightings,
+) -> impl Iterator<Item = InstanceView<'a>> {
+    let seen = by_id(sightings);
+    let rows = state.config().instances.values();
+    rows.map(move |described| {
+        let sighting = seen.get(&described.id);
+        InstanceView {
+            described,
+            presence: sighting.map(|s| s.presence),
+            incarnation: sighting.map(|s| s.incarnation),
+            addr: sighting.map(|s| s.addr),
+        }
+    })
+}
+
+/// Sightings by instance.
+pub(super) fn by_id(sightings: &Sightings) -> Map<&InstanceId, &Sighting> {
+    sightings.instances.iter().map(|s| (&s.id, s)).collect()
+}
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -16,6 +16,8 @@
     next: Offset,
     upstreams: usize,
     peers: Vec<PeerStatus>,
+    /// Configured peers that were never heard.
+    unheard: usize,
 }
 
 #[derive(Serialize)]
@@ -28,13 +30,15 @@
 
 /// Shows the entry's name, phase and offset.
 pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
+    let peers = peers(shared);
     let status = Status {
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
         next: shared.state.load().next(),
         upstreams: shared.routes.load().upstreams().count(),
-        peers: peers(shared),
+        unheard: shared.settings.peers.len().saturating_sub(peers.len()),
+        peers,
     };
     Ok(json(StatusCode::OK, &status))
 }
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -168,6 +168,16 @@
         )
     }
 
+    /// Runs the CLI as operator `ana` at an entry; its exit status, output and errors.
+    pub fn cli(&self, entry: usize, args: &[&str]) -> (Option<i32>, String, String) {
+        let at = self.admins[entry].to_string();
+        let all = [&["--entry", &at, "--key", OPERATOR_KEY], args].concat();
+        let output = Process::output("cactuswheel", &all);
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code();
+        (code, text(&output.stdout), text(&output.stderr))
+    }
+
     /// Waits until every entry has `upstreams` upstreams.
     pub async fn settle(&self, upstreams: usize) {
         for admin in &self.admins {
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -1,6 +1,6 @@
 //! One program as a child process.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -41,6 +41,19 @@
             .expect("the program starts")
     }
 
+    /// Runs a program to its end with `input` on its standard input.
+    pub fn output_with(program: &str, args: &[&str], input: &str) -> std::process::Output {
+        let mut command = Command::new(binary(program));
+        command.args(args).stdin(Stdio::piped());
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let mut stdin = child.stdin.take().expect("standard input is piped");
+        // A program that has seen enough may have closed it.
+        let _ = stdin.write_all(input.as_bytes());
+        drop(stdin);
+        child.wait_with_output().expect("the program ends")
+    }
+
     /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -7,11 +7,22 @@
 /// Largest JSON body accepted by a control server, in bytes.
 pub const MAX_JSON: usize = 8 << 20;
 
-/// Reads a whole body and decodes it; the error is a line for people.
+/// Reads a whole body and decodes it; the error is a line for people that names the place.
 pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, String> {
     let whole = Limited::new(body, MAX_JSON)
         .collect()
         .await
         .map_err(|e| e.to_string())?;
-    serde_json::from_slice(&whole.to_bytes()).map_err(|e| e.to_string())
+    parse_json(&whole.to_bytes())
+}
+
+/// Decodes JSON; the error is a line for people that names the place.
+pub fn parse_json<T: DeserializeOwned>(text: &[u8]) -> Result<T, String> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let value = serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path() {
+        path if path.iter().next().is_none() => e.inner().to_string(),
+        path => format!("{path}: {}", e.inner()),
+    })?;
+    json.end().map_err(|e| e.to_string())?;
+    Ok(value)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,7 +8,7 @@
 mod reply;
 mod server;
 
-pub use body::{MAX_JSON, read_json};
+pub use body::{MAX_JSON, parse_json, read_json};
 pub use call::{Answer, Call, CallError};
 pub use reply::{Body, Reply, json, text};
 pub use server::serve;
