--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -28,6 +28,9 @@
     if path == "/ready" {
         return ready(&shared);
     }
+    if path == "/metrics" {
+        return metrics(&shared);
+    }
     let Some(operator) = operator(&shared, &request) else {
         return refused(&Refusal::new(Code::NotOperator));
     };
@@ -76,6 +79,14 @@
     }
 }
 
+/// For whatever collects metrics; no key, since it shows no secret.
+fn metrics(shared: &Shared) -> Reply {
+    match shared.metrics.text() {
+        Ok(lines) => text(StatusCode::OK, lines),
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
 fn operator(shared: &Shared, request: &Request<Incoming>) -> Option<OperatorId> {
     let key = request
         .headers()
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -20,6 +20,9 @@
     /// The log cannot be set up.
     #[error("cannot set up the log: {0}")]
     Log(#[from] log::SetLoggerError),
+    /// The metrics cannot be set up.
+    #[error("cannot set up the metrics: {0}")]
+    Metrics(String),
     /// The small fleet cannot be described.
     #[error("embedded fleet: {0}")]
     Embedded(String),
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -38,6 +38,7 @@
 }
 
 fn take(shared: &Shared, batch: &Batch) {
+    shared.log_answered(batch.head);
     let mut state = State::clone(&shared.state.load());
     for entry in &batch.entries {
         if let Applied::Undecodable(e) = state.apply(entry.offset, &entry.body) {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -2,7 +2,9 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use log::LevelFilter;
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::Map;
 
 use crate::StartError;
 
@@ -11,19 +13,42 @@
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("cactuswheel_daemon", level)
-        .format(|out, message, record| {
-            let millis = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
-            let line = serde_json::json!({
-                "at": millis.as_millis() as u64,
-                "level": record.level().as_str(),
-                "from": record.target(),
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+        .format(|out, _, record| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            let at = now.unwrap_or_default().as_millis() as u64;
+            out.finish(format_args!("{}", line(record, at)));
         })
         .chain(std::io::stderr())
         .apply()?;
     Ok(())
 }
+
+/// One line, `at` milliseconds after 1970; the record's own fields follow the common ones.
+pub fn line(record: &Record<'_>, at: u64) -> String {
+    let mut fields = Fields(Map::new());
+    let common = [
+        ("at", at.into()),
+        ("level", record.level().as_str().into()),
+        ("from", record.target().into()),
+        ("message", record.args().to_string().into()),
+    ];
+    // A field that cannot be shown is left out; the line itself still helps.
+    let _ = record.key_values().visit(&mut fields);
+    for (name, value) in common {
+        fields.0.insert(name.into(), value);
+    }
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(n) => n.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cactuswheel_http::serve;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
@@ -12,12 +13,14 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
+use crate::{Phase, Settings, StartError, admin, follower, metrics, peers, proxy, sightings};
 
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
+    /// Keeps the instruments alive.
+    _meters: SdkMeterProvider,
     callers: SocketAddr,
     admin: SocketAddr,
     /// Connections of callers that are open.
@@ -37,6 +40,7 @@
             callers: addr(&callers)?,
             admin: addr(&admin)?,
             shared: shared.clone(),
+            _meters: metrics::start(&shared).map_err(|e| StartError::Metrics(e.to_string()))?,
             open: TaskTracker::new(),
             stop: CancellationToken::new(),
         };
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,10 +1,11 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
 use hyper::{HeaderMap, Request, Response};
 
@@ -16,16 +17,41 @@
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
+    let started = Instant::now();
     let id = request_id(&shared, request.headers());
-    match admit(shared, request, &id).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            log::debug!("request {id} refused: {refusal}");
-            refuse(&refusal, &id)
+    let answered = match check_body(&shared, &request) {
+        Ok(()) => admit(shared.clone(), request, &id).await,
+        Err(refusal) => Err(refusal),
+    };
+    let code = answered.as_ref().map_or_else(|r| r.code, |_| Code::Ok);
+    shared.metrics.requests.answered(code, started.elapsed());
+    answered.unwrap_or_else(|refusal| {
+        note_refusal(&shared, &refusal, &id);
+        refuse(&refusal, &id)
+    })
+}
+
+/// Refuses a body that is announced as too large, before anything else is spent on it.
+fn check_body(shared: &Shared, request: &Request<Incoming>) -> Result<(), Refusal> {
+    let limit = shared.settings.limits.body_bytes.get();
+    match request.body().size_hint().lower() {
+        size if size > limit => {
+            let detail = format!("got {size} bytes, takes up to {limit}");
+            Err(Refusal::new(Code::BodyTooLarge).with_detail(detail))
         }
+        _ => Ok(()),
     }
 }
 
+/// Logs a refusal, unless many were logged in this second already.
+fn note_refusal(shared: &Shared, refusal: &Refusal, id: &str) {
+    let Some(suppressed) = shared.refusals.allow(shared.metrics.uptime().as_secs()) else {
+        return;
+    };
+    let (code, ran) = (refusal.code.number(), refusal.code.ran());
+    log::info!(request = id, code, ran:%, suppressed; "refused: {refusal}");
+}
+
 async fn admit(
     shared: Arc<Shared>,
     request: Request<Incoming>,
@@ -41,8 +67,10 @@
         None => rest,
     };
     let team = find_team(&state, request.headers())?;
+    let asked = Instant::now();
     let permit = Permit::take(&shared, &team)?;
     let lease = shared.routes.load().pick(&service.pool)?;
+    shared.metrics.requests.waited(asked.elapsed());
     forward::send(request, &rest, id, permit, lease).await
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,9 +11,10 @@
 use cactuswheel_routing::{Candidate, Routes};
 use tokio::sync::watch;
 
-use crate::Settings;
+use crate::metrics::Metrics;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
+use crate::{LineLimit, Settings};
 
 /// State that requests read without waiting; one writer for each part.
 #[derive(Debug)]
@@ -32,6 +33,11 @@
     /// Tells how far the state has come.
     pub(crate) reached: watch::Sender<Offset>,
     requests: AtomicU64,
+    /// Newest offset of the log's end that was heard of.
+    head: AtomicU64,
+    pub(crate) metrics: Metrics,
+    /// Bounds the lines on refusals.
+    pub(crate) refusals: LineLimit,
 }
 
 impl Shared {
@@ -49,6 +55,9 @@
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
+            head: AtomicU64::new(0),
+            metrics: Metrics::new(),
+            refusals: LineLimit::default(),
         }
     }
 
@@ -67,6 +76,17 @@
         self.requests.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// The log answered and ended at `head`.
+    pub(crate) fn log_answered(&self, head: Offset) {
+        self.metrics.log.mark();
+        self.head.fetch_max(head.get(), Ordering::Relaxed);
+    }
+
+    /// Newest offset of the log's end that was heard of.
+    pub(crate) fn log_head(&self) -> Offset {
+        Offset::new(self.head.load(Ordering::Relaxed))
+    }
+
     /// Builds the routes anew from the newest state and sightings.
     pub(crate) fn reroute(&self) {
         let state = self.state.load();
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -14,7 +14,11 @@
 /// Takes the roster over as it changes, for as long as the task lives.
 pub(crate) async fn watch(shared: Arc<Shared>) {
     loop {
-        match shared.platform.list().await {
+        let answer = shared.platform.list().await;
+        if answer.is_ok() {
+            shared.metrics.roster.mark();
+        }
+        match answer {
             Ok(list) if **shared.sightings.load() != list => {
                 shared.sightings.store(Arc::new(list));
                 shared.reroute();
--- /dev/null
+++ b/crates/e2e/tests/metrics.rs
@@ -0,0 +1,55 @@
+//! Metrics and refusals of a real entry.
+
+use cactuswheel_e2e::{Fleet, TEAM_KEY};
+use cactuswheel_http::Call;
+
+/// The value of a metric, by its name and labels as they stand in the text.
+fn value(text: &str, name: &str) -> Option<f64> {
+    let line = text.lines().find(|l| l.split(' ').next() == Some(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+#[tokio::test]
+async fn counts_match() {
+    let fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    let at = fleet.callers[0];
+    for _ in 0..3 {
+        let call = Call::get(at, "/s/echo/").with_key(TEAM_KEY);
+        assert_eq!(call.send().await.unwrap().status, 200);
+    }
+    let refused = Call::get(at, "/s/echo/").with_key("wrong-key");
+    assert_eq!(refused.send().await.unwrap().status, 401);
+
+    let answer = Call::get(fleet.admins[0], "/metrics").send().await.unwrap();
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    let wanted = [
+        ("cactuswheel_answers_total{code=\"0\"}", 3.0),
+        ("cactuswheel_answers_total{code=\"102\"}", 1.0),
+        ("cactuswheel_request_seconds_count", 4.0),
+        ("cactuswheel_queue_seconds_count", 3.0),
+        ("cactuswheel_upstreams", 1.0),
+        ("cactuswheel_running", 0.0),
+        ("cactuswheel_ready", 1.0),
+        ("cactuswheel_log_next", 1.0),
+        ("cactuswheel_log_lag", 0.0),
+    ];
+    for (name, number) in wanted {
+        assert_eq!(value(&text, name), Some(number), "{name} in\n{text}");
+    }
+    let positive = [
+        "process_cpu_seconds_total",
+        "process_resident_memory_bytes",
+        "cactuswheel_roster_age_seconds",
+        "cactuswheel_log_age_seconds",
+        "cactuswheel_peer_age_seconds{entry=\"e2\"}",
+    ];
+    for name in positive {
+        assert!(
+            value(&text, name).is_some_and(|v| v >= 0.0),
+            "{name} in\n{text}"
+        );
+    }
+    assert!(!text.contains(TEAM_KEY) && !text.contains("wrong-key"));
+}
