--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -19,7 +19,7 @@
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let started = Instant::now();
     let id = request_id(&shared, request.headers());
-    let answered = match check_body(&shared, &request) {
+    let answered = match check_size(&shared, &request) {
         Ok(()) => admit(shared.clone(), request, &id).await,
         Err(refusal) => Err(refusal),
     };
@@ -31,16 +31,28 @@
     })
 }
 
-/// Refuses a body that is announced as too large, before anything else is spent on it.
-fn check_body(shared: &Shared, request: &Request<Incoming>) -> Result<(), Refusal> {
-    let limit = shared.settings.limits.body_bytes.get();
-    match request.body().size_hint().lower() {
-        size if size > limit => {
-            let detail = format!("got {size} bytes, takes up to {limit}");
-            Err(Refusal::new(Code::BodyTooLarge).with_detail(detail))
+/// Refuses a head that is too large, or a body announced as such, before more is spent on it.
+fn check_size(shared: &Shared, request: &Request<Incoming>) -> Result<(), Refusal> {
+    let limits = &shared.settings.limits;
+    let check = |size: u64, limit: u64, code| {
+        if size <= limit {
+            return Ok(());
         }
-        _ => Ok(()),
-    }
+        let detail = format!("got {size} bytes, takes up to {limit}");
+        Err(Refusal::new(code).with_detail(detail))
+    };
+    let head = head_size(request);
+    check(head, limits.head_bytes.get(), Code::HeadTooLarge)?;
+    let body = request.body().size_hint().lower();
+    check(body, limits.body_bytes.get(), Code::BodyTooLarge)
+}
+
+/// Bytes of a request's path and headers, without the punctuation between them.
+fn head_size(request: &Request<Incoming>) -> u64 {
+    let headers = request.headers().iter();
+    let headers: usize = headers.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let path = request.uri().path_and_query();
+    (headers + path.map_or(0, |p| p.as_str().len())) as u64
 }
 
 /// Logs a refusal, unless many were logged in this second already.
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -15,6 +15,12 @@
 use super::request;
 use crate::shared::Shared;
 
+/// Buffer of a connection, in largest heads.
+///
+/// A head somewhat over the limit is still read, and refused with its code; one that does not
+/// fit here is refused by the HTTP library, with the status alone.
+const READ_AHEAD: usize = 2;
+
 /// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -49,7 +55,7 @@
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_ms.duration())
-        .max_buf_size(limits.head_bytes.get() as usize)
+        .max_buf_size(READ_AHEAD * limits.head_bytes.get() as usize)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     tokio::select! {
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -107,6 +107,7 @@
             "peers": self.peers,
             "operators": [{"name": "ana", "digest": Digest::of(OPERATOR_KEY.as_bytes())}],
             "log": {"level": "ERROR"},
+            "limits": {"head_ms": 1000},
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
--- /dev/null
+++ b/crates/e2e/tests/bad_input.rs
@@ -0,0 +1,319 @@
+//! Input that nobody should send, to the real programs.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_e2e::{Fleet, OPERATOR_KEY, Process, TEAM_KEY};
+use cactuswheel_http::{Answer, Call};
+use cactuswheel_model::Digest;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time within which an entry has to be itself again.
+const LIMIT: Duration = Duration::from_secs(20);
+
+async fn fleet(limit: u32) -> Fleet {
+    let fleet = Fleet::start(2, 1);
+    let (code, text) = fleet.apply(0, &fleet.first_ticket(limit));
+    assert_eq!(code, Some(0), "{text}");
+    fleet.settle(2).await;
+    fleet
+}
+
+async fn get(fleet: &Fleet, path: &str, key: &str) -> Answer {
+    let call = Call::get(fleet.callers[0], path).with_key(key);
+    call.send().await.unwrap()
+}
+
+/// The code of a refusal.
+fn code(answer: &Answer) -> Value {
+    answer.json::<Value>().unwrap()["code"].clone()
+}
+
+/// Sends raw bytes and reads what comes until the entry closes.
+async fn raw(addr: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // A reset after the answer is as good an end as any.
+    let _ = timeout(LIMIT, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn head(extra: &str) -> String {
+    format!(
+        "POST /s/echo/x HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {TEAM_KEY}\r\n\
+         connection: close\r\n{extra}\r\n"
+    )
+}
+
+/// Waits until the team's one unit is free again.
+async fn served_again(fleet: &Fleet) {
+    let until = Instant::now() + LIMIT;
+    loop {
+        let answer = get(fleet, "/s/echo/", TEAM_KEY).await;
+        if answer.status == 200 {
+            return;
+        }
+        assert!(Instant::now() < until, "still {}", answer.status);
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn check_settings(name: &str, text: &str, words: &[&str]) {
+    let name = format!("cactuswheel-bad-{}-{name}.json", std::process::id());
+    let path = std::env::temp_dir().join(&name);
+    fs::write(&path, text).unwrap();
+    let args = ["--check", "--settings", path.to_str().unwrap()];
+    let output = Process::output("cactuswheeld", &args);
+    fs::remove_file(&path).unwrap();
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{error}");
+    assert_eq!(error.lines().count(), 1, "{error}");
+    for word in words.iter().chain(&["501", name.as_str()]) {
+        assert!(error.contains(word), "`{word}` is not in: {error}");
+    }
+}
+
+#[test]
+fn settings_files() {
+    check_settings("broken", "{\"entry\": \"e1\",", &["line 1"]);
+    check_settings(
+        "unknown",
+        r#"{"entry": "e1", "dx": 1}"#,
+        &["unknown field `dx`"],
+    );
+    let host = r#"{"entry": "e1", "dc": "a", "platform": "log.example:9000"}"#;
+    check_settings("host", host, &["platform", "log.example:9000", "IP number"]);
+}
+
+#[tokio::test]
+async fn ticket_files() {
+    let fleet = fleet(8).await;
+    let refused = |ticket: Value, number: &str| {
+        let (status, text) = fleet.apply(0, &ticket);
+        assert_eq!(status, Some(3), "{text}");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(
+            text.starts_with(&format!("cactuswheel: {number} ")),
+            "{text}"
+        );
+    };
+    let moved = |ticket: u32| json!({"ticket": ticket, "changes": [Fleet::instance(1, "spare")]});
+    refused(moved(1), "402");
+    assert_eq!(fleet.apply(0, &moved(5)).0, Some(0));
+    refused(
+        json!({"ticket": 3, "changes": [Fleet::instance(1, "render")]}),
+        "403",
+    );
+    refused(
+        json!({"ticket": 6, "changes": [Fleet::instance(1, "none")]}),
+        "404",
+    );
+    let budget = json!({"service": {"id": "echo", "pool": "render", "max_down": 1}});
+    refused(json!({"ticket": 7, "changes": [budget]}), "405");
+    refused(json!({"ticket": 8, "changes": []}), "401");
+
+    let path = fleet.file("ticket.json", &Value::Null);
+    for (text, place) in [
+        ("{\"ticket\": 9", "line 1"),
+        (
+            r#"{"ticket": 9, "changes": [{"pool": {"id": "x", "size": 1}}]}"#,
+            "changes[0].pool.size",
+        ),
+        (
+            r#"{"ticket": 9, "changes": [{"pool": {"id": "No Name"}}]}"#,
+            "`No Name` is not a name",
+        ),
+    ] {
+        fs::write(&path, text).unwrap();
+        let (status, _, error) = fleet.cli(0, &["ticket", "apply", path.to_str().unwrap()]);
+        assert_eq!(status, Some(2), "{error}");
+        assert!(error.contains("502") && error.contains(place), "{error}");
+        // The API itself says the same to those who do without the CLI.
+        let length = text.len();
+        let request = format!(
+            "POST /v1/tickets HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {OPERATOR_KEY}\r\n\
+             connection: close\r\ncontent-length: {length}\r\n\r\n{text}"
+        );
+        let answer = raw(fleet.admins[0], &request).await;
+        assert!(
+            answer.contains("\"code\":401") && answer.contains(place),
+            "{answer}"
+        );
+    }
+    let next = fleet.cli(0, &["ticket", "next"]).1;
+    assert_eq!(next.trim(), "9");
+}
+
+#[tokio::test]
+async fn keys_services() {
+    let fleet = fleet(8).await;
+    let none = Call::get(fleet.callers[0], "/s/echo/")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!((none.status.as_u16(), code(&none)), (401, json!(101)));
+    assert_eq!(code(&get(&fleet, "/s/echo/", "wrong").await), 102);
+    assert_eq!(code(&get(&fleet, "/s/none/", TEAM_KEY).await), 104);
+    assert_eq!(code(&get(&fleet, "/s/No%20Name/", TEAM_KEY).await), 104);
+    let key = json!({"key": {"digest": Digest::of(TEAM_KEY.as_bytes()), "team": "ads",
+        "withdrawn": true}});
+    assert_eq!(
+        fleet.apply(0, &json!({"ticket": 2, "changes": [key]})).0,
+        Some(0)
+    );
+    assert_eq!(code(&get(&fleet, "/s/echo/", TEAM_KEY).await), 103);
+    let back = json!({"key": {"digest": Digest::of(TEAM_KEY.as_bytes()), "team": "ads"}});
+    let (status, text) = fleet.apply(0, &json!({"ticket": 3, "changes": [back]}));
+    assert_eq!(status, Some(3), "{text}");
+}
+
+#[tokio::test]
+async fn operator_keys() {
+    let fleet = Fleet::start(0, 1);
+    let at = fleet.admins[0];
+    for path in [
+        "/v1/status",
+        "/v1/config",
+        "/v1/keys",
+        "/v1/tickets",
+        "/v1/nothing",
+    ] {
+        let answer = Call::get(at, path).send().await.unwrap();
+        assert_eq!(
+            (answer.status.as_u16(), code(&answer)),
+            (401, json!(406)),
+            "{path}"
+        );
+        let answer = Call::get(at, path).with_key(TEAM_KEY).send().await.unwrap();
+        assert_eq!(code(&answer), 406, "{path}");
+    }
+    let ticket = Call::post(at, "/v1/tickets")
+        .with_json(&fleet.first_ticket(8))
+        .unwrap();
+    assert_eq!(code(&ticket.send().await.unwrap()), 406);
+    let unknown = Call::get(at, "/v1/nothing")
+        .with_key(OPERATOR_KEY)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!((unknown.status.as_u16(), code(&unknown)), (404, json!(408)));
+}
+
+#[tokio::test]
+async fn oversized_head() {
+    let fleet = fleet(1).await;
+    let at = fleet.callers[0];
+    let over = raw(at, &head(&format!("x-a: {}\r\n", "a".repeat(40 << 10)))).await;
+    assert!(over.starts_with("HTTP/1.1 431 "), "{over}");
+    assert!(
+        over.contains("x-cactuswheel-code: 107") && over.contains("not-run"),
+        "{over}"
+    );
+    let far_over = raw(at, &head(&format!("x-a: {}\r\n", "a".repeat(200 << 10)))).await;
+    assert!(
+        far_over.is_empty() || far_over.starts_with("HTTP/1.1 431 "),
+        "{far_over}"
+    );
+    served_again(&fleet).await;
+}
+
+#[tokio::test]
+async fn oversized_body() {
+    let fleet = fleet(1).await;
+    let size = (256 << 20) + 1;
+    let answer = raw(
+        fleet.callers[0],
+        &head(&format!("content-length: {size}\r\n")),
+    )
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    assert!(
+        answer.contains("x-cactuswheel-code: 106") && answer.contains("not-run"),
+        "{answer}"
+    );
+    served_again(&fleet).await;
+}
+
+#[tokio::test]
+async fn garbage_request() {
+    let fleet = fleet(1).await;
+    for text in [
+        "\0\x01\x02\r\n\r\n",
+        "GET\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+    ] {
+        let answer = raw(fleet.callers[0], text).await;
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 400 "),
+            "{answer}"
+        );
+    }
+    served_again(&fleet).await;
+}
+
+#[tokio::test]
+async fn half_sent() {
+    // One caller stops in the middle of the head, another in the middle of the body and then
+    // goes away. Neither may hold the team's only unit, and neither counts as run.
+    let fleet = fleet(1).await;
+    let stalled = raw(fleet.callers[0], "GET /s/echo/ HTTP/1.1\r\nhost").await;
+    assert!(!stalled.contains("200"), "{stalled}");
+    let mut stream = TcpStream::connect(fleet.callers[0]).await.unwrap();
+    let text = head("content-length: 1000\r\nx-request-id: cut\r\n") + "only this";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    drop(stream);
+    served_again(&fleet).await;
+    for addr in &fleet.upstream_addrs {
+        let runs = Call::get(*addr, "/runs").send().await.unwrap();
+        let runs = runs.json::<Vec<Value>>().unwrap();
+        assert!(runs.iter().all(|r| r["request"] != "cut"), "{runs:?}");
+    }
+}
+
+#[tokio::test]
+async fn caller_leaves() {
+    // A caller sends a request that runs for minutes and goes away at once. The team's only
+    // unit and the upstream's slot have to come back, or the team is locked out for good.
+    let fleet = fleet(1).await;
+    let mut stream = TcpStream::connect(fleet.callers[0]).await.unwrap();
+    let text = head("x-sleep-ms: 300000\r\ncontent-length: 0\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let until = Instant::now() + LIMIT;
+    while get(&fleet, "/s/echo/", TEAM_KEY).await.status == 200 {
+        assert!(
+            Instant::now() < until,
+            "the long request never took its unit"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+    drop(stream);
+    served_again(&fleet).await;
+}
+
+#[tokio::test]
+async fn strange_records() {
+    // Something else writes into the fleet's stream. Every entry passes over it alike and goes
+    // on: the next ticket holds, under its own offset.
+    let fleet = fleet(8).await;
+    let strange = json!([
+        "not JSON",
+        "{}",
+        r#"{"ticket": {"ticket": "x"}}"#,
+        r#"{"other": 1}"#
+    ]);
+    let call = Call::post(fleet.platform_addr, "/log/fleet")
+        .with_json(&strange)
+        .unwrap();
+    assert_eq!(call.send().await.unwrap().status, 200);
+    let moved = json!({"ticket": 2, "changes": [Fleet::instance(1, "spare")]});
+    let (status, text) = fleet.apply(0, &moved);
+    assert_eq!(status, Some(0), "{text}");
+    assert!(text.contains("offset 5"), "{text}");
+    assert_eq!(get(&fleet, "/s/echo/", TEAM_KEY).await.status, 200);
+}
