--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -107,6 +107,7 @@
             "peers": self.peers,
             "operators": [{"name": "ana", "digest": Digest::of(OPERATOR_KEY.as_bytes())}],
             "log": {"level": "ERROR"},
+            "limits": {"head_ms": 1000},
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
@@ -168,6 +169,16 @@
         )
     }
 
+    /// Runs the CLI as operator `ana` at an entry; its exit status, output and errors.
+    pub fn cli(&self, entry: usize, args: &[&str]) -> (Option<i32>, String, String) {
+        let at = self.admins[entry].to_string();
+        let all = [&["--entry", &at, "--key", OPERATOR_KEY], args].concat();
+        let output = Process::output("cactuswheel", &all);
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code();
+        (code, text(&output.stdout), text(&output.stderr))
+    }
+
     /// Waits until every entry has `upstreams` upstreams.
     pub async fn settle(&self, upstreams: usize) {
         for admin in &self.admins {
