--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -48,12 +48,9 @@
         }
         let operators = shared.clone();
         tokio::spawn(serve(admin, move |r| admin::answer(operators.clone(), r)));
-        tokio::spawn(proxy::serve(
-            callers,
-            shared,
-            node.open.clone(),
-            node.stop.clone(),
-        ));
+        // Tracked as well: a stop waits until it has accepted what was under way.
+        let (open, stop) = (node.open.clone(), node.stop.clone());
+        node.open.spawn(proxy::serve(callers, shared, open, stop));
         Ok(node)
     }
 
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at an upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_model::{Code, Ran, Refusal};
 use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
@@ -17,6 +18,9 @@
 use super::payload::Payload;
 use crate::shared::Shared;
 
+/// When to come back to upstreams that are full.
+const RETRY: Duration = Duration::from_secs(1);
+
 /// A failed attempt.
 #[derive(Debug)]
 pub(super) struct Failure {
@@ -114,8 +118,12 @@
     request: Option<Request<Payload>>,
 ) -> Failure {
     live.step(event);
+    let refusal = Refusal::new(code).with_detail(detail);
     Failure {
-        refusal: Refusal::new(code).with_detail(detail),
+        refusal: match event {
+            Event::Declined => refusal.with_retry(RETRY),
+            _ => refusal,
+        },
         ran: live.ran(),
         permit: live.unrun(),
         request: request.map(Box::new),
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use cactuswheel_http::Call;
 use cactuswheel_model::Digest;
+use cactuswheel_standin::Run;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -95,6 +96,22 @@
         Process::start("cactuswheel-standin", &args)
     }
 
+    /// Lists an instance in the roster as `presence`.
+    pub async fn list(&self, id: &str, incarnation: u64, addr: SocketAddr, presence: &str) {
+        let sighting = json!({"id": id, "incarnation": incarnation, "addr": addr,
+            "presence": presence});
+        let call = Call::post(self.platform_addr, "/roster").with_json(&sighting);
+        let answer = call.expect("a sighting is JSON").send().await;
+        assert!(answer.is_ok_and(|a| a.status == 200), "{sighting}");
+    }
+
+    /// What an upstream says that it ran.
+    pub async fn runs(&self, upstream: usize) -> Vec<Run> {
+        let call = Call::get(self.upstream_addrs[upstream], "/runs");
+        let answer = call.send().await.expect("the upstream answers");
+        answer.json().expect("runs are JSON")
+    }
+
     /// Starts one more entry.
     pub fn add_entry(&mut self) {
         let host = self.hosts.host();
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -3,10 +3,14 @@
 //!
 //! Test support only. Processes are stopped by their own ids when a [`Fleet`] is dropped.
 
+mod caller;
+mod cutter;
 mod fleet;
 mod hosts;
 mod process;
 
+pub use caller::{Caller, Reply};
+pub use cutter::{ANSWER, Cutter};
 pub use fleet::{Fleet, OPERATOR_KEY, TEAM_KEY};
 pub use hosts::Hosts;
 pub use process::Process;
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_model::{Code, Incarnation, InstanceId, Map, PoolId, Refusal, Slots, Time};
 
 use crate::pool::Pool;
 use crate::{Lease, Nearness, RetryBudget, Upstream};
 
+/// When to come back to a pool without a free slot.
+const RETRY: Duration = Duration::from_secs(1);
+
 /// An instance that may take work: described by operators, not leaving, not drained.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -76,7 +80,7 @@
     ) -> Result<Lease<C>, Refusal> {
         let pool = self.pools.get(pool);
         let lease = pool.and_then(|p| p.pick(tried, now, draw));
-        lease.ok_or_else(|| Refusal::new(Code::NoUpstream))
+        lease.ok_or_else(|| Refusal::new(Code::NoUpstream).with_retry(RETRY))
     }
 
     /// Slots of `pool` that this entry may count on at `now`, taken ones included.
--- /dev/null
+++ b/crates/standin/src/answer.rs
@@ -0,0 +1,66 @@
+//! Answers of an upstream, whole or cut short.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// A body that says how long it is and may break off before that.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// What is still to be sent.
+    rest: Bytes,
+    /// What its header says, in bytes.
+    len: u64,
+    /// Whether it breaks off after `rest`.
+    short: bool,
+}
+
+impl Answer {
+    /// All of `body`.
+    pub(crate) fn whole(body: Bytes) -> Self {
+        Self {
+            len: body.len() as u64,
+            rest: body,
+            short: false,
+        }
+    }
+
+    /// The first `sent` bytes of `body` and no end.
+    pub(crate) fn short(body: Bytes, sent: usize) -> Self {
+        Self {
+            len: body.len() as u64,
+            rest: body.slice(..sent.min(body.len())),
+            short: true,
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if !self.rest.is_empty() {
+            let rest = std::mem::take(&mut self.rest);
+            return Poll::Ready(Some(Ok(Frame::data(rest))));
+        }
+        match self.short {
+            true => Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into()))),
+            false => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty() && !self.short
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.len)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,10 +3,12 @@
 //! For tests and for the embedded default only. They keep everything in memory, and their
 //! faults are switched over HTTP by whoever tests.
 
+mod answer;
 mod fault;
 mod log;
 mod platform;
 mod run;
+mod trouble;
 mod upstream;
 
 pub use fault::Fault;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -31,6 +31,8 @@
         /// Which life of the instance this is
         #[bpaf(fallback(Incarnation::new(1)))]
         incarnation: Incarnation,
+        /// Requests that it runs at once; further ones it refuses
+        slots: Option<usize>,
     },
 }
 
@@ -47,10 +49,15 @@
             id,
             platform,
             incarnation,
+            slots,
         } => {
             let listener = TcpListener::bind(listen).await?;
             let addr = listener.local_addr()?;
             let upstream = Upstream::new(id.as_str());
+            let upstream = match slots {
+                Some(slots) => upstream.with_slots(slots),
+                None => upstream,
+            };
             let sighting = Sighting {
                 id,
                 incarnation,
--- /dev/null
+++ b/crates/standin/src/trouble.rs
@@ -0,0 +1,39 @@
+//! Faults of an upstream, asked for by a request's header `x-fault`.
+
+use std::str::FromStr;
+
+/// What goes wrong with one request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// `refuse`: it says that it did not run the request.
+    Refuse,
+    /// `reset-before`: the connection closes and nothing runs.
+    ResetBefore,
+    /// `reset-after`: it runs, and the connection closes without an answer.
+    ResetAfter,
+    /// `early`: it answers before it has read the body, which it then never reads.
+    Early,
+    /// `short=N`: only N bytes of the answer's body come.
+    Short(usize),
+}
+
+impl FromStr for Trouble {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        Ok(match s {
+            "" => Self::None,
+            "refuse" => Self::Refuse,
+            "reset-before" => Self::ResetBefore,
+            "reset-after" => Self::ResetAfter,
+            "early" => Self::Early,
+            _ => {
+                let sent = s.strip_prefix("short=").and_then(|n| n.parse().ok());
+                Self::Short(sent.ok_or_else(|| format!("no such fault: {s}"))?)
+            }
+        })
+    }
+}
