--- a/crates/e2e/src/cutter.rs
+++ b/crates/e2e/src/cutter.rs
@@ -41,7 +41,7 @@
     }
 
     /// Bytes of the last request that came whole.
-    pub fn len(&self) -> usize {
+    pub fn size(&self) -> usize {
         self.lock().len
     }
 
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -75,14 +75,19 @@
 
     /// Starts one more upstream.
     pub fn add_upstream(&mut self) {
+        self.add_upstream_with(&[]);
+    }
+
+    /// Starts one more upstream with more arguments.
+    pub fn add_upstream_with(&mut self, more: &[&str]) {
         let addr = self.hosts.addr(9000);
         let id = format!("w{}", self.upstreams.len() + 1);
-        self.upstreams.push(self.start_upstream(&id, addr));
+        self.upstreams.push(self.start_upstream(&id, addr, more));
         self.upstream_addrs.push(addr);
     }
 
     /// Starts an upstream process without keeping it.
-    pub fn start_upstream(&self, id: &str, addr: SocketAddr) -> Process {
+    pub fn start_upstream(&self, id: &str, addr: SocketAddr, more: &[&str]) -> Process {
         let (addr, platform) = (addr.to_string(), self.platform_addr.to_string());
         let args = [
             "upstream",
@@ -93,7 +98,7 @@
             "--platform",
             &platform,
         ];
-        Process::start("cactuswheel-standin", &args)
+        Process::start("cactuswheel-standin", &[&args, more].concat())
     }
 
     /// Lists an instance in the roster as `presence`.
@@ -112,6 +117,34 @@
         answer.json().expect("runs are JSON")
     }
 
+    /// Puts the first ticket in and waits until every entry has all upstreams.
+    ///
+    /// # Panics
+    ///
+    /// If the ticket is refused.
+    pub async fn open(&self, limit: u32) {
+        let (status, text) = self.apply(0, &self.first_ticket(limit));
+        assert_eq!(status, Some(0), "{text}");
+        self.settle(self.upstreams.len()).await;
+    }
+
+    /// Switches the platform's faults.
+    pub async fn fault(&self, fault: &Value) {
+        let call = Call::post(self.platform_addr, "/fault").with_json(fault);
+        let answer = call.expect("a fault is JSON").send().await;
+        assert!(answer.is_ok_and(|a| a.status == 200), "{fault}");
+    }
+
+    /// How often the request `id` ran, at all upstreams together.
+    pub async fn runs_of(&self, id: &str) -> usize {
+        let mut runs = 0;
+        for upstream in 0..self.upstreams.len() {
+            let all = self.runs(upstream).await;
+            runs += all.iter().filter(|run| run.request == id).count();
+        }
+        runs
+    }
+
     /// Starts one more entry.
     pub fn add_entry(&mut self) {
         let host = self.hosts.host();
--- /dev/null
+++ b/crates/e2e/tests/planned_stop.rs
@@ -0,0 +1,111 @@
+//! A planned stop of an entry cuts no request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_e2e::{Caller, Fleet};
+use cactuswheel_http::Call;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+const HALF_SECOND: Duration = Duration::from_millis(500);
+
+/// Sends on one connection until the entry says that an answer is the last one; how many.
+async fn chat(at: SocketAddr, pause: Duration) -> usize {
+    let mut caller = Caller::connect(at).await;
+    for n in 1.. {
+        let text = format!("request {n}");
+        let reply = caller.send("POST", &[("x-sleep-ms", "3")], &text).await;
+        let reply = reply.unwrap_or_else(|e| panic!("request {n} was cut: {e}"));
+        assert_eq!(reply.body.as_deref(), Some(text.as_bytes()));
+        if reply.header("connection") == "close" {
+            return n;
+        }
+        sleep(pause).await;
+    }
+    0
+}
+
+#[tokio::test]
+async fn busy_callers() {
+    // Callers on keep-alive connections go on sending while the entry stops; the balancer
+    // opens new connections for a while yet. Every request is answered whole, the last one on
+    // each connection says so, and the process ends by itself.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(1_000).await;
+    let (at, admin) = (fleet.callers[0], fleet.admins[0]);
+    let chats: Vec<_> = (0..8)
+        .map(|n| tokio::spawn(chat(at, Duration::from_millis(n * 20))))
+        .collect();
+    sleep(HALF_SECOND).await;
+    fleet.entries[0].signal("TERM");
+    sleep(Duration::from_millis(100)).await;
+    let ready = Call::get(admin, "/ready").send().await.unwrap();
+    assert_eq!(ready.status, 503);
+    assert_eq!(chat(at, Duration::ZERO).await, 1);
+    for chat in chats {
+        assert!(chat.await.unwrap() > 1);
+    }
+    assert!(fleet.entries[0].wait().success());
+}
+
+#[tokio::test]
+async fn long_answer() {
+    // A request runs for three seconds when the stop begins: it is answered whole.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(100).await;
+    let at = fleet.callers[0];
+    let long = tokio::spawn(async move {
+        let mut caller = Caller::connect(at).await;
+        caller
+            .send("POST", &[("x-sleep-ms", "3000")], "fatigue replay")
+            .await
+    });
+    sleep(HALF_SECOND).await;
+    fleet.entries[0].signal("TERM");
+    let reply = long.await.unwrap().unwrap();
+    assert_eq!(reply.body.as_deref(), Some(b"fatigue replay".as_slice()));
+    assert!(fleet.entries[0].wait().success());
+}
+
+#[tokio::test]
+async fn idle_caller() {
+    // A keep-alive connection is idle when the stop begins and sends its next request after
+    // the listener is closed. It is answered, as the last one.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(100).await;
+    let mut caller = Caller::connect(fleet.callers[0]).await;
+    caller.send("POST", &[], "first").await.unwrap();
+    fleet.entries[0].signal("TERM");
+    sleep(HALF_SECOND * 3).await;
+    let reply = caller.send("POST", &[], "second").await.unwrap();
+    assert_eq!(reply.body.as_deref(), Some(b"second".as_slice()));
+    assert_eq!(reply.header("connection"), "close");
+    assert!(fleet.entries[0].wait().success());
+}
+
+#[tokio::test]
+async fn half_sent() {
+    // A caller has sent half of a request's head when the stop begins, and the rest comes
+    // later than an idle connection would be kept. The request is answered.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(100).await;
+    let mut stream = TcpStream::connect(fleet.callers[0]).await.unwrap();
+    stream
+        .write_all(b"POST /s/echo/x HTTP/1.1\r\nhost: e\r\n")
+        .await
+        .unwrap();
+    sleep(HALF_SECOND).await;
+    fleet.entries[0].signal("TERM");
+    sleep(HALF_SECOND * 8).await;
+    let rest = b"authorization: Bearer team-key\r\ncontent-length: 4\r\n\r\nrest";
+    stream.write_all(rest).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(
+        answer.starts_with("HTTP/1.1 200") && answer.ends_with("rest"),
+        "{answer}"
+    );
+    assert!(fleet.entries[0].wait().success());
+}
--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -16,6 +16,8 @@
     len: u64,
     /// Whether it breaks off after `rest`.
     short: bool,
+    /// Whether what comes before the break is out.
+    flushed: bool,
 }
 
 impl Answer {
@@ -25,6 +27,7 @@
             len: body.len() as u64,
             rest: body,
             short: false,
+            flushed: false,
         }
     }
 
@@ -34,6 +37,7 @@
             len: body.len() as u64,
             rest: body.slice(..sent.min(body.len())),
             short: true,
+            flushed: false,
         }
     }
 }
@@ -44,12 +48,18 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if !self.rest.is_empty() {
             let rest = std::mem::take(&mut self.rest);
             return Poll::Ready(Some(Ok(Frame::data(rest))));
         }
+        if self.short && !self.flushed {
+            // What was sent so far goes out while this body waits.
+            self.flushed = true;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         match self.short {
             true => Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into()))),
             false => Poll::Ready(None),
