--- a/crates/fleet/src/disruptions.rs
+++ b/crates/fleet/src/disruptions.rs
@@ -11,7 +11,7 @@
 mod tickets;
 mod waves;
 
-use cactuswheel_model::{Incarnation, InstanceId, PoolId, Wave, WaveNo};
+use cactuswheel_model::{Incarnation, InstanceId, Map, Offset, PoolId, Wave, WaveNo};
 use serde::{Deserialize, Serialize};
 
 use crate::{Config, Table};
@@ -34,6 +34,9 @@
     wave: Option<Wave>,
     /// The wave in which an instance last had its turn.
     turns: Table<InstanceId, WaveNo>,
+    /// The record that last gave back a grant because the instance was busy, until it had its
+    /// turn.
+    deferred: Table<InstanceId, Offset>,
 }
 
 impl Disruptions {
@@ -65,6 +68,16 @@
         Budget::of(pool, config, self)
     }
 
+    /// What is left of every pool's budget.
+    pub fn budgets(&self, config: &Config) -> Map<PoolId, Budget> {
+        Budget::all(config, self)
+    }
+
+    /// The record that postponed an instance because it was busy.
+    pub fn deferred(&self, instance: &InstanceId) -> Option<Offset> {
+        self.deferred.get(instance).map(|offset| **offset)
+    }
+
     /// The newest wave.
     pub fn wave(&self) -> Option<&Wave> {
         self.wave.as_ref()
--- a/crates/fleet/src/disruptions/budget.rs
+++ b/crates/fleet/src/disruptions/budget.rs
@@ -1,9 +1,9 @@
 //! What outages leave of a pool's budget.
 
-use cactuswheel_model::{PoolId, ServiceId};
+use cactuswheel_model::{Map, PoolId, Service, ServiceId};
 use serde::{Deserialize, Serialize};
 
-use super::Disruptions;
+use super::{Disruptions, Hold};
 use crate::Config;
 
 /// The strictest disruption budget over a pool, and its use.
@@ -20,32 +20,70 @@
 }
 
 impl Budget {
-    /// Counts over the whole pool.
+    /// Counts over one pool.
     pub(super) fn of(pool: &PoolId, config: &Config, disruptions: &Disruptions) -> Self {
-        let mut budget = Self {
-            members: config.pool_size(pool) as u32,
-            down: 0,
-            limit: None,
-        };
+        let mut budget = Self::new(config.pool_size(pool) as u32);
         for hold in disruptions.holds() {
             let instance = config.instances.get(&hold.instance);
-            if instance.is_none_or(|i| i.pool != *pool) {
-                continue;
-            }
-            match hold.counts() {
-                true => budget.down += 1,
-                false => budget.members -= 1,
+            if instance.is_some_and(|i| i.pool == *pool) {
+                budget.count(hold);
             }
         }
-        let services = config.services.values().filter(|s| s.pool == *pool);
-        let strictest = services.min_by_key(|s| s.max_down);
-        // One member has to stay whatever the number says: arrivals may have made a sensible
-        // budget as large as the members that really serve.
-        let most = budget.members.saturating_sub(1);
-        budget.limit = strictest.map(|s| (s.max_down.min(most), s.id.clone()));
+        for service in config.services.values().filter(|s| s.pool == *pool) {
+            budget.bind(service);
+        }
         budget
     }
 
+    /// Counts over all pools in one pass.
+    pub(super) fn all(config: &Config, disruptions: &Disruptions) -> Map<PoolId, Self> {
+        let mut budgets: Map<PoolId, Self> = Map::default();
+        for instance in config.instances.values() {
+            match budgets.get_mut(&instance.pool) {
+                Some(budget) => budget.members += 1,
+                None => drop(budgets.insert(instance.pool.clone(), Self::new(1))),
+            }
+        }
+        for hold in disruptions.holds() {
+            let pool = config.instances.get(&hold.instance).map(|i| &i.pool);
+            if let Some(budget) = pool.and_then(|pool| budgets.get_mut(pool)) {
+                budget.count(hold);
+            }
+        }
+        for service in config.services.values() {
+            if let Some(budget) = budgets.get_mut(&service.pool) {
+                budget.bind(service);
+            }
+        }
+        budgets
+    }
+
+    fn new(members: u32) -> Self {
+        Self {
+            members,
+            down: 0,
+            limit: None,
+        }
+    }
+
+    fn count(&mut self, hold: &Hold) {
+        match hold.counts() {
+            true => self.down += 1,
+            false => self.members -= 1,
+        }
+    }
+
+    /// Takes a service's budget if it is the strictest; outages have to be counted before.
+    ///
+    /// One member has to stay whatever the number says: arrivals may have made a sensible
+    /// budget as large as the members that really serve.
+    fn bind(&mut self, service: &Service) {
+        let most = service.max_down.min(self.members.saturating_sub(1));
+        if most < self.most() || self.limit.is_none() {
+            self.limit = Some((most, service.id.clone()));
+        }
+    }
+
     /// Whether one more member may become unavailable.
     pub fn has_room(&self) -> bool {
         self.excess(1).is_none()
--- a/crates/fleet/src/disruptions/steps.rs
+++ b/crates/fleet/src/disruptions/steps.rs
@@ -26,7 +26,7 @@
                 ..
             } => self.take(offset, &instance, *incarnation, purpose, config),
             Disruption::Commit { fence, .. } => self.commit(&instance, *fence, config),
-            Disruption::Cancel { fence, .. } => self.cancel(id, *fence),
+            Disruption::Cancel { fence, busy, .. } => self.cancel(offset, id, *fence, *busy),
             Disruption::Back {
                 fence, incarnation, ..
             } => self.back(id, *fence, *incarnation),
@@ -128,12 +128,21 @@
         Ok(fence)
     }
 
-    fn cancel(&mut self, id: &InstanceId, fence: Offset) -> Result<Offset, Refusal> {
+    fn cancel(
+        &mut self,
+        offset: Offset,
+        id: &InstanceId,
+        fence: Offset,
+        busy: bool,
+    ) -> Result<Offset, Refusal> {
         let hold = self.named(id, fence)?;
         if !matches!(hold.stage, Stage::Draining(_)) {
             return Err(refuse(Code::WrongStage, "committed".to_owned()));
         }
         self.holds.remove(id);
+        if busy {
+            self.deferred.insert(id.clone(), offset);
+        }
         Ok(fence)
     }
 
@@ -160,6 +169,7 @@
         }
         self.learn(id, incarnation);
         self.holds.remove(id);
+        self.deferred.remove(id);
         Ok(fence)
     }
 
--- a/crates/fleet/src/disruptions/tickets.rs
+++ b/crates/fleet/src/disruptions/tickets.rs
@@ -64,6 +64,7 @@
         self.holds.remove(id);
         self.lives.remove(id);
         self.turns.remove(id);
+        self.deferred.remove(id);
     }
 }
 
--- /dev/null
+++ b/crates/maintenance/src/losses.rs
@@ -0,0 +1,40 @@
+//! Reporting unplanned losses.
+
+use cactuswheel_fleet::Stage;
+use cactuswheel_model::{Disruption, Instance, Offset};
+
+use crate::driver::{Mark, Step};
+use crate::{Driver, View};
+
+impl Driver {
+    /// Reports instances that are gone without a plan.
+    pub(crate) fn find_losses(&mut self, view: &View<'_>) {
+        for instance in view.state.config().instances.values() {
+            if self.is_lost(view, instance) {
+                self.report(view, instance);
+            }
+        }
+    }
+
+    fn is_lost(&mut self, view: &View<'_>, instance: &Instance) -> bool {
+        let hold = view.state.disruptions().hold(&instance.id);
+        let seen = view.seen.get(&instance.id);
+        let missing = match hold.map(|h| &h.stage) {
+            None => seen.is_none_or(|s| !s.live),
+            // Drained instances are listed as leaving; only their absence tells of a loss.
+            Some(Stage::Draining(_)) => seen.is_none(),
+            Some(_) => false,
+        };
+        missing && self.held(view, &instance.id, Mark::Missing) >= self.settings.loss
+    }
+
+    fn report(&mut self, view: &View<'_>, instance: &Instance) {
+        let known = view.state.disruptions().life(&instance.id);
+        let seen = view.seen.get(&instance.id).map(|s| s.incarnation);
+        let lost = Disruption::Lost {
+            instance: instance.id.clone(),
+            incarnation: seen.unwrap_or_default().max(known),
+        };
+        self.propose(view, Offset::default(), Step::Lost, lost);
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/reasons.rs
@@ -0,0 +1,80 @@
+//! Why a wave waits.
+
+use std::fmt;
+use std::time::Duration;
+
+use cactuswheel_model::{InstanceId, OperatorId};
+
+use crate::starts::remaining;
+use crate::{Driver, View};
+
+/// One reason why outages of a wave do not start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reason {
+    /// An operator paused it.
+    Paused(Option<OperatorId>),
+    /// The platform has not answered for this long.
+    PlatformSilent(Duration),
+    /// So many instances are lost; it goes on below the second number.
+    Losses(usize, usize),
+    /// These did not come back from their reboot.
+    Failures(Vec<InstanceId>),
+    /// One instance did not come back; it holds its pool's budget.
+    Overdue(InstanceId),
+    /// A pool's budget is used up: the numbers, and how many instances wait.
+    Budget(String, usize),
+    /// So many instances are postponed since their work ran too long.
+    Postponed(usize),
+}
+
+impl Driver {
+    /// Everything that the newest wave waits for.
+    pub fn reasons(&self, view: &View<'_>) -> Vec<Reason> {
+        let Some(wave) = view.state.disruptions().wave() else {
+            return Vec::new();
+        };
+        let mut reasons: Vec<_> = self.wait_reason(view).into_iter().collect();
+        reasons.extend(self.overdue.iter().cloned().map(Reason::Overdue));
+        let left = remaining(view, wave);
+        let disruptions = view.state.disruptions();
+        let mut budgets: Vec<_> = disruptions
+            .budgets(view.state.config())
+            .into_iter()
+            .filter(|(_, budget)| !budget.has_room())
+            .collect();
+        budgets.sort_by(|a, b| a.0.cmp(&b.0));
+        for (pool, budget) in budgets {
+            let waiting = left.iter().filter(|i| i.pool == pool).count();
+            if waiting > 0 {
+                reasons.push(Reason::Budget(budget.describe(&pool), waiting));
+            }
+        }
+        let late = left
+            .iter()
+            .filter(|i| disruptions.deferred(&i.id).is_some())
+            .count();
+        if late > 0 {
+            reasons.push(Reason::Postponed(late));
+        }
+        reasons
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Paused(Some(who)) => write!(f, "paused by {who}"),
+            Self::Paused(None) => f.write_str("paused"),
+            Self::PlatformSilent(age) => {
+                write!(f, "platform has not answered for {} s", age.as_secs())
+            }
+            Self::Losses(lost, most) => {
+                write!(f, "{lost} instances lost, goes on below {most}")
+            }
+            Self::Failures(ids) => write!(f, "{} reboots did not come back", ids.len()),
+            Self::Overdue(id) => write!(f, "{id} is not back from its reboot"),
+            Self::Budget(numbers, waiting) => write!(f, "{waiting} wait: {numbers}"),
+            Self::Postponed(late) => write!(f, "{late} postponed: their work ran too long"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/maintenance/tests/waves.rs
@@ -0,0 +1,164 @@
+//! Maintenance waves, by histories of faults.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_fleet::Stage;
+use cactuswheel_maintenance::rollout_bound;
+use cactuswheel_model::{InstanceId, Time};
+use cactuswheel_testkit::check;
+use serde_json::json;
+use world::{TICK, World};
+
+/// Longest time in which a wave ends once faults are over.
+const LIMIT: Duration = Duration::from_secs(600);
+
+fn id(n: u8) -> InstanceId {
+    format!("w{}", n % 12).parse().unwrap()
+}
+
+/// Seconds until the wave is done.
+fn finish(world: &mut World) -> Option<u64> {
+    let start = world.now;
+    while world.now.since(start) < LIMIT {
+        if world.is_done() {
+            return Some(world.now.since(start).as_secs());
+        }
+        world.tick();
+    }
+    None
+}
+
+fn run(world: &mut World, time: Duration) {
+    let until = world.now.after(time);
+    while world.now < until {
+        world.tick();
+    }
+}
+
+/// Brings one fault, drawn from three bytes.
+fn strike(world: &mut World, [kind, who, long]: [u8; 3]) {
+    let n = usize::from(who) % world.nodes.len();
+    let time = Duration::from_millis(u64::from(long) * 100);
+    let until = world.now.after(time);
+    match kind % 9 {
+        0 => world.nodes[n].pause = time,
+        1 => world.nodes[n].echo = time,
+        2 => world.nodes[n].asleep = until,
+        3 => world.replace(n),
+        4 => world.dark = until,
+        5 => world.workers.lose(&id(who), until),
+        6 => {
+            // A rack: every fourth instance.
+            for step in 0..3 {
+                world.workers.lose(&id(who % 4 + step * 4), until);
+            }
+        }
+        7 => world.workers.keep_busy(&id(who), until),
+        _ => {
+            let paused = long % 2 == 0;
+            let record = json!({"wave": {"number": 1, "paused": paused}});
+            world.append(record.to_string());
+        }
+    }
+}
+
+fn keeps_budgets(faults: Vec<(u8, u8, u8)>) -> bool {
+    let mut world = World::new(3);
+    for (kind, who, long) in faults {
+        strike(&mut world, [kind, who, long]);
+        run(&mut world, Duration::from_secs(2));
+    }
+    for node in &mut world.nodes {
+        node.pause = Duration::ZERO;
+        node.echo = Duration::ZERO;
+    }
+    world.append(json!({"wave": {"number": 1}}).to_string());
+    let ended = finish(&mut world);
+    let left: Vec<_> = world.truth.disruptions().holds().collect();
+    assert!(ended.is_some(), "not done, held: {left:?}");
+    true
+}
+
+#[test]
+fn any_faults() {
+    check(4102, 400, keeps_budgets as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+#[test]
+fn near_bound() {
+    let mut world = World::new(3);
+    let outage = world::settings().settle + world::settings().quiet + Duration::from_secs(4);
+    let bound = rollout_bound(&world.truth, outage + TICK * 6).unwrap();
+    let took = finish(&mut world).unwrap();
+    assert!(took <= bound.as_secs(), "{took} s, bound {bound:?}");
+}
+
+#[test]
+fn paused_holder() {
+    // Entry e0 reads its commit back, is paused just before it orders the reboot, and sleeps
+    // on. Another entry orders it, the instance comes back and the next one of the pool goes
+    // down. e0 wakes and sends its old order: it must not take the instance down once more.
+    let mut world = World::new(2);
+    run(&mut world, Duration::from_millis(2_500));
+    world.nodes[0].pause = Duration::from_secs(30);
+    run(&mut world, Duration::from_secs(29));
+    world.nodes[0].pause = Duration::ZERO;
+    assert!(finish(&mut world).is_some());
+    let lives = world.truth.config().instances.values();
+    for instance in lives {
+        assert_eq!(world.truth.disruptions().life(&instance.id).get(), 2);
+    }
+}
+
+#[test]
+fn stuck_instance() {
+    // An instance does not come back from its reboot. It goes on holding its pool's budget,
+    // however long that takes, and the operator is told its name.
+    let mut world = World::new(1);
+    world.workers.stuck = vec![id(8)];
+    run(&mut world, Duration::from_secs(120));
+    let hold = world.truth.disruptions().hold(&id(8)).unwrap();
+    assert!(matches!(hold.stage, Stage::Rebooting(_)));
+    let done = |n| world.truth.disruptions().turn(&id(n)).is_some();
+    assert!((0..8).all(done));
+    assert!(!(9..12).any(done), "the pool's budget is one");
+    let reasons = world.nodes[0].reasons(world.now, &world.workers);
+    assert!(
+        reasons
+            .iter()
+            .any(|r| r == "w8 is not back from its reboot")
+    );
+    assert!(
+        reasons
+            .iter()
+            .any(|r| r.starts_with("3 wait: pool check: 1 of 4 down"))
+    );
+}
+
+#[test]
+fn dark_platform() {
+    // The platform goes down in the middle of a wave. What was ordered comes back, nothing
+    // new goes down, and the wave goes on by itself when the platform is back.
+    let mut world = World::new(2);
+    run(&mut world, Duration::from_secs(4));
+    world.dark = world.now.after(Duration::from_secs(60));
+    run(&mut world, Duration::from_secs(8));
+    let records = world.log.len();
+    run(&mut world, Duration::from_secs(50));
+    assert_eq!(world.log.len(), records);
+    assert_eq!(world.workers.rebooting().count(), 0);
+    assert!(finish(&mut world).is_some());
+}
+
+#[test]
+fn busy_instance() {
+    let mut world = World::new(2);
+    world.workers.keep_busy(&id(0), Time::new(60_000));
+    run(&mut world, Duration::from_secs(40));
+    let disruptions = world.truth.disruptions();
+    assert!(disruptions.deferred(&id(0)).is_some());
+    assert!((1..8).all(|n| disruptions.turn(&id(n)).is_some()));
+    assert!(finish(&mut world).is_some());
+}
--- /dev/null
+++ b/crates/maintenance/tests/world/workers.rs
@@ -0,0 +1,134 @@
+//! Workers and their control.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactuswheel_maintenance::{Activity, Look, Order, Seen, Verb};
+use cactuswheel_model::{Incarnation, InstanceId, Map, Offset, Time};
+
+/// Time of a reboot.
+pub const REBOOT: Duration = Duration::from_secs(4);
+
+/// All workers.
+#[derive(Default)]
+pub struct Workers {
+    all: BTreeMap<InstanceId, Worker>,
+    /// Instances that do not come back from a reboot.
+    pub stuck: Vec<InstanceId>,
+}
+
+struct Worker {
+    life: u64,
+    down: Option<Down>,
+    drained: Option<Offset>,
+    resumed: Option<Offset>,
+    busy: Time,
+}
+
+struct Down {
+    planned: bool,
+    until: Option<Time>,
+}
+
+impl Workers {
+    pub fn add(&mut self, id: &InstanceId) {
+        let worker = Worker {
+            life: 1,
+            down: None,
+            drained: None,
+            resumed: None,
+            busy: Time::default(),
+        };
+        self.all.insert(id.clone(), worker);
+    }
+
+    /// Brings back those whose time has come.
+    pub fn advance(&mut self, now: Time) {
+        for worker in self.all.values_mut() {
+            let back = worker.down.as_ref().and_then(|d| d.until);
+            if back.is_some_and(|at| at <= now) {
+                worker.down = None;
+                worker.drained = None;
+                worker.life += 1;
+            }
+        }
+    }
+
+    pub fn obey(&mut self, now: Time, order: &Order) {
+        let stuck = self.stuck.contains(&order.instance);
+        let worker = self.all.get_mut(&order.instance).unwrap();
+        let over = worker.resumed.is_some_and(|f| f >= order.fence);
+        if worker.down.is_some() || worker.life != order.incarnation.get() || over {
+            return;
+        }
+        match order.verb {
+            Verb::Drain => worker.drained = Some(order.fence),
+            Verb::Resume => {
+                worker.resumed = Some(order.fence);
+                worker.drained = None;
+            }
+            Verb::Reboot => {
+                worker.down = Some(Down {
+                    planned: true,
+                    until: (!stuck).then(|| now.after(REBOOT)),
+                });
+            }
+        }
+    }
+
+    /// Takes a worker down without a plan.
+    pub fn lose(&mut self, id: &InstanceId, until: Time) {
+        let worker = self.all.get_mut(id).unwrap();
+        let planned = worker.down.as_ref().is_some_and(|d| d.planned);
+        worker.down = Some(Down {
+            planned,
+            until: Some(until),
+        });
+    }
+
+    /// Keeps a worker busy.
+    pub fn keep_busy(&mut self, id: &InstanceId, until: Time) {
+        self.all.get_mut(id).unwrap().busy = until;
+    }
+
+    pub fn look(&self, now: Time, id: &InstanceId) -> Look {
+        let worker = &self.all[id];
+        let activity = match (&worker.down, worker.drained) {
+            (Some(_), _) => Activity::Down,
+            (None, Some(fence)) => Activity::Draining(fence),
+            (None, None) => Activity::Serving,
+        };
+        Look {
+            incarnation: Incarnation::new(worker.life),
+            activity,
+            running: Some(u32::from(worker.busy > now)),
+        }
+    }
+
+    pub fn roster(&self) -> Map<InstanceId, Seen> {
+        let up = self.all.iter().filter(|(_, w)| w.down.is_none());
+        up.map(|(id, worker)| {
+            let seen = Seen {
+                incarnation: Incarnation::new(worker.life),
+                live: worker.drained.is_none(),
+            };
+            (id.clone(), seen)
+        })
+        .collect()
+    }
+
+    /// Workers that a reboot has taken down.
+    pub fn rebooting(&self) -> impl Iterator<Item = &InstanceId> {
+        let down = |w: &Worker| w.down.as_ref().is_some_and(|d| d.planned);
+        self.all
+            .iter()
+            .filter(move |(_, w)| down(w))
+            .map(|(id, _)| id)
+    }
+
+    pub fn all_serve(&self) -> bool {
+        self.all
+            .values()
+            .all(|w| w.down.is_none() && w.drained.is_none())
+    }
+}
--- a/crates/model/src/disruption.rs
+++ b/crates/model/src/disruption.rs
@@ -37,6 +37,9 @@
         instance: InstanceId,
         /// The grant.
         fence: Offset,
+        /// Whether since its work ran too long: the instance is then tried again later.
+        #[serde(default)]
+        busy: bool,
     },
     /// The instance was seen healthy after the outage that `fence` names.
     Back {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,12 +11,12 @@
 use crate::{Appended, Batch, Log, LogError, Roster, RosterError, Sightings, Stream};
 
 /// Time limit of a call, on top of the wait that it asks for.
-const LIMIT: Duration = Duration::from_secs(3);
+pub(crate) const LIMIT: Duration = Duration::from_secs(3);
 
 /// Client of the platform's services.
 #[derive(Debug, Clone)]
 pub struct Client {
-    platform: SocketAddr,
+    pub(crate) platform: SocketAddr,
 }
 
 impl Client {
--- /dev/null
+++ b/crates/platform/src/control.rs
@@ -0,0 +1,66 @@
+//! Worker control over HTTP.
+
+use cactuswheel_http::{Answer, Call, CallError};
+use cactuswheel_model::InstanceId;
+use hyper::StatusCode;
+
+use crate::client::LIMIT;
+use crate::{Client, Order, WorkerError, WorkerState, Workers};
+
+impl Workers for Client {
+    async fn drain(&self, instance: &InstanceId, order: Order) -> Result<(), WorkerError> {
+        self.order(instance, "drain", order).await
+    }
+
+    async fn resume(&self, instance: &InstanceId, order: Order) -> Result<(), WorkerError> {
+        self.order(instance, "resume", order).await
+    }
+
+    async fn reboot(&self, instance: &InstanceId, order: Order) -> Result<(), WorkerError> {
+        self.order(instance, "reboot", order).await
+    }
+
+    async fn state(&self, instance: &InstanceId) -> Result<WorkerState, WorkerError> {
+        let call = Call::get(self.platform, format!("/workers/{instance}")).with_limit(LIMIT);
+        let answer = check(call.send().await?)?;
+        answer
+            .json()
+            .map_err(|e| WorkerError::Unknown(e.to_string()))
+    }
+}
+
+impl Client {
+    async fn order(
+        &self,
+        instance: &InstanceId,
+        what: &str,
+        order: Order,
+    ) -> Result<(), WorkerError> {
+        let call = Call::post(self.platform, format!("/workers/{instance}/{what}"))
+            .with_json(&order)
+            .map_err(|e| WorkerError::Unavailable(e.to_string()))?
+            .with_limit(LIMIT);
+        check(call.send().await?).map(drop)
+    }
+}
+
+impl From<CallError> for WorkerError {
+    fn from(e: CallError) -> Self {
+        match e {
+            CallError::NotSent(..) => Self::Unavailable(e.to_string()),
+            CallError::Unknown(..) => Self::Unknown(e.to_string()),
+        }
+    }
+}
+
+fn check(answer: Answer) -> Result<Answer, WorkerError> {
+    match answer.status {
+        StatusCode::OK => Ok(answer),
+        StatusCode::CONFLICT | StatusCode::NOT_FOUND => {
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            Err(WorkerError::Refused(text))
+        }
+        StatusCode::SERVICE_UNAVAILABLE => Err(WorkerError::Unavailable("it is down".into())),
+        status => Err(WorkerError::Unknown(status.to_string())),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,5 @@
-//! The platform as cactuswheel sees it: an append-only log and a roster of instances.
+//! The platform as cactuswheel sees it: an append-only log, a roster of instances and
+//! control of workers.
 //!
 //! Traits that decision drivers are generic over, the messages that cross the wire, and the
 //! HTTP client that speaks them. The platform's real protocol is not known yet; it is met in
@@ -6,10 +7,12 @@
 
 mod batch;
 mod client;
+mod control;
 mod error;
 mod log;
 mod roster;
 mod sighting;
+mod workers;
 
 pub use batch::{Appended, Batch, Entry};
 pub use client::Client;
@@ -17,3 +20,4 @@
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
+pub use workers::{Activity, Order, WorkerError, WorkerState, Workers};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,8 +8,11 @@
 mod platform;
 mod run;
 mod upstream;
+mod worker_routes;
+mod workers;
 
 pub use fault::Fault;
 pub use platform::Platform;
 pub use run::Run;
 pub use upstream::Upstream;
+pub use workers::{Outage, RebootSettings};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,6 +14,7 @@
 
 use crate::fault::Fault;
 use crate::log::Log;
+use crate::workers::Workers;
 
 /// Records that a stream keeps.
 const KEPT: usize = 100_000;
@@ -24,6 +25,9 @@
 /// Longest wait of a reader.
 const LONGEST: Duration = Duration::from_secs(30);
 
+/// Ends of routes that only tests use; they work while the platform is down.
+const TEST_ROUTES: [&str; 4] = ["/worker-history", "/reboots", "/lose", "/return"];
+
 /// A platform in memory.
 #[derive(Debug, Clone, Default)]
 pub struct Platform {
@@ -31,10 +35,11 @@
 }
 
 #[derive(Debug)]
-struct Inner {
+pub(crate) struct Inner {
     fleet: Log,
     snapshots: Log,
-    roster: BTreeMap<InstanceId, Sighting>,
+    pub(crate) roster: BTreeMap<InstanceId, Sighting>,
+    pub(crate) workers: Workers,
     fault: Fault,
 }
 
@@ -44,6 +49,7 @@
             fleet: Log::new(KEPT),
             snapshots: Log::new(KEPT),
             roster: BTreeMap::new(),
+            workers: Workers::default(),
             fault: Fault::default(),
         }
     }
@@ -70,15 +76,30 @@
         self.lock().roster.insert(sighting.id.clone(), sighting);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Runs `f` on workers and roster together.
+    pub(crate) fn with_workers<T>(
+        &self,
+        f: impl FnOnce(&mut Workers, &mut BTreeMap<InstanceId, Sighting>) -> T,
+    ) -> T {
+        let mut inner = self.lock();
+        let Inner {
+            roster, workers, ..
+        } = &mut *inner;
+        f(workers, roster)
+    }
+
     async fn answer(self, request: Request<Incoming>) -> Reply {
         let path = request.uri().path().to_owned();
         if path == "/fault" {
             return self.set_fault(request).await;
         }
+        if TEST_ROUTES.iter().any(|end| path.ends_with(end)) {
+            return self.workers(request).await;
+        }
         let fault = self.lock().fault;
         sleep(Duration::from_millis(fault.slow)).await;
         if fault.down {
@@ -90,7 +111,7 @@
             (Method::GET, _) if path == "/roster" => self.roster(),
             (Method::POST, _) if path == "/roster" => self.set_roster(request).await,
             (Method::POST, Some(("/trim", _))) => self.trim(&request),
-            _ => text(StatusCode::NOT_FOUND, "no such service"),
+            _ => self.workers(request).await,
         }
     }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -15,7 +15,7 @@
 
 /// An upstream in memory.
 ///
-/// `GET /runs` lists what it ran; every other path echoes the request's body after as many
+/// `GET /runs` lists what it ran, `GET /running` counts what runs now; every other path echoes the request's body after as many
 /// milliseconds as the header `x-sleep-ms` says.
 #[derive(Debug, Clone, Default)]
 pub struct Upstream {
@@ -47,10 +47,18 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests that run now.
+    fn running(&self) -> u32 {
+        self.lock().running.values().sum()
+    }
+
     async fn answer(self, request: Request<Incoming>) -> Reply {
         if request.uri().path() == "/runs" {
             return json(StatusCode::OK, &self.lock().runs);
         }
+        if request.uri().path() == "/running" {
+            return json(StatusCode::OK, &self.running());
+        }
         let pause = header(&request, "x-sleep-ms").parse().unwrap_or(0);
         let team = header(&request, "x-cactuswheel-team");
         let name = header(&request, "x-request-id");
