--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -22,7 +23,7 @@
 
 /// An upstream in memory.
 ///
-/// `GET /runs` lists what it ran, `POST /leave` lets it say from then on that it leaves; every
+/// `GET /runs` lists what it ran, `GET /running` counts what runs now, `POST /leave` lets it say from then on that it leaves; every
 /// other path echoes the request's body after as many milliseconds as the header `x-sleep-ms`
 /// says, with the fault that `x-fault` asks for.
 #[derive(Debug, Clone, Default)]
@@ -82,10 +83,16 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests that run now.
+    fn running(&self) -> u32 {
+        self.lock().running.values().sum()
+    }
+
     /// An error closes the connection without an answer.
     async fn answer(self, request: Request<Incoming>) -> io::Result<Response<Answer>> {
         match request.uri().path() {
             "/runs" => return Ok(json(&self.lock().runs)),
+            "/running" => return Ok(json(&self.running())),
             "/leave" => {
                 self.lock().leaving = true;
                 return Ok(text(StatusCode::OK, "leaving"));
@@ -197,8 +204,8 @@
     answer
 }
 
-fn json(runs: &[Run]) -> Response<Answer> {
-    let text = serde_json::to_vec(runs).unwrap_or_default();
+fn json<T: Serialize + ?Sized>(value: &T) -> Response<Answer> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
     Response::new(Answer::whole(Bytes::from(text)))
 }
 
