--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -43,6 +43,8 @@
     pub admins: Vec<SocketAddr>,
     /// Where entries take their peers; a later entry beats to the earlier ones.
     pub peers: Vec<SocketAddr>,
+    /// `limits` in the settings of entries started from now on.
+    pub limits: Value,
     /// Scratch folder for settings and tickets, removed at the end.
     dir: PathBuf,
 }
@@ -66,6 +68,7 @@
             callers: Vec::new(),
             admins: Vec::new(),
             peers: Vec::new(),
+            limits: json!({}),
             dir,
         };
         (0..upstreams).for_each(|_| fleet.add_upstream());
@@ -157,7 +160,7 @@
             "peers": self.peers,
             "operators": [{"name": "ana", "digest": Digest::of(OPERATOR_KEY.as_bytes())}],
             "log": {"level": "ERROR"},
-            "limits": {"head_ms": 1000},
+            "limits": self.limits,
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
