--- a/crates/daemon/src/catch_up.rs
+++ b/crates/daemon/src/catch_up.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_fleet::Snapshot;
+use cactuswheel_fleet::State;
 use cactuswheel_model::Offset;
+use cactuswheel_platform::Sightings;
 use cactuswheel_wire::{Link, WireError};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::Phase;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::shared::Shared;
 
 /// Time between two looks at whether peers are ahead.
@@ -113,11 +115,18 @@
         bytes.extend(chunk.bytes);
     }
     let text = String::from_utf8(bytes).unwrap_or_default();
-    match Snapshot::from_text(head, text).state() {
-        Ok(state) => {
-            shared.adopt(state);
-        }
+    match (PeerSnapshot { head, text }).read() {
+        Ok((state, sightings)) => take_whole(shared, state, sightings),
         Err(e) => log::warn!("snapshot from a peer: {e}"),
     }
     Ok(())
 }
+
+fn take_whole(shared: &Shared, state: State, sightings: Sightings) {
+    // Whatever the roster itself told is newer than what a peer remembers.
+    if shared.sightings.load().instances.is_empty() {
+        shared.sightings.store(Arc::new(sightings));
+    }
+    shared.adopt(state);
+    shared.reroute();
+}
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -19,6 +19,9 @@
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause before another look for a snapshot that closes a gap.
+const GAP_PAUSE: Duration = Duration::from_secs(1);
+
 /// Applies records as they come, for as long as the task lives.
 pub(crate) async fn follow(shared: Arc<Shared>) {
     if let Err(e) = snapshots::restore(&shared, Offset::default()).await {
@@ -74,5 +77,5 @@
         Err(e) => log::error!("log starts at {first}, this node needs {from}: {e}"),
     }
     shared.link.set_gap(true);
-    sleep(PAUSE).await;
+    sleep(GAP_PAUSE).await;
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod log_link;
 mod logging;
 mod node;
+mod peer_snapshot;
 mod peer_state;
 mod peers;
 mod phase;
--- a/crates/daemon/src/peer_state.rs
+++ b/crates/daemon/src/peer_state.rs
@@ -2,11 +2,11 @@
 
 use std::sync::PoisonError;
 
-use cactuswheel_fleet::Snapshot;
 use cactuswheel_model::Offset;
 use cactuswheel_wire::{Chunk, Tail};
 
 use crate::Phase;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::shared::Shared;
 
 /// Most bytes of records in one answer, well below the largest frame.
@@ -49,20 +49,20 @@
     };
     // An earlier one does as long as the records after it can be had here as well.
     let mut served = shared.served.lock().unwrap_or_else(PoisonError::into_inner);
-    if head == Offset::default() && served.as_ref().is_none_or(|s| s.head() < kept) {
-        *served = Snapshot::of(&state).ok();
+    if head == Offset::default() && served.as_ref().is_none_or(|s| s.head < kept) {
+        *served = PeerSnapshot::of(&state, &shared.sightings.load()).ok();
     }
     let snapshot = served.as_ref()?;
-    if head != Offset::default() && head != snapshot.head() {
+    if head != Offset::default() && head != snapshot.head {
         return None;
     }
-    let bytes = snapshot.text().as_bytes();
+    let bytes = snapshot.text.as_bytes();
     let start = usize::try_from(start).ok()?;
     let end = bytes
         .len()
         .min(start.saturating_add(max.min(MAX_CHUNK) as usize));
     Some(Chunk {
-        head: snapshot.head().get() as i64,
+        head: snapshot.head.get() as i64,
         size: bytes.len() as i64,
         start: start as i64,
         bytes: bytes.get(start..end)?.to_vec(),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::{Replica, Snapshot, State};
+use cactuswheel_fleet::{Replica, State};
 use cactuswheel_model::{EntryId, Map, Offset};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Candidate, Routes};
@@ -14,6 +14,7 @@
 use crate::Settings;
 use crate::appender::Appender;
 use crate::log_link::LogLink;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 
@@ -25,7 +26,8 @@
     pub(crate) phase: PhaseCell,
     /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
-    /// The newest sightings; only the roster's task stores here.
+    /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
+    /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
     pub(crate) routes: ArcSwap<Routes>,
     /// What the log and peers gave; its state is what `state` shows.
@@ -33,7 +35,7 @@
     pub(crate) link: LogLink,
     pub(crate) appender: Appender,
     /// The snapshot that peers are taking in chunks.
-    pub(crate) served: Mutex<Option<Snapshot>>,
+    pub(crate) served: Mutex<Option<PeerSnapshot>>,
     gate: Mutex<Gate>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -124,6 +124,12 @@
         path
     }
 
+    /// Reads a JSON file of the scratch folder.
+    pub fn read(&self, name: &str) -> Value {
+        let text = fs::read(self.dir.join(name)).expect("the file was written before");
+        serde_json::from_slice(&text).expect("the scratch folder holds JSON")
+    }
+
     /// A ticket with a pool `render` and a spare pool, a service `echo`, a team `ads` that may
     /// run `limit` at once, and all upstreams in `render`.
     pub fn first_ticket(&self, limit: u32) -> Value {
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -3,10 +3,13 @@
 //!
 //! Test support only. Processes are stopped by their own ids when a [`Fleet`] is dropped.
 
+mod faults;
 mod fleet;
 mod hosts;
 mod process;
+mod relay;
 
 pub use fleet::{Fleet, OPERATOR_KEY, TEAM_KEY};
 pub use hosts::Hosts;
 pub use process::Process;
+pub use relay::Relay;
--- /dev/null
+++ b/crates/e2e/tests/log_faults.rs
@@ -0,0 +1,212 @@
+//! Configuration through freezes, replacements and outages of the platform.
+
+use std::time::Duration;
+
+use cactuswheel_e2e::{Fleet, TEAM_KEY};
+use cactuswheel_http::Call;
+use cactuswheel_standin::Fault;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+const DOWN: Fault = Fault {
+    down: true,
+    deaf: false,
+    slow: 0,
+};
+
+const DEAF: Fault = Fault {
+    down: false,
+    deaf: true,
+    slow: 0,
+};
+
+fn team(ticket: u64, limit: u32) -> Value {
+    json!({"ticket": ticket, "changes": [{"team": {"id": "ads", "share": 1, "limit": limit}}]})
+}
+
+async fn limit(fleet: &Fleet, entry: usize) -> Value {
+    fleet.admin(entry, "/v1/config").await["teams"]["ads"]["limit"].clone()
+}
+
+async fn ready(fleet: &Fleet, entry: usize) -> u16 {
+    let call = Call::get(fleet.admins[entry], "/ready");
+    call.send().await.unwrap().status.as_u16()
+}
+
+async fn serves(fleet: &Fleet, entry: usize) -> bool {
+    let call = Call::post(fleet.callers[entry], "/s/echo/x").with_key(TEAM_KEY);
+    call.send().await.is_ok_and(|a| a.status == 200)
+}
+
+/// Records kept after a snapshot: a ticket and the marks of up to three racing writers.
+const KEPT: usize = 4;
+
+/// Waits for a snapshot and lets the log forget most of what it holds.
+async fn trim_to_snapshot(fleet: &Fleet, entry: usize, ticket: u64) {
+    fleet.trim(0).await;
+    // The entry hears of it with the next record.
+    assert_eq!(fleet.apply(entry, &team(ticket, 8)).0, Some(0));
+    let head = fleet.admin(entry, "/v1/status").await["next"].clone();
+    let written = |s: &Value| s["snapshot"].as_u64() >= head.as_u64();
+    fleet.wait_status(fleet.admins[entry], written).await;
+    fleet.trim(KEPT).await;
+}
+
+#[tokio::test]
+async fn frozen_entry() {
+    // An entry is frozen; tickets go on elsewhere and the log forgets what it missed. Callers
+    // must not meet the old configuration for good when it wakes: reading on where it stood is
+    // impossible, so it has to find a snapshot. It has no peer to ask.
+    let fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    fleet.entries[0].signal("STOP");
+    for n in 2..8 {
+        assert_eq!(fleet.apply(1, &team(n, n as u32)).0, Some(0));
+    }
+    trim_to_snapshot(&fleet, 1, 8).await;
+    assert_eq!(fleet.apply(1, &team(9, 99)).0, Some(0));
+    fleet.entries[0].signal("CONT");
+    let caught_up = |s: &Value| s["next"].as_u64() >= Some(10);
+    fleet.wait_status(fleet.admins[0], caught_up).await;
+    assert_eq!(limit(&fleet, 0).await, 99);
+    assert!(serves(&fleet, 0).await);
+}
+
+#[tokio::test]
+async fn all_replaced() {
+    // Every entry is killed, and the log has forgotten the tickets: configuration and audit
+    // trail have to come back from the snapshot and the tail.
+    let mut fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    assert_eq!(fleet.apply(0, &team(2, 5)).0, Some(0));
+    assert_ne!(fleet.apply(1, &team(2, 6)).0, Some(0));
+    trim_to_snapshot(&fleet, 0, 3).await;
+    assert_eq!(fleet.apply(1, &team(4, 7)).0, Some(0));
+    let before = fleet.admin(0, "/v1/config").await;
+    let audit = fleet.admin(0, "/v1/audit?object=team/ads").await;
+    fleet.kill_entry(0);
+    fleet.kill_entry(1);
+    fleet.start_entry(0);
+    fleet.start_entry(1);
+    fleet.settle(1).await;
+    for entry in 0..2 {
+        assert_eq!(fleet.admin(entry, "/v1/config").await, before);
+        assert_eq!(fleet.admin(entry, "/v1/audit?object=team/ads").await, audit);
+        assert!(serves(&fleet, entry).await);
+    }
+    let rows = audit.as_array().unwrap();
+    assert_eq!(rows.len(), 5, "{audit}");
+    assert_eq!(rows[1]["before"]["team"]["limit"], 8);
+    assert_eq!(rows[1]["after"]["team"]["limit"], 5);
+    assert_eq!(
+        (&rows[2]["code"], &rows[2]["author"]),
+        (&json!(402), &json!("ana"))
+    );
+}
+
+#[tokio::test]
+async fn platform_down() {
+    // The platform goes down and an entry is replaced by an empty one. It has to come into
+    // service with what its peer has; tickets get code 407, never a success, and hold nothing
+    // back. When the platform returns, the same ticket goes through.
+    let mut fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    assert_eq!(fleet.apply(1, &team(2, 5)).0, Some(0));
+    fleet.fault(DOWN).await;
+    fleet.replace_entry(0);
+    fleet.settle(1).await;
+    assert_eq!(limit(&fleet, 0).await, 5);
+    assert!(serves(&fleet, 0).await && serves(&fleet, 1).await);
+    let (status, text) = fleet.apply(0, &team(3, 6));
+    assert!(status != Some(0) && text.contains("407"), "{text}");
+    assert_eq!(limit(&fleet, 0).await, 5);
+    fleet.fault(Fault::default()).await;
+    assert_eq!(fleet.apply(0, &team(3, 6)).0, Some(0));
+    assert_eq!(limit(&fleet, 0).await, 6);
+}
+
+#[tokio::test]
+async fn no_source() {
+    // Platform and all peers are gone when entries start. Two empty entries must not make each
+    // other believe that the fleet is empty: both stay not ready until the platform is back.
+    let mut fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    fleet.fault(DOWN).await;
+    fleet.kill_entry(0);
+    fleet.kill_entry(1);
+    fleet.start_entry(0);
+    fleet.start_entry(1);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!((ready(&fleet, 0).await, ready(&fleet, 1).await), (503, 503));
+    fleet.fault(Fault::default()).await;
+    fleet.settle(1).await;
+    assert_eq!(limit(&fleet, 0).await, 8);
+}
+
+#[tokio::test]
+async fn deaf_log() {
+    // Appends take effect and all their answers are lost. The operator still has to get a true
+    // success, and one ticket must not become a heap of records.
+    let fleet = Fleet::start(1, 1);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    fleet.fault(DEAF).await;
+    let (status, text) = fleet.apply(0, &team(2, 5));
+    assert_eq!(status, Some(0), "{text}");
+    assert_eq!(limit(&fleet, 0).await, 5);
+    assert_eq!(fleet.admin(0, "/v1/status").await["next"], 2);
+}
+
+#[tokio::test]
+async fn cut_link() {
+    // One entry's link to the platform hangs: its process is alive, its reads get no answer.
+    // A ticket put in elsewhere still has to be in force here within seconds, by its peer.
+    let mut fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    let relay = fleet.put_behind_relay(1).await;
+    fleet.settle(1).await;
+    relay.hang(true);
+    assert_eq!(fleet.apply(0, &team(2, 5)).0, Some(0));
+    let start = Instant::now();
+    let caught_up = |s: &Value| s["next"] == 2;
+    fleet.wait_status(fleet.admins[1], caught_up).await;
+    println!("in force after {:?}", start.elapsed());
+    assert_eq!(limit(&fleet, 1).await, 5);
+    assert!(serves(&fleet, 1).await);
+}
+
+#[tokio::test]
+async fn bad_records() {
+    // Something else wrote into the stream: every entry passes over it alike and counts it.
+    let fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    let junk = Call::post(fleet.platform_addr, "/log/fleet").with_json(&["{\"tick", "7", "{}"]);
+    junk.unwrap().send().await.unwrap();
+    assert_eq!(fleet.apply(1, &team(2, 5)).0, Some(0));
+    for admin in &fleet.admins {
+        let counted = |s: &Value| s["undecodable"] == 3 && s["next"] == 5;
+        fleet.wait_status(*admin, counted).await;
+    }
+    assert_eq!(limit(&fleet, 0).await, limit(&fleet, 1).await);
+}
+
+#[tokio::test]
+async fn retention_gap() {
+    // All entries are gone and the log no longer keeps what follows the newest snapshot. An
+    // entry that served from that snapshot would have lost accepted changes: it has to stay
+    // not ready.
+    let mut fleet = Fleet::start(1, 1);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    trim_to_snapshot(&fleet, 0, 2).await;
+    assert_eq!(fleet.apply(0, &team(3, 5)).0, Some(0));
+    fleet.kill_entry(0);
+    fleet.trim(0).await;
+    fleet.start_entry(0);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(ready(&fleet, 0).await, 503);
+}
