--- a/crates/daemon/src/catch_up.rs
+++ b/crates/daemon/src/catch_up.rs
@@ -10,9 +10,9 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::Phase;
 use crate::peer_snapshot::PeerSnapshot;
 use crate::shared::Shared;
+use crate::{Phase, sightings};
 
 /// Time between two looks at whether peers are ahead.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -125,8 +125,7 @@
 fn take_whole(shared: &Shared, state: State, sightings: Sightings) {
     // Whatever the roster itself told is newer than what a peer remembers.
     if shared.sightings.load().instances.is_empty() {
-        shared.sightings.store(Arc::new(sightings));
+        sightings::take(shared, sightings);
     }
     shared.adopt(state);
-    shared.reroute();
 }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -12,7 +12,11 @@
     pub(crate) fn take<T: AsRef<str>>(&self, first: Offset, bodies: &[T]) -> Result<usize, Gap> {
         let progress = {
             let mut replica = self.replica();
-            let progress = replica.apply(first, bodies)?;
+            let mut progress = replica.apply(first, bodies)?;
+            // Before the state shows: whoever waits for the offset then looks here.
+            for (offset, results) in progress.jobs.drain(..) {
+                self.jobs.settle(offset, results);
+            }
             self.publish(&replica);
             progress
         };
@@ -70,6 +74,8 @@
         if self.state.load().next() == replica.state().next() {
             return;
         }
+        let drained = replica.state().disruptions().drained();
+        self.drained.store(Arc::new(drained.cloned().collect()));
         self.state.store(Arc::clone(replica.state()));
         self.reached.send_replace(replica.state().next());
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod admin;
 mod appender;
+mod candidates;
 mod catch_up;
 mod embedded;
 mod error;
 mod follower;
 mod intake;
+mod jobs;
 mod log_link;
 mod logging;
 mod node;
@@ -30,4 +32,4 @@
 pub use logging::init_log;
 pub use node::Node;
 pub use phase::Phase;
-pub use settings::{Listen, LogSettings, Operator, Settings, SettingsError};
+pub use settings::{Limits, Listen, LogSettings, Operator, Settings, SettingsError, SettingsFault};
--- a/crates/daemon/src/peer_state.rs
+++ b/crates/daemon/src/peer_state.rs
@@ -5,9 +5,9 @@
 use cactuswheel_model::Offset;
 use cactuswheel_wire::{Chunk, Tail};
 
-use crate::Phase;
 use crate::peer_snapshot::PeerSnapshot;
 use crate::shared::Shared;
+use crate::{Phase, sightings};
 
 /// Most bytes of records in one answer, well below the largest frame.
 const MAX_TAIL: usize = 512 << 10;
@@ -50,7 +50,7 @@
     // An earlier one does as long as the records after it can be had here as well.
     let mut served = shared.served.lock().unwrap_or_else(PoisonError::into_inner);
     if head == Offset::default() && served.as_ref().is_none_or(|s| s.head < kept) {
-        *served = PeerSnapshot::of(&state, &shared.sightings.load()).ok();
+        *served = PeerSnapshot::of(&state, &sightings::known(shared)).ok();
     }
     let snapshot = served.as_ref()?;
     if head != Offset::default() && head != snapshot.head {
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_platform::Roster;
+use cactuswheel_platform::{Presence, Roster, Sightings};
+use cactuswheel_routing::Life;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -15,13 +16,47 @@
 pub(crate) async fn watch(shared: Arc<Shared>) {
     loop {
         match shared.platform.list().await {
-            Ok(list) if **shared.sightings.load() != list => {
-                shared.sightings.store(Arc::new(list));
-                shared.reroute();
-            }
+            Ok(list) if **shared.sightings.load() != list => take(&shared, list),
             Ok(_) => {}
             Err(e) => log::warn!("{e}"),
         }
+        shared
+            .routes
+            .load()
+            .upstreams()
+            .for_each(|u| u.link.sweep());
         sleep(PERIOD).await;
     }
 }
+
+/// The newest sightings, with what upstreams themselves said of their leaving.
+pub(crate) fn known(shared: &Shared) -> Sightings {
+    let mut list = Sightings::clone(&shared.sightings.load());
+    let presences = shared.presences();
+    for seen in &mut list.instances {
+        let life = presences.get(&seen.id);
+        if life.is_some_and(|l| l.incarnation == seen.incarnation && l.leaving) {
+            seen.presence = Presence::Leaving;
+        }
+    }
+    list
+}
+
+/// Takes what the roster, or a peer in its place, lists.
+pub(crate) fn take(shared: &Shared, list: Sightings) {
+    let mut changed = false;
+    let mut presences = shared.presences();
+    for seen in &list.instances {
+        let life = Life {
+            incarnation: seen.incarnation,
+            addr: seen.addr,
+            leaving: seen.presence == Presence::Leaving,
+        };
+        changed |= presences.see(&seen.id, life);
+    }
+    drop(presences);
+    shared.sightings.store(Arc::new(list));
+    if changed {
+        shared.reroute();
+    }
+}
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::Offset;
+use cactuswheel_model::{Offset, Refusal};
 
 use crate::{Applied, Recent, State};
 
@@ -23,6 +23,8 @@
     pub applied: usize,
     /// Offset and error of those that did not decode.
     pub undecodable: Vec<(Offset, String)>,
+    /// Offset of each record of jobs, and what became of its events.
+    pub jobs: Vec<(Offset, Vec<Result<(), Refusal>>)>,
 }
 
 /// Takes records and snapshots from the log or from peers, in any order and any number of
@@ -80,8 +82,10 @@
         let mut state = State::clone(&self.state);
         for body in fresh {
             let offset = state.next();
-            if let Applied::Undecodable(e) = state.apply(offset, body.as_ref()) {
-                progress.undecodable.push((offset, e));
+            match state.apply(offset, body.as_ref()) {
+                Applied::Undecodable(e) => progress.undecodable.push((offset, e)),
+                Applied::Jobs(results) => progress.jobs.push((offset, results)),
+                _ => {}
             }
             self.recent.push(body.as_ref());
         }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, Offset, Record, Refusal, SnapshotMark, Ticket};
+use cactuswheel_model::{Code, JobEvent, Offset, Record, Refusal, SnapshotMark, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Audit, Config, Ledger, Outcome, rules};
+use crate::{Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,10 @@
     config: Config,
     ledger: Ledger,
     #[serde(default)]
+    disruptions: Disruptions,
+    #[serde(default)]
+    jobs: Jobs,
+    #[serde(default)]
     audit: Audit,
     /// The snapshot with the highest head among those marked complete.
     snapshot: Option<SnapshotMark>,
@@ -31,8 +35,14 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// Events of jobs, with what became of each.
+    Jobs(Vec<Result<(), Refusal>>),
     /// Word of a snapshot.
     Snapshot,
+    /// A step of an outage, with the fence of the outage it belongs to.
+    Disruption(Result<Offset, Refusal>),
+    /// A wave's wanted state.
+    Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -55,6 +65,11 @@
         &self.ledger
     }
 
+    /// Jobs and what is placed where.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
     /// Who changed what, lately.
     pub fn audit(&self) -> &Audit {
         &self.audit
@@ -70,6 +85,11 @@
         self.undecodable
     }
 
+    /// Outages, planned and not.
+    pub fn disruptions(&self) -> &Disruptions {
+        &self.disruptions
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -87,7 +107,12 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
+            Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(&events)),
             Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
+            Ok(Record::Disruption(step)) => {
+                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+            }
+            Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
                 self.undecodable += 1;
                 Applied::Undecodable(e.to_string())
@@ -95,6 +120,13 @@
         }
     }
 
+    fn apply_jobs(&mut self, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
+        events
+            .iter()
+            .map(|e| self.jobs.apply(e, &self.config))
+            .collect()
+    }
+
     /// A paused writer marks an old snapshot late; the newest stays the one that counts.
     fn apply_mark(&mut self, mark: SnapshotMark) -> Applied {
         let newest = self.snapshot.as_ref().map(|s| s.head);
@@ -140,11 +172,13 @@
         let mut next = self.config.clone();
         ticket.changes.iter().for_each(|c| next.set(c));
         rules::check_sense(ticket, &self.config, &next)?;
+        self.disruptions.check_ticket(ticket, &self.config, &next)?;
         Ok(next)
     }
 
     fn accept(&mut self, ticket: &Ticket, outcome: Outcome, next: Config) -> Arc<Outcome> {
         self.audit.accept(ticket, &outcome, &self.config, &next);
+        self.disruptions.follow_ticket(ticket, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
             self.ledger.touch(change.object(), ticket.ticket);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod log;
 mod roster;
 mod sighting;
+mod tasks;
 
 pub use batch::{Appended, Batch, Entry};
 pub use budget::{AppendBudget, Use};
@@ -19,3 +20,4 @@
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
+pub use tasks::{TaskError, TaskId, TaskNews, TaskOrder, TaskReport, Tasks};
