--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod peer_snapshot;
 mod peer_state;
 mod peers;
 mod phase;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::{Replica, Snapshot, State};
+use cactuswheel_fleet::{Replica, State};
 use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
@@ -16,6 +16,7 @@
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::Conns;
@@ -29,7 +30,8 @@
     pub(crate) phase: PhaseCell,
     /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
-    /// The newest sightings; only the roster's task stores here.
+    /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
+    /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
     pub(crate) jobs: Desk,
     /// What the log and peers gave; its state is what `state` shows.
@@ -37,7 +39,7 @@
     pub(crate) link: LogLink,
     pub(crate) appender: Appender,
     /// The snapshot that peers are taking in chunks.
-    pub(crate) served: Mutex<Option<Snapshot>>,
+    pub(crate) served: Mutex<Option<PeerSnapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -33,7 +33,21 @@
     }
 }
 
-fn take(shared: &Shared, list: Sightings) {
+/// The newest sightings, with what upstreams themselves said of their leaving.
+pub(crate) fn known(shared: &Shared) -> Sightings {
+    let mut list = Sightings::clone(&shared.sightings.load());
+    let presences = shared.presences();
+    for seen in &mut list.instances {
+        let life = presences.get(&seen.id);
+        if life.is_some_and(|l| l.incarnation == seen.incarnation && l.leaving) {
+            seen.presence = Presence::Leaving;
+        }
+    }
+    list
+}
+
+/// Takes what the roster, or a peer in its place, lists.
+pub(crate) fn take(shared: &Shared, list: Sightings) {
     let mut changed = false;
     let mut presences = shared.presences();
     for seen in &list.instances {
