--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -99,6 +99,7 @@
     let mut ticket = Ticket {
         ticket: TicketNo::default(),
         author: None,
+        at: None,
         reason,
         changes: vec![Change::Key(grant)],
     };
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,8 @@
 //! The operators' command line: it talks to entries' admin API and to nothing else.
 
+mod audit;
 mod client;
+mod date;
 mod diff;
 mod error;
 mod exit;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use bpaf::Bpaf;
-use cactuswheel_model::PoolId;
+use cactuswheel_model::{ObjectId, PoolId};
 
 pub use self::key::KeyCommand;
 use self::key::key_command;
@@ -86,6 +86,9 @@
     /// Who changed what, and what came of it
     #[bpaf(command)]
     Audit {
+        /// Only those on one object, such as pool/render
+        #[bpaf(argument("KIND/NAME"), optional)]
+        object: Option<ObjectId>,
         /// Most rows
         #[bpaf(argument("N"), fallback(MAX))]
         max: usize,
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{keys, status, ticket, validate, views};
+use crate::{audit, keys, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
@@ -17,7 +17,7 @@
         Command::Ticket(command) => ticket::run(&client, command).await,
         Command::Key(command) => keys::run(&client, command).await,
         Command::Status { entries } => status::show(&client, &entries).await,
-        Command::Audit { max } => views::audit(&client, max).await,
+        Command::Audit { object, max } => audit::show(&client, object, max).await,
         Command::Config => views::config(&client).await,
         Command::Instances { pool } => views::instances(&client, pool).await,
         Command::Pools => views::list(&client, &views::POOLS).await,
--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -63,10 +63,6 @@
     ],
 };
 
-const AUDIT: &[&str] = &[
-    "offset", "ticket", "author", "code", "object", "before", "after", "reason", "detail",
-];
-
 /// Shows a list.
 pub(crate) async fn list(client: &Client, view: &View) -> Result<Output, CliError> {
     let list: Value = client.get(view.path).await?;
@@ -82,12 +78,6 @@
     Output::new(table(INSTANCES.columns, items(&list)), &list)
 }
 
-/// Shows the audit trail, newest first.
-pub(crate) async fn audit(client: &Client, max: usize) -> Result<Output, CliError> {
-    let list: Value = client.get(&format!("/v1/audit?max={max}")).await?;
-    Output::new(table(AUDIT, items(&list)), &list)
-}
-
 /// Shows all objects.
 pub(crate) async fn config(client: &Client) -> Result<Output, CliError> {
     let config: Value = client.get("/v1/config").await?;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,6 @@
 //! The operators' API, JSON over HTTP; `docs/API.md` describes it.
 
+mod audit;
 mod check;
 mod history;
 mod instances;
@@ -53,6 +54,7 @@
     }
     Ok(match path {
         "/v1/status" => return status::show(shared),
+        "/v1/audit" => return audit::show(shared, query),
         "/v1/tickets" => return history::newest(&state, query),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -7,13 +7,17 @@
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
 use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
-use hyper::{HeaderMap, Request, Response};
+use hyper::http::uri::InvalidUri;
+use hyper::{HeaderMap, Request, Response, Version};
 
-use super::answer::{Answer, refuse};
-use super::forward;
+use super::answer::{Answer, pass, refuse, tell};
+use super::forward::Forward;
+use super::headers::REQUEST_ID;
 use super::held::Permit;
-use crate::Phase;
+use super::job::{Job, deadline, is_idempotent};
+use super::payload::Payload;
 use crate::shared::Shared;
+use crate::{Phase, jobs};
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
@@ -72,18 +76,63 @@
     if shared.phase.get() == Phase::Starting {
         return Err(Refusal::new(Code::NotReady));
     }
-    let state = shared.state.load_full();
+    check_version(&request)?;
+    if request.uri().path().starts_with("/jobs") {
+        return answer_jobs(shared, request, id).await;
+    }
+    let job = job(shared, &request, id)?;
+    let asked = Instant::now();
+    let permit = enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
+    let (head, body) = request.into_parts();
+    let most = job.shared.settings.limits.body_bytes.get();
+    let mut request = Request::from_parts(head, Payload::read(body, most).await?);
+    job.dress(&mut request, permit.team())?;
+    let (answer, live) = Forward::new(job).send(permit, request).await?;
+    Ok(pass(answer, live, id))
+}
+
+/// Takes a unit of the team for one attempt.
+pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
+    Permit::take(&job.shared, &job.team)
+}
+
+/// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
+fn check_version(request: &Request<Incoming>) -> Result<(), Refusal> {
+    match request.version() {
+        Version::HTTP_11 => Ok(()),
+        _ => Err(Refusal::new(Code::BadRequest).with_detail("HTTP/1.1 is needed")),
+    }
+}
+
+fn job(shared: Arc<Shared>, request: &Request<Incoming>, id: &str) -> Result<Job, Refusal> {
+    let state = shared.state.load();
+    let headers = request.headers();
     let (service, rest) = find_service(&state, request.uri().path())?;
     let rest = match request.uri().query() {
         Some(query) => format!("{rest}?{query}"),
         None => rest,
     };
-    let team = find_team(&state, request.headers())?;
-    let asked = Instant::now();
-    let permit = Permit::take(&shared, &team)?;
-    let lease = shared.routes.load().pick(&service.pool)?;
-    shared.metrics.requests.waited(asked.elapsed());
-    forward::send(request, &rest, id, permit, lease).await
+    let bad = |e: InvalidUri| Refusal::new(Code::BadRequest).with_detail(e.to_string());
+    Ok(Job {
+        id: id.to_owned(),
+        uri: rest.parse().map_err(bad)?,
+        service,
+        team: find_team(&state, headers)?,
+        idempotent: is_idempotent(request.method(), headers),
+        deadline: deadline(headers, shared.now())?,
+        shared,
+    })
+}
+
+async fn answer_jobs(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Answer>, Refusal> {
+    let team = find_team(&shared.state.load(), request.headers())?;
+    let reply = jobs::answer(shared, team.id.clone(), request).await?;
+    Ok(tell(reply, id))
 }
 
 /// Splits `/s/SERVICE/REST` and finds the service.
@@ -123,7 +172,7 @@
 
 /// The caller's id of the request, or one of our own.
 fn request_id(shared: &Shared, headers: &HeaderMap) -> String {
-    let given = headers.get("x-request-id").and_then(|v| v.to_str().ok());
+    let given = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
     match given {
         Some(id) if !id.is_empty() && id.len() <= 128 => id.to_owned(),
         _ => format!("{}-{}", shared.settings.entry, shared.next_request()),
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -15,7 +15,10 @@
     ///
     /// Invariant: 8 KiB to 1 MiB.
     pub head_bytes: ByteSize,
-    /// Time in which a caller has to send the head of a request.
+    /// Time in which a caller has to send the head of the next request.
+    ///
+    /// It runs on an idle connection too. The default is longer than balancers commonly keep
+    /// one, 60 s, so that it is the balancer that closes and no request crosses our close.
     ///
     /// Invariant: 100 ms to 5 min.
     pub head_ms: Millis,
@@ -41,7 +44,7 @@
     fn default() -> Self {
         Self {
             head_bytes: ByteSize::new(32 << 10),
-            head_ms: Millis::new(10_000),
+            head_ms: Millis::new(75_000),
             body_bytes: ByteSize::new(256 << 20),
             connect_ms: Millis::new(1_000),
             balancer_ms: Millis::new(500),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,15 +5,19 @@
 //! this crate alone.
 
 mod batch;
+mod budget;
 mod client;
 mod error;
 mod log;
 mod roster;
 mod sighting;
+mod tasks;
 
 pub use batch::{Appended, Batch, Entry};
+pub use budget::{AppendBudget, Use};
 pub use client::Client;
 pub use error::LogError;
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
+pub use tasks::{TaskError, TaskId, TaskNews, TaskOrder, TaskReport, Tasks};
