--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -1,13 +1,12 @@
 //! A whole small fleet in one process, for a first look.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
-use cactuswheel_http::Call;
-use cactuswheel_model::{Digest, Incarnation, InstanceId};
+use cactuswheel_http::{Call, parse_json};
+use cactuswheel_model::{Digest, Incarnation, InstanceId, Millis, Ticket};
 use cactuswheel_platform::{Presence, Sighting};
 use cactuswheel_standin::{Platform, Upstream};
 use log::LevelFilter;
-use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
 use crate::{Limits, Listen, LogSettings, Node, Operator, Settings, StartError, init_log};
@@ -18,44 +17,37 @@
 /// Key of the operator of the small fleet.
 const OPERATOR_KEY: &str = "demo-operator";
 
-/// Addresses of the small fleet, loopback only.
-const CALLERS: SocketAddr = loopback(8080);
-const ADMIN: SocketAddr = loopback(8081);
-const PEER: SocketAddr = loopback(8082);
+/// What the small fleet is made of.
+const FIRST_TICKET: &str = include_str!("../../../examples/embedded/first.json");
 
-const fn loopback(port: u16) -> SocketAddr {
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), port)
-}
+/// Ports for callers, operators and peers.
+const PORTS: [u16; 3] = [8080, 8081, 8082];
 
-/// Runs the small fleet until SIGTERM or SIGINT.
-pub async fn run_embedded() -> Result<(), StartError> {
+/// Runs the small fleet on `host`, a loopback address, until SIGTERM or SIGINT.
+pub async fn run_embedded(host: IpAddr) -> Result<(), StartError> {
     init_log(LevelFilter::Warn)?;
-    let listener = listen().await?;
-    let at = listener
-        .local_addr()
-        .map_err(|e| StartError::Listen(loopback(0), e))?;
     let platform = Platform::default();
+    let (listener, at) = listen(host).await?;
     tokio::spawn(platform.clone().serve(listener));
     for name in ["w1", "w2"] {
-        start_upstream(&platform, name).await?;
+        start_upstream(&platform, name, host).await?;
     }
-    let node = Node::start(settings(at)?).await?;
+    let node = Node::start(settings(host, at)?).await?;
     put_first_ticket(node.admin()).await?;
-    print_help();
+    print_help(node.callers(), node.admin());
     node.run_until_signal().await
 }
 
-async fn listen() -> Result<TcpListener, StartError> {
-    TcpListener::bind(loopback(0))
-        .await
-        .map_err(|e| StartError::Listen(loopback(0), e))
+async fn listen(host: IpAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let any = SocketAddr::new(host, 0);
+    let failed = |e| StartError::Listen(any, e);
+    let listener = TcpListener::bind(any).await.map_err(failed)?;
+    let addr = listener.local_addr().map_err(failed)?;
+    Ok((listener, addr))
 }
 
-async fn start_upstream(platform: &Platform, name: &str) -> Result<(), StartError> {
-    let listener = listen().await?;
-    let addr = listener
-        .local_addr()
-        .map_err(|e| StartError::Listen(loopback(0), e))?;
+async fn start_upstream(platform: &Platform, name: &str, host: IpAddr) -> Result<(), StartError> {
+    let (listener, addr) = listen(host).await?;
     let id: InstanceId = parse(name)?;
     platform.list(Sighting {
         id,
@@ -67,14 +59,15 @@
     Ok(())
 }
 
-fn settings(platform: SocketAddr) -> Result<Settings, StartError> {
+fn settings(host: IpAddr, platform: SocketAddr) -> Result<Settings, StartError> {
+    let [callers, admin, peer] = PORTS.map(|port| SocketAddr::new(host, port));
     Ok(Settings {
         entry: parse("demo")?,
         dc: parse("here")?,
         listen: Listen {
-            callers: CALLERS,
-            admin: ADMIN,
-            peer: PEER,
+            callers,
+            admin,
+            peer,
         },
         platform,
         peers: Vec::new(),
@@ -85,54 +78,42 @@
         log: LogSettings {
             level: LevelFilter::Warn,
         },
-        limits: Limits::default(),
+        limits: Limits {
+            // No balancer stands before it: Ctrl-C ends it at once.
+            balancer_ms: Millis::new(0),
+            ..Limits::default()
+        },
     })
 }
 
 async fn put_first_ticket(admin: SocketAddr) -> Result<(), StartError> {
+    let failed = |e: &dyn std::fmt::Display| StartError::Embedded(e.to_string());
+    let ticket: Ticket = parse_json(FIRST_TICKET.as_bytes()).map_err(|e| failed(&e))?;
     let call = Call::post(admin, "/v1/tickets").with_key(OPERATOR_KEY);
-    let call = call
-        .with_json(&first_ticket())
-        .map_err(|e| StartError::Embedded(e.to_string()))?;
-    let answer = call
-        .send()
-        .await
-        .map_err(|e| StartError::Embedded(e.to_string()))?;
+    let call = call.with_json(&ticket).map_err(|e| failed(&e))?;
+    let answer = call.send().await.map_err(|e| failed(&e))?;
     if answer.status.is_success() {
         return Ok(());
     }
-    Err(StartError::Embedded(
-        String::from_utf8_lossy(&answer.body).into_owned(),
-    ))
-}
-
-fn first_ticket() -> Value {
-    json!({"ticket": 1, "reason": "the small fleet", "changes": [
-        {"dc": {"id": "here", "region": "home"}},
-        {"pool": {"id": "render"}},
-        {"pool": {"id": "spare", "spare": true}},
-        {"service": {"id": "echo", "pool": "render", "max_down": 0}},
-        {"team": {"id": "demo", "share": 1, "limit": 8}},
-        {"key": {"digest": Digest::of(TEAM_KEY.as_bytes()), "team": "demo"}},
-        instance("w1", "render"),
-        instance("w2", "spare"),
-    ]})
+    Err(failed(&String::from_utf8_lossy(&answer.body)))
 }
 
-fn instance(id: &str, pool: &str) -> Value {
-    json!({"instance": {"id": id, "pool": pool, "dc": "here", "rack": "r1", "cores": 4,
-        "memory": 4096, "slots": 8, "conns": 64}})
-}
-
-fn print_help() {
+fn print_help(callers: SocketAddr, admin: SocketAddr) {
+    let cli = format!(
+        "CACTUSWHEEL_KEY={OPERATOR_KEY} cargo run --release --locked -q --bin cactuswheel -- \
+         --entry {admin}"
+    );
     println!(
-        "A small fleet is up: one entry, two upstreams, one platform, all in this process.\n\
+        "ready {callers}: one entry, two upstreams and a platform, all in this process\n\
+         \n\
+         Send a request; the header x-upstream names the instance that ran it:\n  \
+         curl -i -H 'authorization: Bearer {TEAM_KEY}' -d hello http://{callers}/s/echo/greet\n\
          \n\
-         Send a request:\n  \
-         curl -i -H 'authorization: Bearer {TEAM_KEY}' -d hello http://{CALLERS}/s/echo/greet\n\
+         See the instances and their pools:\n  \
+         {cli} instances\n\
          \n\
-         See what is in force:\n  \
-         CACTUSWHEEL_KEY={OPERATOR_KEY} cargo run --release -q --bin cactuswheel -- status\n\
+         Swap them by ticket, then send the request again:\n  \
+         {cli} ticket apply --wait examples/embedded/move.json\n\
          \n\
          Ctrl-C ends it."
     );
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `cactuswheeld`: one entry instance, or a whole small fleet in one process.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -11,11 +12,18 @@
 #[bpaf(options, version)]
 enum Mode {
     /// Run a small fleet in this process, for a first look
-    Embedded(
+    Embedded {
         /// Run stand-ins, two upstreams and an entry on loopback, all in this process
         #[bpaf(long("embedded"), req_flag(()))]
-        (),
-    ),
+        _embedded: (),
+        /// Loopback address to listen on
+        #[bpaf(
+            argument("IP"),
+            fallback(IpAddr::V4(Ipv4Addr::LOCALHOST)),
+            guard(IpAddr::is_loopback, "not a loopback address")
+        )]
+        host: IpAddr,
+    },
     /// Run an entry instance
     Entry {
         /// Say whether the settings are usable, without starting
@@ -39,7 +47,7 @@
 
 async fn run(mode: Mode) -> Result<(), StartError> {
     let (check, path) = match mode {
-        Mode::Embedded(()) => return run_embedded().await,
+        Mode::Embedded { host, .. } => return run_embedded(host).await,
         Mode::Entry { check, settings } => (check, settings),
     };
     let settings = Settings::load(&path)?;
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -33,6 +33,29 @@
         Self { child }
     }
 
+    /// Starts a program and gives back what it prints, up to a line that holds `last`.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started or ends before that line.
+    pub fn start_printing(program: &str, args: &[&str], last: &str) -> (Self, Vec<String>) {
+        let mut command = Command::new(binary(program));
+        let child = command.args(args).stdout(Stdio::piped()).spawn();
+        let mut process = Self {
+            child: child.expect("the program starts"),
+        };
+        let out = process.child.stdout.take();
+        let out = out.expect("standard output is piped");
+        let mut printed = Vec::new();
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            printed.push(line);
+            if printed.last().is_some_and(|l| l.contains(last)) {
+                return (process, printed);
+            }
+        }
+        panic!("{program} {args:?} ended after {printed:?}");
+    }
+
     /// Runs a program to its end.
     pub fn output(program: &str, args: &[&str]) -> std::process::Output {
         Command::new(binary(program))
@@ -54,6 +77,11 @@
         child.wait_with_output().expect("the program ends")
     }
 
+    /// Where a program of this workspace stands.
+    pub fn path(program: &str) -> PathBuf {
+        binary(program)
+    }
+
     /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
