--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -34,6 +34,9 @@
     /// No operator key was given.
     #[error("{}: set CACTUSWHEEL_KEY", Code::NotOperator)]
     NoKey,
+    /// No team key was given.
+    #[error("{}: set CACTUSWHEEL_TEAM_KEY", Code::NoKey)]
+    NoTeamKey,
     /// The entry could not be reached.
     #[error("{code}: {0}", code = Code::EntryUnreachable)]
     Unreachable(String),
@@ -91,7 +94,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::File { .. } | Self::Input(_) | Self::Ticket { .. } => Exit::Input,
-            Self::NoKey => Exit::Usage,
+            Self::NoKey | Self::NoTeamKey => Exit::Usage,
             Self::Unreachable(_) => Exit::Unreachable,
             Self::Lost(_) | Self::Answer(_) => Exit::Unknown,
             Self::Refused { code, .. } => match Code::from_number(*code).map(Code::ran) {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod exit;
 mod files;
+mod jobs;
 mod keys;
 mod options;
 mod output;
@@ -22,7 +23,9 @@
 pub use diff::{DiffRow, FieldDiff, diff};
 pub use error::CliError;
 pub use exit::Exit;
-pub use options::{Command, KeyCommand, Options, TicketCommand, WaitOptions, options};
+pub use options::{
+    Command, JobCommand, JobOptions, KeyCommand, Options, TicketCommand, WaitOptions, options,
+};
 pub use output::Output;
 pub use page::code_page;
 pub use run::run;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,5 +1,6 @@
 //! Command line options.
 
+mod job;
 mod key;
 mod ticket;
 mod wait;
@@ -9,6 +10,8 @@
 use bpaf::Bpaf;
 use cactuswheel_model::{ObjectId, PoolId};
 
+use self::job::job_options;
+pub use self::job::{JobCommand, JobOptions};
 pub use self::key::KeyCommand;
 use self::key::key_command;
 pub use self::ticket::TicketCommand;
@@ -54,6 +57,9 @@
     /// Keys of teams
     #[bpaf(command, long("keys"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Jobs of a team; takes the team's key
+    #[bpaf(command, long("jobs"))]
+    Job(#[bpaf(external(job_options))] JobOptions),
     /// Where entries stand
     #[bpaf(command)]
     Status {
--- a/crates/cli/src/page.rs
+++ b/crates/cli/src/page.rs
@@ -1,11 +1,13 @@
 //! The page `docs/CODES.md`, made from the codes themselves.
 
+use std::ops::Range;
+
 use cactuswheel_model::Code;
 
 use crate::Exit;
 
-/// First number of the block that only the programs print.
-const PROGRAMS: u16 = 500;
+/// The block of codes that only the programs print.
+const PROGRAMS: Range<u16> = 500..600;
 
 /// The page as it has to stand in `docs/CODES.md`.
 pub fn code_page() -> String {
@@ -22,9 +24,9 @@
 
 fn code_row(code: Code) -> String {
     let (number, ran) = (code.number(), code.ran());
-    let status = match number < PROGRAMS {
-        true => code.status().to_string(),
-        false => "-".to_owned(),
+    let status = match PROGRAMS.contains(&number) {
+        true => "-".to_owned(),
+        false => code.status().to_string(),
     };
     let (meaning, advice) = (code.meaning(), code.advice());
     format!("| {number} | `{code:?}` | {status} | {ran} | {meaning} | {advice} |\n")
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,28 +2,26 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{audit, keys, status, ticket, validate, views};
+use crate::{audit, jobs, keys, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
-    match &options.command {
-        Command::Ticket(TicketCommand::Validate { files }) => return validate::validate(files),
-        Command::Key(KeyCommand::Digest) => return keys::digest(std::io::stdin()),
-        _ => {}
-    }
-    let key = options.key.ok_or(CliError::NoKey)?;
-    let client = Client::new(options.entry, key);
+    let key = options.key.ok_or(CliError::NoKey);
+    let client = || key.map(|key| Client::new(options.entry, key));
     match options.command {
-        Command::Ticket(command) => ticket::run(&client, command).await,
-        Command::Key(command) => keys::run(&client, command).await,
-        Command::Status { entries } => status::show(&client, &entries).await,
-        Command::Audit { object, max } => audit::show(&client, object, max).await,
-        Command::Config => views::config(&client).await,
-        Command::Instances { pool } => views::instances(&client, pool).await,
-        Command::Pools => views::list(&client, &views::POOLS).await,
-        Command::Teams => views::list(&client, &views::TEAMS).await,
-        Command::Services => views::list(&client, &views::SERVICES).await,
-        Command::Budgets => views::list(&client, &views::BUDGETS).await,
-        Command::Dcs => views::list(&client, &views::DCS).await,
+        Command::Ticket(TicketCommand::Validate { files }) => validate::validate(&files),
+        Command::Ticket(command) => ticket::run(&client()?, command).await,
+        Command::Key(KeyCommand::Digest) => keys::digest(std::io::stdin()),
+        Command::Key(command) => keys::run(&client()?, command).await,
+        Command::Job(job) => jobs::run(job).await,
+        Command::Status { entries } => status::show(&client()?, &entries).await,
+        Command::Audit { object, max } => audit::show(&client()?, object, max).await,
+        Command::Config => views::config(&client()?).await,
+        Command::Instances { pool } => views::instances(&client()?, pool).await,
+        Command::Pools => views::list(&client()?, &views::POOLS).await,
+        Command::Teams => views::list(&client()?, &views::TEAMS).await,
+        Command::Services => views::list(&client()?, &views::SERVICES).await,
+        Command::Budgets => views::list(&client()?, &views::BUDGETS).await,
+        Command::Dcs => views::list(&client()?, &views::DCS).await,
     }
 }
--- a/crates/e2e/tests/operator.rs
+++ b/crates/e2e/tests/operator.rs
@@ -165,3 +165,27 @@
     let (_, rows) = ask(&fleet, 1, &["audit", "--max", "1"]);
     assert_eq!(rows[0]["ticket"], 2);
 }
+
+#[tokio::test]
+async fn job_commands() {
+    let fleet = Fleet::start(1, 1);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    let at = fleet.callers[0].to_string();
+    let job = json!({"name": "j1", "pool": "render", "room": {"cores": 1, "memory": 100}});
+    let file = fleet.file("job.json", &job);
+    let run = |args: &[&str]| {
+        let common = ["--json", "job", "--callers", &at, "--team-key", TEAM_KEY];
+        Process::output("cactuswheel", &[&common[..], args].concat())
+    };
+    let value = |out: &std::process::Output| serde_json::from_slice::<Value>(&out.stdout).unwrap();
+    let submitted = run(&["submit", file.to_str().unwrap()]);
+    // The team may have no jobs placed: it is accepted and waits.
+    assert_eq!(value(&submitted)["phase"], "queued");
+    assert_eq!(value(&run(&["show", "j1"]))["job"], "ads/j1");
+    let cancelled = run(&["cancel", "j1", "none"]);
+    assert_eq!(cancelled.status.code(), Some(3));
+    assert_eq!(value(&cancelled)[0]["code"], 0);
+    assert_eq!(value(&run(&["show", "j1"]))["phase"], "cancelled");
+    let unknown = run(&["show", "none"]);
+    assert_eq!(unknown.status.code(), Some(3));
+}
