--- /dev/null
+++ b/crates/cli/src/audit.rs
@@ -0,0 +1,55 @@
+//! The audit trail.
+
+use cactuswheel_model::ObjectId;
+use serde_json::{Value, json};
+
+use crate::client::Client;
+use crate::date::date;
+use crate::diff::differing;
+use crate::table::cell;
+use crate::{CliError, Output, table};
+
+const COLUMNS: &[&str] = &[
+    "at", "author", "ticket", "offset", "object", "code", "change", "detail",
+];
+
+/// Shows the newest rows, oldest first, of one object if it is given.
+pub(crate) async fn show(
+    client: &Client,
+    object: Option<ObjectId>,
+    max: usize,
+) -> Result<Output, CliError> {
+    let object = object.map(|o| format!("&object={}", o.path()));
+    let path = format!("/v1/audit?max={max}{}", object.unwrap_or_default());
+    let rows: Vec<Value> = client.get(&path).await?;
+    let shown: Vec<_> = rows.iter().map(readable).collect();
+    Output::new(table(COLUMNS, &shown), &rows)
+}
+
+/// A row as a person reads it: the date, and what changed instead of two whole objects.
+fn readable(row: &Value) -> Value {
+    let mut shown = row.clone();
+    shown["at"] = json!(row["at"].as_u64().map(date));
+    shown["change"] = json!(change(&row["before"], &row["after"]));
+    shown
+}
+
+fn change(before: &Value, after: &Value) -> String {
+    match (fields(before), fields(after)) {
+        (None, None) => String::new(),
+        (None, Some(_)) => "added".to_owned(),
+        (Some(_), None) => "removed".to_owned(),
+        (Some(before), Some(after)) => {
+            let rows = differing(before, after);
+            let text = rows
+                .iter()
+                .map(|d| format!("{}: {} -> {}", d.field, cell(&d.before), cell(&d.after)));
+            text.collect::<Vec<_>>().join(", ")
+        }
+    }
+}
+
+/// The fields of an image, which is written as `{"kind": {...}}`.
+fn fields(image: &Value) -> Option<&serde_json::Map<String, Value>> {
+    image.as_object()?.values().next()?.as_object()
+}
--- a/crates/e2e/tests/operator.rs
+++ b/crates/e2e/tests/operator.rs
@@ -141,3 +141,51 @@
     let output = Process::output("cactuswheel", &args);
     assert_eq!(output.status.code(), Some(4));
 }
+
+#[tokio::test]
+async fn audit_trail() {
+    let fleet = Fleet::start(1, 2);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    let more = json!({"team": {"id": "ads", "share": 1, "limit": 16}});
+    let file = fleet.file("more.json", &json!({"ticket": 2, "changes": [more]}));
+    let file = file.to_str().unwrap();
+    assert_eq!(
+        fleet.cli(0, &["ticket", "apply", "--wait", file]).0,
+        Some(0)
+    );
+    let (code, text, error) = fleet.cli(1, &["audit", "--object", "team/ads"]);
+    assert_eq!(code, Some(0), "{error}");
+    assert_eq!(text.lines().count(), 3, "{text}");
+    let last = text.lines().last().unwrap();
+    assert!(
+        last.contains("ana") && last.contains("limit: 8 -> 16"),
+        "{text}"
+    );
+    assert!(last.starts_with("20") && last.contains('Z'), "{text}");
+    let (_, rows) = ask(&fleet, 1, &["audit", "--max", "1"]);
+    assert_eq!(rows[0]["ticket"], 2);
+}
+
+#[tokio::test]
+async fn job_commands() {
+    let fleet = Fleet::start(1, 1);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    let at = fleet.callers[0].to_string();
+    let job = json!({"name": "j1", "pool": "render", "room": {"cores": 1, "memory": 100}});
+    let file = fleet.file("job.json", &job);
+    let run = |args: &[&str]| {
+        let common = ["--json", "job", "--callers", &at, "--team-key", TEAM_KEY];
+        Process::output("cactuswheel", &[&common[..], args].concat())
+    };
+    let value = |out: &std::process::Output| serde_json::from_slice::<Value>(&out.stdout).unwrap();
+    let submitted = run(&["submit", file.to_str().unwrap()]);
+    // The team may have no jobs placed: it is accepted and waits.
+    assert_eq!(value(&submitted)["phase"], "queued");
+    assert_eq!(value(&run(&["show", "j1"]))["job"], "ads/j1");
+    let cancelled = run(&["cancel", "j1", "none"]);
+    assert_eq!(cancelled.status.code(), Some(3));
+    assert_eq!(value(&cancelled)[0]["code"], 0);
+    assert_eq!(value(&run(&["show", "j1"]))["phase"], "cancelled");
+    let unknown = run(&["show", "none"]);
+    assert_eq!(unknown.status.code(), Some(3));
+}
