--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -108,6 +108,19 @@
     assert_eq!(put(&mut state, &reboot(0, 2)).1, Code::WaveClosed);
 }
 
+#[test]
+fn older_loss() {
+    // An entry sees a lost instance back and is paused before it says so. Another says it, and
+    // the instance is lost again. The first entry's word is about the older loss: it must not
+    // free the budget.
+    let mut state = base(1);
+    let (first, _) = put(&mut state, &lost(0, 1));
+    put(&mut state, &back(0, first, 1));
+    put(&mut state, &lost(0, 1));
+    assert_eq!(put(&mut state, &back(0, first, 1)).1, Code::GrantStale);
+    assert_eq!(put(&mut state, &reboot(1, 1)).1, Code::BudgetFull);
+}
+
 #[test]
 fn late_cancel() {
     // One driver gives a grant up while another commits it. Once committed, the reboot may
--- a/crates/maintenance/src/driver.rs
+++ b/crates/maintenance/src/driver.rs
@@ -143,7 +143,10 @@
                 let needed = hold.is_some_and(|h| {
                     h.fence >= fence && matches!(h.stage, Stage::Draining(_) | Stage::Rebooting(_))
                 });
-                if !needed {
+                // A fold that lags has not read the grant yet. To end it then would leave a
+                // committed reboot that worker control refuses for ever.
+                let known = fence < view.state.next();
+                if known && !needed {
                     let order = Order {
                         verb: Verb::Resume,
                         instance: id,
