--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,10 @@
 
 use crate::peers::Answerer;
 use crate::shared::Shared;
-use crate::{Phase, Settings, StartError, admin, follower, peers, proxy, sightings};
+use crate::{
+    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, peers, proxy,
+    sightings, snapshots,
+};
 
 /// A running entry instance.
 #[derive(Debug)]
@@ -41,7 +44,12 @@
             stop: CancellationToken::new(),
         };
         tokio::spawn(follower::follow(shared.clone()));
+        tokio::spawn(catch_up::watch(shared.clone()));
+        tokio::spawn(snapshots::write_when_due(shared.clone()));
+        tokio::spawn(appender::run(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(jobs::write(shared.clone()));
+        tokio::spawn(jobs::drive(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
         for peer in shared.settings.peers.clone() {
             tokio::spawn(peers::beat(shared.clone(), peer));
--- a/crates/fleet/src/disruptions.rs
+++ b/crates/fleet/src/disruptions.rs
@@ -63,6 +63,12 @@
             .is_some_and(|hold| hold.stage != Stage::Lost)
     }
 
+    /// All instances that are to get no new work because of a planned outage.
+    pub fn drained(&self) -> impl Iterator<Item = &InstanceId> {
+        let planned = self.holds.iter().filter(|(_, h)| h.stage != Stage::Lost);
+        planned.map(|(id, _)| id)
+    }
+
     /// What is left of a pool's budget.
     pub fn budget(&self, pool: &PoolId, config: &Config) -> Budget {
         Budget::of(pool, config, self)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,18 +6,28 @@
 //! this crate alone.
 
 mod batch;
+mod budget;
 mod client;
 mod control;
 mod error;
 mod log;
 mod roster;
 mod sighting;
+<<<<<<< HEAD
 mod workers;
+=======
+mod tasks;
+>>>>>>> main
 
 pub use batch::{Appended, Batch, Entry};
+pub use budget::{AppendBudget, Use};
 pub use client::Client;
 pub use error::LogError;
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
+<<<<<<< HEAD
 pub use workers::{Activity, Order, WorkerError, WorkerState, Workers};
+=======
+pub use tasks::{TaskError, TaskId, TaskNews, TaskOrder, TaskReport, Tasks};
+>>>>>>> main
