--- a/crates/maintenance/src/driver.rs
+++ b/crates/maintenance/src/driver.rs
@@ -17,6 +17,8 @@
     released: Set<InstanceId>,
     /// Instances held when last looked at.
     held: Set<InstanceId>,
+    /// Steps so far; walks over all instances to find drains that nobody remembers.
+    steps: usize,
     /// Instances that have not come back for long.
     pub(crate) overdue: Vec<InstanceId>,
     pub(crate) actions: Vec<Action>,
@@ -60,6 +62,7 @@
             timers: Timers::default(),
             released: Set::default(),
             held: Set::default(),
+            steps: 0,
             overdue: Vec::new(),
             actions: Vec::new(),
         }
@@ -70,6 +73,9 @@
         let mut watched: Vec<_> = self.released.iter().cloned().collect();
         let holds = state.disruptions().holds();
         watched.extend(holds.map(|hold| hold.instance.clone()));
+        let instances = &state.config().instances;
+        let next = self.steps % instances.len().max(1);
+        watched.extend(instances.values().nth(next).map(|i| i.id.clone()));
         watched
     }
 
@@ -79,6 +85,7 @@
     /// neither a record nor an order could be confirmed.
     pub fn step(&mut self, view: &View<'_>) -> Vec<Action> {
         self.note_released(view);
+        self.steps += 1;
         if view.age > self.settings.fresh {
             // Timers break: what was seen before an outage of the platform proves nothing.
             self.timers.sweep();
@@ -131,14 +138,11 @@
     ///
     /// Failure: the driver that cancelled a grant is replaced before it resumed the worker;
     /// symptom: a healthy instance that gets no work. Every driver that saw the grant looks
-    /// after it, and one that did not sees a leaving instance, reports it lost and looks then.
+    /// after it, and all look at one instance after the other for drains sent late.
     fn lift_drains(&mut self, view: &View<'_>) {
         let disruptions = view.state.disruptions();
-        for id in self.watched(view.state) {
-            let Some(look) = view.looks.get(&id) else {
-                continue;
-            };
-            let hold = disruptions.hold(&id);
+        for (id, look) in view.looks {
+            let hold = disruptions.hold(id);
             if let crate::Activity::Draining(fence) = look.activity {
                 let needed = hold.is_some_and(|h| {
                     h.fence >= fence && matches!(h.stage, Stage::Draining(_) | Stage::Rebooting(_))
@@ -149,7 +153,7 @@
                 if known && !needed {
                     let order = Order {
                         verb: Verb::Resume,
-                        instance: id,
+                        instance: id.clone(),
                         incarnation: look.incarnation,
                         fence,
                     };
@@ -158,7 +162,7 @@
                 continue;
             }
             if hold.is_none() {
-                self.released.remove(&id);
+                self.released.remove(id);
             }
         }
     }
--- a/crates/maintenance/src/losses.rs
+++ b/crates/maintenance/src/losses.rs
@@ -20,9 +20,7 @@
         let hold = view.state.disruptions().hold(&instance.id);
         let seen = view.seen.get(&instance.id);
         let missing = match hold.map(|h| &h.stage) {
-            None => seen.is_none_or(|s| !s.live),
-            // Drained instances are listed as leaving; only their absence tells of a loss.
-            Some(Stage::Draining(_)) => seen.is_none(),
+            None | Some(Stage::Draining(_)) => seen.is_none_or(|s| !s.live),
             Some(_) => false,
         };
         missing && self.held(view, &instance.id, Mark::Missing) >= self.settings.loss
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,11 +13,8 @@
 mod log;
 mod roster;
 mod sighting;
-<<<<<<< HEAD
-mod workers;
-=======
 mod tasks;
->>>>>>> main
+mod workers;
 
 pub use batch::{Appended, Batch, Entry};
 pub use budget::{AppendBudget, Use};
@@ -26,8 +23,5 @@
 pub use log::{Log, Stream};
 pub use roster::{Roster, RosterError};
 pub use sighting::{Presence, Sighting, Sightings};
-<<<<<<< HEAD
-pub use workers::{Activity, Order, WorkerError, WorkerState, Workers};
-=======
 pub use tasks::{TaskError, TaskId, TaskNews, TaskOrder, TaskReport, Tasks};
->>>>>>> main
+pub use workers::{Activity, Order, WorkerError, WorkerState, Workers};
--- a/crates/standin/src/worker_routes.rs
+++ b/crates/standin/src/worker_routes.rs
@@ -11,11 +11,11 @@
 
 impl Platform {
     /// Answers `/workers/ID`, `/workers/ID/ORDER`, `/worker-history` and `/reboots`.
-    pub(crate) async fn workers(&self, request: Request<Incoming>) -> Reply {
+    pub(crate) async fn control(&self, request: Request<Incoming>) -> Reply {
         let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         match (request.method().clone(), parts.as_slice()) {
-            (Method::GET, ["worker-history"]) => json(StatusCode::OK, &self.lock().workers.history),
+            (Method::GET, ["worker-history"]) => json(StatusCode::OK, &self.lock().control.history),
             (Method::POST, ["reboots"]) => self.set_reboots(request).await,
             (Method::GET, ["workers", id]) => self.show_worker(id).await,
             (Method::POST, ["workers", id, what]) => self.order(id, what, request).await,
@@ -25,7 +25,7 @@
 
     async fn set_reboots(&self, request: Request<Incoming>) -> Reply {
         match read_json(request.into_body()).await {
-            Ok(settings) => self.lock().workers.settings = settings,
+            Ok(settings) => self.lock().control.settings = settings,
             Err(e) => return text(StatusCode::BAD_REQUEST, e),
         }
         text(StatusCode::OK, "set")
@@ -37,7 +37,7 @@
         };
         let state = {
             let inner = self.lock();
-            inner.workers.state(&id, &inner.roster)
+            inner.control.state(&id, &inner.roster)
         };
         let Some(mut state) = state else {
             return text(StatusCode::NOT_FOUND, "no such worker");
@@ -58,8 +58,8 @@
             return text(StatusCode::BAD_REQUEST, "not a name");
         };
         match what {
-            "lose" => self.with_workers(|workers, roster| workers.lose(&id, roster)),
-            "return" => self.with_workers(|workers, roster| workers.bring_back(&id, roster)),
+            "lose" => self.with_control(|control, roster| control.lose(&id, roster)),
+            "return" => self.with_control(|control, roster| control.bring_back(&id, roster)),
             _ => return self.fenced_order(id, what, request).await,
         }
         text(StatusCode::OK, "done")
@@ -71,8 +71,8 @@
             Err(e) => return text(StatusCode::BAD_REQUEST, e),
         };
         let done = match what {
-            "drain" => self.with_workers(|w, roster| w.drain(&id, order, roster)),
-            "resume" => self.with_workers(|w, roster| w.resume(&id, order, roster)),
+            "drain" => self.with_control(|control, roster| control.drain(&id, order, roster)),
+            "resume" => self.with_control(|control, roster| control.resume(&id, order, roster)),
             "reboot" => self.reboot(&id, order).await,
             _ => return text(StatusCode::NOT_FOUND, "no such order"),
         };
@@ -84,12 +84,13 @@
 
     async fn reboot(&self, id: &InstanceId, order: Order) -> Result<(), String> {
         let running = self.running(id).await;
-        let back = self.with_workers(|w, roster| w.reboot(id, order, running, roster))?;
+        let back =
+            self.with_control(|control, roster| control.reboot(id, order, running, roster))?;
         if let Some(after) = back {
             let (platform, id) = (self.clone(), id.clone());
             tokio::spawn(async move {
                 sleep(after).await;
-                platform.with_workers(|w, roster| w.bring_back(&id, roster));
+                platform.with_control(|control, roster| control.bring_back(&id, roster));
             });
         }
         Ok(())
