--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -210,7 +210,7 @@
     /// A service's disruption budget has no room.
     BudgetFull = 601, 409, NotRun,
         "disruption budget has no room",
-        "Wait until instances of the pool are back, or raise `max_down`.";
+        "Wait until instances of the pool are back, or raise the service's `max_down`.";
     /// The grant or the life of the instance is not the one that the step names.
     GrantStale = 602, 409, NotRun,
         "grant or incarnation is stale",
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -15,7 +15,7 @@
 use crate::fault::Fault;
 use crate::log::Log;
 use crate::tasks::TaskRunner;
-use crate::workers::Workers;
+use crate::workers::Control;
 
 /// Records that a stream keeps.
 const KEPT: usize = 100_000;
@@ -42,7 +42,7 @@
     snapshots: Log,
     tasks: Log,
     pub(crate) roster: BTreeMap<InstanceId, Sighting>,
-    pub(crate) workers: Workers,
+    pub(crate) control: Control,
     fault: Fault,
 }
 
@@ -53,7 +53,7 @@
             snapshots: Log::new(KEPT),
             tasks: Log::new(KEPT),
             roster: BTreeMap::new(),
-            workers: Workers::default(),
+            control: Control::default(),
             fault: Fault::default(),
         }
     }
@@ -96,16 +96,16 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Runs `f` on workers and roster together.
-    pub(crate) fn with_workers<T>(
+    /// Runs `f` on worker control and roster together.
+    pub(crate) fn with_control<T>(
         &self,
-        f: impl FnOnce(&mut Workers, &mut BTreeMap<InstanceId, Sighting>) -> T,
+        f: impl FnOnce(&mut Control, &mut BTreeMap<InstanceId, Sighting>) -> T,
     ) -> T {
         let mut inner = self.lock();
         let Inner {
-            roster, workers, ..
+            roster, control, ..
         } = &mut *inner;
-        f(workers, roster)
+        f(control, roster)
     }
 
     async fn answer(self, request: Request<Incoming>) -> Reply {
@@ -114,7 +114,7 @@
             return self.set_fault(request).await;
         }
         if TEST_ROUTES.iter().any(|end| path.ends_with(end)) {
-            return self.workers(request).await;
+            return self.control(request).await;
         }
         let fault = self.lock().fault;
         sleep(Duration::from_millis(fault.slow)).await;
@@ -130,7 +130,7 @@
                 self.tasks.answer(&self, request).await
             }
             (Method::POST, Some(("/trim", _))) => self.trim(&request),
-            _ => self.workers(request).await,
+            _ => self.control(request).await,
         }
     }
 
