--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -4,6 +4,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use cactuswheel_http::Reply;
 use cactuswheel_model::{Code, Ran, Refusal};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -126,6 +127,16 @@
     response
 }
 
+/// Answers with a control reply of this entry.
+pub(super) fn tell(reply: Reply, id: &str) -> Response<Answer> {
+    let mut response = reply.map(|body| Answer {
+        kind: Kind::Own(body),
+        _busy: None,
+    });
+    mark(&mut response, Code::Ok, id);
+    response
+}
+
 /// Adds the headers that every answer carries.
 fn mark(response: &mut Response<Answer>, code: Code, id: &str) {
     let headers = response.headers_mut();
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -9,14 +9,14 @@
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
 
-use super::answer::{Answer, pass, refuse};
+use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
 use super::headers::REQUEST_ID;
 use super::held::Permit;
 use super::job::{Job, deadline, is_idempotent};
 use super::payload::Payload;
-use crate::Phase;
 use crate::shared::Shared;
+use crate::{Phase, jobs};
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
@@ -39,6 +39,9 @@
         return Err(Refusal::new(Code::NotReady));
     }
     check_version(&request)?;
+    if request.uri().path().starts_with("/jobs") {
+        return answer_jobs(shared, request, id).await;
+    }
     let job = job(shared, &request, id)?;
     let permit = enter(&job).await?;
     let (head, body) = request.into_parts();
@@ -82,6 +85,16 @@
     })
 }
 
+async fn answer_jobs(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Answer>, Refusal> {
+    let team = find_team(&shared.state.load(), request.headers())?;
+    let reply = jobs::answer(shared, team.id.clone(), request).await?;
+    Ok(tell(reply, id))
+}
+
 /// Splits `/s/SERVICE/REST` and finds the service.
 fn find_service(state: &State, path: &str) -> Result<(Arc<Service>, String), Refusal> {
     let Some(path) = path.strip_prefix("/s/") else {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,13 +5,16 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::State;
+use cactuswheel_fleet::{Replica, Snapshot, State};
 use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::appender::Appender;
+use crate::jobs::Desk;
+use crate::log_link::LogLink;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::Conns;
@@ -23,10 +26,17 @@
     pub(crate) settings: Settings,
     pub(crate) platform: Client,
     pub(crate) phase: PhaseCell,
-    /// The newest state; only the follower stores here.
+    /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
+    pub(crate) jobs: Desk,
+    /// What the log and peers gave; its state is what `state` shows.
+    pub(crate) replica: Mutex<Replica>,
+    pub(crate) link: LogLink,
+    pub(crate) appender: Appender,
+    /// The snapshot that peers are taking in chunks.
+    pub(crate) served: Mutex<Option<Snapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
@@ -53,6 +63,11 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            jobs: Desk::default(),
+            replica: Mutex::default(),
+            link: LogLink::default(),
+            appender: Appender::default(),
+            served: Mutex::default(),
             presences: Mutex::default(),
             drained: ArcSwap::default(),
             gate: Mutex::default(),
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -206,6 +206,56 @@
     NotEverywhere = 505, 504, Ran,
         "in force, but not confirmed everywhere",
         "See `cactuswheel status`; look at the entries that did not answer.";
+
+    /// A service's disruption budget has no room.
+    BudgetFull = 601, 409, NotRun,
+        "disruption budget has no room",
+        "Wait until instances of the pool are back, or raise the service's `max_down`.";
+    /// The grant or the life of the instance is not the one that the step names.
+    GrantStale = 602, 409, NotRun,
+        "grant or incarnation is stale",
+        "Look at the outage again; it has moved on.";
+    /// The instance is held by another outage.
+    InstanceHeld = 603, 409, NotRun,
+        "instance is held by another outage",
+        "Wait until that outage is over.";
+    /// The step is not possible at this stage of the outage.
+    WrongStage = 604, 409, NotRun,
+        "outage is at another stage",
+        "Look at the outage again; it has moved on.";
+    /// No such wave, it is paused, or the instance had its turn in it.
+    WaveClosed = 605, 409, NotRun,
+        "wave takes no such step",
+        "Look at the wave; resume it if it is paused.";
+    /// A pool would not hold its demand after the loss of a rack.
+    NoRoom = 606, 409, NotRun,
+        "pool would not hold its demand after losing a rack",
+        "Give the pool more instances, or lower the demand of its services.";
+
+    /// A job of this name was submitted with another description.
+    JobUsed = 701, 409, NotRun,
+        "job name used with another description",
+        "Choose another name for another job.";
+    /// The job is larger than every worker of its pool.
+    JobTooLarge = 702, 422, NotRun,
+        "job larger than every worker of its pool",
+        "Ask for less, or for another pool.";
+    /// The team has too many jobs waiting.
+    JobsFull = 703, 429, NotRun,
+        "too many jobs waiting",
+        "Come back after the time given.";
+    /// The job was overtaken: it is not in the state that the event is about.
+    JobMoved = 704, 409, NotRun,
+        "job is in another state",
+        "Look the job up; what was asked no longer applies.";
+    /// The worker has no room, or takes no work just now.
+    WorkerFull = 705, 409, NotRun,
+        "worker takes no such job now",
+        "Nothing: the job is placed elsewhere.";
+    /// The job cannot be read or breaks its schema.
+    BadJob = 706, 400, NotRun,
+        "malformed job",
+        "Mend the job as the detail says.";
 }
 
 impl Code {
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Ticket;
+use crate::{Disruption, JobEvent, SnapshotMark, Ticket, Wave};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,4 +10,12 @@
 pub enum Record {
     /// An operator's change.
     Ticket(Ticket),
+    /// Events of jobs, each judged by itself, in their order.
+    Jobs(Vec<JobEvent>),
+    /// Word of a complete snapshot; none is due for a while.
+    Snapshot(SnapshotMark),
+    /// A step of a planned outage, or a report of an unplanned one.
+    Disruption(Disruption),
+    /// A maintenance wave's wanted state.
+    Wave(Wave),
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,10 +8,12 @@
 mod log;
 mod platform;
 mod run;
+mod tasks;
 mod trouble;
 mod upstream;
 
 pub use fault::Fault;
 pub use platform::Platform;
 pub use run::Run;
+pub use tasks::TaskScript;
 pub use upstream::Upstream;
