--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 mod dice;
 mod fake_log;
 mod node;
+mod seed;
 mod world;
 
 pub use chaos::Chaos;
@@ -16,4 +17,5 @@
 pub use dice::Dice;
 pub use fake_log::{FakeBatch, FakeLog, FakeLogError, LogFaults};
 pub use node::{Node, Post};
+pub use seed::Seed;
 pub use world::World;
