--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -38,6 +38,7 @@
     let done = match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
+        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -36,8 +36,8 @@
 
 /// Shows the entry's name, phase and offset.
 pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
-    let peers = peers(shared);
     let state = shared.state.load();
+    let peers = peers(shared);
     let status = Status {
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
