--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -41,7 +41,15 @@
 /// Availability budgets.
 pub(crate) const BUDGETS: View = View {
     path: "/v1/budgets",
-    columns: &["service", "pool", "instances", "down", "max_down", "room"],
+    columns: &[
+        "service",
+        "pool",
+        "instances",
+        "down",
+        "absent",
+        "max_down",
+        "room",
+    ],
 };
 
 /// Data centres.
@@ -59,7 +67,7 @@
 const INSTANCES: View = View {
     path: "/v1/instances",
     columns: &[
-        "id", "pool", "dc", "rack", "cores", "memory", "slots", "presence", "addr",
+        "id", "pool", "dc", "rack", "cores", "memory", "slots", "presence", "outage", "addr",
     ],
 };
 
--- a/crates/daemon/src/admin/instances.rs
+++ b/crates/daemon/src/admin/instances.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cactuswheel_fleet::State;
+use cactuswheel_fleet::{Stage, State};
 use cactuswheel_model::{Incarnation, Instance, InstanceId, Map};
 use cactuswheel_platform::{Presence, Sighting, Sightings};
 use serde::Serialize;
@@ -16,6 +16,8 @@
     presence: Option<Presence>,
     incarnation: Option<Incarnation>,
     addr: Option<SocketAddr>,
+    /// Stage of the outage that holds it; `null` if it is not held.
+    outage: Option<&'static str>,
 }
 
 /// Shows every described instance beside its sighting.
@@ -32,10 +34,23 @@
             presence: sighting.map(|s| s.presence),
             incarnation: sighting.map(|s| s.incarnation),
             addr: sighting.map(|s| s.addr),
+            outage: state
+                .disruptions()
+                .hold(&described.id)
+                .map(|h| stage(&h.stage)),
         }
     })
 }
 
+fn stage(stage: &Stage) -> &'static str {
+    match stage {
+        Stage::Draining(_) => "draining",
+        Stage::Rebooting(_) => "rebooting",
+        Stage::Arriving => "arriving",
+        Stage::Lost => "lost",
+    }
+}
+
 /// Sightings by instance.
 pub(super) fn by_id(sightings: &Sightings) -> Map<&InstanceId, &Sighting> {
     sightings.instances.iter().map(|s| (&s.id, s)).collect()
--- a/crates/daemon/src/admin/pools.rs
+++ b/crates/daemon/src/admin/pools.rs
@@ -24,9 +24,12 @@
 pub(super) struct BudgetView<'a> {
     service: &'a ServiceId,
     pool: &'a PoolId,
+    /// Instances that have arrived in the pool.
     instances: u32,
-    /// Instances of the pool that the platform does not list as live.
+    /// Instances that the log holds for unavailable: granted or lost.
     down: u32,
+    /// Instances that the platform does not list as live just now.
+    absent: u32,
     max_down: u32,
     /// How many more may go down; negative if the budget is broken.
     room: i64,
@@ -67,14 +70,17 @@
     sightings: &Sightings,
 ) -> impl Iterator<Item = BudgetView<'a>> {
     let sizes = sizes(state, sightings);
+    let budgets = state.disruptions().budgets(state.config());
     state.config().services.values().map(move |service| {
         let size = sizes.get(&service.pool).copied().unwrap_or_default();
-        let down = size.instances - size.live;
+        let budget = budgets.get(&service.pool);
+        let down = budget.map_or(0, |b| b.down);
         BudgetView {
             service: &service.id,
             pool: &service.pool,
-            instances: size.instances,
+            instances: budget.map_or(0, |b| b.members),
             down,
+            absent: size.instances - size.live,
             max_down: service.max_down,
             room: i64::from(service.max_down) - i64::from(down),
         }
