--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -11,8 +11,10 @@
 /// Sends log lines to standard error as one JSON object each.
 pub fn init_log(level: LevelFilter) -> Result<(), StartError> {
     fern::Dispatch::new()
-        .level(LevelFilter::Warn)
+        .level(level.min(LevelFilter::Warn))
         .level_for("cactuswheel_daemon", level)
+        // It calls every late beat an error; our own lines tell which peer is silent.
+        .level_for("tarpc", LevelFilter::Off)
         .format(|out, _, record| {
             let now = SystemTime::now().duration_since(UNIX_EPOCH);
             let at = now.unwrap_or_default().as_millis() as u64;
--- a/crates/daemon/src/metrics/meters.rs
+++ b/crates/daemon/src/metrics/meters.rs
@@ -36,6 +36,24 @@
         .with_description("Answers to callers by result code")
         .with_callback(move |out| by_code(&weak, out))
         .build();
+    let weak = shared.clone();
+    meter
+        .u64_observable_counter("cactuswheel_retries")
+        .with_description("Further attempts at an upstream")
+        .with_callback(move |out| {
+            if let Some(shared) = weak.upgrade() {
+                out.observe(shared.metrics.requests.retries(), &[]);
+            }
+        })
+        .build();
+    let connections = |s: &Shared| s.metrics.requests.connections() as f64;
+    gauge(
+        meter,
+        shared,
+        "cactuswheel_connections",
+        "Connections of callers",
+        connections,
+    );
     let running = |s: &Shared| {
         let running = s.routes.load();
         let running = running.upstreams().map(|u| f64::from(u.running()));
--- a/crates/daemon/src/metrics/requests.rs
+++ b/crates/daemon/src/metrics/requests.rs
@@ -24,8 +24,14 @@
     codes: Vec<AtomicU64>,
     latency: Histogram,
     queue: Histogram,
+    retries: AtomicU64,
+    connections: AtomicU64,
 }
 
+/// Counts a caller's connection while it is open.
+#[derive(Debug)]
+pub(crate) struct Open<'a>(&'a RequestStats);
+
 impl RequestStats {
     /// Nothing counted yet; the histograms are read through `registry`.
     pub(crate) fn new(registry: &Registry) -> Self {
@@ -43,6 +49,8 @@
                 "Time that an admitted request waited for a slot",
                 QUEUE,
             ),
+            retries: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
         }
     }
 
@@ -59,6 +67,27 @@
         self.queue.observe(took.as_secs_f64());
     }
 
+    /// Counts a further attempt.
+    pub(crate) fn retried(&self) {
+        self.retries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn connected(&self) -> Open<'_> {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        Open(self)
+    }
+
+    /// Further attempts so far.
+    pub(crate) fn retries(&self) -> u64 {
+        self.retries.load(Ordering::Relaxed)
+    }
+
+    /// Connections that are open.
+    pub(crate) fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Answers by code, those that happened.
     pub(crate) fn by_code(&self) -> impl Iterator<Item = (Code, u64)> {
         let counts = self.codes.iter().map(|c| c.load(Ordering::Relaxed));
@@ -67,6 +96,12 @@
     }
 }
 
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn histogram(registry: &Registry, name: &str, help: &str, bounds: &[f64]) -> Histogram {
     let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
     let histogram = Histogram::with_opts(opts).expect("bounds are constant and rise");
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -103,6 +103,7 @@
                 Err(_) => return Err(failure.refusal),
             },
         };
+        self.job.shared.metrics.requests.retried();
         self.last = Some(failure.refusal);
         Ok((permit, request))
     }
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -6,7 +6,7 @@
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
 use hyper::body::{Body, Incoming};
-use hyper::header::AUTHORIZATION;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
 
@@ -23,6 +23,7 @@
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let started = Instant::now();
     let id = request_id(&shared, request.headers());
+    let key = request.headers().get(AUTHORIZATION).cloned();
     let answered = match check_size(&shared, &request) {
         Ok(()) => admit(shared.clone(), request, &id).await,
         Err(refusal) => Err(refusal),
@@ -30,7 +31,7 @@
     let code = answered.as_ref().map_or_else(|r| r.code, |_| Code::Ok);
     shared.metrics.requests.answered(code, started.elapsed());
     answered.unwrap_or_else(|refusal| {
-        note_refusal(&shared, &refusal, &id);
+        note_refusal(&shared, &refusal, &id, key.as_ref());
         refuse(&refusal, &id)
     })
 }
@@ -60,12 +61,14 @@
 }
 
 /// Logs a refusal, unless many were logged in this second already.
-fn note_refusal(shared: &Shared, refusal: &Refusal, id: &str) {
+fn note_refusal(shared: &Shared, refusal: &Refusal, id: &str, key: Option<&HeaderValue>) {
     let Some(suppressed) = shared.refusals.allow(shared.metrics.uptime().as_secs()) else {
         return;
     };
     let (code, ran) = (refusal.code.number(), refusal.code.ran());
-    log::info!(request = id, code, ran:%, suppressed; "refused: {refusal}");
+    let team = find_team(&shared.state.load(), key).ok();
+    let team = team.as_ref().map_or("-", |team| team.id.as_str());
+    log::info!(request = id, team, code, ran:%, suppressed; "refused: {refusal}");
 }
 
 async fn admit(
@@ -118,7 +121,7 @@
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&state, headers)?,
+        team: find_team(&state, headers.get(AUTHORIZATION))?,
         idempotent: is_idempotent(request.method(), headers),
         deadline: deadline(headers, shared.now())?,
         shared,
@@ -130,7 +133,7 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared.state.load(), request.headers())?;
+    let team = find_team(&shared.state.load(), request.headers().get(AUTHORIZATION))?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -151,10 +154,8 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
-    let value = headers
-        .get(AUTHORIZATION)
-        .ok_or_else(|| Refusal::new(Code::NoKey))?;
+fn find_team(state: &State, value: Option<&HeaderValue>) -> Result<Arc<Team>, Refusal> {
+    let value = value.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let bad = || Refusal::new(Code::BadKey);
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -63,6 +63,8 @@
 }
 
 async fn converse(stream: TcpStream, shared: Arc<Shared>, stop: CancellationToken) {
+    let counted = shared.clone();
+    let _open = counted.metrics.requests.connected();
     let traffic = Arc::new(Traffic::default());
     let io = Counted::new(stream, traffic.clone());
     let counter = traffic.clone();
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -17,10 +17,16 @@
     ///
     /// If it cannot be started or ends before it is ready.
     pub fn start(program: &str, args: &[&str]) -> Self {
+        Self::start_logged(program, args, Stdio::inherit())
+    }
+
+    /// Like [`Process::start`], with its standard error to `log`.
+    pub fn start_logged(program: &str, args: &[&str], log: Stdio) -> Self {
         let path = binary(program);
         let child = Command::new(&path)
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn();
         let mut child = child.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
         let out = child.stdout.take().expect("standard output is piped");
--- a/crates/e2e/tests/metrics.rs
+++ b/crates/e2e/tests/metrics.rs
@@ -29,6 +29,7 @@
         ("cactuswheel_answers_total{code=\"102\"}", 1.0),
         ("cactuswheel_request_seconds_count", 4.0),
         ("cactuswheel_queue_seconds_count", 3.0),
+        ("cactuswheel_retries_total", 0.0),
         ("cactuswheel_upstreams", 1.0),
         ("cactuswheel_running", 0.0),
         ("cactuswheel_ready", 1.0),
@@ -39,6 +40,7 @@
         assert_eq!(value(&text, name), Some(number), "{name} in\n{text}");
     }
     let positive = [
+        "cactuswheel_connections",
         "process_cpu_seconds_total",
         "process_resident_memory_bytes",
         "cactuswheel_roster_age_seconds",
