--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' API, JSON over HTTP.
 
 mod audit;
+mod maintenance;
 mod status;
 mod tickets;
 
@@ -38,6 +39,8 @@
         (&Method::GET, "/v1/status") => status::show(&shared),
         (&Method::GET, "/v1/config") => Ok(json(StatusCode::OK, shared.state.load().config())),
         (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
+        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
+        (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
         _ => Err(Refusal::new(Code::NotFound).with_detail(path)),
     };
     done.unwrap_or_else(|refusal| refused(&refusal))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod jobs;
 mod log_link;
 mod logging;
+mod maintenance;
 mod node;
 mod peer_state;
 mod peers;
--- /dev/null
+++ b/crates/daemon/src/maintenance.rs
@@ -0,0 +1,154 @@
+//! Gives the maintenance driver its clock, its eyes and its hands.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cactuswheel_maintenance::{Action, Activity, Driver, Look, Order, Seen, Verb, View};
+use cactuswheel_model::{InstanceId, Map, Record, Time};
+use cactuswheel_platform as platform;
+use cactuswheel_platform::{Presence, Use, WorkerError, WorkerState, Workers};
+use tokio::time::sleep;
+
+use crate::Phase;
+use crate::shared::Shared;
+
+/// Time between two steps.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Most looks at workers in one step, so that control stays within its bandwidth.
+const LOOKS: usize = 8;
+
+/// Age of a peer's last beat beyond which it has no rank.
+const PEER_AGE: Duration = Duration::from_secs(3);
+
+/// Drives maintenance for as long as the task lives.
+pub(crate) async fn drive(shared: Arc<Shared>) {
+    let mut driver = Driver::new(shared.settings.maintenance.clone());
+    let mut eyes = Eyes::default();
+    loop {
+        sleep(PERIOD).await;
+        if shared.phase.get() != Phase::Ready {
+            continue;
+        }
+        eyes.refresh(&shared, &driver).await;
+        for action in step(&shared, &mut driver, &eyes) {
+            // A slow answer holds up no other action; every one may be late or repeated.
+            tokio::spawn(act(shared.clone(), action));
+        }
+    }
+}
+
+/// What worker control last said, refreshed a few instances at a time.
+#[derive(Debug, Default)]
+struct Eyes {
+    looks: Map<InstanceId, Look>,
+    /// Where the last refresh stopped.
+    turn: usize,
+}
+
+impl Eyes {
+    async fn refresh(&mut self, shared: &Shared, driver: &Driver) {
+        let watched = driver.watched(&shared.state.load());
+        self.looks.retain(|id, _| watched.contains(id));
+        let count = watched.len();
+        for at in self.turn..self.turn + count.min(LOOKS) {
+            let id = &watched[at % count];
+            match shared.platform.state(id).await {
+                Ok(state) => drop(self.looks.insert(id.clone(), look(&state))),
+                Err(WorkerError::Refused(_)) => drop(self.looks.remove(id)),
+                Err(e) => {
+                    // What was seen before may have changed since.
+                    self.looks.clear();
+                    return log::debug!("{e}");
+                }
+            }
+        }
+        self.turn = (self.turn + LOOKS) % count.max(1);
+    }
+}
+
+fn step(shared: &Shared, driver: &mut Driver, eyes: &Eyes) -> Vec<Action> {
+    let state = shared.state.load();
+    let sightings = shared.sightings.load();
+    let seen = sightings.instances.iter().map(|s| {
+        let live = s.presence == Presence::Live;
+        let incarnation = s.incarnation;
+        (s.id.clone(), Seen { incarnation, live })
+    });
+    let heard = Time::new(shared.roster_at.load(Ordering::Relaxed));
+    let view = View {
+        now: shared.now(),
+        wall: wall(),
+        entry: &shared.settings.entry,
+        rank: rank(shared),
+        state: &state,
+        age: shared.now().since(heard),
+        seen: &seen.collect(),
+        looks: &eyes.looks,
+    };
+    let actions = driver.step(&view);
+    let waits = driver.reasons(&view);
+    let waits = waits.iter().map(ToString::to_string).collect();
+    shared.waits.store(Arc::new(waits));
+    actions
+}
+
+async fn act(shared: Arc<Shared>, action: Action) {
+    let record = match action {
+        Action::Propose(step) => Record::Disruption(step),
+        Action::Start(wave) => Record::Wave(wave),
+        Action::Order(order) => return obey(&shared, &order).await,
+    };
+    let body = match serde_json::to_string(&record) {
+        Ok(body) => body,
+        Err(e) => return log::error!("{record:?} has no text: {e}"),
+    };
+    if let Err(e) = shared.appender.append(Use::Control, body).await {
+        log::warn!("maintenance: {e}");
+    }
+}
+
+async fn obey(shared: &Shared, order: &Order) {
+    let what = platform::Order {
+        incarnation: order.incarnation,
+        fence: order.fence,
+    };
+    let workers = &shared.platform;
+    let done = match order.verb {
+        Verb::Drain => workers.drain(&order.instance, what).await,
+        Verb::Resume => workers.resume(&order.instance, what).await,
+        Verb::Reboot => workers.reboot(&order.instance, what).await,
+    };
+    match done {
+        Ok(()) => log::info!("{:?} of {}", order.verb, order.instance),
+        Err(e) => log::warn!("{:?} of {}: {e}", order.verb, order.instance),
+    }
+}
+
+/// Entries in contact whose names come before this one's.
+fn rank(shared: &Shared) -> u32 {
+    let heard = shared.heard();
+    let fresh = heard.iter().filter(|(_, h)| h.at.elapsed() < PEER_AGE);
+    fresh
+        .filter(|(name, _)| **name < shared.settings.entry)
+        .count() as u32
+}
+
+fn look(state: &WorkerState) -> Look {
+    Look {
+        incarnation: state.incarnation,
+        activity: match state.activity {
+            platform::Activity::Serving => Activity::Serving,
+            platform::Activity::Draining(fence) => Activity::Draining(fence),
+            platform::Activity::Down => Activity::Down,
+        },
+        running: state.running,
+    }
+}
+
+/// Seconds since 1970.
+pub(crate) fn wall() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,8 +13,8 @@
 use crate::peers::Answerer;
 use crate::shared::Shared;
 use crate::{
-    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, peers, proxy,
-    sightings, snapshots,
+    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, maintenance, peers,
+    proxy, sightings, snapshots,
 };
 
 /// A running entry instance.
@@ -48,6 +48,7 @@
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(maintenance::drive(shared.clone()));
         tokio::spawn(jobs::write(shared.clone()));
         tokio::spawn(jobs::drive(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,6 +46,9 @@
     /// Sizes and times that may need tuning.
     #[serde(default)]
     pub limits: Limits,
+    /// Times and bounds of maintenance.
+    #[serde(default)]
+    pub maintenance: cactuswheel_maintenance::Settings,
 }
 
 impl Settings {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -30,6 +30,10 @@
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here.
     pub(crate) sightings: ArcSwap<Sightings>,
+    /// When the roster last answered, as [`Time`].
+    pub(crate) roster_at: AtomicU64,
+    /// Why maintenance waits, as of its last step.
+    pub(crate) waits: ArcSwap<Vec<String>>,
     pub(crate) jobs: Desk,
     /// What the log and peers gave; its state is what `state` shows.
     pub(crate) replica: Mutex<Replica>,
@@ -63,6 +67,8 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            roster_at: AtomicU64::new(0),
+            waits: ArcSwap::default(),
             jobs: Desk::default(),
             replica: Mutex::default(),
             link: LogLink::default(),
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's roster.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuswheel_platform::{Presence, Roster, Sightings};
@@ -16,8 +17,13 @@
 pub(crate) async fn watch(shared: Arc<Shared>) {
     loop {
         match shared.platform.list().await {
-            Ok(list) if **shared.sightings.load() != list => take(&shared, list),
-            Ok(_) => {}
+            Ok(list) => {
+                let now = shared.now().get();
+                shared.roster_at.store(now, Ordering::Relaxed);
+                if **shared.sightings.load() != list {
+                    take(&shared, list);
+                }
+            }
             Err(e) => log::warn!("{e}"),
         }
         shared
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -107,6 +107,8 @@
             "peers": self.peers,
             "operators": [{"name": "ana", "digest": Digest::of(OPERATOR_KEY.as_bytes())}],
             "log": {"level": "ERROR"},
+            "maintenance": {"settle_ms": 300, "quiet_ms": 300, "stagger_ms": 1000,
+                "overdue_ms": 6000, "fresh_ms": 5000},
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
--- a/crates/maintenance/src/settings.rs
+++ b/crates/maintenance/src/settings.rs
@@ -4,39 +4,40 @@
 
 use serde::Deserialize;
 
-/// Times and bounds of maintenance. Times are in milliseconds in a settings file.
+/// Times and bounds of maintenance. Times are in milliseconds in a settings file,
+/// under names that end in `_ms`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Absence after which an instance counts as lost; longer than the roster lags.
-    #[serde(with = "millis")]
+    #[serde(rename = "loss_ms", with = "millis")]
     pub loss: Duration,
     /// Time for which an instance has to look healthy to be back.
-    #[serde(with = "millis")]
+    #[serde(rename = "settle_ms", with = "millis")]
     pub settle: Duration,
     /// Time without running work after which a drain is done.
-    #[serde(with = "millis")]
+    #[serde(rename = "quiet_ms", with = "millis")]
     pub quiet: Duration,
     /// Longest drain; with work still running after it the instance is postponed.
-    #[serde(with = "millis")]
+    #[serde(rename = "drain_ms", with = "millis")]
     pub drain: Duration,
     /// Time until a postponed instance is tried again.
-    #[serde(with = "millis")]
+    #[serde(rename = "postpone_ms", with = "millis")]
     pub postpone: Duration,
     /// Time after which an instance that is not back is reported.
-    #[serde(with = "millis")]
+    #[serde(rename = "overdue_ms", with = "millis")]
     pub overdue: Duration,
     /// Age of the newest word from the platform beyond which nothing starts.
-    #[serde(with = "millis")]
+    #[serde(rename = "fresh_ms", with = "millis")]
     pub fresh: Duration,
     /// Time after which a step that shows no effect is asked for again.
-    #[serde(with = "millis")]
+    #[serde(rename = "retry_ms", with = "millis")]
     pub retry: Duration,
     /// Head start of each entry over the next in rank.
-    #[serde(with = "millis")]
+    #[serde(rename = "stagger_ms", with = "millis")]
     pub stagger: Duration,
     /// Time between the starts of two waves.
-    #[serde(with = "millis")]
+    #[serde(rename = "cycle_ms", with = "millis")]
     pub cycle: Duration,
     /// Most planned outages at once, over all pools.
     pub parallel: usize,
