--- /dev/null
+++ b/crates/assignment/examples/planning.rs
@@ -0,0 +1,150 @@
+//! Prints what plans cost, against bounds and baselines, at the sizes of today and of the plan.
+//!
+//! `cargo run --release -p cactuswheel-assignment --example planning`
+
+#[path = "../tests/fleets/mod.rs"]
+mod fleets;
+
+use std::time::{Duration, Instant};
+
+use cactuswheel_assignment::{
+    Cost, Plan, Problem, Weights, first_fit, least_capacity, plan, spread_only,
+};
+use cactuswheel_testkit::Dice;
+use fleets::{RACK, Size, TODAY, apply, fleet};
+
+/// Seeds of the fleets.
+const SEEDS: [u64; 3] = [11, 12, 13];
+
+/// The size designed for.
+const PLANNED: Size = Size {
+    workers: 8_700,
+    pools: 62,
+    dcs: 25,
+    load: 85,
+};
+
+/// Most moves in one round after an event.
+const ROUND: usize = 16;
+
+fn main() {
+    let sizes = [
+        ("Platno", TODAY, Weights::deadlines()),
+        ("Shaker Lab", TODAY, Weights::long_work()),
+        ("two-year size", PLANNED, Weights::default()),
+    ];
+    for (name, size, weights) in sizes {
+        for seed in SEEDS {
+            println!("{name}, seed {seed}: {size:?}");
+            whole(size, seed, weights.clone());
+            events(size, seed, weights.clone());
+            landed(size, seed, weights.clone());
+        }
+    }
+}
+
+fn timed(problem: &Problem) -> (Plan, Duration) {
+    let start = Instant::now();
+    let made = plan(problem);
+    (made, start.elapsed())
+}
+
+/// Plans from nothing, beside the baselines.
+fn whole(size: Size, seed: u64, weights: Weights) {
+    let problem = fleet(size, seed, weights);
+    let least = least_buffer(&problem);
+    println!("  least buffer {least} slots");
+    let (made, took) = timed(&problem);
+    let missing = made.missing.iter().map(|s| s.missing).sum();
+    row("planner", &made.cost, missing, least);
+    let (_, cost, missing) = first_fit(&problem);
+    row("first fit", &cost, missing, least);
+    let (_, cost, missing) = spread_only(&problem);
+    row("spread, no buffer", &cost, missing, least);
+    let steps = problem.needs.iter().filter(|n| n.demand > 0).map(|n| {
+        let least = least_capacity(n.demand, 8, problem.racks as u64).unwrap_or(0) / 8;
+        (least as usize).div_ceil(n.max_down)
+    });
+    let steps = steps.max().unwrap_or(0);
+    println!(
+        "  roll-out {} steps, bound {steps}, one at a time {}; whole plan in {took:?}",
+        made.cost.rollout, size.workers
+    );
+}
+
+fn row(name: &str, cost: &Cost, missing: u64, least: u64) {
+    println!(
+        "  {name:18} buffer {:6} slots ({:.3} of least), {missing} missing after a rack's loss, \
+         {} moves, crowding {}",
+        cost.buffer,
+        cost.buffer as f64 / least as f64,
+        cost.moves,
+        cost.crowding
+    );
+}
+
+/// Capacity above demand that the largest failure domain asks for, at least.
+fn least_buffer(problem: &Problem) -> u64 {
+    let racks = problem.racks as u64;
+    let needs = problem.needs.iter();
+    needs
+        .map(|n| least_capacity(n.demand, 8, racks).unwrap_or(0) - n.demand)
+        .sum()
+}
+
+/// Plans for workers that landed in any pool, as a supplier's stock does.
+fn landed(size: Size, seed: u64, weights: Weights) {
+    let mut problem = fleet(size, seed, weights);
+    let mut dice = Dice::new(seed);
+    let pools = problem.needs.len() as u64;
+    for machine in &mut problem.machines {
+        machine.pool = dice.below(pools) as usize;
+    }
+    let least = least_buffer(&problem);
+    let (made, took) = timed(&problem);
+    let missing = made.missing.iter().map(|s| s.missing).sum();
+    row("landed anywhere", &made.cost, missing, least);
+    println!("  landed anywhere: planned in {took:?}");
+}
+
+/// Plans again after single events.
+fn events(size: Size, seed: u64, weights: Weights) {
+    let mut settled = fleet(size, seed, weights);
+    let made = plan(&settled);
+    apply(&mut settled, &made.moves);
+    settled.max_moves = ROUND;
+    let (idle, took) = timed(&settled);
+    event("nothing", &idle, took);
+
+    let mut lost = settled.clone();
+    if let Some(machine) = lost.machines.iter_mut().find(|m| m.pool == 0) {
+        machine.held = true;
+    }
+    let (made, took) = timed(&lost);
+    event("instance lost", &made, took);
+
+    let mut rack = settled.clone();
+    for machine in &mut rack.machines[..RACK] {
+        machine.held = true;
+    }
+    let (made, took) = timed(&rack);
+    event("rack lost", &made, took);
+
+    let mut more = settled.clone();
+    more.needs[1].demand += more.needs[1].demand / 10;
+    let (made, took) = timed(&more);
+    event("demand + 10 %", &made, took);
+
+    let mut less = settled;
+    less.needs[1].demand -= less.needs[1].demand / 10;
+    let (made, took) = timed(&less);
+    event("demand - 10 %", &made, took);
+}
+
+fn event(name: &str, made: &Plan, took: Duration) {
+    let missing: u64 = made.missing.iter().map(|s| s.missing).sum();
+    println!(
+        "  after {name:14} {} moves, {missing} slots missing, in {took:?}",
+        made.moves.len()
+    );
+}
--- /dev/null
+++ b/crates/assignment/src/baseline.rs
@@ -0,0 +1,39 @@
+//! Simple ways to plan, kept to compare against.
+
+use crate::planner::Draft;
+use crate::{Cost, Problem, Reason};
+
+/// Takes spare machines in their order until demand fits after the worst loss.
+pub fn first_fit(problem: &Problem) -> (usize, Cost, u64) {
+    fill(problem, |draft, pool| {
+        let mut free = draft.free.iter().flatten().copied().collect::<Vec<_>>();
+        free.sort_unstable();
+        free.into_iter().find(|n| draft.worth(*n, pool) > 0)
+    })
+}
+
+/// Spreads over racks until demand fits while nothing is lost.
+pub fn spread_only(problem: &Problem) -> (usize, Cost, u64) {
+    fill(problem, |draft, pool| {
+        let whole = draft.loads[pool].total >= problem.needs[pool].demand;
+        if whole { None } else { draft.best_free(pool) }
+    })
+}
+
+/// Moves, cost, and slots missing after the worst loss.
+fn fill(
+    problem: &Problem,
+    pick: impl Fn(&Draft<'_>, usize) -> Option<usize>,
+) -> (usize, Cost, u64) {
+    let mut draft = Draft::new(problem);
+    for pool in 0..problem.needs.len() {
+        while draft.deficit(pool) > 0 {
+            let Some(n) = pick(&draft, pool) else {
+                break;
+            };
+            draft.push(n, pool, Reason::Demand);
+        }
+    }
+    let missing = (0..problem.needs.len()).map(|pool| draft.deficit(pool));
+    (draft.moves.len(), draft.cost(), missing.sum())
+}
--- /dev/null
+++ b/crates/assignment/tests/fleets/mod.rs
@@ -0,0 +1,85 @@
+//! Fleets drawn from a seed, shared by tests and the example.
+
+use cactuswheel_assignment::{Machine, Need, Problem, Weights};
+use cactuswheel_testkit::Dice;
+
+/// Size of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Workers.
+    pub workers: usize,
+    /// Pools with demand.
+    pub pools: usize,
+    /// Data centres.
+    pub dcs: usize,
+    /// Part of all slots that is asked for, in percent.
+    pub load: u64,
+}
+
+/// Workers a rack.
+pub const RACK: usize = 4;
+
+/// Platno's and the Shaker Lab's size: 50 workers, five services and a spare pool.
+pub const TODAY: Size = Size {
+    workers: 50,
+    pools: 5,
+    dcs: 3,
+    load: 70,
+};
+
+/// A fleet whose workers all lie in the spare pool, which is the last.
+pub fn fleet(size: Size, seed: u64, weights: Weights) -> Problem {
+    let mut dice = Dice::new(seed);
+    let slots = size.workers as u64 * 8;
+    let mean = slots * size.load / 100 / size.pools as u64;
+    let mut needs: Vec<Need> = (0..size.pools)
+        .map(|n| {
+            let demand = mean / 2 + dice.below(mean.max(1));
+            Need {
+                id: format!("p{n}").parse().ok(),
+                demand,
+                max_down: (demand / 8 / 10).max(1) as usize,
+                ..Need::default()
+            }
+        })
+        .collect();
+    needs.push(Need {
+        id: "spare".parse().ok(),
+        spare: true,
+        ..Need::default()
+    });
+    let racks = size.workers.div_ceil(RACK);
+    let machine = |n: usize| Machine {
+        id: format!("w{n:05}").parse().expect("a name"),
+        rack: n / RACK,
+        dc: n / RACK * size.dcs / racks,
+        slots: 8,
+        cores: 64,
+        memory: 131_072,
+        accels: 0,
+        pool: size.pools,
+        held: false,
+        drain: 0,
+    };
+    Problem {
+        machines: (0..size.workers).map(machine).collect(),
+        needs,
+        racks,
+        dcs: size.dcs,
+        weights,
+        max_moves: usize::MAX,
+    }
+}
+
+/// Carries a plan's moves out.
+pub fn apply(problem: &mut Problem, moves: &[cactuswheel_assignment::Move]) {
+    for step in moves {
+        let place = |id: &cactuswheel_model::PoolId| {
+            let mut needs = problem.needs.iter();
+            needs.position(|n| n.id.as_ref() == Some(id))
+        };
+        let to = place(&step.to).expect("a pool of the problem");
+        let found = problem.machines.iter_mut().find(|m| m.id == step.instance);
+        found.expect("a machine of the problem").pool = to;
+    }
+}
--- /dev/null
+++ b/crates/assignment/tests/plans.rs
@@ -0,0 +1,143 @@
+//! Plans keep the hard rules at every move.
+
+mod fleets;
+
+use cactuswheel_assignment::{
+    Need, Problem, Weights, first_fit, least_capacity, plan, spread_only,
+};
+use cactuswheel_testkit::{Dice, check};
+use fleets::{TODAY, apply, fleet};
+
+/// A small fleet whose workers landed wherever they liked.
+fn landed(seed: u64) -> Problem {
+    let mut dice = Dice::new(seed);
+    let mut size = TODAY;
+    size.workers = 12 + dice.below(40) as usize;
+    size.pools = 1 + dice.below(5) as usize;
+    size.load = 20 + dice.below(70);
+    let weights = [Weights::deadlines(), Weights::long_work()][dice.below(2) as usize].clone();
+    let mut problem = fleet(size, seed, weights);
+    for machine in &mut problem.machines {
+        machine.pool = dice.below(size.pools as u64 + 1) as usize;
+        machine.slots = [4, 8, 8, 16][dice.below(4) as usize];
+        machine.accels = dice.below(2);
+        machine.held = dice.below(10) == 0;
+        machine.drain = dice.below(7_200);
+    }
+    for need in &mut problem.needs {
+        need.any_dc = dice.below(4) == 0;
+        need.accels = u64::from(dice.below(6) == 0);
+    }
+    problem.max_moves = dice.below(30) as usize;
+    problem
+}
+
+/// Deficit of every pool and whether it keeps more members than may be down.
+fn hard(problem: &Problem) -> Vec<(u64, bool)> {
+    let loads = problem.loads();
+    let pools = loads.iter().zip(&problem.needs);
+    pools
+        .map(|(load, need)| (load.deficit(need), load.members > need.max_down))
+        .collect()
+}
+
+fn keeps_rules(seed: u64) -> bool {
+    let mut problem = landed(seed);
+    let made = plan(&problem);
+    assert!(made.moves.len() <= problem.max_moves);
+    for (n, step) in made.moves.iter().enumerate() {
+        let before = hard(&problem);
+        let moving = problem.machines.iter().find(|m| m.id == step.instance);
+        let moving = moving.unwrap();
+        assert!(!moving.held, "move {n} takes a held instance");
+        let from = problem.needs[moving.pool].id.as_ref();
+        assert_eq!(from, Some(&step.from), "move {n} starts elsewhere");
+        apply(&mut problem, std::slice::from_ref(step));
+        for (pool, (was, is)) in before.iter().zip(hard(&problem)).enumerate() {
+            let spare = problem.needs[pool].spare;
+            assert!(is.0 <= was.0, "move {n}: pool {pool} short of {}", is.0);
+            assert!(is.1 || !was.1 || spare, "move {n}: pool {pool} too small");
+        }
+    }
+    for (pool, (deficit, _)) in hard(&problem).into_iter().enumerate() {
+        let id = problem.needs[pool].id.as_ref().unwrap();
+        let said = made.missing.iter().find(|s| s.pool == *id);
+        assert_eq!(deficit, said.map_or(0, |s| s.missing), "pool {id}");
+    }
+    true
+}
+
+#[test]
+fn any_prefix() {
+    check(4103, 2_000, keeps_rules as fn(u64) -> bool);
+}
+
+#[test]
+fn near_bound() {
+    let problem = fleet(TODAY, 1, Weights::default());
+    let made = plan(&problem);
+    assert_eq!(made.missing, []);
+    let demand: u64 = problem.needs.iter().map(|n| n.demand).sum();
+    let racks = problem.racks as u64;
+    let least = problem.needs.iter();
+    let least: u64 = least
+        .map(|n| least_capacity(n.demand, 8, racks).unwrap())
+        .sum();
+    assert!(made.cost.buffer * 10 <= (least - demand) * 11);
+}
+
+#[test]
+fn one_event() {
+    let mut problem = fleet(TODAY, 2, Weights::long_work());
+    let first = plan(&problem);
+    apply(&mut problem, &first.moves);
+    assert_eq!(plan(&problem).moves, []);
+    let lost = problem.machines.iter().position(|m| m.pool == 0).unwrap();
+    problem.machines[lost].held = true;
+    let made = plan(&problem);
+    assert_eq!(made.missing, []);
+    assert!(made.moves.len() <= 1, "{:?}", made.moves);
+}
+
+#[test]
+fn missing_numbers() {
+    let mut problem = fleet(TODAY, 3, Weights::default());
+    problem.needs[0].demand = 1_000;
+    let made = plan(&problem);
+    let short = &made.missing[0];
+    assert_eq!((short.demand, short.more), (1_000, false));
+    assert_eq!(short.missing, 1_000 - short.safe);
+}
+
+#[test]
+fn single_rack() {
+    // All machines share one rack: nothing can survive its loss, so none is moved in vain.
+    let mut problem = fleet(TODAY, 4, Weights::default());
+    problem.machines.iter_mut().for_each(|m| m.rack = 0);
+    let made = plan(&problem);
+    assert_eq!(made.moves, []);
+    assert!(made.missing.len() == TODAY.pools);
+}
+
+#[test]
+fn baselines() {
+    let problem = fleet(TODAY, 5, Weights::default());
+    let made = plan(&problem);
+    let (_, first, _) = first_fit(&problem);
+    let (_, _, missing) = spread_only(&problem);
+    assert!(made.cost.buffer < first.buffer);
+    assert!(missing > 0);
+}
+
+#[test]
+fn useless_kind() {
+    let mut problem = fleet(TODAY, 6, Weights::default());
+    problem.needs[0] = Need {
+        accels: 1,
+        ..problem.needs[0].clone()
+    };
+    let made = plan(&problem);
+    let id = problem.needs[0].id.as_ref().unwrap();
+    assert!(made.moves.iter().all(|m| m.to != *id));
+    assert!(made.missing.iter().any(|s| s.pool == *id && s.safe == 0));
+}
