--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -83,6 +83,7 @@
             balancer_ms: Millis::new(0),
             ..Limits::default()
         },
+        maintenance: Default::default(),
     })
 }
 
