--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,10 @@
 //! Decides only; it does no I/O and reads no clock. The daemon asks it for each request and
 //! tells it when the request has ended.
 
+mod contact;
 mod gate;
+mod holder;
 
+pub use contact::Contact;
 pub use gate::Gate;
+pub use holder::Holder;
--- /dev/null
+++ b/crates/admission/tests/world/mod.rs
@@ -0,0 +1,422 @@
+//! Several entries, one log, the links between them and all that can go wrong with them.
+
+use cactuswheel_admission::Holder;
+use cactuswheel_fleet::State;
+use cactuswheel_model::{Code, DcId, Holding, LifeId, Offset, Record, TeamId, Time, Timing};
+use serde_json::json;
+
+/// A generator of histories: small, seeded, the same everywhere.
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn roll(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % n
+    }
+}
+
+/// A request at an upstream.
+struct Run {
+    node: usize,
+    /// Which process started it; a killed one does not hear of its end.
+    start: u64,
+    boot: u64,
+    end: u64,
+    known: bool,
+}
+
+struct Node {
+    holder: Holder,
+    state: State,
+    boot: u64,
+    /// Its clock's rate in thousandths.
+    rate: u64,
+    paused: bool,
+    /// Its entry; a replaced process that still runs shares it with its successor.
+    name: usize,
+    /// Whether it was replaced, which it may not know.
+    old: bool,
+    /// Whether it cannot read the log.
+    cut: bool,
+    /// Whether it cannot append to the log.
+    mute: bool,
+    /// Peers hear each other on the same island only.
+    island: u64,
+    /// Reads on their way back: when asked, by its clock, and the log's head then.
+    reads: Vec<(Time, usize)>,
+    /// Renewals on their way back: when asked, by its clock, and for which life.
+    renewals: Vec<(Time, LifeId)>,
+}
+
+pub struct World {
+    pub dice: Dice,
+    now: u64,
+    log: Vec<String>,
+    /// Records on their way to the log.
+    sent: Vec<String>,
+    /// What the whole log folds to.
+    pub head: State,
+    nodes: Vec<Node>,
+    runs: Vec<Run>,
+    team: TeamId,
+    ticket: u64,
+    /// Requests that ran at all.
+    pub ran: usize,
+    /// Lives that were given up.
+    pub freed: usize,
+}
+
+pub const TIMING: Timing = Timing {
+    fence: 300,
+    run: 200,
+    cut: 1_000,
+};
+
+const DCS: usize = 2;
+
+/// Most replaced processes that still run.
+const OLD: usize = 3;
+
+/// Answers on their way to one node, and records that may overtake each other.
+const LATE: usize = 6;
+
+impl World {
+    pub fn new(seed: u64, nodes: usize) -> Self {
+        let mut world = Self {
+            dice: Dice(seed),
+            now: 1_000_000,
+            log: Vec::new(),
+            sent: Vec::new(),
+            head: State::default(),
+            nodes: Vec::new(),
+            runs: Vec::new(),
+            team: "ads".parse().unwrap(),
+            ticket: 0,
+            ran: 0,
+            freed: 0,
+        };
+        for n in 0..nodes {
+            let node = world.boot(n);
+            world.nodes.push(node);
+        }
+        world.set_limit(8);
+        world
+    }
+
+    fn boot(&mut self, n: usize) -> Node {
+        let boot = self.dice.roll(u64::MAX);
+        let life = LifeId::new(format!("e{n}").parse().unwrap(), boot);
+        let dc: DcId = format!("d{}", n % DCS).parse().unwrap();
+        Node {
+            holder: Holder::new(life, dc, TIMING),
+            state: State::default(),
+            boot,
+            rate: 980 + self.dice.roll(41),
+            paused: false,
+            name: n,
+            old: false,
+            cut: false,
+            mute: false,
+            island: 0,
+            reads: Vec::new(),
+            renewals: Vec::new(),
+        }
+    }
+
+    fn append(&mut self, body: String) {
+        let before = self.head.allotments().size();
+        self.head.apply(Offset::new(self.log.len() as u64), &body);
+        self.freed += before.saturating_sub(self.head.allotments().size());
+        self.log.push(body);
+    }
+
+    fn set_limit(&mut self, limit: u64) {
+        self.ticket += 1;
+        let change = json!({"team": {"id": "ads", "share": 1, "limit": limit}});
+        self.append(json!({"ticket": {"ticket": self.ticket, "changes": [change]}}).to_string());
+    }
+
+    fn clock(&self, n: usize) -> Time {
+        Time::new(self.now * self.nodes[n].rate / 1000)
+    }
+
+    /// One step of a history; then every promise is looked at.
+    pub fn step(&mut self) -> Result<(), String> {
+        let n = self.dice.roll(self.nodes.len() as u64) as usize;
+        match self.dice.roll(1000) {
+            0..150 => self.pass(),
+            150..270 => self.ask(n),
+            270..390 => self.read(n),
+            390..490 => self.beat(n),
+            490..590 => self.renew(n),
+            590..630 => self.tick(n),
+            630..750 => self.deliver(),
+            750..970 => self.start(n),
+            970..973 => self.nodes[n].paused ^= true,
+            973..975 => self.nodes[n].cut ^= true,
+            975 => self.nodes[n].mute ^= true,
+            976 => self.cut_dc(n),
+            977..979 => self.isolate(n),
+            979 if self.dice.roll(3) == 0 => self.kill(n),
+            980 if self.dice.roll(2) == 0 => {
+                let limit = 1 + self.dice.roll(12);
+                self.set_limit(limit);
+            }
+            981..985 => self.mend(),
+            985..990 => self.nodes[n].paused = false,
+            _ => {}
+        }
+        self.look()
+    }
+
+    fn pass(&mut self) {
+        let long = self.dice.roll(400) == 0;
+        self.now += if long { 2_500 } else { self.dice.roll(8) };
+        self.end();
+    }
+
+    /// Ends the runs whose time has come.
+    fn end(&mut self) {
+        let (ended, runs) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition::<Vec<_>, _>(|r| r.end <= self.now);
+        self.runs = runs;
+        for run in ended {
+            let node = &mut self.nodes[run.node];
+            if node.boot != run.boot {
+                continue;
+            }
+            match run.known {
+                true => node.holder.leave(&self.team),
+                false => node.holder.lose(Time::new(run.start), &self.team),
+            }
+        }
+    }
+
+    fn ask(&mut self, n: usize) {
+        if !self.nodes[n].paused && !self.nodes[n].cut {
+            let sent = self.clock(n);
+            let head = self.log.len();
+            let reads = &mut self.nodes[n].reads;
+            reads.push((sent, head));
+            reads.drain(..reads.len().saturating_sub(LATE));
+        }
+    }
+
+    /// An answer of the log arrives, of the past or just now.
+    fn read(&mut self, n: usize) {
+        if self.nodes[n].paused || self.nodes[n].reads.is_empty() {
+            return;
+        }
+        let pick = self.dice.roll(self.nodes[n].reads.len() as u64) as usize;
+        let (sent, head) = self.nodes[n].reads.swap_remove(pick);
+        let node = &mut self.nodes[n];
+        for at in node.state.next().get() as usize..head {
+            node.state.apply(Offset::new(at as u64), &self.log[at]);
+        }
+        node.holder.log_answered(sent);
+    }
+
+    /// Tells a peer of the same data centre that this life is up.
+    fn beat(&mut self, n: usize) {
+        let m = self.dice.roll(self.nodes.len() as u64) as usize;
+        let [a, b] = [&self.nodes[n], &self.nodes[m]];
+        let apart = a.name % DCS != b.name % DCS || a.island != b.island || n == m;
+        if apart || a.paused || b.paused {
+            return;
+        }
+        let (sent, at) = (self.clock(n), self.clock(m));
+        let life = self.nodes[n].holder.life().clone();
+        let peer = &mut self.nodes[m];
+        peer.holder.hear(at, &life);
+        if peer.holder.renews(at, peer.state.allotments(), &life) {
+            let renewals = &mut self.nodes[n].renewals;
+            renewals.push((sent, life));
+            renewals.drain(..renewals.len().saturating_sub(LATE));
+        }
+    }
+
+    fn renew(&mut self, n: usize) {
+        if self.nodes[n].paused || self.nodes[n].renewals.is_empty() {
+            return;
+        }
+        let pick = self.dice.roll(self.nodes[n].renewals.len() as u64) as usize;
+        let (sent, life) = self.nodes[n].renewals.swap_remove(pick);
+        if *self.nodes[n].holder.life() == life {
+            self.nodes[n].holder.renewed(sent);
+        }
+    }
+
+    fn tick(&mut self, n: usize) {
+        if self.nodes[n].paused {
+            return;
+        }
+        let (now, nonce) = (self.clock(n), self.dice.roll(u64::MAX));
+        let node = &mut self.nodes[n];
+        let records = node.holder.tick(now, node.state.allotments(), nonce);
+        if node.mute {
+            return;
+        }
+        let bodies = records.into_iter().map(Record::Holding);
+        self.sent
+            .extend(bodies.map(|r| serde_json::to_string(&r).unwrap()));
+    }
+
+    /// A record reaches the log: once, twice or never, in any order.
+    fn deliver(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let pick = self.dice.roll(self.sent.len().min(LATE) as u64) as usize;
+        match self.dice.roll(10) {
+            0 => drop(self.sent.remove(pick)),
+            1 => self.append(self.sent[pick].clone()),
+            _ => {
+                let body = self.sent.remove(pick);
+                self.append(body);
+            }
+        }
+    }
+
+    fn start(&mut self, n: usize) {
+        if self.nodes[n].paused {
+            return;
+        }
+        let now = self.clock(n);
+        let node = &mut self.nodes[n];
+        let known = node.state.allotments();
+        if node.holder.enter(now, known, &self.team).is_err() {
+            return;
+        }
+        // Long runs mostly: a short one seldom meets another.
+        let short = self.dice.roll(TIMING.run).min(self.dice.roll(TIMING.run));
+        let end = self.now + TIMING.run - short;
+        let known = self.dice.roll(4) != 0;
+        self.runs.push(Run {
+            node: n,
+            start: now.get(),
+            boot: self.nodes[n].boot,
+            end,
+            known,
+        });
+        self.ran += 1;
+        if !known {
+            // The connection breaks at once; the request goes on upstream.
+            self.nodes[n].holder.lose(now, &self.team);
+            let run = self.runs.last_mut().unwrap();
+            run.boot = run.boot.wrapping_add(1);
+        }
+    }
+
+    fn cut_dc(&mut self, n: usize) {
+        let dc = self.nodes[n].name % DCS;
+        let mine = self.nodes.iter_mut().filter(|node| node.name % DCS == dc);
+        mine.for_each(|node| (node.cut, node.mute) = (true, true));
+    }
+
+    /// Cuts one or two entries of a data centre off from the log and all others, not from each
+    /// other. The platform may take one for dead and replace it, though it runs on.
+    fn isolate(&mut self, n: usize) {
+        let dc = self.nodes[n].name % DCS;
+        let island = 1 + self.dice.roll(u64::MAX - 1);
+        let m = self.dice.roll(self.nodes.len() as u64) as usize;
+        for i in [n, m] {
+            let node = &mut self.nodes[i];
+            if node.name % DCS == dc {
+                (node.cut, node.mute, node.island) = (true, true, island);
+            }
+        }
+        let old = self.nodes.iter().filter(|n| n.old).count();
+        if self.dice.roll(2) == 0 && !self.nodes[n].old && old < OLD {
+            let next = self.boot(self.nodes[n].name);
+            self.nodes[n].old = true;
+            self.nodes.push(next);
+        }
+    }
+
+    /// Ends all cuts but those of replaced processes.
+    fn mend(&mut self) {
+        for node in self.nodes.iter_mut().filter(|n| !n.old) {
+            (node.cut, node.mute, node.island, node.paused) = (false, false, 0, false);
+        }
+    }
+
+    /// The process is gone, its work is not; one with an empty memory takes its place.
+    fn kill(&mut self, n: usize) {
+        if !self.nodes[n].old {
+            self.nodes[n] = self.boot(self.nodes[n].name);
+        }
+    }
+
+    fn look(&self) -> Result<(), String> {
+        let Some(split) = self.head.allotments().split(&self.team) else {
+            return Ok(());
+        };
+        if split.caps() > split.limit() {
+            return Err(format!(
+                "{} units given out of {}",
+                split.caps(),
+                split.limit()
+            ));
+        }
+        let bound = split.limit().max(split.occupied());
+        if self.runs.len() as u32 > bound {
+            let (now, runs) = (self.now, self.runs.len());
+            return Err(format!("{runs} run at once, {bound} may, at {now}"));
+        }
+        Ok(())
+    }
+
+    /// Nothing fails any more; after a while, what is free is given out again.
+    pub fn heal(&mut self) -> Result<(), String> {
+        // Replaced processes take part no more; they stay in the list for their runs.
+        self.nodes.iter_mut().for_each(|n| n.paused = n.old);
+        self.mend();
+        let all = 0..self.nodes.len();
+        for _ in 0..600 {
+            self.now += 20;
+            for n in all.clone() {
+                self.ask(n);
+                (0..2 * LATE).for_each(|_| self.read(n));
+                (0..20).for_each(|_| self.beat(n));
+                (0..20).for_each(|_| self.renew(n));
+                self.tick(n);
+            }
+            for body in std::mem::take(&mut self.sent) {
+                self.append(body);
+            }
+            self.end();
+            self.look()?;
+        }
+        let split = self.head.allotments().split(&self.team).unwrap();
+        let (limit, caps) = (split.limit(), split.caps());
+        let lives = self.head.allotments().size();
+        let nodes = self.nodes.iter().filter(|n| !n.old).count();
+        if caps != limit || lives != nodes {
+            return Err(format!(
+                "{caps} of {limit} given out, {lives} lives at the end"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Whether an entry that may start nothing says so with its own code.
+    pub fn fenced(&mut self) -> bool {
+        self.now += 10 * TIMING.cut;
+        let now = self.clock(0);
+        let node = &mut self.nodes[0];
+        let refused = node.holder.enter(now, node.state.allotments(), &self.team);
+        refused.is_err_and(|r| r.code == Code::Fenced)
+    }
+
+    /// Unused reports would hide a record that no one reads.
+    pub fn records(&self, of: fn(&Holding) -> bool) -> usize {
+        let parsed = self.log.iter().filter_map(|b| serde_json::from_str(b).ok());
+        parsed
+            .filter(|r| matches!(r, Record::Holding(h) if of(h)))
+            .count()
+    }
+}
--- a/crates/daemon/src/proxy/held.rs
+++ b/crates/daemon/src/proxy/held.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Refusal, Team, TeamId};
+use cactuswheel_model::{Code, Refusal, Team, TeamId};
 
 use crate::shared::Shared;
 
@@ -16,7 +16,9 @@
 impl Permit {
     /// Takes a unit, or refuses at the team's limit.
     pub(super) fn take(shared: &Arc<Shared>, team: &Team) -> Result<Self, Refusal> {
-        shared.gate().enter(&team.id, team.limit)?;
+        if !shared.gate().enter(&team.id, team.limit.get()) {
+            return Err(Refusal::new(Code::TeamLimit));
+        }
         Ok(Self {
             shared: shared.clone(),
             team: team.id.clone(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! offset. This crate does no I/O and reads no clock; drivers feed it records and publish the
 //! state that comes out.
 
+mod allotments;
 mod config;
 mod ledger;
 mod outcome;
@@ -12,6 +13,7 @@
 mod state;
 mod table;
 
+pub use allotments::{Allotments, Life, Row, Split};
 pub use config::Config;
 pub use ledger::Ledger;
 pub use outcome::Outcome;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::{Code, Offset, Record, Refusal, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{Config, Ledger, Outcome, rules};
+use crate::{Allotments, Config, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     next: Offset,
     config: Config,
     ledger: Ledger,
+    #[serde(default)]
+    allotments: Allotments,
 }
 
 /// What applying a record did.
@@ -25,6 +27,8 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// An entry's word on units; whether it changed anything.
+    Holding(bool),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -47,6 +51,11 @@
         &self.ledger
     }
 
+    /// Who may run how much for which team.
+    pub fn allotments(&self) -> &Allotments {
+        &self.allotments
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -64,6 +73,9 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
+            Ok(Record::Holding(holding)) => {
+                Applied::Holding(self.allotments.apply(offset, &holding))
+            }
             Err(e) => Applied::Undecodable(e.to_string()),
         }
     }
@@ -90,7 +102,10 @@
             return Arc::new(outcome(Refusal::new(Code::TicketStale).with_detail(detail)));
         }
         let outcome = match self.try_ticket(ticket) {
-            Ok(()) => outcome(Refusal::new(Code::Ok)),
+            Ok(()) => {
+                self.allotments.follow(offset, &ticket.changes);
+                outcome(Refusal::new(Code::Ok))
+            }
             Err(refusal) => outcome(refusal),
         };
         self.ledger.record(outcome.clone());
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -37,6 +37,21 @@
         Arc::make_mut(&mut self.rows).insert(key, Arc::new(value));
     }
 
+    /// The row under `key`, to be changed in place.
+    pub(crate) fn get_mut(&mut self, key: &K) -> Option<&mut V>
+    where
+        V: Clone,
+    {
+        Arc::make_mut(&mut self.rows)
+            .get_mut(key)
+            .map(Arc::make_mut)
+    }
+
+    /// The rows with their keys, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &Arc<V>)> {
+        self.rows.iter()
+    }
+
     /// Removes the row under `key`; whether there was one.
     pub fn remove(&mut self, key: &K) -> bool {
         Arc::make_mut(&mut self.rows).remove(key).is_some()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,10 +8,12 @@
 mod code;
 mod dc;
 mod digest;
+mod holding;
 mod ids;
 mod incarnation;
 mod instance;
 mod key_grant;
+mod life_id;
 mod map;
 mod number;
 mod offset;
@@ -27,11 +29,13 @@
 mod ticket;
 mod ticket_no;
 mod time;
+mod timing;
 
 pub use change::{Change, ObjectId};
 pub use code::Code;
 pub use dc::DataCentre;
 pub use digest::{Digest, ParseDigestError};
+pub use holding::{Holding, Usage};
 pub use ids::{
     DcId, EntryId, InstanceId, OperatorId, ParseIdError, PoolId, RackId, RegionId, ServiceId,
     TeamId,
@@ -39,6 +43,7 @@
 pub use incarnation::Incarnation;
 pub use instance::Instance;
 pub use key_grant::KeyGrant;
+pub use life_id::{LifeId, ParseLifeError};
 pub use map::{Map, Set};
 pub use offset::Offset;
 pub use pool::Pool;
@@ -53,3 +58,4 @@
 pub use ticket::Ticket;
 pub use ticket_no::TicketNo;
 pub use time::Time;
+pub use timing::Timing;
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Ticket;
+use crate::{Holding, Ticket};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,4 +10,6 @@
 pub enum Record {
     /// An operator's change.
     Ticket(Ticket),
+    /// An entry's word on units of teams' limits.
+    Holding(Holding),
 }
