--- a/crates/fleet/src/allotments.rs
+++ b/crates/fleet/src/allotments.rs
@@ -8,7 +8,7 @@
 mod row;
 mod split;
 
-use cactuswheel_model::{Change, DcId, Holding, LifeId, ObjectId, Offset, TeamId, Timing, Usage};
+use cactuswheel_model::{DcId, Holding, LifeId, Offset, TeamId, Timing, Usage};
 use serde::{Deserialize, Serialize};
 
 use crate::Table;
@@ -59,17 +59,6 @@
         self.split(team)?.row(life)
     }
 
-    /// Takes over teams' limits from an accepted ticket.
-    pub(crate) fn follow(&mut self, at: Offset, changes: &[Change]) {
-        for change in changes {
-            match change {
-                Change::Team(team) => self.set_limit(at, &team.id, team.limit.get()),
-                Change::Remove(ObjectId::Team(id)) => self.set_limit(at, id, 0),
-                _ => {}
-            }
-        }
-    }
-
     /// Applies an entry's word; whether it changed anything.
     pub(crate) fn apply(&mut self, at: Offset, holding: &Holding) -> bool {
         match holding {
@@ -86,7 +75,11 @@
         }
     }
 
-    fn set_limit(&mut self, at: Offset, team: &TeamId, limit: u32) {
+    /// Sets what all lives together may run for a team.
+    pub(crate) fn set_limit(&mut self, at: Offset, team: &TeamId, limit: u32) {
+        if self.split(team).map_or(0, Split::limit) == limit {
+            return;
+        }
         let mut split = match self.teams.get(team) {
             Some(split) => split.as_ref().clone(),
             None => Split::default(),
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::{Code, Offset, Record, Refusal, Ticket};
+use cactuswheel_model::{
+    Code, JobEvent, ObjectId, Offset, Record, Refusal, SnapshotMark, TeamId, Ticket,
+};
 use serde::{Deserialize, Serialize};
 
-use crate::{Allotments, Config, Ledger, Outcome, rules};
+use crate::{Allotments, Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +20,16 @@
     ledger: Ledger,
     #[serde(default)]
     allotments: Allotments,
+    #[serde(default)]
+    disruptions: Disruptions,
+    #[serde(default)]
+    jobs: Jobs,
+    #[serde(default)]
+    audit: Audit,
+    /// The snapshot with the highest head among those marked complete.
+    snapshot: Option<SnapshotMark>,
+    /// Records that did not decode.
+    undecodable: u64,
 }
 
 /// What applying a record did.
@@ -29,6 +41,14 @@
     Ticket(Arc<Outcome>),
     /// An entry's word on units; whether it changed anything.
     Holding(bool),
+    /// Events of jobs, with what became of each.
+    Jobs(Vec<Result<(), Refusal>>),
+    /// Word of a snapshot.
+    Snapshot,
+    /// A step of an outage, with the fence of the outage it belongs to.
+    Disruption(Result<Offset, Refusal>),
+    /// A wave's wanted state.
+    Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
     Undecodable(String),
     /// A record below `next`: it is in the state already.
@@ -56,6 +76,31 @@
         &self.allotments
     }
 
+    /// Jobs and what is placed where.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// Who changed what, lately.
+    pub fn audit(&self) -> &Audit {
+        &self.audit
+    }
+
+    /// The newest snapshot that was marked complete.
+    pub fn snapshot(&self) -> Option<&SnapshotMark> {
+        self.snapshot.as_ref()
+    }
+
+    /// Number of records that were passed over because they do not decode.
+    pub fn undecodable(&self) -> u64 {
+        self.undecodable
+    }
+
+    /// Outages, planned and not.
+    pub fn disruptions(&self) -> &Disruptions {
+        &self.disruptions
+    }
+
     /// Applies the record at `offset`, given as text.
     ///
     /// # Panics
@@ -76,10 +121,70 @@
             Ok(Record::Holding(holding)) => {
                 Applied::Holding(self.allotments.apply(offset, &holding))
             }
-            Err(e) => Applied::Undecodable(e.to_string()),
+            Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(offset, &events)),
+            Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
+            Ok(Record::Disruption(step)) => {
+                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+            }
+            Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
+            Err(e) => {
+                self.undecodable += 1;
+                Applied::Undecodable(e.to_string())
+            }
         }
     }
 
+    fn apply_jobs(&mut self, at: Offset, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
+        events.iter().map(|e| self.apply_job(at, e)).collect()
+    }
+
+    fn apply_job(&mut self, at: Offset, event: &JobEvent) -> Result<(), Refusal> {
+        let team = match event {
+            JobEvent::Place { job, .. } => {
+                self.check_room(&job.team)?;
+                Some(&job.team)
+            }
+            JobEvent::End { job, .. } => Some(&job.team),
+            _ => None,
+        };
+        let done = self.jobs.apply(event, &self.config);
+        if let Some(team) = team {
+            self.split_limit(at, team);
+        }
+        done
+    }
+
+    /// Refuses a job while requests still occupy units that a ticket set aside for jobs.
+    fn check_room(&self, team: &TeamId) -> Result<(), Refusal> {
+        let limit = self.config.teams.get(team).map_or(0, |t| t.limit.get());
+        let split = self.allotments.split(team);
+        let requests = split.map_or(0, |s| s.occupied());
+        if self.jobs.placed(team) + requests < limit {
+            return Ok(());
+        }
+        Err(Refusal::new(Code::TeamLimit))
+    }
+
+    /// Gives requests what the limit leaves beside jobs: those set aside for, or those placed
+    /// where a ticket has since set fewer aside.
+    fn split_limit(&mut self, at: Offset, team: &TeamId) {
+        let placed = self.jobs.placed(team);
+        let limit = self.config.teams.get(team).map_or(0, |t| {
+            let jobs = t.jobs.get().max(placed);
+            t.limit.get().saturating_sub(jobs)
+        });
+        self.allotments.set_limit(at, team, limit);
+    }
+
+    /// A paused writer marks an old snapshot late; the newest stays the one that counts.
+    fn apply_mark(&mut self, mark: SnapshotMark) -> Applied {
+        let newest = self.snapshot.as_ref().map(|s| s.head);
+        if newest.is_none_or(|newest| newest < mark.head) {
+            self.snapshot = Some(mark);
+        }
+        Applied::Snapshot
+    }
+
     fn apply_ticket(&mut self, offset: Offset, ticket: &Ticket) -> Arc<Outcome> {
         let digest = ticket.digest();
         let outcome = |refusal: Refusal| Outcome {
@@ -95,32 +200,47 @@
                 return first.clone();
             }
             let detail = format!("used at offset {}", first.offset);
-            return Arc::new(outcome(Refusal::new(Code::TicketUsed).with_detail(detail)));
+            let refused = outcome(Refusal::new(Code::TicketUsed).with_detail(detail));
+            return self.refuse(ticket, refused);
         }
         if self.ledger.is_forgotten(ticket.ticket) {
             let detail = "its number is below all that are remembered";
-            return Arc::new(outcome(Refusal::new(Code::TicketStale).with_detail(detail)));
+            let refused = outcome(Refusal::new(Code::TicketStale).with_detail(detail));
+            return self.refuse(ticket, refused);
         }
-        let outcome = match self.try_ticket(ticket) {
-            Ok(()) => {
-                self.allotments.follow(offset, &ticket.changes);
-                outcome(Refusal::new(Code::Ok))
-            }
-            Err(refusal) => outcome(refusal),
+        let outcome = match self.next_config(ticket) {
+            Ok(next) => self.accept(ticket, outcome(Refusal::new(Code::Ok)), next),
+            Err(refusal) => self.refuse(ticket, outcome(refusal)),
         };
         self.ledger.record(outcome.clone());
-        Arc::new(outcome)
+        outcome
     }
 
-    fn try_ticket(&mut self, ticket: &Ticket) -> Result<(), Refusal> {
+    fn next_config(&self, ticket: &Ticket) -> Result<Config, Refusal> {
         rules::check_order(ticket, &self.ledger)?;
         let mut next = self.config.clone();
         ticket.changes.iter().for_each(|c| next.set(c));
         rules::check_sense(ticket, &self.config, &next)?;
+        self.disruptions.check_ticket(ticket, &self.config, &next)?;
+        Ok(next)
+    }
+
+    fn accept(&mut self, ticket: &Ticket, outcome: Outcome, next: Config) -> Arc<Outcome> {
+        self.audit.accept(ticket, &outcome, &self.config, &next);
+        self.disruptions.follow_ticket(ticket, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
-            self.ledger.touch(change.object(), ticket.ticket);
+            let object = change.object();
+            if let ObjectId::Team(team) = &object {
+                self.split_limit(outcome.offset, team);
+            }
+            self.ledger.touch(object, ticket.ticket);
         }
-        Ok(())
+        Arc::new(outcome)
+    }
+
+    fn refuse(&mut self, ticket: &Ticket, outcome: Outcome) -> Arc<Outcome> {
+        self.audit.refuse(ticket, &outcome);
+        Arc::new(outcome)
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -47,16 +47,16 @@
             .map(Arc::make_mut)
     }
 
-    /// The rows with their keys, in order.
-    pub fn iter(&self) -> impl Iterator<Item = (&K, &Arc<V>)> {
-        self.rows.iter()
-    }
-
     /// Removes the row under `key`; whether there was one.
     pub fn remove(&mut self, key: &K) -> bool {
         Arc::make_mut(&mut self.rows).remove(key).is_some()
     }
 
+    /// Keys and rows in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &Arc<V>)> {
+        self.rows.iter()
+    }
+
     /// The rows in order of their keys.
     pub fn values(&self) -> impl Iterator<Item = &Arc<V>> {
         self.rows.values()
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Holding, Ticket};
+use crate::{Disruption, Holding, JobEvent, SnapshotMark, Ticket, Wave};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,4 +12,12 @@
     Ticket(Ticket),
     /// An entry's word on units of teams' limits.
     Holding(Holding),
+    /// Events of jobs, each judged by itself, in their order.
+    Jobs(Vec<JobEvent>),
+    /// Word of a complete snapshot; none is due for a while.
+    Snapshot(SnapshotMark),
+    /// A step of a planned outage, or a report of an unplanned one.
+    Disruption(Disruption),
+    /// A maintenance wave's wanted state.
+    Wave(Wave),
 }
