--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod embedded;
 mod error;
 mod follower;
+mod holding;
 mod intake;
 mod jobs;
 mod log_link;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,7 @@
 use crate::peers::Answerer;
 use crate::shared::Shared;
 use crate::{
-    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, peers, proxy,
+    Phase, Settings, StartError, admin, appender, catch_up, follower, holding, jobs, peers, proxy,
     sightings, snapshots,
 };
 
@@ -47,6 +47,8 @@
         tokio::spawn(catch_up::watch(shared.clone()));
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
+        tokio::spawn(holding::drive(shared.clone()));
+        tokio::spawn(holding::watch(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
         tokio::spawn(jobs::write(shared.clone()));
         tokio::spawn(jobs::drive(shared.clone()));
@@ -99,6 +101,7 @@
         {
             log::error!("stopping with {} connections still busy", self.open.len());
         }
+        holding::hand_back(&self.shared).await;
     }
 }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_model::{EntryId, Offset};
+use cactuswheel_model::{EntryId, LifeId, Offset, Time};
 use cactuswheel_wire::{Answers, Beat, Chunk, Link, Tail, WireError};
 use tokio::time::{Instant, sleep};
 
@@ -21,6 +21,10 @@
     pub(crate) at: Instant,
     /// The offset of the next record it will apply.
     pub(crate) head: Offset,
+    /// Which life of it.
+    life: LifeId,
+    /// When it said so, by its clock.
+    stamp: i64,
 }
 
 /// This entry's answers to its peers.
@@ -30,7 +34,7 @@
 impl Answers for Answerer {
     fn beat(&self, beat: Beat) -> Beat {
         hear(&self.0, &beat);
-        own_beat(&self.0)
+        own_beat(&self.0, beat.entry.parse().ok().as_ref())
     }
 
     fn records(&self, from: Offset, max: u32) -> Tail {
@@ -54,28 +58,55 @@
 
 async fn converse(shared: &Shared, peer: SocketAddr) -> Result<(), WireError> {
     let link = Link::connect(peer).await?;
+    let mut entry = None;
     loop {
-        let beat = link.beat(&own_beat(shared)).await?;
+        let beat = link.beat(&own_beat(shared, entry.as_ref())).await?;
         hear(shared, &beat);
+        entry = beat.entry.parse().ok();
         sleep(PERIOD).await;
     }
 }
 
-fn own_beat(shared: &Shared) -> Beat {
+/// What to tell `peer`, as far as it is known which one it is.
+fn own_beat(shared: &Shared, peer: Option<&EntryId>) -> Beat {
+    let heard = peer.and_then(|peer| shared.heard().get(peer).cloned());
+    let state = shared.state.load();
+    let holder = shared.holder();
+    let now = shared.now();
+    let renews = |h: &Heard| holder.renews(now, state.allotments(), &h.life);
     Beat {
         entry: shared.settings.entry.to_string(),
         dc: shared.settings.dc.to_string(),
-        head: shared.state.load().next().get() as i64,
+        head: state.next().get() as i64,
+        life: holder.life().to_string(),
+        stamp: now.get() as i64,
+        renews: heard.as_ref().is_some_and(renews),
+        echo: heard.as_ref().map(|h| h.stamp),
+        heard: heard.map(|h| h.life.to_string()),
+        denials: None,
     }
 }
 
 fn hear(shared: &Shared, beat: &Beat) {
-    let Ok(entry) = beat.entry.parse::<EntryId>() else {
+    let (Ok(entry), Ok(life)) = (beat.entry.parse::<EntryId>(), beat.life.parse::<LifeId>()) else {
         return;
     };
     let heard = Heard {
         at: Instant::now(),
         head: Offset::new(beat.head as u64),
+        life,
+        stamp: beat.stamp,
     };
+    hear_units(shared, &heard.life, beat);
     shared.heard().insert(entry, heard);
 }
+
+/// Takes what a peer says of this life; an echo of an earlier life's clock means nothing here.
+fn hear_units(shared: &Shared, life: &LifeId, beat: &Beat) {
+    let mut holder = shared.holder();
+    holder.hear(shared.now(), life);
+    let own = beat.heard.as_deref() == Some(holder.life().to_string().as_str());
+    if let Some(echo) = beat.echo.filter(|_| own && beat.renews) {
+        holder.renewed(Time::new(echo as u64));
+    }
+}
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -57,6 +57,15 @@
             });
         }
     };
+    if let Err(refusal) = permit.check() {
+        lease.upstream().link.put(conn);
+        return Err(Failure {
+            refusal,
+            ran: Ran::NotRun,
+            permit: Some(permit),
+            request: None,
+        });
+    }
     let sent = conn.sender.try_send_request(request);
     let live = Live::new(permit, lease, conn, shared.clone());
     let until = until.min(live.last());
--- a/crates/daemon/src/proxy/job.rs
+++ b/crates/daemon/src/proxy/job.rs
@@ -9,7 +9,6 @@
 use hyper::{Method, Request, Uri};
 
 use super::headers::{DEADLINE, IDEMPOTENT, REQUEST_ID, TEAM, strip_request};
-use super::live::LONGEST_RUN;
 use super::payload::Payload;
 use crate::shared::Shared;
 
@@ -70,9 +69,9 @@
 }
 
 /// When the head of the answer has to be there: the caller's word, or the longest run.
-pub(super) fn deadline(headers: &HeaderMap, now: Time) -> Result<Time, Refusal> {
+pub(super) fn deadline(headers: &HeaderMap, now: Time, longest: Duration) -> Result<Time, Refusal> {
     let Some(given) = headers.get(DEADLINE) else {
-        return Ok(now.after(LONGEST_RUN));
+        return Ok(now.after(longest));
     };
     let given = given.to_str().ok().and_then(|v| v.parse().ok());
     let bad = || Refusal::new(Code::BadRequest).with_detail("x-deadline-ms: not a number");
@@ -80,7 +79,7 @@
     if left.is_zero() {
         return Err(Refusal::new(Code::Deadline));
     }
-    Ok(now.after(left.min(LONGEST_RUN)))
+    Ok(now.after(left.min(longest)))
 }
 
 fn value(text: &str) -> Result<HeaderValue, Refusal> {
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -12,12 +12,6 @@
 use super::held::Permit;
 use crate::shared::Shared;
 
-/// Longest that an upstream runs a request.
-///
-/// The entry waits no longer for the head of an answer, and takes a request with unknown
-/// outcome for running until then.
-pub(super) const LONGEST_RUN: Duration = Duration::from_secs(60);
-
 /// Time between two looks whether an upstream was replaced.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -58,7 +52,7 @@
 
     /// The last moment at which it may still run.
     pub(super) fn last(&self) -> Instant {
-        self.sent + LONGEST_RUN
+        self.sent + self.shared.settings.limits.run_ms.duration()
     }
 
     /// Notes what happened.
@@ -115,7 +109,7 @@
             permit,
             upstream.id.clone(),
             upstream.incarnation,
-            self.last(),
+            self.sent + self.shared.settings.limits.timing().lost(),
             self.shared.clone(),
         );
         // Without a runtime the process ends, and its units with it.
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,6 +1,7 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
@@ -8,6 +9,7 @@
 use hyper::header::AUTHORIZATION;
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
+use tokio::time::{Instant, sleep};
 
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
@@ -18,6 +20,12 @@
 use crate::shared::Shared;
 use crate::{Phase, jobs};
 
+/// Longest wait for a unit of the team.
+const UNIT_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause before a unit is asked for again.
+const UNIT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let id = request_id(&shared, request.headers());
@@ -54,7 +62,13 @@
 
 /// Takes a unit of the team for one attempt.
 pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
-    Permit::take(&job.shared, &job.team)
+    let until = Instant::now() + UNIT_WAIT.min(job.left());
+    loop {
+        match Permit::take(&job.shared, &job.team) {
+            Err(_) if Instant::now() < until => sleep(UNIT_PAUSE).await,
+            done => return done,
+        }
+    }
 }
 
 /// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
@@ -80,7 +94,11 @@
         service,
         team: find_team(&state, headers)?,
         idempotent: is_idempotent(request.method(), headers),
-        deadline: deadline(headers, shared.now())?,
+        deadline: deadline(
+            headers,
+            shared.now(),
+            shared.settings.limits.run_ms.duration(),
+        )?,
         shared,
     })
 }
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -2,7 +2,7 @@
 
 use std::ops::RangeInclusive;
 
-use cactuswheel_model::{ByteSize, Millis};
+use cactuswheel_model::{ByteSize, Millis, Timing};
 use serde::Deserialize;
 
 use super::SettingsFault;
@@ -38,10 +38,27 @@
     ///
     /// Invariant: 1 s to 7 days.
     pub drain_ms: Millis,
+    /// Time without word from the log or a peer after which this entry starts nothing more.
+    ///
+    /// Invariant: 500 ms to 10 min.
+    pub fence_ms: Millis,
+    /// Longest that an upstream runs a request.
+    ///
+    /// The entry waits no longer for an answer, and takes a request with unknown outcome for
+    /// running until then.
+    ///
+    /// Invariant: 500 ms to 1 day.
+    pub run_ms: Millis,
+    /// Time without word from the log after which this entry starts nothing more whatever its
+    /// peers say: how long a cut-off data centre goes on.
+    ///
+    /// Invariant: `fence_ms` to 7 days.
+    pub cut_ms: Millis,
 }
 
 impl Default for Limits {
     fn default() -> Self {
+        let timing = Timing::default();
         Self {
             head_bytes: ByteSize::new(32 << 10),
             head_ms: Millis::new(75_000),
@@ -49,6 +66,9 @@
             connect_ms: Millis::new(1_000),
             balancer_ms: Millis::new(500),
             drain_ms: Millis::new(600_000),
+            fence_ms: Millis::new(timing.fence),
+            run_ms: Millis::new(timing.run),
+            cut_ms: Millis::new(timing.cut),
         }
     }
 }
@@ -61,7 +81,23 @@
         within("body_bytes", self.body_bytes.get(), 1..=1 << 40)?;
         within("connect_ms", self.connect_ms.get(), 10..=60_000)?;
         within("balancer_ms", self.balancer_ms.get(), 0..=300_000)?;
-        within("drain_ms", self.drain_ms.get(), 1_000..=604_800_000)
+        within("drain_ms", self.drain_ms.get(), 1_000..=604_800_000)?;
+        within("fence_ms", self.fence_ms.get(), 500..=600_000)?;
+        within("run_ms", self.run_ms.get(), 500..=86_400_000)?;
+        within(
+            "cut_ms",
+            self.cut_ms.get(),
+            self.fence_ms.get()..=604_800_000,
+        )
+    }
+
+    /// The times that this entry binds itself to.
+    pub(crate) fn timing(&self) -> Timing {
+        Timing {
+            fence: self.fence_ms.get(),
+            run: self.run_ms.get(),
+            cut: self.cut_ms.get(),
+        }
     }
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,9 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use cactuswheel_admission::Gate;
+use cactuswheel_admission::Holder;
 use cactuswheel_fleet::{Replica, Snapshot, State};
-use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
+use cactuswheel_model::{EntryId, InstanceId, LifeId, Map, Offset, Refusal, Set, TeamId, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
 use tokio::sync::watch;
@@ -42,7 +42,7 @@
     presences: Mutex<Presences>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
-    gate: Mutex<Gate>,
+    holder: Mutex<Holder>,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
     /// Tells how far the state has come.
@@ -56,6 +56,8 @@
     /// A node that knows nothing yet.
     pub(crate) fn new(settings: Settings) -> Self {
         let (reached, _) = watch::channel(Offset::default());
+        let life = LifeId::new(settings.entry.clone(), rand::random());
+        let holder = Holder::new(life, settings.dc.clone(), settings.limits.timing());
         Self {
             platform: Client::new(settings.platform),
             settings,
@@ -70,7 +72,7 @@
             served: Mutex::default(),
             presences: Mutex::default(),
             drained: ArcSwap::default(),
-            gate: Mutex::default(),
+            holder: Mutex::new(holder),
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
@@ -78,9 +80,25 @@
         }
     }
 
-    /// The gate, locked for a moment; never held over an await.
-    pub(crate) fn gate(&self) -> MutexGuard<'_, Gate> {
-        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    /// This entry's units, locked for a moment; never held over an await.
+    pub(crate) fn holder(&self) -> MutexGuard<'_, Holder> {
+        self.holder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a unit of a team.
+    ///
+    /// The state is read with the lock held: read before, it may be older than the one that
+    /// the last report was made from, and the unit would be taken under a cap already given up.
+    pub(crate) fn enter(&self, team: &TeamId) -> Result<(), Refusal> {
+        let mut holder = self.holder();
+        let state = self.state.load();
+        holder.enter(self.now(), state.allotments(), team)
+    }
+
+    /// Whether this entry may start work.
+    pub(crate) fn is_open(&self) -> bool {
+        let holder = self.holder();
+        holder.is_open(self.now(), self.state.load().allotments())
     }
 
     /// What each peer last said, locked for a moment.
--- a/crates/wire/peer.thrift
+++ b/crates/wire/peer.thrift
@@ -7,6 +7,17 @@
   2: required string dc;
   // The offset of the next record it will apply.
   3: required i64 head;
+  // Which life of the entry.
+  4: required string life;
+  // When this was sent, by the sender's clock.
+  5: required i64 stamp;
+  // The life that the sender last heard the receiver's entry with, and that beat's stamp.
+  6: optional string heard;
+  7: optional i64 echo;
+  // Whether that life may go on as far as the sender knows, with units that it holds.
+  8: required bool renews;
+  // Digests of keys that operators withdrew and that the log may not show yet.
+  9: optional list<binary> denials;
 }
 
 // Records of the fleet's stream, without a gap.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -27,6 +27,12 @@
         entry: "e1".into(),
         dc: "lj1".into(),
         head: 7,
+        life: "e1:7".into(),
+        stamp: 1,
+        heard: None,
+        echo: None,
+        renews: false,
+        denials: None,
     })
     .unwrap();
     for end in 0..bytes.len() {
