--- a/crates/admission/tests/limit.rs
+++ b/crates/admission/tests/limit/histories.rs
@@ -1,11 +1,9 @@
-//! A team's upper limit over the whole fleet, under every fault of the harness.
-
-mod world;
+//! Histories drawn from a seed, with every fault of the harness.
 
+use crate::world::World;
 use cactuswheel_model::Holding;
 use cactuswheel_testkit::check;
 use quickcheck::{Arbitrary, Gen};
-use world::World;
 
 /// A history, by its seed; a smaller seed is no simpler history.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/admission/tests/limit/main.rs
@@ -0,0 +1,5 @@
+//! A team's upper limit over the whole fleet.
+
+mod handover;
+mod histories;
+mod world;
