--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,9 +4,11 @@
 //! tells it when the request has ended.
 
 mod contact;
+mod denials;
 mod gate;
 mod holder;
 
 pub use contact::Contact;
+pub use denials::Denials;
 pub use gate::Gate;
 pub use holder::Holder;
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -13,6 +13,8 @@
     entry: &'a str,
     dc: &'a str,
     ready: bool,
+    /// Whether it may start work: its life stands in the log and was heard of lately.
+    open: bool,
     next: Offset,
     /// Head of the last snapshot in the log.
     snapshot: Option<Offset>,
@@ -22,6 +24,8 @@
     log_down: bool,
     upstreams: usize,
     peers: Vec<PeerStatus>,
+    /// Configured peers that were never heard.
+    unheard: usize,
 }
 
 #[derive(Serialize)]
@@ -35,16 +39,19 @@
 /// Shows the entry's name, phase and offset.
 pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
     let state = shared.state.load();
+    let peers = peers(shared);
     let status = Status {
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
+        open: shared.is_open(),
         next: state.next(),
         snapshot: state.snapshot().map(|s| s.head),
         undecodable: state.undecodable(),
         log_down: shared.link.is_down(),
         upstreams: shared.routes.load().upstreams().count(),
-        peers: peers(shared),
+        unheard: shared.settings.peers.len().saturating_sub(peers.len()),
+        peers,
     };
     Ok(json(StatusCode::OK, &status))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cactuswheel_http::serve;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
@@ -13,14 +14,16 @@
 use crate::peers::Answerer;
 use crate::shared::Shared;
 use crate::{
-    Phase, Settings, StartError, admin, appender, catch_up, follower, holding, jobs, peers, proxy,
-    sightings, snapshots,
+    Phase, Settings, StartError, admin, appender, catch_up, denials, follower, holding, jobs,
+    metrics, peers, proxy, sightings, snapshots,
 };
 
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
+    /// Keeps the instruments alive.
+    _meters: SdkMeterProvider,
     callers: SocketAddr,
     admin: SocketAddr,
     /// Connections of callers that are open.
@@ -40,6 +43,7 @@
             callers: addr(&callers)?,
             admin: addr(&admin)?,
             shared: shared.clone(),
+            _meters: metrics::start(&shared).map_err(|e| StartError::Metrics(e.to_string()))?,
             open: TaskTracker::new(),
             stop: CancellationToken::new(),
         };
@@ -47,6 +51,7 @@
         tokio::spawn(catch_up::watch(shared.clone()));
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
+        tokio::spawn(denials::record(shared.clone()));
         tokio::spawn(holding::drive(shared.clone()));
         tokio::spawn(holding::watch(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
@@ -58,12 +63,9 @@
         }
         let operators = shared.clone();
         tokio::spawn(serve(admin, move |r| admin::answer(operators.clone(), r)));
-        tokio::spawn(proxy::serve(
-            callers,
-            shared,
-            node.open.clone(),
-            node.stop.clone(),
-        ));
+        // Tracked as well: a stop waits until it has accepted what was under way.
+        let (open, stop) = (node.open.clone(), node.stop.clone());
+        node.open.spawn(proxy::serve(callers, shared, open, stop));
         Ok(node)
     }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_model::{EntryId, LifeId, Offset, Time};
-use cactuswheel_wire::{Answers, Beat, Chunk, Link, Tail, WireError};
-use tokio::time::{Instant, sleep};
+use cactuswheel_model::{Digest, EntryId, LifeId, Offset, Time};
+use cactuswheel_wire::{Answers, Beat, Chunk, Denial, Link, Tail, WireError};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::peer_state;
 use crate::shared::Shared;
@@ -63,7 +63,8 @@
         let beat = link.beat(&own_beat(shared, entry.as_ref())).await?;
         hear(shared, &beat);
         entry = beat.entry.parse().ok();
-        sleep(PERIOD).await;
+        // News goes out at once.
+        let _ = timeout(PERIOD, shared.news.notified()).await;
     }
 }
 
@@ -83,7 +84,23 @@
         renews: heard.as_ref().is_some_and(renews),
         echo: heard.as_ref().map(|h| h.stamp),
         heard: heard.map(|h| h.life.to_string()),
-        denials: None,
+        denials: denials(shared, now.get() as usize),
+    }
+}
+
+fn denials(shared: &Shared, turn: usize) -> Option<Vec<Denial>> {
+    let known = shared.denials.load();
+    let told = known.told(turn).map(|d| Denial {
+        digest: d.digest.as_bytes().to_vec(),
+        operator: d.by.to_string(),
+    });
+    let told: Vec<_> = told.collect();
+    (!told.is_empty()).then_some(told)
+}
+
+fn hear_denial(shared: &Shared, told: &Denial) {
+    if let (Some(digest), Ok(by)) = (Digest::from_bytes(&told.digest), told.operator.parse()) {
+        shared.hear_denial(cactuswheel_model::Denial { digest, by });
     }
 }
 
@@ -97,6 +114,9 @@
         life,
         stamp: beat.stamp,
     };
+    for told in beat.denials.iter().flatten() {
+        hear_denial(shared, told);
+    }
     hear_units(shared, &heard.life, beat);
     shared.heard().insert(entry, heard);
 }
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,15 +1,15 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
@@ -28,14 +28,51 @@
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
+    let started = Instant::now();
     let id = request_id(&shared, request.headers());
-    match admit(shared, request, &id).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            log::debug!("request {id} refused: {refusal}");
-            refuse(&refusal, &id)
+    let answered = match check_size(&shared, &request) {
+        Ok(()) => admit(shared.clone(), request, &id).await,
+        Err(refusal) => Err(refusal),
+    };
+    let code = answered.as_ref().map_or_else(|r| r.code, |_| Code::Ok);
+    shared.metrics.requests.answered(code, started.elapsed());
+    answered.unwrap_or_else(|refusal| {
+        note_refusal(&shared, &refusal, &id);
+        refuse(&refusal, &id)
+    })
+}
+
+/// Refuses a head that is too large, or a body announced as such, before more is spent on it.
+fn check_size(shared: &Shared, request: &Request<Incoming>) -> Result<(), Refusal> {
+    let limits = &shared.settings.limits;
+    let check = |size: u64, limit: u64, code| {
+        if size <= limit {
+            return Ok(());
         }
-    }
+        let detail = format!("got {size} bytes, takes up to {limit}");
+        Err(Refusal::new(code).with_detail(detail))
+    };
+    let head = head_size(request);
+    check(head, limits.head_bytes.get(), Code::HeadTooLarge)?;
+    let body = request.body().size_hint().lower();
+    check(body, limits.body_bytes.get(), Code::BodyTooLarge)
+}
+
+/// Bytes of a request's path and headers, without the punctuation between them.
+fn head_size(request: &Request<Incoming>) -> u64 {
+    let headers = request.headers().iter();
+    let headers: usize = headers.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let path = request.uri().path_and_query();
+    (headers + path.map_or(0, |p| p.as_str().len())) as u64
+}
+
+/// Logs a refusal, unless many were logged in this second already.
+fn note_refusal(shared: &Shared, refusal: &Refusal, id: &str) {
+    let Some(suppressed) = shared.refusals.allow(shared.metrics.uptime().as_secs()) else {
+        return;
+    };
+    let (code, ran) = (refusal.code.number(), refusal.code.ran());
+    log::info!(request = id, code, ran:%, suppressed; "refused: {refusal}");
 }
 
 async fn admit(
@@ -51,7 +88,9 @@
         return answer_jobs(shared, request, id).await;
     }
     let job = job(shared, &request, id)?;
+    let asked = Instant::now();
     let permit = enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
     let mut request = Request::from_parts(head, Payload::read(body, most).await?);
@@ -92,7 +131,7 @@
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&state, headers)?,
+        team: find_team(&shared, &state, headers)?,
         idempotent: is_idempotent(request.method(), headers),
         deadline: deadline(
             headers,
@@ -108,7 +147,7 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared.state.load(), request.headers())?;
+    let team = find_team(&shared, &shared.state.load(), request.headers())?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -129,15 +168,16 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
+fn find_team(shared: &Shared, state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
     let value = headers
         .get(AUTHORIZATION)
         .ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let bad = || Refusal::new(Code::BadKey);
-    let grant = state.config().keys.get(&Digest::of(key)).ok_or_else(bad)?;
-    if grant.withdrawn {
+    let digest = Digest::of(key);
+    let grant = state.config().keys.get(&digest).ok_or_else(bad)?;
+    if grant.withdrawn || shared.is_denied(&digest) {
         return Err(Refusal::new(Code::KeyWithdrawn));
     }
     state
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,21 +4,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use cactuswheel_admission::Holder;
+use cactuswheel_admission::{Denials, Holder};
 use cactuswheel_fleet::{Replica, Snapshot, State};
 use cactuswheel_model::{EntryId, InstanceId, LifeId, Map, Offset, Refusal, Set, TeamId, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::appender::Appender;
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
+use crate::metrics::Metrics;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::Conns;
-use crate::{Settings, candidates};
+use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
 #[derive(Debug)]
@@ -43,6 +44,10 @@
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
     holder: Mutex<Holder>,
+    /// Withdrawn keys that the log may not show yet.
+    pub(crate) denials: ArcSwap<Denials>,
+    /// Wakes what tells the peers news.
+    pub(crate) news: Notify,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
     /// Tells how far the state has come.
@@ -50,6 +55,11 @@
     requests: AtomicU64,
     /// Zero of this node's [`Time`].
     epoch: Instant,
+    /// Newest offset of the log's end that was heard of.
+    head: AtomicU64,
+    pub(crate) metrics: Metrics,
+    /// Bounds the lines on refusals.
+    pub(crate) refusals: LineLimit,
 }
 
 impl Shared {
@@ -73,10 +83,15 @@
             presences: Mutex::default(),
             drained: ArcSwap::default(),
             holder: Mutex::new(holder),
+            denials: ArcSwap::default(),
+            news: Notify::new(),
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
             epoch: Instant::now(),
+            head: AtomicU64::new(0),
+            metrics: Metrics::new(),
+            refusals: LineLimit::default(),
         }
     }
 
@@ -116,6 +131,17 @@
         Time::default().after(self.epoch.elapsed())
     }
 
+    /// The log answered and ended at `head`.
+    pub(crate) fn log_answered(&self, head: Offset) {
+        self.metrics.log.mark();
+        self.head.fetch_max(head.get(), Ordering::Relaxed);
+    }
+
+    /// Newest offset of the log's end that was heard of.
+    pub(crate) fn log_head(&self) -> Offset {
+        Offset::new(self.head.load(Ordering::Relaxed))
+    }
+
     /// Which instances are there, locked for a moment.
     pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
         self.presences
--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use cactuswheel_model::{Change, ObjectId, Offset, Ticket};
+use cactuswheel_model::{Change, Code, Denial, ObjectId, Offset, Ticket, TicketNo};
 use serde::{Deserialize, Serialize};
 
 use crate::{AuditRow, Config, Outcome};
@@ -73,6 +73,22 @@
         self.extend(listed.map(|c| row(ticket, outcome, Some(c.object()))));
     }
 
+    /// Notes a key withdrawn outside tickets.
+    pub(crate) fn deny(&mut self, at: Offset, denial: &Denial, old: &Config, next: &Config) {
+        let object = ObjectId::Key(denial.digest);
+        self.extend([AuditRow {
+            at: None,
+            author: Some(denial.by.clone()),
+            ticket: TicketNo::default(),
+            offset: at,
+            before: old.image(&object),
+            after: next.image(&object),
+            object: Some(object),
+            code: Code::Ok,
+            detail: "denied outside tickets".into(),
+        }]);
+    }
+
     fn extend(&mut self, rows: impl IntoIterator<Item = AuditRow>) {
         let kept = Arc::make_mut(&mut self.rows);
         kept.extend(rows.into_iter().map(Arc::new));
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Withdraws a key, if there is one.
+    pub(crate) fn withdraw(&mut self, digest: &Digest) {
+        if let Some(key) = self.keys.get_mut(digest) {
+            key.withdrawn = true;
+        }
+    }
+
     /// Whether an object exists.
     pub fn contains(&self, id: &ObjectId) -> bool {
         match id {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{
-    Code, JobEvent, ObjectId, Offset, Record, Refusal, SnapshotMark, TeamId, Ticket,
+    Code, Denial, Disruption, JobEvent, ObjectId, Offset, Record, Refusal, SnapshotMark, TeamId,
+    Ticket,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{Allotments, Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
+use crate::{Allotments, Audit, Config, Denials, Disruptions, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,8 @@
     config: Config,
     ledger: Ledger,
     #[serde(default)]
+    denials: Denials,
+    #[serde(default)]
     allotments: Allotments,
     #[serde(default)]
     disruptions: Disruptions,
@@ -39,6 +42,8 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// A key withdrawn outside tickets; whether that is news.
+    Denial(bool),
     /// An entry's word on units; whether it changed anything.
     Holding(bool),
     /// Events of jobs, with what became of each.
@@ -71,6 +76,11 @@
         &self.ledger
     }
 
+    /// Keys withdrawn outside tickets.
+    pub fn denials(&self) -> &Denials {
+        &self.denials
+    }
+
     /// Who may run how much for which team.
     pub fn allotments(&self) -> &Allotments {
         &self.allotments
@@ -118,13 +128,14 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
+            Ok(Record::Denial(denial)) => Applied::Denial(self.deny(offset, &denial)),
             Ok(Record::Holding(holding)) => {
                 Applied::Holding(self.allotments.apply(offset, &holding))
             }
             Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(offset, &events)),
             Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
             Ok(Record::Disruption(step)) => {
-                Applied::Disruption(self.disruptions.apply(offset, &step, &mut self.config))
+                Applied::Disruption(self.apply_disruption(offset, &step))
             }
             Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
@@ -134,6 +145,16 @@
         }
     }
 
+    fn deny(&mut self, at: Offset, denial: &Denial) -> bool {
+        if !self.denials.insert(denial) {
+            return false;
+        }
+        let old = self.config.clone();
+        self.config.withdraw(&denial.digest);
+        self.audit.deny(at, denial, &old, &self.config);
+        true
+    }
+
     fn apply_jobs(&mut self, at: Offset, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
         events.iter().map(|e| self.apply_job(at, e)).collect()
     }
@@ -147,7 +168,7 @@
             JobEvent::End { job, .. } => Some(&job.team),
             _ => None,
         };
-        let done = self.jobs.apply(event, &self.config);
+        let done = self.jobs.apply(event, &self.config, &self.disruptions);
         if let Some(team) = team {
             self.split_limit(at, team);
         }
@@ -176,6 +197,19 @@
         self.allotments.set_limit(at, team, limit);
     }
 
+    /// A step of an outage; the action itself waits for the jobs on the instance.
+    ///
+    /// Failure: a reboot under a job that may not be repeated loses its outcome for good. A
+    /// drain keeps new jobs away, so the commit only has to wait for those that are there.
+    fn apply_disruption(&mut self, offset: Offset, step: &Disruption) -> Result<Offset, Refusal> {
+        let placed = self.jobs.worker(step.instance()).map_or(0, |w| w.placed);
+        if matches!(step, Disruption::Commit { .. }) && placed > 0 {
+            let detail = format!("{placed} jobs are placed on {}", step.instance());
+            return Err(Refusal::new(Code::WrongStage).with_detail(detail));
+        }
+        self.disruptions.apply(offset, step, &mut self.config)
+    }
+
     /// A paused writer marks an old snapshot late; the newest stays the one that counts.
     fn apply_mark(&mut self, mark: SnapshotMark) -> Applied {
         let newest = self.snapshot.as_ref().map(|s| s.head);
--- a/crates/model/src/digest.rs
+++ b/crates/model/src/digest.rs
@@ -28,6 +28,11 @@
         Self(*blake3::hash(bytes).as_bytes())
     }
 
+    /// The digest with these bytes, if there are as many as it has.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
     /// The digest's bytes.
     pub fn as_bytes(&self) -> &[u8; LEN] {
         &self.0
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -15,12 +15,12 @@
 };
 
 /// Time limit of a call, on top of the wait that it asks for.
-const LIMIT: Duration = Duration::from_secs(3);
+pub(crate) const LIMIT: Duration = Duration::from_secs(3);
 
 /// Client of the platform's services.
 #[derive(Debug, Clone)]
 pub struct Client {
-    platform: SocketAddr,
+    pub(crate) platform: SocketAddr,
 }
 
 impl Client {
--- a/crates/wire/peer.thrift
+++ b/crates/wire/peer.thrift
@@ -1,6 +1,13 @@
 // Messages between entries. After a change, from the workspace's root:
 //   thrift --gen rs -out crates/wire/src/generated crates/wire/peer.thrift
 
+// A key withdrawn by an operator outside tickets.
+struct Denial {
+  // Digest of the key.
+  1: required binary digest;
+  2: required string operator;
+}
+
 // What an entry tells a peer about itself, every period.
 struct Beat {
   1: required string entry;
@@ -17,7 +24,7 @@
   // Whether that life may go on as far as the sender knows, with units that it holds.
   8: required bool renews;
   // Digests of keys that operators withdrew and that the log may not show yet.
-  9: optional list<binary> denials;
+  9: optional list<Denial> denials;
 }
 
 // Records of the fleet's stream, without a gap.
