--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,7 +1,9 @@
 //! The operators' API, JSON over HTTP; `docs/API.md` describes it.
 
+mod allotments;
 mod audit;
 mod check;
+mod denials;
 mod history;
 mod instances;
 mod list;
@@ -39,6 +41,7 @@
     let done = match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
+        (&Method::POST, "/v1/denials") => denials::put(shared, operator, request).await,
         (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
         (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
@@ -62,6 +65,7 @@
         "/v1/tickets" => return history::newest(&state, query),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
+        "/v1/allotments" => list(&state, allotments::splits(&state)),
         "/v1/pools" => list(&state, pools::pools(&state, &seen)),
         "/v1/budgets" => list(&state, pools::budgets(&state, &seen)),
         "/v1/services" => list(&state, config.services.values()),
@@ -79,7 +83,9 @@
 /// For the balancer: whether new callers may be sent here.
 fn ready(shared: &Shared) -> Reply {
     match shared.phase.get() {
-        Phase::Ready => text(StatusCode::OK, "ready"),
+        Phase::Ready if shared.is_open() => text(StatusCode::OK, "ready"),
+        // All callers would be turned away; other entries may serve them.
+        Phase::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "may start nothing"),
         Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
         Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,7 +1,7 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
@@ -9,6 +9,7 @@
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
+use tokio::time::sleep;
 
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
@@ -19,6 +20,12 @@
 use crate::shared::Shared;
 use crate::{Phase, jobs};
 
+/// Longest wait for a unit of the team.
+const UNIT_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause before a unit is asked for again.
+const UNIT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let started = Instant::now();
@@ -97,7 +104,13 @@
 
 /// Takes a unit of the team for one attempt.
 pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
-    Permit::take(&job.shared, &job.team)
+    let until = Instant::now() + UNIT_WAIT.min(job.left());
+    loop {
+        match Permit::take(&job.shared, &job.team) {
+            Err(_) if Instant::now() < until => sleep(UNIT_PAUSE).await,
+            done => return done,
+        }
+    }
 }
 
 /// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
@@ -121,9 +134,13 @@
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&state, headers.get(AUTHORIZATION))?,
+        team: find_team(&shared, &state, headers)?,
         idempotent: is_idempotent(request.method(), headers),
-        deadline: deadline(headers, shared.now())?,
+        deadline: deadline(
+            headers,
+            shared.now(),
+            shared.settings.limits.run_ms.duration(),
+        )?,
         shared,
     })
 }
@@ -133,7 +150,7 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared.state.load(), request.headers().get(AUTHORIZATION))?;
+    let team = find_team(&shared, &shared.state.load(), request.headers())?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -154,13 +171,16 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(state: &State, value: Option<&HeaderValue>) -> Result<Arc<Team>, Refusal> {
-    let value = value.ok_or_else(|| Refusal::new(Code::NoKey))?;
+fn find_team(shared: &Shared, state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
+    let value = headers
+        .get(AUTHORIZATION)
+        .ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let bad = || Refusal::new(Code::BadKey);
-    let grant = state.config().keys.get(&Digest::of(key)).ok_or_else(bad)?;
-    if grant.withdrawn {
+    let digest = Digest::of(key);
+    let grant = state.config().keys.get(&digest).ok_or_else(bad)?;
+    if grant.withdrawn || shared.is_denied(&digest) {
         return Err(Refusal::new(Code::KeyWithdrawn));
     }
     state
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -126,6 +126,10 @@
     ///
     /// If the ticket is refused.
     pub async fn open(&self, limit: u32) {
+        // Units are split evenly then, and none has to move before requests may run.
+        for admin in &self.admins {
+            self.wait_status(*admin, |s| s["open"] == true).await;
+        }
         let (status, text) = self.apply(0, &self.first_ticket(limit));
         assert_eq!(status, Some(0), "{text}");
         self.settle(self.upstreams.len()).await;
@@ -166,6 +170,14 @@
         self.peers.push(peer);
     }
 
+    /// Starts an entry that was killed anew, with the same settings and nothing in memory.
+    pub fn restart_entry(&mut self, entry: usize) {
+        self.entries[entry].wait();
+        let file = self.dir.join(format!("e{}.json", entry + 1));
+        let file = file.to_str().expect("the scratch folder's name is text");
+        self.entries[entry] = Process::start("cactuswheeld", &["--settings", file]);
+    }
+
     /// Writes a JSON file into the scratch folder.
     pub fn file(&self, name: &str, value: &Value) -> PathBuf {
         let path = self.dir.join(name);
--- a/crates/fleet/src/audit_row.rs
+++ b/crates/fleet/src/audit_row.rs
@@ -12,7 +12,7 @@
     pub at: Option<WallTime>,
     /// Who put it in.
     pub author: Option<OperatorId>,
-    /// The ticket.
+    /// The ticket; 0 for a key withdrawn outside tickets.
     pub ticket: TicketNo,
     /// Where its record stands; settles the order of rows.
     pub offset: Offset,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,10 +5,12 @@
 //! offset. This crate does no I/O and reads no clock; drivers feed it records and publish the
 //! state that comes out.
 
+mod allotments;
 mod assembler;
 mod audit;
 mod audit_row;
 mod config;
+mod denials;
 mod disruptions;
 mod image;
 mod jobs;
@@ -23,10 +25,12 @@
 mod state;
 mod table;
 
+pub use allotments::{Allotments, Life, Row, Split};
 pub use assembler::Assembler;
 pub use audit::Audit;
 pub use audit_row::AuditRow;
 pub use config::Config;
+pub use denials::Denials;
 pub use disruptions::{Budget, Disruptions, Hold, Stage};
 pub use image::Image;
 pub use jobs::{Job, JobPhase, Jobs, Worker};
