--- a/crates/daemon/src/admin/audit.rs
+++ b/crates/daemon/src/admin/audit.rs
@@ -16,7 +16,7 @@
 struct Row<'a> {
     at: Option<WallTime>,
     author: Option<&'a OperatorId>,
-    ticket: TicketNo,
+    ticket: Option<TicketNo>,
     offset: Offset,
     object: Option<String>,
     before: Option<&'a Image>,
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -22,6 +22,8 @@
     log_down: bool,
     upstreams: usize,
     peers: Vec<PeerStatus>,
+    /// Configured peers that were never heard.
+    unheard: usize,
 }
 
 #[derive(Serialize)]
@@ -35,6 +37,7 @@
 /// Shows the entry's name, phase and offset.
 pub(super) fn show(shared: &Shared) -> Result<Reply, Refusal> {
     let state = shared.state.load();
+    let peers = peers(shared);
     let status = Status {
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
@@ -44,7 +47,8 @@
         undecodable: state.undecodable(),
         log_down: shared.link.is_down(),
         upstreams: shared.routes.load().upstreams().count(),
-        peers: peers(shared),
+        unheard: shared.settings.peers.len().saturating_sub(peers.len()),
+        peers,
     };
     Ok(json(StatusCode::OK, &status))
 }
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -50,6 +50,7 @@
     shared.link.answered(batch.first);
     shared.link.set_gap(false);
     shared.hear_head(batch.head);
+    shared.log_answered(batch.head);
     let first = batch.entries.first().map_or(from, |e| e.offset);
     let bodies: Vec<_> = batch.entries.iter().map(|e| e.body.as_str()).collect();
     if let Err(gap) = shared.take(first, &bodies) {
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,10 +1,11 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
@@ -20,14 +21,51 @@
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
+    let started = Instant::now();
     let id = request_id(&shared, request.headers());
-    match admit(shared, request, &id).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            log::debug!("request {id} refused: {refusal}");
-            refuse(&refusal, &id)
+    let answered = match check_size(&shared, &request) {
+        Ok(()) => admit(shared.clone(), request, &id).await,
+        Err(refusal) => Err(refusal),
+    };
+    let code = answered.as_ref().map_or_else(|r| r.code, |_| Code::Ok);
+    shared.metrics.requests.answered(code, started.elapsed());
+    answered.unwrap_or_else(|refusal| {
+        note_refusal(&shared, &refusal, &id);
+        refuse(&refusal, &id)
+    })
+}
+
+/// Refuses a head that is too large, or a body announced as such, before more is spent on it.
+fn check_size(shared: &Shared, request: &Request<Incoming>) -> Result<(), Refusal> {
+    let limits = &shared.settings.limits;
+    let check = |size: u64, limit: u64, code| {
+        if size <= limit {
+            return Ok(());
         }
-    }
+        let detail = format!("got {size} bytes, takes up to {limit}");
+        Err(Refusal::new(code).with_detail(detail))
+    };
+    let head = head_size(request);
+    check(head, limits.head_bytes.get(), Code::HeadTooLarge)?;
+    let body = request.body().size_hint().lower();
+    check(body, limits.body_bytes.get(), Code::BodyTooLarge)
+}
+
+/// Bytes of a request's path and headers, without the punctuation between them.
+fn head_size(request: &Request<Incoming>) -> u64 {
+    let headers = request.headers().iter();
+    let headers: usize = headers.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let path = request.uri().path_and_query();
+    (headers + path.map_or(0, |p| p.as_str().len())) as u64
+}
+
+/// Logs a refusal, unless many were logged in this second already.
+fn note_refusal(shared: &Shared, refusal: &Refusal, id: &str) {
+    let Some(suppressed) = shared.refusals.allow(shared.metrics.uptime().as_secs()) else {
+        return;
+    };
+    let (code, ran) = (refusal.code.number(), refusal.code.ran());
+    log::info!(request = id, code, ran:%, suppressed; "refused: {refusal}");
 }
 
 async fn admit(
@@ -43,7 +81,9 @@
         return answer_jobs(shared, request, id).await;
     }
     let job = job(shared, &request, id)?;
+    let asked = Instant::now();
     let permit = enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
     let mut request = Request::from_parts(head, Payload::read(body, most).await?);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,11 +15,12 @@
 use crate::appender::Appender;
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
+use crate::metrics::Metrics;
 use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::Conns;
-use crate::{Settings, candidates};
+use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
 #[derive(Debug)]
@@ -52,6 +53,11 @@
     requests: AtomicU64,
     /// Zero of this node's [`Time`].
     epoch: Instant,
+    /// Newest offset of the log's end that was heard of.
+    head: AtomicU64,
+    pub(crate) metrics: Metrics,
+    /// Bounds the lines on refusals.
+    pub(crate) refusals: LineLimit,
 }
 
 impl Shared {
@@ -77,6 +83,9 @@
             reached,
             requests: AtomicU64::new(0),
             epoch: Instant::now(),
+            head: AtomicU64::new(0),
+            metrics: Metrics::new(),
+            refusals: LineLimit::default(),
         }
     }
 
@@ -100,6 +109,17 @@
         Time::default().after(self.epoch.elapsed())
     }
 
+    /// The log answered and ended at `head`.
+    pub(crate) fn log_answered(&self, head: Offset) {
+        self.metrics.log.mark();
+        self.head.fetch_max(head.get(), Ordering::Relaxed);
+    }
+
+    /// Newest offset of the log's end that was heard of.
+    pub(crate) fn log_head(&self) -> Offset {
+        Offset::new(self.head.load(Ordering::Relaxed))
+    }
+
     /// Which instances are there, locked for a moment.
     pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
         self.presences
--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use cactuswheel_model::{Change, ObjectId, Offset, Ticket};
+use cactuswheel_model::{Change, Code, ObjectId, Offset, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::{AuditRow, Config, Outcome};
+use crate::{AuditRow, Config, Image, Outcome};
 
 /// Rows kept. Older ones can still be read from the log itself, as far as it keeps them.
 const KEPT: usize = 4_000;
@@ -73,6 +73,25 @@
         self.extend(listed.map(|c| row(ticket, outcome, Some(c.object()))));
     }
 
+    /// Notes a move to another pool, which no ticket made.
+    pub(crate) fn moved(&mut self, offset: Offset, fence: Offset, before: Image, after: Image) {
+        let object = match &after {
+            Image::Instance(instance) => Some(ObjectId::Instance(instance.id.clone())),
+            _ => None,
+        };
+        self.extend([AuditRow {
+            at: None,
+            author: None,
+            ticket: None,
+            offset,
+            object,
+            before: Some(before),
+            after: Some(after),
+            code: Code::Ok,
+            detail: format!("move granted at offset {fence}"),
+        }]);
+    }
+
     fn extend(&mut self, rows: impl IntoIterator<Item = AuditRow>) {
         let kept = Arc::make_mut(&mut self.rows);
         kept.extend(rows.into_iter().map(Arc::new));
@@ -85,7 +104,7 @@
     AuditRow {
         at: ticket.at,
         author: ticket.author.clone(),
-        ticket: ticket.ticket,
+        ticket: Some(ticket.ticket),
         offset: outcome.offset,
         object,
         before: None,
--- a/crates/fleet/src/audit_row.rs
+++ b/crates/fleet/src/audit_row.rs
@@ -12,8 +12,8 @@
     pub at: Option<WallTime>,
     /// Who put it in.
     pub author: Option<OperatorId>,
-    /// The ticket.
-    pub ticket: TicketNo,
+    /// The ticket; none for a move that the planner made.
+    pub ticket: Option<TicketNo>,
     /// Where its record stands; settles the order of rows.
     pub offset: Offset,
     /// The object; none for a refused ticket that names none.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,15 +3,20 @@
 //! For tests and for the embedded default only. They keep everything in memory, and their
 //! faults are switched over HTTP by whoever tests.
 
+mod answer;
 mod fault;
 mod log;
 mod platform;
 mod run;
 mod tasks;
+mod trouble;
 mod upstream;
+mod worker_routes;
+mod workers;
 
 pub use fault::Fault;
 pub use platform::Platform;
 pub use run::Run;
 pub use tasks::TaskScript;
 pub use upstream::Upstream;
+pub use workers::{Outage, RebootSettings};
