--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -1,9 +1,9 @@
 //! Who changed what.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use cactuswheel_model::{Change, Code, ObjectId, Offset, Ticket};
+use imbl::Vector;
 use serde::{Deserialize, Serialize};
 
 use crate::{AuditRow, Config, Image, Outcome};
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Audit {
     /// Invariant: at most `KEPT` and ordered by offset.
-    rows: Arc<VecDeque<Arc<AuditRow>>>,
+    rows: Vector<Arc<AuditRow>>,
 }
 
 impl Audit {
@@ -93,10 +93,10 @@
     }
 
     fn extend(&mut self, rows: impl IntoIterator<Item = AuditRow>) {
-        let kept = Arc::make_mut(&mut self.rows);
-        kept.extend(rows.into_iter().map(Arc::new));
-        let surplus = kept.len().saturating_sub(KEPT);
-        kept.drain(..surplus);
+        self.rows.extend(rows.into_iter().map(Arc::new));
+        while self.rows.len() > KEPT {
+            self.rows.pop_front();
+        }
     }
 }
 
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -1,15 +1,18 @@
 //! Ticket numbers that were used.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cactuswheel_model::{ObjectId, TicketNo};
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::Outcome;
 
-/// Outcomes kept: two days of changes at the size designed for.
-const KEPT: usize = 36_000;
+/// Outcomes kept: eight hours of changes at the size designed for.
+///
+/// They are the largest part of a state. A repeat comes within minutes; a number that is put
+/// in later than this many others is refused as stale, and the operator takes a new one.
+const KEPT: usize = 6_000;
 
 /// Remembers tickets so that a repeat gets the first one's result and nothing reverts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,12 +20,12 @@
     /// Outcomes by number.
     ///
     /// Invariant: at most `KEPT`, all numbered above `floor`.
-    outcomes: Arc<BTreeMap<TicketNo, Arc<Outcome>>>,
+    outcomes: OrdMap<TicketNo, Arc<Outcome>>,
     /// The ticket that last touched an object, removed objects too.
     ///
     /// Invariant: only numbers above `floor`; lower ones are refused by the floor itself.
     #[serde(with = "pairs")]
-    touched: Arc<BTreeMap<ObjectId, TicketNo>>,
+    touched: OrdMap<ObjectId, TicketNo>,
     /// Highest number whose outcome was forgotten; it and all below are stale.
     floor: Option<TicketNo>,
 }
@@ -50,36 +53,38 @@
 
     /// Records the result of the first record with its number.
     pub(crate) fn record(&mut self, outcome: Arc<Outcome>) {
-        let outcomes = Arc::make_mut(&mut self.outcomes);
-        outcomes.insert(outcome.ticket, outcome);
-        if outcomes.len() > KEPT {
+        self.outcomes.insert(outcome.ticket, outcome);
+        if self.outcomes.len() > KEPT {
             self.forget();
         }
     }
 
     /// Records that an accepted ticket touched an object.
     pub(crate) fn touch(&mut self, object: ObjectId, ticket: TicketNo) {
-        Arc::make_mut(&mut self.touched).insert(object, ticket);
+        self.touched.insert(object, ticket);
     }
 
     fn forget(&mut self) {
-        let Some((floor, _)) = Arc::make_mut(&mut self.outcomes).pop_first() else {
+        let Some(floor) = self.outcomes.get_min().map(|(ticket, _)| *ticket) else {
             return;
         };
+        self.outcomes.remove(&floor);
         self.floor = Some(floor);
-        Arc::make_mut(&mut self.touched).retain(|_, t| *t > floor);
+        let below = self.touched.iter().filter(|(_, t)| **t <= floor);
+        let below: Vec<_> = below.map(|(object, _)| object.clone()).collect();
+        for object in below {
+            self.touched.remove(&object);
+        }
     }
 }
 
 /// JSON wants text for keys of maps; pairs take any key.
 mod pairs {
-    use std::collections::BTreeMap;
-    use std::sync::Arc;
-
     use cactuswheel_model::{ObjectId, TicketNo};
+    use imbl::OrdMap;
     use serde::{Deserialize, Deserializer, Serializer};
 
-    type Touched = Arc<BTreeMap<ObjectId, TicketNo>>;
+    type Touched = OrdMap<ObjectId, TicketNo>;
 
     pub(super) fn serialize<S: Serializer>(map: &Touched, out: S) -> Result<S::Ok, S::Error> {
         out.collect_seq(map.iter())
@@ -87,6 +92,6 @@
 
     pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Touched, D::Error> {
         let pairs = Vec::<(ObjectId, TicketNo)>::deserialize(input)?;
-        Ok(Arc::new(pairs.into_iter().collect()))
+        Ok(pairs.into_iter().collect())
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,18 +1,18 @@
 //! Ordered tables that are cheap to copy.
 
 use std::borrow::Borrow;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
-/// An ordered map whose copies share their content until one of them changes.
+/// An ordered map whose copies share all but what one of them changes.
 ///
 /// The order makes a snapshot's bytes the same on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Table<K: Ord, V> {
-    rows: Arc<BTreeMap<K, Arc<V>>>,
+pub struct Table<K: Ord + Clone, V> {
+    rows: OrdMap<K, Arc<V>>,
 }
 
 impl<K: Ord + Clone, V> Table<K, V> {
@@ -34,12 +34,12 @@
 
     /// Sets the row under `key`.
     pub fn insert(&mut self, key: K, value: V) {
-        Arc::make_mut(&mut self.rows).insert(key, Arc::new(value));
+        self.rows.insert(key, Arc::new(value));
     }
 
     /// Removes the row under `key`; whether there was one.
     pub fn remove(&mut self, key: &K) -> bool {
-        Arc::make_mut(&mut self.rows).remove(key).is_some()
+        self.rows.remove(key).is_some()
     }
 
     /// Keys and rows in order.
@@ -63,10 +63,10 @@
     }
 }
 
-impl<K: Ord, V> Default for Table<K, V> {
+impl<K: Ord + Clone, V> Default for Table<K, V> {
     fn default() -> Self {
         Self {
-            rows: Arc::default(),
+            rows: OrdMap::new(),
         }
     }
 }
