--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -207,7 +207,16 @@
             let detail = format!("{placed} jobs are placed on {}", step.instance());
             return Err(Refusal::new(Code::WrongStage).with_detail(detail));
         }
-        self.disruptions.apply(offset, step, &mut self.config)
+        let object = ObjectId::Instance(step.instance().clone());
+        let before = self.config.image(&object);
+        let fence = self.disruptions.apply(offset, step, &mut self.config)?;
+        match (before, self.config.image(&object)) {
+            (Some(before), Some(after)) if before != after => {
+                self.audit.moved(offset, fence, before, after);
+            }
+            _ => {}
+        }
+        Ok(fence)
     }
 
     /// A paused writer marks an old snapshot late; the newest stays the one that counts.
