--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -30,6 +30,8 @@
     name: Arc<str>,
     /// Requests that it runs at once; any number if none is given.
     slots: Option<usize>,
+    /// Whether it keeps no record.
+    forgetful: bool,
     inner: Arc<Mutex<Inner>>,
 }
 
@@ -48,6 +50,7 @@
         Self {
             name: name.into(),
             slots: None,
+            forgetful: false,
             inner: Arc::default(),
         }
     }
@@ -58,6 +61,12 @@
         self
     }
 
+    /// Remembers nothing of what it ran, for long loads.
+    pub fn without_record(mut self) -> Self {
+        self.forgetful = true;
+        self
+    }
+
     /// What it ran.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -170,11 +179,13 @@
         let running = inner.running.entry(team.clone()).or_default();
         *running += 1;
         let beside = *running;
-        inner.runs.push(Run {
-            request,
-            team: team.clone(),
-            beside,
-        });
+        if !upstream.forgetful {
+            inner.runs.push(Run {
+                request,
+                team: team.clone(),
+                beside,
+            });
+        }
         Some(Self { upstream, team })
     }
 }
