--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -46,7 +46,8 @@
         self.wrong += other.wrong;
     }
 
-    fn note(&mut self, right: bool, latency: Duration) {
+    /// Notes one request.
+    pub(crate) fn note(&mut self, right: bool, latency: Duration) {
         match right {
             true => self
                 .latency
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,7 +7,9 @@
 mod decisions;
 mod load;
 mod path;
+mod policy;
 mod rest;
+mod shape;
 mod stage;
 mod usage;
 
@@ -15,6 +17,7 @@
 
 use bpaf::Bpaf;
 
+use crate::shape::Shape;
 use crate::stage::Stage;
 
 /// Measures the request path on loopback
@@ -27,10 +30,13 @@
     /// Memory and processor time of an entry without requests
     #[bpaf(command)]
     Rest,
+    /// Bursts of demand in turn at six entries, with and without faults
+    #[bpaf(command)]
+    Policy,
     /// Cost of decisions alone
     #[bpaf(command)]
     Decisions,
-    /// All of them
+    /// All of them but the policy
     #[bpaf(command)]
     All,
 }
@@ -41,10 +47,13 @@
         decisions::measure();
     }
     if matches!(part, Part::Rest | Part::All) {
-        rest::measure(&Stage::start()?)?;
+        rest::measure(&Stage::start(Shape::SMALL)?)?;
     }
     if matches!(part, Part::Path | Part::All) {
-        path::measure(&Stage::start()?)?;
+        path::measure(&Stage::start(Shape::SMALL)?)?;
+    }
+    if matches!(part, Part::Policy) {
+        policy::measure()?;
     }
     Ok(())
 }
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -19,7 +19,7 @@
 
 /// Measures and prints throughput and latency.
 pub(crate) fn measure(stage: &Stage) -> Result<(), Box<dyn Error>> {
-    let entry = [stage.entry];
+    let entry = [stage.entries[0]];
     // Connections and code warm up.
     slice(stage, &entry, None);
     let before = usage::cpu(ENTRY)?;
@@ -39,8 +39,8 @@
 fn turns(stage: &Stage, rate: Option<f64>) -> (Seen, Seen) {
     let (mut direct, mut through) = (Seen::new(), Seen::new());
     for _ in 0..SLICES {
-        direct.add(slice(stage, &stage.upstreams, rate));
-        through.add(slice(stage, &[stage.entry], rate));
+        direct.add(slice(stage, &stage.addrs, rate));
+        through.add(slice(stage, &[stage.entries[0]], rate));
     }
     (direct, through)
 }
