--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -43,6 +43,8 @@
     pub admins: Vec<SocketAddr>,
     /// Where entries take their peers; a later entry beats to the earlier ones.
     pub peers: Vec<SocketAddr>,
+    /// `limits` in the settings of entries started from now on.
+    pub limits: Value,
     /// Scratch folder for settings and tickets, removed at the end.
     dir: PathBuf,
 }
@@ -66,6 +68,7 @@
             callers: Vec::new(),
             admins: Vec::new(),
             peers: Vec::new(),
+            limits: json!({}),
             dir,
         };
         (0..upstreams).for_each(|_| fleet.add_upstream());
@@ -157,6 +160,7 @@
             "peers": self.peers,
             "operators": [{"name": "ana", "digest": Digest::of(OPERATOR_KEY.as_bytes())}],
             "log": {"level": "ERROR"},
+            "limits": self.limits,
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
@@ -218,6 +222,16 @@
         )
     }
 
+    /// Runs the CLI as operator `ana` at an entry; its exit status, output and errors.
+    pub fn cli(&self, entry: usize, args: &[&str]) -> (Option<i32>, String, String) {
+        let at = self.admins[entry].to_string();
+        let all = [&["--entry", &at, "--key", OPERATOR_KEY], args].concat();
+        let output = Process::output("cactuswheel", &all);
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code();
+        (code, text(&output.stdout), text(&output.stderr))
+    }
+
     /// Waits until every entry has `upstreams` upstreams.
     pub async fn settle(&self, upstreams: usize) {
         for admin in &self.admins {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,9 +11,12 @@
 mod tasks;
 mod trouble;
 mod upstream;
+mod worker_routes;
+mod workers;
 
 pub use fault::Fault;
 pub use platform::Platform;
 pub use run::Run;
 pub use tasks::TaskScript;
 pub use upstream::Upstream;
+pub use workers::{Outage, RebootSettings};
