--- a/crates/e2e/src/faults.rs
+++ b/crates/e2e/src/faults.rs
@@ -41,6 +41,13 @@
         relay
     }
 
+    /// Sets what is wrong with the platform.
+    pub async fn fault(&self, fault: &Value) {
+        let call = Call::post(self.platform_addr, "/fault").with_json(fault);
+        let answer = call.expect("a fault is JSON").send().await;
+        assert!(answer.is_ok_and(|a| a.status == 200), "{fault}");
+    }
+
     /// Lets the log forget all but the newest `kept` records.
     pub async fn trim(&self, kept: usize) {
         let call = Call::post(self.platform_addr, format!("/trim?kept={kept}"));
