--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,7 +6,6 @@
 mod instances;
 mod list;
 mod pools;
-mod refused;
 mod status;
 mod tickets;
 
@@ -19,8 +18,8 @@
 use hyper::{Method, Request, StatusCode};
 
 use self::list::list;
-use self::refused::refused;
 use crate::Phase;
+use crate::refused::refused;
 use crate::shared::Shared;
 
 /// Answers one request of an operator.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod phase;
 mod proxy;
+mod refused;
 mod repeats;
 mod settings;
 mod shared;
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -7,15 +7,15 @@
 use cactuswheel_http::Reply;
 use cactuswheel_model::{Code, Ran, Refusal};
 use http_body_util::Full;
+use hyper::Response;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Response, StatusCode};
-use serde::Serialize;
+use hyper::header::HeaderValue;
 
 use super::headers::{CODE, RAN, REQUEST_ID, strip_answer};
 use super::live::Live;
 use super::relay::Relay;
 use super::traffic::Busy;
+use crate::refused::refused;
 
 /// Body of an answer, and a mark that it is not out yet.
 #[derive(Debug)]
@@ -34,22 +34,10 @@
     Relay(Relay),
 }
 
-/// The body of a refusal.
-#[derive(Serialize)]
-struct RefusalBody<'a> {
-    code: u16,
-    ran: Ran,
-    message: &'a str,
-    #[serde(skip_serializing_if = "str::is_empty")]
-    detail: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry_ms: Option<u64>,
-}
-
 impl Answer {
-    fn own(text: Vec<u8>) -> Self {
+    fn own(body: Full<Bytes>) -> Self {
         Self {
-            kind: Kind::Own(Full::new(Bytes::from(text))),
+            kind: Kind::Own(body),
             _busy: None,
         }
     }
@@ -102,37 +90,14 @@
 
 /// Answers with a refusal.
 pub(super) fn refuse(refusal: &Refusal, id: &str) -> Response<Answer> {
-    let code = refusal.code;
-    let body = RefusalBody {
-        code: code.number(),
-        ran: code.ran(),
-        message: code.text(),
-        detail: &refusal.detail,
-        retry_ms: refusal.retry.map(|d| d.as_millis() as u64),
-    };
-    let text = serde_json::to_vec(&body).unwrap_or_default();
-    let mut response = Response::new(Answer::own(text));
-    let status = StatusCode::from_u16(code.status());
-    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(retry) = refusal.retry {
-        // Whole seconds only: rounded up, so that no one is told to come back too early.
-        headers.insert(
-            RETRY_AFTER,
-            HeaderValue::from(retry.as_millis().div_ceil(1000) as u64),
-        );
-    }
-    mark(&mut response, code, id);
+    let mut response = refused(refusal).map(Answer::own);
+    mark(&mut response, refusal.code, id);
     response
 }
 
 /// Answers with a control reply of this entry.
 pub(super) fn tell(reply: Reply, id: &str) -> Response<Answer> {
-    let mut response = reply.map(|body| Answer {
-        kind: Kind::Own(body),
-        _busy: None,
-    });
+    let mut response = reply.map(Answer::own);
     mark(&mut response, Code::Ok, id);
     response
 }
--- a/crates/daemon/src/admin/refused.rs
+++ b/crates/daemon/src/refused.rs
@@ -1,4 +1,4 @@
-//! The one form of a refusal.
+//! The one form of a refusal, to callers and operators alike.
 
 use cactuswheel_http::{Reply, json};
 use cactuswheel_model::{Ran, Refusal};
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use serde::Serialize;
 
-/// The body of a refusal, the same as callers get.
+/// The body of a refusal.
 #[derive(Serialize)]
 struct Refused<'a> {
     code: u16,
@@ -18,8 +18,8 @@
     retry_ms: Option<u64>,
 }
 
-/// Answers an operator with a refusal.
-pub(super) fn refused(refusal: &Refusal) -> Reply {
+/// Answers with a refusal.
+pub(crate) fn refused(refusal: &Refusal) -> Reply {
     let code = refusal.code;
     let status = StatusCode::from_u16(code.status());
     let body = Refused {
@@ -31,6 +31,7 @@
     };
     let mut reply = json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body);
     if let Some(retry) = refusal.retry {
+        // Whole seconds only: rounded up, so that no one is told to come back too early.
         let seconds = retry.as_millis().div_ceil(1000) as u64;
         reply
             .headers_mut()
