--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -9,7 +9,6 @@
 mod list;
 mod maintenance;
 mod pools;
-mod refused;
 mod status;
 mod tickets;
 
@@ -22,8 +21,8 @@
 use hyper::{Method, Request, StatusCode};
 
 use self::list::list;
-use self::refused::refused;
 use crate::Phase;
+use crate::refused::refused;
 use crate::shared::Shared;
 
 /// Answers one request of an operator.
