--- a/crates/assignment/src/planner.rs
+++ b/crates/assignment/src/planner.rs
@@ -17,8 +17,8 @@
     pub(crate) loads: Vec<Load>,
     /// Machines in spare pools that may go elsewhere, by rack.
     pub(crate) free: Vec<Vec<usize>>,
-    /// Machines that moved already; none moves twice in a plan.
-    pub(crate) moved: Vec<bool>,
+    /// Moves of each machine so far: one, or a second out of the spare pool.
+    pub(crate) moved: Vec<u8>,
     pub(crate) moves: Vec<(usize, usize, usize, Reason)>,
     /// The pool that takes what others do not need.
     pub(crate) spare: Option<usize>,
@@ -37,7 +37,7 @@
             machines: problem.machines.clone(),
             loads: problem.loads(),
             free,
-            moved: vec![false; problem.machines.len()],
+            moved: vec![0; problem.machines.len()],
             moves: Vec::new(),
             spare: problem.needs.iter().position(|n| n.spare),
         }
@@ -55,18 +55,29 @@
     /// Whether a machine may leave its pool now.
     pub(crate) fn can_leave(&mut self, n: usize) -> bool {
         let machine = &self.machines[n];
-        if machine.held || self.moved[n] {
+        if machine.held || self.moved[n] > 0 {
             return false;
         }
         let need = &self.problem.needs[machine.pool];
         self.loads[machine.pool].can_lose(machine, need)
     }
 
+    /// Whether a machine may join a pool now, as far as its moves so far go.
+    ///
+    /// One that a pool gave back in this plan may go on into another.
+    pub(crate) fn may_join(&self, n: usize, pool: usize) -> bool {
+        match self.moved[n] {
+            0 => true,
+            1 => Some(self.machines[n].pool) == self.spare && self.problem.machines[n].pool != pool,
+            _ => false,
+        }
+    }
+
     /// Appends a move; the caller has seen that it keeps the hard rules.
     pub(crate) fn push(&mut self, n: usize, to: usize, reason: Reason) {
         let from = self.machines[n].pool;
         self.shift(n, to);
-        self.moved[n] = true;
+        self.moved[n] += 1;
         self.moves.push((n, from, to, reason));
     }
 
@@ -75,7 +86,7 @@
         while self.moves.len() > len {
             if let Some((n, from, ..)) = self.moves.pop() {
                 self.shift(n, from);
-                self.moved[n] = false;
+                self.moved[n] -= 1;
             }
         }
     }
@@ -106,12 +117,16 @@
     }
 
     pub(crate) fn cost(&self) -> Cost {
-        let mut cost = Cost {
-            moves: self.moves.len(),
-            ..Cost::default()
-        };
-        let waits = self.moves.iter().map(|m| self.machines[m.0].drain);
-        cost.wait = waits.sum::<u64>() as f64 / 3_600.0;
+        let mut cost = Cost::default();
+        let mut wait = 0;
+        // A machine that goes on out of the spare pool moves once, directly.
+        for (n, from, ..) in &self.moves {
+            if self.problem.machines[*n].pool == *from {
+                cost.moves += 1;
+                wait += self.machines[*n].drain;
+            }
+        }
+        cost.wait = wait as f64 / 3_600.0;
         for (load, need) in self.loads.iter().zip(&self.problem.needs) {
             if need.demand == 0 {
                 continue;
@@ -127,10 +142,13 @@
     fn finish(self) -> Plan {
         let cost = self.cost();
         let name = |pool: usize| self.problem.needs[pool].id.clone();
-        let moves = self.moves.iter().filter_map(|(n, from, to, reason)| {
+        // Of two moves of a machine the second stands, from its first pool. Until then that
+        // pool keeps a machine more than was planned, which breaks no rule.
+        let last = self.moves.iter().filter(|m| self.machines[m.0].pool == m.2);
+        let moves = last.filter_map(|(n, _, to, reason)| {
             Some(Move {
                 instance: self.machines[*n].id.clone(),
-                from: name(*from)?,
+                from: name(self.problem.machines[*n].pool)?,
                 to: name(*to)?,
                 reason: *reason,
             })
--- a/crates/assignment/src/repair.rs
+++ b/crates/assignment/src/repair.rs
@@ -57,7 +57,7 @@
     pub(crate) fn best_free(&self, pool: usize) -> Option<usize> {
         let mut best: Option<(Score, usize)> = None;
         for rack in &self.free {
-            for n in rack.iter().copied().filter(|n| !self.moved[*n]) {
+            for n in rack.iter().copied() {
                 let Some(score) = self.score(n, pool, rack.len()) else {
                     continue;
                 };
@@ -90,7 +90,7 @@
         let need = &self.problem.needs[pool];
         let load = &self.loads[pool];
         let worth = need.worth(machine);
-        if worth == 0 || machine.held || self.moved[n] {
+        if worth == 0 || machine.held || !self.may_join(n, pool) {
             return None;
         }
         let before = load.safe(need).min(need.demand);
--- a/crates/assignment/src/shorten.rs
+++ b/crates/assignment/src/shorten.rs
@@ -5,20 +5,27 @@
 use crate::Reason;
 use crate::planner::Draft;
 
-/// Most exchanges tried for one pool.
+/// Most exchanges tried for one pool, and most members looked at for one to go.
 const TRIES: usize = 8;
 
+/// Most moves in one exchange.
+const EXCHANGED: usize = 16;
+
 impl Draft<'_> {
     /// Improves pools one after the other for as long as the weights say that it pays.
+    ///
+    /// All give back first, so that exchanges have more racks to choose from.
     pub(crate) fn shorten(&mut self) {
         let Some(spare) = self.spare else {
             return;
         };
-        for pool in 0..self.loads.len() {
-            if self.problem.needs[pool].spare || self.deficit(pool) > 0 {
-                continue;
-            }
-            self.release(pool, spare);
+        let fits: Vec<usize> = (0..self.loads.len())
+            .filter(|pool| !self.problem.needs[*pool].spare && self.deficit(*pool) == 0)
+            .collect();
+        for pool in &fits {
+            self.release(*pool, spare);
+        }
+        for pool in fits {
             for _ in 0..TRIES {
                 if !self.exchange(pool, spare) {
                     break;
@@ -42,20 +49,20 @@
         }
     }
 
-    /// Takes one machine in a rack that the pool does not use, so that several in crowded
-    /// racks can go; whether that paid.
+    /// Exchanges members of the largest racks for machines in racks that the pool uses less,
+    /// until all those racks have shrunk and the pool can do with fewer; whether that paid.
+    ///
+    /// A machine comes before one goes, so that each prefix keeps demand.
     fn exchange(&mut self, pool: usize, spare: usize) -> bool {
-        let load = &self.loads[pool];
-        let crowded = load.largest() > load.total.div_ceil(load.members.max(1) as u64);
-        if !crowded || !self.has_room() {
-            return false;
-        }
         let before = self.weigh();
         let len = self.moves.len();
-        let Some(n) = self.best_free(pool) else {
-            return false;
-        };
-        self.push(n, pool, Reason::Spread);
+        let largest = self.loads[pool].largest();
+        while self.loads[pool].largest() == largest {
+            if self.moves.len() - len >= EXCHANGED || !self.swap(pool, spare, largest) {
+                self.rewind(len);
+                return false;
+            }
+        }
         while self.has_room() {
             let Some(n) = self.surplus(pool) else {
                 break;
@@ -69,11 +76,31 @@
         false
     }
 
+    /// One in, one out of the largest rack.
+    fn swap(&mut self, pool: usize, spare: usize, largest: u64) -> bool {
+        if !self.has_room() {
+            return false;
+        }
+        let Some(n) = self.best_free(pool) else {
+            return false;
+        };
+        let rack = self.loads[pool].rack(self.machines[n].rack);
+        if rack + self.worth(n, pool) >= largest {
+            return false;
+        }
+        self.push(n, pool, Reason::Spread);
+        let Some(n) = self.surplus(pool).filter(|_| self.has_room()) else {
+            return false;
+        };
+        self.push(n, spare, Reason::Surplus);
+        true
+    }
+
     /// The member that the pool misses least, if it can do without one.
     fn surplus(&mut self, pool: usize) -> Option<usize> {
         let mut members: Vec<usize> = (0..self.machines.len())
             .filter(|n| self.machines[*n].pool == pool)
-            .filter(|n| !self.machines[*n].held && !self.moved[*n])
+            .filter(|n| !self.machines[*n].held && self.moved[*n] == 0)
             .collect();
         members.sort_by_key(|n| {
             let machine = &self.machines[*n];
