--- a/crates/assignment/src/planner.rs
+++ b/crates/assignment/src/planner.rs
@@ -28,7 +28,7 @@
     pub(crate) fn new(problem: &'a Problem) -> Self {
         let mut free = vec![Vec::new(); problem.racks];
         for (n, machine) in problem.machines.iter().enumerate() {
-            if problem.needs[machine.pool].spare && !machine.held {
+            if problem.needs[machine.pool].spare && machine.is_free() {
                 free[machine.rack].push(n);
             }
         }
@@ -55,7 +55,7 @@
     /// Whether a machine may leave its pool now.
     pub(crate) fn can_leave(&mut self, n: usize) -> bool {
         let machine = &self.machines[n];
-        if machine.held || self.moved[n] > 0 {
+        if !machine.is_free() || self.moved[n] > 0 {
             return false;
         }
         let need = &self.problem.needs[machine.pool];
@@ -132,7 +132,7 @@
                 continue;
             }
             cost.buffer += load.total.saturating_sub(need.demand);
-            let steps = load.members.div_ceil(need.max_down.max(1));
+            let steps = load.members.div_ceil(need.max_down.unwrap_or(1).max(1));
             cost.rollout = cost.rollout.max(steps);
             cost.crowding += load.crowding();
         }
--- a/crates/assignment/src/repair.rs
+++ b/crates/assignment/src/repair.rs
@@ -90,7 +90,7 @@
         let need = &self.problem.needs[pool];
         let load = &self.loads[pool];
         let worth = need.worth(machine);
-        if worth == 0 || machine.held || !self.may_join(n, pool) {
+        if worth == 0 || !self.may_join(n, pool) {
             return None;
         }
         let before = load.safe(need).min(need.demand);
--- a/crates/assignment/src/shorten.rs
+++ b/crates/assignment/src/shorten.rs
@@ -100,7 +100,7 @@
     fn surplus(&mut self, pool: usize) -> Option<usize> {
         let mut members: Vec<usize> = (0..self.machines.len())
             .filter(|n| self.machines[*n].pool == pool)
-            .filter(|n| !self.machines[*n].held && self.moved[*n] == 0)
+            .filter(|n| self.moved[*n] == 0)
             .collect();
         members.sort_by_key(|n| {
             let machine = &self.machines[*n];
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use cactuswheel_http::Call;
 use cactuswheel_model::Digest;
+use cactuswheel_standin::Run;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -42,6 +43,8 @@
     pub admins: Vec<SocketAddr>,
     /// Where entries take their peers; a later entry beats to the earlier ones.
     pub peers: Vec<SocketAddr>,
+    /// `limits` in the settings of entries started from now on.
+    pub limits: Value,
     /// Scratch folder for settings and tickets, removed at the end.
     dir: PathBuf,
 }
@@ -65,6 +68,7 @@
             callers: Vec::new(),
             admins: Vec::new(),
             peers: Vec::new(),
+            limits: json!({}),
             dir,
         };
         (0..upstreams).for_each(|_| fleet.add_upstream());
@@ -74,14 +78,19 @@
 
     /// Starts one more upstream.
     pub fn add_upstream(&mut self) {
+        self.add_upstream_with(&[]);
+    }
+
+    /// Starts one more upstream with more arguments.
+    pub fn add_upstream_with(&mut self, more: &[&str]) {
         let addr = self.hosts.addr(9000);
         let id = format!("w{}", self.upstreams.len() + 1);
-        self.upstreams.push(self.start_upstream(&id, addr));
+        self.upstreams.push(self.start_upstream(&id, addr, more));
         self.upstream_addrs.push(addr);
     }
 
     /// Starts an upstream process without keeping it.
-    pub fn start_upstream(&self, id: &str, addr: SocketAddr) -> Process {
+    pub fn start_upstream(&self, id: &str, addr: SocketAddr, more: &[&str]) -> Process {
         let (addr, platform) = (addr.to_string(), self.platform_addr.to_string());
         let args = [
             "upstream",
@@ -92,7 +101,51 @@
             "--platform",
             &platform,
         ];
-        Process::start("cactuswheel-standin", &args)
+        Process::start("cactuswheel-standin", &[&args, more].concat())
+    }
+
+    /// Lists an instance in the roster as `presence`.
+    pub async fn list(&self, id: &str, incarnation: u64, addr: SocketAddr, presence: &str) {
+        let sighting = json!({"id": id, "incarnation": incarnation, "addr": addr,
+            "presence": presence});
+        let call = Call::post(self.platform_addr, "/roster").with_json(&sighting);
+        let answer = call.expect("a sighting is JSON").send().await;
+        assert!(answer.is_ok_and(|a| a.status == 200), "{sighting}");
+    }
+
+    /// What an upstream says that it ran.
+    pub async fn runs(&self, upstream: usize) -> Vec<Run> {
+        let call = Call::get(self.upstream_addrs[upstream], "/runs");
+        let answer = call.send().await.expect("the upstream answers");
+        answer.json().expect("runs are JSON")
+    }
+
+    /// Puts the first ticket in and waits until every entry has all upstreams.
+    ///
+    /// # Panics
+    ///
+    /// If the ticket is refused.
+    pub async fn open(&self, limit: u32) {
+        let (status, text) = self.apply(0, &self.first_ticket(limit));
+        assert_eq!(status, Some(0), "{text}");
+        self.settle(self.upstreams.len()).await;
+    }
+
+    /// Switches the platform's faults.
+    pub async fn fault(&self, fault: &Value) {
+        let call = Call::post(self.platform_addr, "/fault").with_json(fault);
+        let answer = call.expect("a fault is JSON").send().await;
+        assert!(answer.is_ok_and(|a| a.status == 200), "{fault}");
+    }
+
+    /// How often the request `id` ran, at all upstreams together.
+    pub async fn runs_of(&self, id: &str) -> usize {
+        let mut runs = 0;
+        for upstream in 0..self.upstreams.len() {
+            let all = self.runs(upstream).await;
+            runs += all.iter().filter(|run| run.request == id).count();
+        }
+        runs
     }
 
     /// Starts one more entry.
@@ -109,6 +162,7 @@
             "log": {"level": "ERROR"},
             "maintenance": {"settle_ms": 300, "quiet_ms": 300, "stagger_ms": 1000,
                 "overdue_ms": 6000, "fresh_ms": 5000},
+            "limits": self.limits,
         });
         let file = self.file(&format!("{name}.json"), &settings);
         let file = file.to_str().expect("the scratch folder's name is text");
@@ -170,6 +224,16 @@
         )
     }
 
+    /// Runs the CLI as operator `ana` at an entry; its exit status, output and errors.
+    pub fn cli(&self, entry: usize, args: &[&str]) -> (Option<i32>, String, String) {
+        let at = self.admins[entry].to_string();
+        let all = [&["--entry", &at, "--key", OPERATOR_KEY], args].concat();
+        let output = Process::output("cactuswheel", &all);
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code();
+        (code, text(&output.stdout), text(&output.stderr))
+    }
+
     /// Waits until every entry has `upstreams` upstreams.
     pub async fn settle(&self, upstreams: usize) {
         for admin in &self.admins {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,7 +14,7 @@
 
 use crate::fault::Fault;
 use crate::log::Log;
-use crate::tasks::Workers;
+use crate::tasks::TaskRunner;
 use crate::workers::Control;
 
 /// Records that a stream keeps.
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Platform {
     inner: Arc<Mutex<Inner>>,
-    workers: Workers,
+    tasks: TaskRunner,
 }
 
 #[derive(Debug)]
@@ -127,7 +127,7 @@
             (Method::GET, _) if path == "/roster" => self.roster(),
             (Method::POST, _) if path == "/roster" => self.set_roster(request).await,
             (Method::POST, _) if path.starts_with("/tasks/") => {
-                self.workers.answer(&self, request).await
+                self.tasks.answer(&self, request).await
             }
             (Method::POST, Some(("/trim", _))) => self.trim(&request),
             _ => self.control(request).await,
--- a/crates/standin/src/tasks.rs
+++ b/crates/standin/src/tasks.rs
@@ -1,4 +1,4 @@
-//! Workers' stand-in: runs tasks as their payloads say.
+//! TaskRunner' stand-in: runs tasks as their payloads say.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -31,7 +31,7 @@
 
 /// Runs tasks, each attempt at most once in one life of a worker.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Workers {
+pub(crate) struct TaskRunner {
     inner: Arc<Mutex<Inner>>,
 }
 
@@ -39,7 +39,7 @@
 struct Inner {
     /// Attempts that were started or kept from starting, with what they are told.
     tasks: BTreeMap<TaskId, watch::Sender<Told>>,
-    /// Workers that fail whatever they start.
+    /// TaskRunner that fail whatever they start.
     broken: Vec<InstanceId>,
 }
 
@@ -52,7 +52,7 @@
     stop: bool,
 }
 
-impl Workers {
+impl TaskRunner {
     /// Answers worker control's calls.
     pub(crate) async fn answer(&self, platform: &Platform, request: Request<Incoming>) -> Reply {
         let verb = request
