--- a/crates/fleet/src/disruptions.rs
+++ b/crates/fleet/src/disruptions.rs
@@ -6,12 +6,13 @@
 
 mod budget;
 mod hold;
+mod moves;
 mod room;
 mod steps;
 mod tickets;
 mod waves;
 
-use cactuswheel_model::{Incarnation, InstanceId, Map, Offset, PoolId, Wave, WaveNo};
+use cactuswheel_model::{Incarnation, InstanceId, Map, Offset, PoolId, WantedMove, Wave, WaveNo};
 use serde::{Deserialize, Serialize};
 
 use crate::{Config, Table};
@@ -37,6 +38,11 @@
     /// The record that last gave back a grant because the instance was busy, until it had its
     /// turn.
     deferred: Table<InstanceId, Offset>,
+    /// Moves that are wanted and not switched yet.
+    ///
+    /// Invariant: no instance twice, each in the pool that it is to leave.
+    #[serde(default)]
+    wishes: Vec<WantedMove>,
 }
 
 impl Disruptions {
--- /dev/null
+++ b/crates/fleet/src/disruptions/moves.rs
@@ -0,0 +1,88 @@
+//! The rules for wanted moves.
+
+use cactuswheel_model::{Code, Instance, InstanceId, Moves, PoolId, Refusal, Set, WantedMove};
+
+use super::steps::refuse;
+use super::{Disruptions, room};
+use crate::Config;
+
+/// Most moves in one list.
+const MAX_MOVES: usize = 10_000;
+
+impl Disruptions {
+    /// Replaces the wanted moves, all or nothing.
+    pub(crate) fn set_moves(&mut self, wanted: &Moves, config: &Config) -> Result<(), Refusal> {
+        if wanted.moves.len() > MAX_MOVES {
+            let detail = format!("{} moves, takes {MAX_MOVES}", wanted.moves.len());
+            return Err(refuse(Code::BadTicket, detail));
+        }
+        let mut seen = Set::default();
+        for wish in &wanted.moves {
+            check_wish(wish, config)?;
+            if !seen.insert(&wish.instance) {
+                let detail = format!("{} is named twice", wish.instance);
+                return Err(refuse(Code::BadTicket, detail));
+            }
+        }
+        self.wishes = wanted.moves.clone();
+        Ok(())
+    }
+
+    /// Moves that are wanted and not done yet, in their order.
+    pub fn wishes(&self) -> &[WantedMove] {
+        &self.wishes
+    }
+
+    /// Refuses a move that would leave its pool too small for its demand or its budget.
+    pub fn check_leaving(
+        &self,
+        instance: &InstanceId,
+        pool: &PoolId,
+        config: &Config,
+    ) -> Result<(), Refusal> {
+        room::check_leaving(instance, pool, config, self)
+    }
+
+    /// Refuses a move that is not wanted.
+    ///
+    /// Failure: a driver that slept holds a move of an older list; symptom: an instance goes
+    /// where no operator wants it any more.
+    pub(super) fn check_wanted(
+        &self,
+        instance: &Instance,
+        from: &PoolId,
+        to: &PoolId,
+        config: &Config,
+    ) -> Result<(), Refusal> {
+        let wish = self.wishes.iter().find(|w| w.instance == instance.id);
+        if wish.is_none_or(|w| w.from != *from || w.to != *to) {
+            let detail = format!("no move of {} from {from} to {to} is wanted", instance.id);
+            return Err(refuse(Code::GrantStale, detail));
+        }
+        if instance.pool != *from {
+            let detail = format!("it is in pool {}", instance.pool);
+            return Err(refuse(Code::GrantStale, detail));
+        }
+        if !config.pools.contains(to) {
+            return Err(refuse(Code::MissingReference, format!("pool {to}")));
+        }
+        room::check_leaving(&instance.id, from, config, self)
+    }
+
+    /// Forgets the move of an instance.
+    pub(super) fn drop_wish(&mut self, id: &InstanceId) {
+        self.wishes.retain(|w| w.instance != *id);
+    }
+}
+
+fn check_wish(wish: &WantedMove, config: &Config) -> Result<(), Refusal> {
+    let instance = config.instances.get(&wish.instance);
+    if instance.is_none_or(|i| i.pool != wish.from) || wish.from == wish.to {
+        let detail = format!("{} is not in pool {}", wish.instance, wish.from);
+        return Err(refuse(Code::GrantStale, detail));
+    }
+    if !config.pools.contains(&wish.to) {
+        return Err(refuse(Code::MissingReference, format!("pool {}", wish.to)));
+    }
+    Ok(())
+}
--- a/crates/fleet/src/disruptions/room.rs
+++ b/crates/fleet/src/disruptions/room.rs
@@ -14,8 +14,14 @@
     config: &Config,
     disruptions: &Disruptions,
 ) -> Result<(), Refusal> {
-    let services = config.services.values().filter(|s| s.pool == *pool);
-    let demand: u64 = services.map(|s| u64::from(s.demand.get())).sum();
+    let services = || config.services.values().filter(|s| s.pool == *pool);
+    let demand: u64 = services().map(|s| u64::from(s.demand.get())).sum();
+    let stay = config.pool_size(pool).saturating_sub(1);
+    if let Some(service) = services().find(|s| s.max_down as usize >= stay) {
+        let (id, max) = (&service.id, service.max_down);
+        let detail = format!("pool {pool}: {stay} stay, service {id} allows {max} to be down");
+        return Err(Refusal::new(Code::BudgetImpossible).with_detail(detail));
+    }
     let mut total = 0;
     let mut racks: Map<(&DcId, &RackId), u64> = Map::default();
     for instance in config.instances.values().filter(|i| i.pool == *pool) {
--- a/crates/fleet/src/disruptions/steps.rs
+++ b/crates/fleet/src/disruptions/steps.rs
@@ -4,7 +4,7 @@
     Code, Disruption, Incarnation, Instance, InstanceId, Offset, Purpose, Refusal,
 };
 
-use super::{Disruptions, Hold, Stage, room};
+use super::{Disruptions, Hold, Stage};
 use crate::Config;
 
 impl Disruptions {
@@ -54,16 +54,7 @@
         }
         match purpose {
             Purpose::Reboot(wave) => self.check_turn(&instance.id, *wave)?,
-            Purpose::Move { from, to } => {
-                if instance.pool != *from || from == to {
-                    let detail = format!("it is in pool {}", instance.pool);
-                    return Err(refuse(Code::GrantStale, detail));
-                }
-                if !config.pools.contains(to) {
-                    return Err(refuse(Code::MissingReference, format!("pool {to}")));
-                }
-                room::check_leaving(&instance.id, from, config, self)?;
-            }
+            Purpose::Move { from, to } => self.check_wanted(instance, from, to, config)?,
         }
         let budget = self.budget(&instance.pool, config);
         if !budget.has_room() {
@@ -111,10 +102,8 @@
                 Stage::Rebooting(*wave)
             }
             Purpose::Move { from, to } => {
-                if !config.pools.contains(to) {
-                    return Err(refuse(Code::MissingReference, format!("pool {to}")));
-                }
-                room::check_leaving(&instance.id, from, config, self)?;
+                self.check_wanted(instance, from, to, config)?;
+                self.drop_wish(&instance.id);
                 let moved = Instance {
                     pool: to.clone(),
                     ..instance.clone()
--- a/crates/fleet/src/disruptions/tickets.rs
+++ b/crates/fleet/src/disruptions/tickets.rs
@@ -37,6 +37,9 @@
                     let draining = self
                         .hold(&x.id)
                         .is_some_and(|h| matches!(h.stage, Stage::Draining(_)));
+                    if before != next.instances.get(&x.id).map(|i| &i.pool) {
+                        self.drop_wish(&x.id);
+                    }
                     // A drain for another pool's sake; its commit will be refused.
                     if draining && before != next.instances.get(&x.id).map(|i| &i.pool) {
                         self.holds.remove(&x.id);
@@ -62,6 +65,7 @@
 
     fn forget(&mut self, id: &InstanceId) {
         self.holds.remove(id);
+        self.drop_wish(id);
         self.lives.remove(id);
         self.turns.remove(id);
         self.deferred.remove(id);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -43,6 +43,8 @@
     Snapshot,
     /// A step of an outage, with the fence of the outage it belongs to.
     Disruption(Result<Offset, Refusal>),
+    /// The wanted moves.
+    Moves(Result<(), Refusal>),
     /// A wave's wanted state.
     Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
@@ -114,6 +116,9 @@
             Ok(Record::Disruption(step)) => {
                 Applied::Disruption(self.apply_disruption(offset, &step))
             }
+            Ok(Record::Moves(wanted)) => {
+                Applied::Moves(self.disruptions.set_moves(&wanted, &self.config))
+            }
             Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
                 self.undecodable += 1;
--- a/crates/maintenance/src/outages.rs
+++ b/crates/maintenance/src/outages.rs
@@ -101,7 +101,8 @@
     }
 }
 
-/// Whether a commit would be refused: the wave is paused or past, or losses fill the budget.
+/// Whether a commit would be refused: the wave is paused or past, the move is not wanted any
+/// more, or losses fill the budget.
 fn is_pointless(view: &View<'_>, hold: &Hold, purpose: &Purpose) -> bool {
     let disruptions = view.state.disruptions();
     if let Purpose::Reboot(number) = purpose {
@@ -112,6 +113,13 @@
             return true;
         }
     }
+    if let Purpose::Move { from, to } = purpose {
+        let wanted = disruptions.wishes().iter();
+        let mut same = wanted.filter(|w| w.from == *from && w.to == *to);
+        if !same.any(|w| w.instance == hold.instance) {
+            return true;
+        }
+    }
     let config = view.state.config();
     let instance = config.instances.get(&hold.instance);
     instance.is_some_and(|i| disruptions.budget(&i.pool, config).excess(0).is_some())
--- a/crates/maintenance/src/starts.rs
+++ b/crates/maintenance/src/starts.rs
@@ -7,33 +7,65 @@
 use crate::{Action, Driver, Reason, View};
 
 impl Driver {
-    /// Takes as many instances as budgets allow, failure domain by failure domain.
-    ///
-    /// A pool goes on into the next rack while others are still in the one before: budgets
-    /// alone bound the pace, and order keeps the outages of a pool together, so that the loss
-    /// of a rack under maintenance costs few others.
+    /// Takes as many instances as budgets allow: wanted moves first, then the wave.
     pub(crate) fn start(&mut self, view: &View<'_>) {
-        let Some(wave) = view.state.disruptions().wave() else {
-            return;
+        let disruptions = view.state.disruptions();
+        let wave = disruptions.wave();
+        let left = wave.map(|w| remaining(view, w)).unwrap_or_default();
+        if left.is_empty() && disruptions.wishes().is_empty() {
+            return wave.map_or((), |wave| self.start_next(view, wave));
+        }
+        let mut room = Room {
+            budgets: disruptions.budgets(view.state.config()),
+            left: self.settings.parallel.saturating_sub(planned(view)),
         };
-        let left = remaining(view, wave);
-        if left.is_empty() {
-            return self.start_next(view, wave);
+        self.start_moves(view, &mut room);
+        if let Some(wave) = wave.filter(|_| self.wait_reason(view).is_none()) {
+            self.start_reboots(view, wave.number, left, &mut room);
         }
-        if self.wait_reason(view).is_some() {
-            return;
+    }
+
+    /// Takes instances for wanted moves, in the order of the list.
+    ///
+    /// Losses do not hold moves up: moves may be what mends them. The fold judges each again.
+    fn start_moves(&mut self, view: &View<'_>, room: &mut Room) {
+        let (state, config) = (view.state, view.state.config());
+        for wish in state.disruptions().wishes() {
+            let Some(instance) = config.instances.get(&wish.instance) else {
+                continue;
+            };
+            let disruptions = state.disruptions();
+            let held = disruptions.hold(&wish.instance).is_some();
+            let leaves = disruptions.check_leaving(&wish.instance, &wish.from, config);
+            if held || leaves.is_err() || self.is_postponed(view, instance) {
+                continue;
+            }
+            if room.take(&instance.pool) {
+                let purpose = Purpose::Move {
+                    from: wish.from.clone(),
+                    to: wish.to.clone(),
+                };
+                self.take(view, instance, purpose);
+            }
         }
-        let mut budgets = view.state.disruptions().budgets(view.state.config());
-        let mut room = self.settings.parallel.saturating_sub(planned(view));
+    }
+
+    /// Takes instances for the wave, failure domain by failure domain.
+    ///
+    /// A pool goes on into the next rack while others are still in the one before: budgets
+    /// alone bound the pace, and order keeps the outages of a pool together, so that the loss
+    /// of a rack under maintenance costs few others.
+    fn start_reboots(
+        &mut self,
+        view: &View<'_>,
+        wave: WaveNo,
+        left: Vec<&Instance>,
+        room: &mut Room,
+    ) {
         for instance in left {
-            if room == 0 {
-                return;
-            }
-            if self.is_postponed(view, instance) || !has_room(&mut budgets, &instance.pool) {
-                continue;
+            if !self.is_postponed(view, instance) && room.take(&instance.pool) {
+                self.take(view, instance, Purpose::Reboot(wave));
             }
-            room -= 1;
-            self.take(view, instance, wave.number);
         }
     }
 
@@ -68,14 +100,14 @@
         waited < self.settings.postpone
     }
 
-    fn take(&mut self, view: &View<'_>, instance: &Instance, wave: WaveNo) {
+    fn take(&mut self, view: &View<'_>, instance: &Instance, purpose: Purpose) {
         let Some(seen) = view.seen.get(&instance.id).filter(|s| s.live) else {
             return;
         };
         let take = Disruption::Take {
             instance: instance.id.clone(),
             incarnation: seen.incarnation,
-            purpose: Purpose::Reboot(wave),
+            purpose,
             holder: view.entry.clone(),
         };
         self.propose(view, Offset::default(), Step::Take, take);
@@ -96,6 +128,26 @@
     }
 }
 
+/// What is left for more outages.
+struct Room {
+    budgets: Map<PoolId, Budget>,
+    /// Outages that may still start, over all pools.
+    left: usize,
+}
+
+impl Room {
+    /// Takes one from a pool's budget if there is room.
+    fn take(&mut self, pool: &PoolId) -> bool {
+        let budget = self.budgets.get_mut(pool).filter(|b| b.has_room());
+        let Some(budget) = budget.filter(|_| self.left > 0) else {
+            return false;
+        };
+        budget.down += 1;
+        self.left -= 1;
+        true
+    }
+}
+
 /// Instances that have not had their turn and are not held, in the order of the wave.
 pub(crate) fn remaining<'a>(view: &View<'a>, wave: &Wave) -> Vec<&'a Instance> {
     let disruptions = view.state.disruptions();
@@ -113,15 +165,6 @@
     left
 }
 
-/// Takes one from a pool's budget if there is room.
-fn has_room(budgets: &mut Map<PoolId, Budget>, pool: &PoolId) -> bool {
-    let Some(budget) = budgets.get_mut(pool).filter(|b| b.has_room()) else {
-        return false;
-    };
-    budget.down += 1;
-    true
-}
-
 fn planned(view: &View<'_>) -> usize {
     let holds = view.state.disruptions().holds();
     let planned = holds.filter(|h| matches!(h.stage, Stage::Draining(_) | Stage::Rebooting(_)));
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Disruption, JobEvent, SnapshotMark, Ticket, Wave};
+use crate::{Disruption, JobEvent, Moves, SnapshotMark, Ticket, Wave};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     Snapshot(SnapshotMark),
     /// A step of a planned outage, or a report of an unplanned one.
     Disruption(Disruption),
+    /// The moves that are wanted.
+    Moves(Moves),
     /// A maintenance wave's wanted state.
     Wave(Wave),
 }
