--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,9 +6,11 @@
 mod exit;
 mod files;
 mod keys;
+mod maintenance;
 mod options;
 mod output;
 mod page;
+mod plan;
 mod run;
 mod status;
 mod table;
@@ -20,7 +22,10 @@
 pub use diff::{DiffRow, FieldDiff, diff};
 pub use error::CliError;
 pub use exit::Exit;
-pub use options::{Command, KeyCommand, Options, TicketCommand, WaitOptions, options};
+pub use options::{
+    Command, KeyCommand, MaintenanceCommand, Options, PlanCommand, TicketCommand, WaitOptions,
+    options,
+};
 pub use output::Output;
 pub use page::code_page;
 pub use run::run;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,6 +1,7 @@
 //! Command line options.
 
 mod key;
+mod maintenance;
 mod ticket;
 mod wait;
 
@@ -11,6 +12,8 @@
 
 pub use self::key::KeyCommand;
 use self::key::key_command;
+pub use self::maintenance::{MaintenanceCommand, PlanCommand};
+use self::maintenance::{maintenance_command, plan_command};
 pub use self::ticket::TicketCommand;
 use self::ticket::ticket_command;
 pub use self::wait::WaitOptions;
@@ -83,6 +86,12 @@
     /// Data centres
     #[bpaf(command)]
     Dcs,
+    /// Maintenance waves
+    #[bpaf(command)]
+    Maintenance(#[bpaf(external(maintenance_command))] MaintenanceCommand),
+    /// Which instances move to which pools
+    #[bpaf(command)]
+    Plan(#[bpaf(external(plan_command))] PlanCommand),
     /// Who changed what, and what came of it
     #[bpaf(command)]
     Audit {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{keys, status, ticket, validate, views};
+use crate::{keys, maintenance, plan, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
@@ -17,6 +17,8 @@
         Command::Ticket(command) => ticket::run(&client, command).await,
         Command::Key(command) => keys::run(&client, command).await,
         Command::Status { entries } => status::show(&client, &entries).await,
+        Command::Maintenance(command) => maintenance::run(&client, command).await,
+        Command::Plan(command) => plan::run(&client, command).await,
         Command::Audit { max } => views::audit(&client, max).await,
         Command::Config => views::config(&client).await,
         Command::Instances { pool } => views::instances(&client, pool).await,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,7 +6,9 @@
 mod instances;
 mod list;
 mod maintenance;
+mod plan;
 mod pools;
+mod propose;
 mod refused;
 mod status;
 mod tickets;
@@ -41,6 +43,8 @@
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
         (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
+        (&Method::GET, "/v1/plan") => plan::show(&shared).await,
+        (&Method::POST, "/v1/plan/apply") => plan::apply(&shared, operator).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
--- a/crates/daemon/src/admin/maintenance.rs
+++ b/crates/daemon/src/admin/maintenance.rs
@@ -1,22 +1,16 @@
 //! Maintenance waves for operators.
 
-use std::time::Duration;
-
 use cactuswheel_fleet::{Hold, State};
 use cactuswheel_http::{Reply, json, read_json};
 use cactuswheel_model::{Code, DcId, OperatorId, Record, Refusal, Wave, WaveNo};
-use cactuswheel_platform::Use;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
 
+use super::propose::propose;
 use crate::maintenance::wall;
 use crate::shared::Shared;
 
-/// Time within which a change has to be read back from the log.
-const LIMIT: Duration = Duration::from_secs(10);
-
 /// What an operator wants of the waves.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -72,20 +66,7 @@
         .await
         .map_err(|e| Refusal::new(Code::BadRequest).with_detail(e))?;
     let wave = wanted(&shared.state.load(), wish, operator)?;
-    let record = Record::Wave(wave.clone());
-    let body = serde_json::to_string(&record)
-        .map_err(|e| Refusal::new(Code::BadRequest).with_detail(e.to_string()))?;
-    let unknown = |e: String| Refusal::new(Code::LogUnknown).with_detail(e);
-    let append = shared.appender.append(Use::Ticket, body);
-    let offset = timeout(LIMIT, append)
-        .await
-        .map_err(|_| unknown("no answer in time".into()))?
-        .map_err(|e| unknown(e.to_string()))?;
-    let mut reached = shared.reached.subscribe();
-    let read_back = timeout(LIMIT, reached.wait_for(|next| *next > offset)).await;
-    if !matches!(read_back, Ok(Ok(_))) {
-        return Err(unknown("not read back in time".into()));
-    }
+    propose(shared, &Record::Wave(wave.clone())).await?;
     let state = shared.state.load();
     if state.disruptions().wave().map(|w| w.number) < Some(wave.number) {
         return Err(Refusal::new(Code::WaveClosed).with_detail("another wave is the newest"));
--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -86,6 +86,7 @@
             level: LevelFilter::Warn,
         },
         limits: Limits::default(),
+        assignment: Default::default(),
         maintenance: Default::default(),
     })
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,6 +46,9 @@
     /// Sizes and times that may need tuning.
     #[serde(default)]
     pub limits: Limits,
+    /// Weights and bounds of pool assignment.
+    #[serde(default)]
+    pub assignment: cactuswheel_assignment::Settings,
     /// Times and bounds of maintenance.
     #[serde(default)]
     pub maintenance: cactuswheel_maintenance::Settings,
--- a/crates/e2e/tests/maintenance.rs
+++ b/crates/e2e/tests/maintenance.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_e2e::{Fleet, OPERATOR_KEY, TEAM_KEY};
+use cactuswheel_e2e::{Fleet, OPERATOR_KEY, Process, TEAM_KEY};
 use cactuswheel_http::{Answer, Call};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
@@ -145,3 +145,52 @@
     wait(&fleet, 1, |s| s["done"] == 3).await;
     check(&history(&fleet).await, 3);
 }
+
+/// Runs the command line at an entry; its output.
+fn cli(fleet: &Fleet, entry: usize, words: &[&str]) -> String {
+    let at = fleet.admins[entry].to_string();
+    let args = [&["--entry", &at, "--key", OPERATOR_KEY], words].concat();
+    let output = Process::output("cactuswheel", &args);
+    let text = [output.stdout, output.stderr].concat();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    assert!(output.status.success(), "{words:?}: {text}");
+    text
+}
+
+#[tokio::test]
+async fn planned_moves() {
+    // All of a pool's instances landed in one rack, so its loss would take everything. The
+    // operator sees the plan and the numbers, applies it at one entry, and the instances of
+    // another rack join one after the other while callers go on.
+    let fleet = Fleet::start(8, 2);
+    let mut ticket = fleet.first_ticket(32);
+    ticket["changes"][3]["service"]["max_down"] = json!(1);
+    ticket["changes"][3]["service"]["demand"] = json!(16);
+    for n in 5..=8 {
+        ticket["changes"][5 + n] = Fleet::instance(n, "spare");
+    }
+    let (status, text) = fleet.apply(0, &ticket);
+    assert_eq!(status, Some(0), "{text}");
+    fleet.settle(8).await;
+    let plan = cli(&fleet, 0, &["plan", "show"]);
+    assert!(plan.contains("demand") && plan.contains("w5"), "{plan}");
+    cli(&fleet, 1, &["plan", "apply"]);
+    let until = Instant::now() + LIMIT;
+    while cli(&fleet, 0, &["--json", "plan", "show"]).contains("\"instance\"") {
+        assert!(
+            Instant::now() < until,
+            "{}",
+            cli(&fleet, 0, &["plan", "show"])
+        );
+        assert_eq!(post(&fleet, 0, 5).await, 200);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let instances = cli(&fleet, 1, &["instances", "--pool", "render"]);
+    assert!(
+        instances.contains("w5") && instances.contains("w6"),
+        "{instances}"
+    );
+    wait(&fleet, 1, |s| s["outages"] == json!([])).await;
+    let text = cli(&fleet, 0, &["maintenance", "show"]);
+    assert!(text.contains("no wave has begun"), "{text}");
+}
