--- a/crates/assignment/src/load.rs
+++ b/crates/assignment/src/load.rs
@@ -89,11 +89,13 @@
     }
 
     /// Whether a member may leave for good without breaking a hard rule, or breaking it more.
+    ///
+    /// A budget of none lets nothing go: a move begins with an outage.
     pub fn can_lose(&mut self, machine: &Machine, need: &Need) -> bool {
-        if need.demand == 0 {
-            return need.spare || self.members > need.max_down + 1;
-        }
-        if self.members <= need.max_down + 1 {
+        let Some(down) = need.max_down else {
+            return true;
+        };
+        if down == 0 || self.members <= down + 1 {
             return false;
         }
         let worth = need.worth(machine);
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -21,8 +21,17 @@
     pub accels: u64,
     /// The pool that it is in.
     pub pool: usize,
-    /// Whether an outage or a move holds it: it counts for nothing and is not moved.
-    pub held: bool,
+    /// Whether it is lost: it counts for nothing and is not moved.
+    pub lost: bool,
+    /// Whether a planned outage or a move holds it: it counts, and is not moved.
+    pub pinned: bool,
     /// Expected time until its work has ended, in seconds; a move waits that long.
     pub drain: u64,
 }
+
+impl Machine {
+    /// Whether it may be moved, as far as it is known.
+    pub fn is_free(&self) -> bool {
+        !self.lost && !self.pinned
+    }
+}
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -102,7 +102,7 @@
     };
     let lanes: Vec<_> = stage.entries.iter().map(lanes).collect();
     let mut tasks = JoinSet::new();
-    let mut owed = vec![0.0; Shape::TODAY.services];
+    let mut owed = [0.0; Shape::TODAY.services];
     let (start, mut sent) = (Instant::now(), 0);
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
