--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -10,6 +10,6 @@
     pub down: bool,
     /// Appends take effect but their answers are lost.
     pub deaf: bool,
-    /// Every call takes this much longer, in milliseconds.
+    /// Every answer comes this much later than its effect, in milliseconds.
     pub slow: u64,
 }
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -15,6 +15,8 @@
     head: Offset,
     /// Most records kept.
     kept: usize,
+    /// Calls of `append` so far.
+    appends: u64,
     /// Tells readers that wait for the head to move.
     moved: watch::Sender<Offset>,
 }
@@ -27,6 +29,7 @@
             entries: VecDeque::new(),
             head: Offset::default(),
             kept,
+            appends: 0,
             moved,
         }
     }
@@ -34,6 +37,7 @@
     /// Appends `bodies`; the offset of the first.
     pub(crate) fn append(&mut self, bodies: Vec<String>) -> Offset {
         let first = self.head;
+        self.appends += 1;
         for body in bodies {
             self.entries.push_back(Entry {
                 offset: self.head,
@@ -68,6 +72,11 @@
         self.entries.drain(..surplus);
     }
 
+    /// Calls of `append` so far.
+    pub(crate) fn appends(&self) -> u64 {
+        self.appends
+    }
+
     /// Tells when the head moves.
     pub(crate) fn watch(&self) -> watch::Receiver<Offset> {
         self.moved.subscribe()
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -117,14 +117,21 @@
             return self.workers(request).await;
         }
         let fault = self.lock().fault;
+        // The effect comes first: who gives up before the answer does not undo it.
+        let reply = match fault.down {
+            true => text(StatusCode::SERVICE_UNAVAILABLE, "down"),
+            false => self.serve_call(&path, request, fault).await,
+        };
         sleep(Duration::from_millis(fault.slow)).await;
-        if fault.down {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "down");
-        }
+        reply
+    }
+
+    async fn serve_call(self, path: &str, request: Request<Incoming>, fault: Fault) -> Reply {
         match (request.method().clone(), path.split_at_checked(5)) {
             (Method::POST, Some(("/log/", stream))) => self.append(stream, request, fault).await,
             (Method::GET, Some(("/log/", stream))) => self.read(stream, &request).await,
             (Method::GET, _) if path == "/roster" => self.roster(),
+            (Method::GET, _) if path == "/appends" => self.appends(),
             (Method::POST, _) if path == "/roster" => self.set_roster(request).await,
             (Method::POST, _) if path.starts_with("/tasks/") => {
                 self.tasks.answer(&self, request).await
@@ -169,6 +176,13 @@
         }
     }
 
+    /// For tests: how often each stream was appended to.
+    fn appends(&self) -> Reply {
+        let inner = self.lock();
+        let appends = [inner.fleet.appends(), inner.snapshots.appends()];
+        json(StatusCode::OK, &appends)
+    }
+
     fn roster(&self) -> Reply {
         let instances = self.lock().roster.values().cloned().collect();
         json(StatusCode::OK, &Sightings { instances })
