--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -13,7 +13,10 @@
 mod relay;
 mod request;
 mod server;
+mod slot;
+mod slots;
 mod traffic;
 
 pub(crate) use conns::Conns;
 pub(crate) use server::serve;
+pub(crate) use slots::Slots;
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -4,18 +4,18 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Code, Ran, Refusal};
-use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
+use cactuswheel_routing::{Attempt, Event, Outcome};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use super::abandoned::{Sent, Waiting};
-use super::conns::Conns;
 use super::headers::{LEAVING, NOT_RUN, is_set};
 use super::held::Permit;
 use super::live::Live;
 use super::payload::Payload;
+use super::slot::Slot;
 use crate::shared::Shared;
 
 /// When to come back to upstreams that are full.
@@ -39,7 +39,7 @@
     shared: &Arc<Shared>,
     request: Request<Payload>,
     permit: Permit,
-    lease: Lease<Conns>,
+    lease: Slot,
     until: Instant,
 ) -> Result<(Response<Incoming>, Live), Failure> {
     let upstream = lease.upstream();
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{Code, Ran, Refusal};
-use cactuswheel_routing::{Exchange, Lease, Upstream};
+use cactuswheel_routing::{Exchange, Upstream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::time::Instant;
@@ -15,6 +15,12 @@
 use super::live::Live;
 use super::payload::Payload;
 use super::request::enter;
+use super::slot::Slot;
+
+/// Usual run times for which there must be time left when a request gets its slot.
+///
+/// Started later, most would run and be too late: their slot is lost and their outcome unknown.
+const RUNS: u32 = 2;
 
 /// What is known of a request while it is being sent.
 #[derive(Debug)]
@@ -55,13 +61,13 @@
         mut request: Request<Payload>,
     ) -> Result<(Response<Incoming>, Live), Refusal> {
         loop {
-            let lease = self.pick()?;
+            let (unit, lease) = self.place(permit).await?;
             let upstream = lease.upstream().clone();
             self.job.address(&mut request, upstream.addr)?;
             let copy = copy(&request);
             self.exchange.begin();
             let until = Instant::now() + self.job.left();
-            match attempt::send(&self.job.shared, request, permit, lease, until).await {
+            match attempt::send(&self.job.shared, request, unit, lease, until).await {
                 Ok(answered) => return Ok(answered),
                 Err(failure) => (permit, request) = self.again(failure, copy).await?,
             }
@@ -69,16 +75,66 @@
         }
     }
 
-    fn pick(&mut self) -> Result<Lease<Conns>, Refusal> {
+    /// A slot, with the unit for it; waits for a slot while the upstreams are merely full.
+    async fn place(&mut self, permit: Permit) -> Result<(Permit, Slot), Refusal> {
+        let refusal = match self.pick_at_once() {
+            Ok(slot) => return Ok((permit, slot)),
+            Err(refusal) => refusal,
+        };
+        let full = self.last.as_ref().is_none_or(|r| r.code == Code::Declined);
+        if !full || !self.is_usable() {
+            return Err(self.last.take().unwrap_or(refusal));
+        }
+        // Whoever waits has nothing running: the unit is there for the team's other requests.
+        drop(permit);
+        let slot = self.wait().await?;
+        Ok((enter(&self.job).await?, slot))
+    }
+
+    /// A slot, unless others wait for one.
+    fn pick_at_once(&self) -> Result<Slot, Refusal> {
+        let first = self.last.is_none();
+        if first && !self.job.shared.slots.is_empty(&self.job.service.pool) {
+            return Err(Refusal::new(Code::NoUpstream));
+        }
+        self.pick()
+    }
+
+    /// Waits for a slot for as long as there is time to use it.
+    async fn wait(&mut self) -> Result<Slot, Refusal> {
+        let shared = self.job.shared.clone();
+        let pool = self.job.service.pool.clone();
+        let latency = shared.routes.load().latency(&pool, shared.now());
+        let left = self.job.left().saturating_sub(latency * RUNS);
+        let until = shared.now().after(left);
+        let place = shared.slots.join(&pool, shared.now(), until)?;
+        // What was full may have a slot again.
+        self.tried.clear();
+        while shared.now() < until {
+            place.turn().await;
+            if let Ok(slot) = self.pick() {
+                return Ok(slot);
+            }
+        }
+        Err(Refusal::new(Code::Deadline).with_retry(place.wait()))
+    }
+
+    /// Whether the pool has an upstream that could take a request, were it not full.
+    fn is_usable(&self) -> bool {
+        let shared = &self.job.shared;
+        let routes = shared.routes.load();
+        routes.usable(&self.job.service.pool, shared.now()) > 0
+    }
+
+    fn pick(&self) -> Result<Slot, Refusal> {
         let routes = self.job.shared.routes.load();
         let pool = &self.job.service.pool;
         let (now, draw) = (self.job.shared.now(), rand::random());
-        let picked = routes.pick(pool, &self.tried, now, draw);
-        let lease = picked.map_err(|refusal| self.last.take().unwrap_or(refusal))?;
-        if self.tried.is_empty() {
+        let lease = routes.pick(pool, &self.tried, now, draw)?;
+        if self.last.is_none() {
             lease.budget().deposit();
         }
-        Ok(lease)
+        Ok(Slot::new(lease, self.job.shared.clone()))
     }
 
     /// What another attempt needs, if there may be one.
@@ -87,8 +143,9 @@
         failure: Failure,
         copy: Option<Request<Payload>>,
     ) -> Result<(Permit, Request<Payload>), Refusal> {
+        let code = failure.refusal.code;
         let request = failure.request.map(|r| *r).or(copy);
-        if !self.may_retry(failure.ran, request.is_some()) {
+        if !self.may_retry(code, failure.ran, request.is_some()) {
             return Err(failure.refusal);
         }
         let Some(request) = request else {
@@ -107,8 +164,11 @@
         Ok((permit, request))
     }
 
-    fn may_retry(&mut self, ran: Ran, whole: bool) -> bool {
+    fn may_retry(&mut self, code: Code, ran: Ran, whole: bool) -> bool {
         let shared = &self.job.shared;
+        if code == Code::Declined {
+            return self.exchange.declined(whole, shared.now());
+        }
         let routes = shared.routes.load();
         let Some(budget) = routes.budget(&self.job.service.pool) else {
             return false;
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Incarnation, InstanceId, Ran};
-use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
+use cactuswheel_routing::{Attempt, Event, Outcome};
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep};
 
-use super::conns::{Conn, Conns};
+use super::conns::Conn;
 use super::held::Permit;
+use super::slot::Slot;
 use crate::shared::Shared;
 
 /// Longest that an upstream runs a request.
@@ -32,7 +33,7 @@
     permit: Option<Permit>,
     /// Some until the exchange is over.
     conn: Option<Conn>,
-    lease: Lease<Conns>,
+    lease: Slot,
     attempt: Attempt,
     sent: Instant,
     shared: Arc<Shared>,
@@ -40,12 +41,7 @@
 
 impl Live {
     /// An attempt whose request `conn` takes now.
-    pub(super) fn new(
-        permit: Permit,
-        lease: Lease<Conns>,
-        conn: Conn,
-        shared: Arc<Shared>,
-    ) -> Self {
+    pub(super) fn new(permit: Permit, lease: Slot, conn: Conn, shared: Arc<Shared>) -> Self {
         Self {
             permit: Some(permit),
             conn: Some(conn),
@@ -81,7 +77,7 @@
     }
 
     /// The slot.
-    pub(super) fn lease(&self) -> &Lease<Conns> {
+    pub(super) fn lease(&self) -> &Slot {
         &self.lease
     }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
-use crate::proxy::Conns;
+use crate::proxy::{Conns, Slots};
 use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
@@ -39,6 +39,7 @@
     /// The snapshot that peers are taking in chunks.
     pub(crate) served: Mutex<Option<Snapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
+    pub(crate) slots: Slots,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
@@ -69,6 +70,7 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            slots: Slots::default(),
             jobs: Desk::default(),
             replica: Mutex::default(),
             link: LogLink::default(),
--- a/crates/routing/src/exchange.rs
+++ b/crates/routing/src/exchange.rs
@@ -51,6 +51,15 @@
         harmless && whole && timely && budget.withdraw()
     }
 
+    /// Notes an attempt that the upstream declined since it was full; whether there may be
+    /// another.
+    ///
+    /// It costs the upstream next to nothing and is no failure, so no budget bounds it but the
+    /// number of attempts.
+    pub fn declined(&mut self, whole: bool, now: Time) -> bool {
+        whole && !self.clouded && now < self.until && self.tries < MAX_TRIES
+    }
+
     /// Whether the request ran, if its last attempt says `last`.
     pub fn ran(&self, last: Ran) -> Ran {
         match (self.clouded, last) {
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cactuswheel_model::Time;
+use cactuswheel_model::{PoolId, Time};
 
 use crate::pool::Pool;
 use crate::{Outcome, RetryBudget, Upstream};
@@ -32,6 +32,11 @@
         &self.upstream
     }
 
+    /// The upstream's pool.
+    pub fn pool(&self) -> &PoolId {
+        &self.pool.id
+    }
+
     /// The pool's retries.
     pub fn budget(&self) -> &RetryBudget {
         &self.pool.kept.budget
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -1,8 +1,9 @@
 //! The upstreams of one pool.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use cactuswheel_model::Time;
+use cactuswheel_model::{PoolId, Time};
 
 use crate::health::Standing;
 use crate::{Lease, Nearness, RetryBudget, Upstream};
@@ -19,6 +20,7 @@
 /// Upstreams by how near they are.
 #[derive(Debug)]
 pub(crate) struct Pool<C> {
+    pub(crate) id: PoolId,
     /// Nearest first.
     ///
     /// Invariant: none is empty.
@@ -28,8 +30,9 @@
 
 impl<C> Pool<C> {
     /// A pool without upstreams.
-    pub(crate) fn new(kept: Arc<Kept>) -> Self {
+    pub(crate) fn new(id: PoolId, kept: Arc<Kept>) -> Self {
         Self {
+            id,
             tiers: Vec::new(),
             kept,
         }
@@ -109,6 +112,16 @@
         }
     }
 
+    /// Recent time to the head of an answer, on average over the upstreams.
+    pub(crate) fn latency(&self, now: Time) -> Duration {
+        let (mut sum, mut count) = (0, 0);
+        for upstream in self.upstreams() {
+            sum += upstream.health.latency(now);
+            count += 1;
+        }
+        Duration::from_micros(sum / u64::max(count, 1))
+    }
+
     /// Slots that may be counted on at `now`, taken ones included.
     pub(crate) fn usable(&self, now: Time) -> u32 {
         self.upstreams().map(|u| u.usable(now)).sum()
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -58,7 +58,7 @@
                 None => Arc::default(),
             };
             let entry = pools.entry(pool.clone());
-            let pool = entry.or_insert_with(|| Pool::new(kept()));
+            let pool = entry.or_insert_with(|| Pool::new(pool.clone(), kept()));
             pool.add(nearness, upstream);
         }
         let pools = pools.into_iter().map(|(id, p)| (id, Arc::new(p)));
@@ -88,6 +88,12 @@
         self.pools.get(pool).map_or(0, |p| p.usable(now))
     }
 
+    /// Recent time to the head of an answer of `pool`.
+    pub fn latency(&self, pool: &PoolId, now: Time) -> Duration {
+        let pool = self.pools.get(pool);
+        pool.map_or(Duration::ZERO, |p| p.latency(now))
+    }
+
     /// Retries of requests to `pool`.
     pub fn budget(&self, pool: &PoolId) -> Option<&RetryBudget> {
         self.pools.get(pool).map(|p| &p.kept.budget)
--- a/crates/routing/src/window.rs
+++ b/crates/routing/src/window.rs
@@ -22,11 +22,14 @@
     /// Parts of a slot: that many answers let the estimate grow by one slot.
     const PARTS: u32 = 64;
 
-    /// An estimate that begins with all slots.
+    /// An estimate that begins with twice the entry's own part.
+    ///
+    /// Begun with all slots, every entry would have most of its first burst refused.
     pub(crate) fn new(least: u32, most: u32) -> Self {
         let least = least.min(most);
+        let first = (2 * least).min(most);
         Self {
-            parts: AtomicU32::new(most * Self::PARTS),
+            parts: AtomicU32::new(first * Self::PARTS),
             least,
             most,
         }
