--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -19,7 +19,7 @@
 use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
-use crate::proxy::Conns;
+use crate::proxy::{Conns, Slots};
 use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
@@ -45,6 +45,7 @@
     /// The snapshot that peers are taking in chunks.
     pub(crate) served: Mutex<Option<PeerSnapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
+    pub(crate) slots: Slots,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
@@ -79,6 +80,7 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            slots: Slots::default(),
             roster_at: AtomicU64::new(0),
             waits: ArcSwap::default(),
             jobs: Desk::default(),
