--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,10 +5,17 @@
 
 mod contact;
 mod denials;
+mod flow;
 mod gate;
 mod holder;
+mod mean;
+mod place;
+mod queue;
 
 pub use contact::Contact;
 pub use denials::Denials;
 pub use gate::Gate;
 pub use holder::Holder;
+pub use mean::Mean;
+pub use place::Place;
+pub use queue::{Queue, Room};
--- /dev/null
+++ b/crates/admission/src/place.rs
@@ -0,0 +1,16 @@
+//! What a waiting request asks for.
+
+use cactuswheel_model::{Share, TeamId, Time};
+
+/// Whose request waits, how urgently and until when.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The team.
+    pub team: TeamId,
+    /// Its weight against other teams.
+    pub share: Share,
+    /// Whether it goes before all that are not.
+    pub urgent: bool,
+    /// When it has to have started.
+    pub deadline: Time,
+}
--- /dev/null
+++ b/crates/admission/tests/queue.rs
@@ -0,0 +1,195 @@
+//! The order in which waiting requests start.
+
+use std::time::Duration;
+
+use cactuswheel_admission::{Place, Queue, Room};
+use cactuswheel_model::{Code, Map, Share, TeamId, Time};
+use cactuswheel_testkit::check;
+
+const WIDE: Room = Room {
+    slots: 1_000,
+    units: 1_000,
+};
+
+fn team(name: &str) -> TeamId {
+    name.parse().unwrap()
+}
+
+fn place(name: &str, share: u32) -> Place {
+    Place {
+        team: team(name),
+        share: Share::new(share),
+        urgent: false,
+        deadline: Time::new(1_000_000),
+    }
+}
+
+fn push(queue: &mut Queue<u32>, place: Place, value: u32) -> u64 {
+    queue.push(Time::new(0), place, WIDE, value).unwrap()
+}
+
+fn pop(queue: &mut Queue<u32>) -> Option<(TeamId, u32)> {
+    queue.begin(Time::new(0));
+    queue.pop(|_| true)
+}
+
+/// Slot time that each of `shares` gets of `total` runs, with runs of `millis`.
+fn serve(shares: &[u32], millis: &[u64], total: usize) -> Map<TeamId, u64> {
+    let mut queue = Queue::default();
+    let names: Vec<_> = (0..shares.len()).map(|i| format!("t{i}")).collect();
+    let mut got: Map<TeamId, u64> = Map::default();
+    for (name, share) in names.iter().zip(shares) {
+        for n in 0..20 {
+            push(&mut queue, place(name, *share), n);
+        }
+    }
+    for _ in 0..total {
+        let (team, _) = pop(&mut queue).unwrap();
+        let at = names.iter().position(|n| *n == team.as_str()).unwrap();
+        let (share, took) = (shares[at], Duration::from_millis(millis[at]));
+        let charged = queue.started(&team, Share::new(share));
+        queue.ended(&team, charged, took);
+        push(&mut queue, place(&names[at], share), 0);
+        *got.entry(team).or_default() += millis[at];
+    }
+    got
+}
+
+#[test]
+fn weighted_shares() {
+    // Whatever the weights and run times, each team's slot time is in proportion to its weight.
+    let property = |seeds: Vec<(u8, u8)>| {
+        let seeds = &seeds[..seeds.len().min(12)];
+        let shares: Vec<_> = seeds.iter().map(|(s, _)| 1 + u32::from(s % 8)).collect();
+        let millis: Vec<_> = seeds.iter().map(|(_, m)| 5 + u64::from(m % 90)).collect();
+        if shares.is_empty() {
+            return true;
+        }
+        let got = serve(&shares, &millis, 1_500);
+        let per = |i: usize| got[&team(&format!("t{i}"))] as f64 / f64::from(shares[i]);
+        let all: Vec<_> = (0..shares.len()).map(per).collect();
+        let (least, most) = (
+            all.iter().copied().fold(f64::MAX, f64::min),
+            all.iter().copied().fold(0.0, f64::max),
+        );
+        // One run of the longest kind either way, and the order of the first ones.
+        most - least <= 300.0
+    };
+    check(51, 60, property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn urgent_first() {
+    let mut queue = Queue::default();
+    push(&mut queue, place("a", 9), 1);
+    push(&mut queue, place("a", 9), 2);
+    let urgent = Place {
+        urgent: true,
+        ..place("b", 1)
+    };
+    push(&mut queue, urgent, 3);
+    assert_eq!(pop(&mut queue), Some((team("b"), 3)));
+    assert_eq!(pop(&mut queue), Some((team("a"), 1)));
+}
+
+#[test]
+fn no_hoarding() {
+    // A team that was away for long does not push all others back when it returns.
+    let mut queue = Queue::default();
+    queue.ended(&team("a"), Duration::ZERO, Duration::from_millis(10));
+    for n in 0..100 {
+        push(&mut queue, place("a", 1), n);
+        pop(&mut queue).unwrap();
+        queue.started(&team("a"), Share::new(1));
+    }
+    for n in 0..10 {
+        push(&mut queue, place("a", 1), n);
+    }
+    for n in 0..10 {
+        push(&mut queue, place("b", 1), n);
+    }
+    let mut starts = Map::<TeamId, u32>::default();
+    for _ in 0..10 {
+        let (team, _) = pop(&mut queue).unwrap();
+        queue.started(&team, Share::new(1));
+        *starts.entry(team).or_default() += 1;
+    }
+    assert_eq!(starts[&team("a")], 5);
+}
+
+#[test]
+fn passed_over() {
+    // A team at its limit keeps nobody else waiting.
+    let mut queue = Queue::default();
+    push(&mut queue, place("a", 1), 1);
+    push(&mut queue, place("b", 1), 2);
+    queue.begin(Time::new(0));
+    let mut asked = 0;
+    let mut only_b = |t: &TeamId| {
+        asked += 1;
+        t.as_str() == "b"
+    };
+    assert_eq!(queue.pop(&mut only_b), Some((team("b"), 2)));
+    assert_eq!(queue.pop(&mut only_b), None);
+    assert!(asked <= 3);
+    assert_eq!(pop(&mut queue), Some((team("a"), 1)));
+}
+
+#[test]
+fn early_refusal() {
+    // Ten runs of 100 ms are ahead of a request that has 500 ms: it is told so at once, and
+    // when to come back.
+    let mut queue = Queue::default();
+    queue.ended(&team("a"), Duration::ZERO, Duration::from_millis(100));
+    let one = Room {
+        slots: 1,
+        units: 10,
+    };
+    for n in 0..10 {
+        queue.push(Time::new(0), place("a", 1), one, n).unwrap();
+    }
+    let late = Place {
+        deadline: Time::new(500),
+        ..place("a", 1)
+    };
+    let refusal = queue.push(Time::new(0), late, one, 0).unwrap_err();
+    assert_eq!(refusal.code, Code::Deadline);
+    assert_eq!(refusal.retry, Some(Duration::from_secs(1)));
+    let urgent = Place {
+        urgent: true,
+        deadline: Time::new(500),
+        ..place("b", 1)
+    };
+    assert!(queue.push(Time::new(0), urgent, one, 0).is_ok());
+}
+
+#[test]
+fn late_or_gone() {
+    let mut queue = Queue::default();
+    let short = Place {
+        deadline: Time::new(10),
+        ..place("a", 1)
+    };
+    push(&mut queue, short, 1);
+    let gone = push(&mut queue, place("a", 1), 2);
+    push(&mut queue, place("a", 1), 3);
+    assert!(queue.cancel(&team("a"), gone));
+    assert!(!queue.cancel(&team("a"), gone));
+    queue.begin(Time::new(10));
+    assert_eq!(queue.pop(|_| true), Some((team("a"), 3)));
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn bounded() {
+    let mut queue = Queue::default();
+    let full = (0..2_000).map(|n| queue.push(Time::new(0), place("a", 1), WIDE, n));
+    let refused: Vec<_> = full.filter_map(Result::err).collect();
+    assert!(
+        refused
+            .iter()
+            .all(|r| r.code == Code::QueueFull && r.retry.is_some())
+    );
+    assert_eq!(queue.len() + refused.len(), 2_000);
+    assert!(queue.len() < 1_000);
+}
