--- a/crates/admission/src/holder.rs
+++ b/crates/admission/src/holder.rs
@@ -91,6 +91,11 @@
         &self.life
     }
 
+    /// Whether the log has not shown this life yet.
+    pub fn is_new(&self) -> bool {
+        !self.joined
+    }
+
     /// The times that it binds itself to.
     pub fn timing(&self) -> Timing {
         self.timing
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -51,6 +51,7 @@
         tokio::spawn(catch_up::watch(shared.clone()));
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
+        tokio::spawn(proxy::start_waiting(shared.clone()));
         tokio::spawn(denials::record(shared.clone()));
         tokio::spawn(holding::drive(shared.clone()));
         tokio::spawn(holding::watch(shared.clone()));
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod held;
 mod job;
+mod lines;
 mod live;
 mod payload;
 mod relay;
@@ -16,4 +17,5 @@
 mod traffic;
 
 pub(crate) use conns::Conns;
+pub(crate) use lines::{Lines, serve as start_waiting};
 pub(crate) use server::serve;
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -29,7 +29,7 @@
     /// What is known of this attempt's execution.
     pub(super) ran: Ran,
     /// The team's unit, unless this attempt may still be running on it.
-    pub(super) permit: Option<Permit>,
+    pub(super) permit: Option<Box<Permit>>,
     /// The request, if it was not given to a connection or came back from it.
     pub(super) request: Option<Box<Request<Payload>>>,
 }
@@ -56,7 +56,7 @@
             return Err(Failure {
                 refusal: Refusal::new(Code::Unreachable).with_detail(detail),
                 ran: Attempt::Connecting.step(Event::NoConnection).ran(),
-                permit: Some(permit),
+                permit: Some(Box::new(permit)),
                 request: Some(Box::new(request)),
             });
         }
@@ -66,7 +66,7 @@
         return Err(Failure {
             refusal,
             ran: Ran::NotRun,
-            permit: Some(permit),
+            permit: Some(Box::new(permit)),
             request: None,
         });
     }
@@ -134,7 +134,7 @@
             _ => refusal,
         },
         ran: live.ran(),
-        permit: live.unrun(),
+        permit: live.unrun().map(Box::new),
         request: request.map(Box::new),
     }
 }
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -14,13 +14,14 @@
 use super::job::Job;
 use super::live::Live;
 use super::payload::Payload;
-use super::request::enter;
 
 /// What is known of a request while it is being sent.
 #[derive(Debug)]
 pub(super) struct Forward {
     job: Job,
     exchange: Exchange,
+    /// The slot for the first attempt.
+    first: Option<Lease<Conns>>,
     /// Upstreams that failed.
     tried: Vec<Arc<Upstream<Conns>>>,
     /// Why the last attempt failed.
@@ -29,10 +30,11 @@
 
 impl Forward {
     /// A request that was not sent yet.
-    pub(super) fn new(job: Job) -> Self {
+    pub(super) fn new(job: Job, first: Lease<Conns>) -> Self {
         Self {
             exchange: Exchange::new(job.idempotent, job.deadline),
             job,
+            first: Some(first),
             tried: Vec::new(),
             last: None,
         }
@@ -70,14 +72,15 @@
     }
 
     fn pick(&mut self) -> Result<Lease<Conns>, Refusal> {
+        if let Some(lease) = self.first.take() {
+            lease.budget().deposit();
+            return Ok(lease);
+        }
         let routes = self.job.shared.routes.load();
         let pool = &self.job.service.pool;
         let (now, draw) = (self.job.shared.now(), rand::random());
         let picked = routes.pick(pool, &self.tried, now, draw);
         let lease = picked.map_err(|refusal| self.last.take().unwrap_or(refusal))?;
-        if self.tried.is_empty() {
-            lease.budget().deposit();
-        }
         Ok(lease)
     }
 
@@ -97,8 +100,8 @@
         // An attempt that may still be running keeps its unit; another attempt beside it needs
         // one more, or the team would have more running than its limit.
         let permit = match failure.permit {
-            Some(permit) => permit,
-            None => match enter(&self.job).await {
+            Some(permit) => *permit,
+            None => match Permit::another(&self.job.shared, &self.job.team.id) {
                 Ok(permit) => permit,
                 Err(_) => return Err(failure.refusal),
             },
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -30,6 +30,9 @@
 /// Header with the time that is left for a request, in milliseconds.
 pub(super) const DEADLINE: &str = "x-deadline-ms";
 
+/// Header of a caller whose request is urgent.
+pub(super) const PRIORITY: &str = "x-priority";
+
 /// Header of a caller who allows a request to run more than once.
 pub(super) const IDEMPOTENT: &str = "x-idempotent";
 
--- a/crates/daemon/src/proxy/held.rs
+++ b/crates/daemon/src/proxy/held.rs
@@ -1,8 +1,9 @@
 //! What a request holds until its answer is out.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use cactuswheel_model::{Code, Refusal, Team, TeamId};
+use cactuswheel_model::{Code, PoolId, Refusal, TeamId, Time};
 
 use crate::shared::Shared;
 
@@ -11,15 +12,38 @@
 pub(super) struct Permit {
     shared: Arc<Shared>,
     team: TeamId,
+    /// None for a further attempt: its time is counted with the first one's.
+    charge: Option<Charge>,
+}
+
+/// What a team was charged for a request.
+#[derive(Debug)]
+pub(super) struct Charge {
+    /// The pool whose queue it came from.
+    pub(super) pool: PoolId,
+    /// Slot time charged at the start.
+    pub(super) paid: Duration,
+    /// When it started.
+    pub(super) start: Time,
 }
 
 impl Permit {
-    /// Takes a unit, or refuses at the team's limit.
-    pub(super) fn take(shared: &Arc<Shared>, team: &Team) -> Result<Self, Refusal> {
-        shared.enter(&team.id)?;
+    /// A unit that was taken already.
+    pub(super) fn new(shared: &Arc<Shared>, team: &TeamId, charge: Charge) -> Self {
+        Self {
+            shared: shared.clone(),
+            team: team.clone(),
+            charge: Some(charge),
+        }
+    }
+
+    /// Takes one more unit, for an attempt beside one that may still run.
+    pub(super) fn another(shared: &Arc<Shared>, team: &TeamId) -> Result<Self, Refusal> {
+        shared.enter(team)?;
         Ok(Self {
             shared: shared.clone(),
-            team: team.id.clone(),
+            team: team.clone(),
+            charge: None,
         })
     }
 
@@ -44,5 +68,9 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         self.shared.holder().leave(&self.team);
+        if let Some(charge) = &self.charge {
+            let took = self.shared.now().since(charge.start);
+            self.shared.lines.ended(&self.team, charge, took);
+        }
     }
 }
--- a/crates/daemon/src/proxy/job.rs
+++ b/crates/daemon/src/proxy/job.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_model::{Code, Refusal, Service, Team, TeamId, Time};
+use cactuswheel_model::{Code, Digest, Refusal, Service, Team, TeamId, Time};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 
-use super::headers::{DEADLINE, IDEMPOTENT, REQUEST_ID, TEAM, strip_request};
+use super::headers::{DEADLINE, IDEMPOTENT, PRIORITY, REQUEST_ID, TEAM, strip_request};
 use super::payload::Payload;
 use crate::shared::Shared;
 
@@ -22,6 +22,10 @@
     pub(super) uri: Uri,
     pub(super) service: Arc<Service>,
     pub(super) team: Arc<Team>,
+    /// Digest of the key that spoke for the team.
+    pub(super) key: Digest,
+    /// Whether it goes before other requests.
+    pub(super) urgent: bool,
     /// Whether running the request twice does no harm.
     pub(super) idempotent: bool,
     /// When the answer's head has to be there.
@@ -68,6 +72,11 @@
     method.is_idempotent() || given.is_some_and(|v| v == b"true" || v == b"1")
 }
 
+/// Whether the caller asks to go before other requests.
+pub(super) fn is_urgent(headers: &HeaderMap) -> bool {
+    headers.get(PRIORITY).is_some_and(|v| v == "urgent")
+}
+
 /// When the head of the answer has to be there: the caller's word, or the longest run.
 pub(super) fn deadline(headers: &HeaderMap, now: Time, longest: Duration) -> Result<Time, Refusal> {
     let Some(given) = headers.get(DEADLINE) else {
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -22,14 +22,14 @@
 /// comes again would have more running than the team's limit.
 #[derive(Debug)]
 pub(super) struct Live {
-    /// Some until drop.
-    permit: Option<Permit>,
     /// Some until the exchange is over.
     conn: Option<Conn>,
     lease: Lease<Conns>,
     attempt: Attempt,
     sent: Instant,
     shared: Arc<Shared>,
+    /// Some until drop; dropped after the slot, so that who waits for both finds both.
+    permit: Option<Permit>,
 }
 
 impl Live {
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,7 +1,7 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
@@ -9,23 +9,16 @@
 use hyper::header::AUTHORIZATION;
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
-use tokio::time::sleep;
 
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
 use super::headers::REQUEST_ID;
-use super::held::Permit;
-use super::job::{Job, deadline, is_idempotent};
+use super::job::{Job, deadline, is_idempotent, is_urgent};
+use super::lines;
 use super::payload::Payload;
 use crate::shared::Shared;
 use crate::{Phase, jobs};
 
-/// Longest wait for a unit of the team.
-const UNIT_WAIT: Duration = Duration::from_secs(1);
-
-/// Pause before a unit is asked for again.
-const UNIT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let started = Instant::now();
@@ -88,26 +81,28 @@
         return answer_jobs(shared, request, id).await;
     }
     let job = job(shared, &request, id)?;
-    let asked = Instant::now();
-    let permit = enter(&job).await?;
-    job.shared.metrics.requests.waited(asked.elapsed());
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
+    // Before a slot is taken: a slow caller holds nothing that others wait for.
     let mut request = Request::from_parts(head, Payload::read(body, most).await?);
-    job.dress(&mut request, permit.team())?;
-    let (answer, live) = Forward::new(job).send(permit, request).await?;
+    let asked = Instant::now();
+    let grant = lines::enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
+    check_key(&job)?;
+    job.dress(&mut request, grant.permit.team())?;
+    let forward = Forward::new(job, grant.lease);
+    let (answer, live) = forward.send(grant.permit, request).await?;
     Ok(pass(answer, live, id))
 }
 
-/// Takes a unit of the team for one attempt.
-pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
-    let until = Instant::now() + UNIT_WAIT.min(job.left());
-    loop {
-        match Permit::take(&job.shared, &job.team) {
-            Err(_) if Instant::now() < until => sleep(UNIT_PAUSE).await,
-            done => return done,
-        }
+/// Refuses a key that was withdrawn, also while its request waited.
+fn check_key(job: &Job) -> Result<(), Refusal> {
+    let state = job.shared.state.load();
+    let grant = state.config().keys.get(&job.key);
+    if grant.is_some_and(|g| g.withdrawn) || job.shared.is_denied(&job.key) {
+        return Err(Refusal::new(Code::KeyWithdrawn));
     }
+    Ok(())
 }
 
 /// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
@@ -126,12 +121,15 @@
         Some(query) => format!("{rest}?{query}"),
         None => rest,
     };
+    let (key, team) = find_team(&shared, &state, headers)?;
     let bad = |e: InvalidUri| Refusal::new(Code::BadRequest).with_detail(e.to_string());
     Ok(Job {
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&shared, &state, headers)?,
+        urgent: is_urgent(headers),
+        key,
+        team,
         idempotent: is_idempotent(request.method(), headers),
         deadline: deadline(
             headers,
@@ -147,7 +145,7 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared, &shared.state.load(), request.headers())?;
+    let (_, team) = find_team(&shared, &shared.state.load(), request.headers())?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -168,7 +166,11 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(shared: &Shared, state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
+fn find_team(
+    shared: &Shared,
+    state: &State,
+    headers: &HeaderMap,
+) -> Result<(Digest, Arc<Team>), Refusal> {
     let value = headers
         .get(AUTHORIZATION)
         .ok_or_else(|| Refusal::new(Code::NoKey))?;
@@ -185,6 +187,7 @@
         .teams
         .get(&grant.team)
         .cloned()
+        .map(|team| (digest, team))
         .ok_or_else(bad)
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
-use crate::proxy::Conns;
+use crate::proxy::{Conns, Lines};
 use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
@@ -44,6 +44,8 @@
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
     holder: Mutex<Holder>,
+    /// Where requests wait.
+    pub(crate) lines: Lines,
     /// Withdrawn keys that the log may not show yet.
     pub(crate) denials: ArcSwap<Denials>,
     /// Wakes what tells the peers news.
@@ -83,6 +85,7 @@
             presences: Mutex::default(),
             drained: ArcSwap::default(),
             holder: Mutex::new(holder),
+            lines: Lines::default(),
             denials: ArcSwap::default(),
             news: Notify::new(),
             heard: Mutex::default(),
