--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -8,15 +8,15 @@
 mod headers;
 mod held;
 mod job;
+mod lines;
 mod live;
 mod payload;
 mod relay;
 mod request;
 mod server;
 mod slot;
-mod slots;
 mod traffic;
 
 pub(crate) use conns::Conns;
+pub(crate) use lines::{Lines, serve as start_waiting};
 pub(crate) use server::serve;
-pub(crate) use slots::Slots;
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -1,7 +1,7 @@
 //! One request, from its head to the first byte of its answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactuswheel_fleet::State;
 use cactuswheel_model::{Code, Digest, Refusal, Service, ServiceId, Team};
@@ -9,23 +9,16 @@
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::uri::InvalidUri;
 use hyper::{HeaderMap, Request, Response, Version};
-use tokio::time::sleep;
 
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
 use super::headers::REQUEST_ID;
-use super::held::Permit;
-use super::job::{Job, deadline, is_idempotent};
+use super::job::{Job, deadline, is_idempotent, is_urgent};
+use super::lines;
 use super::payload::Payload;
 use crate::shared::Shared;
 use crate::{Phase, jobs};
 
-/// Longest wait for a unit of the team.
-const UNIT_WAIT: Duration = Duration::from_secs(1);
-
-/// Pause before a unit is asked for again.
-const UNIT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
     let started = Instant::now();
@@ -74,7 +67,7 @@
     };
     let (code, ran) = (refusal.code.number(), refusal.code.ran());
     let team = find_team(shared, &shared.state.load(), key).ok();
-    let team = team.as_ref().map_or("-", |team| team.id.as_str());
+    let team = team.as_ref().map_or("-", |(_, team)| team.id.as_str());
     log::info!(request = id, team, code, ran:%, suppressed; "refused: {refusal}");
 }
 
@@ -91,26 +84,28 @@
         return answer_jobs(shared, request, id).await;
     }
     let job = job(shared, &request, id)?;
-    let asked = Instant::now();
-    let permit = enter(&job).await?;
-    job.shared.metrics.requests.waited(asked.elapsed());
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
+    // Before a slot is taken: a slow caller holds nothing that others wait for.
     let mut request = Request::from_parts(head, Payload::read(body, most).await?);
-    job.dress(&mut request, permit.team())?;
-    let (answer, live) = Forward::new(job).send(permit, request).await?;
+    let asked = Instant::now();
+    let grant = lines::enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
+    check_key(&job)?;
+    job.dress(&mut request, grant.permit.team())?;
+    let forward = Forward::new(job, grant.slot);
+    let (answer, live) = forward.send(grant.permit, request).await?;
     Ok(pass(answer, live, id))
 }
 
-/// Takes a unit of the team for one attempt.
-pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
-    let until = Instant::now() + UNIT_WAIT.min(job.left());
-    loop {
-        match Permit::take(&job.shared, &job.team) {
-            Err(_) if Instant::now() < until => sleep(UNIT_PAUSE).await,
-            done => return done,
-        }
+/// Refuses a key that was withdrawn, also while its request waited.
+pub(super) fn check_key(job: &Job) -> Result<(), Refusal> {
+    let state = job.shared.state.load();
+    let grant = state.config().keys.get(&job.key);
+    if grant.is_some_and(|g| g.withdrawn) || job.shared.is_denied(&job.key) {
+        return Err(Refusal::new(Code::KeyWithdrawn));
     }
+    Ok(())
 }
 
 /// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
@@ -129,12 +124,15 @@
         Some(query) => format!("{rest}?{query}"),
         None => rest,
     };
+    let (key, team) = find_team(&shared, &state, headers.get(AUTHORIZATION))?;
     let bad = |e: InvalidUri| Refusal::new(Code::BadRequest).with_detail(e.to_string());
     Ok(Job {
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&shared, &state, headers.get(AUTHORIZATION))?,
+        urgent: is_urgent(headers),
+        key,
+        team,
         idempotent: is_idempotent(request.method(), headers),
         deadline: deadline(
             headers,
@@ -151,7 +149,7 @@
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
     let key = request.headers().get(AUTHORIZATION);
-    let team = find_team(&shared, &shared.state.load(), key)?;
+    let (_, team) = find_team(&shared, &shared.state.load(), key)?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -176,7 +174,7 @@
     shared: &Shared,
     state: &State,
     value: Option<&HeaderValue>,
-) -> Result<Arc<Team>, Refusal> {
+) -> Result<(Digest, Arc<Team>), Refusal> {
     let value = value.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
@@ -191,6 +189,7 @@
         .teams
         .get(&grant.team)
         .cloned()
+        .map(|team| (digest, team))
         .ok_or_else(bad)
 }
 
