--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -7,7 +7,7 @@
 use cactuswheel_maintenance::{Action, Activity, Driver, Look, Order, Seen, Verb, View};
 use cactuswheel_model::{InstanceId, Map, Record, Time};
 use cactuswheel_platform as platform;
-use cactuswheel_platform::{Presence, Use, WorkerError, WorkerState, Workers};
+use cactuswheel_platform::{Presence, Use, WorkerState, Workers};
 use tokio::time::sleep;
 
 use crate::Phase;
@@ -16,8 +16,9 @@
 /// Time between two steps.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Most looks at workers in one step, so that control stays within its bandwidth.
-const LOOKS: usize = 8;
+/// Most looks at workers in one step, at about 70 bytes each, so that control stays within
+/// its bandwidth. Entries further down in rank look less often.
+const LOOKS: usize = 48;
 
 /// Age of a peer's last beat beyond which it has no rank.
 const PEER_AGE: Duration = Duration::from_secs(3);
@@ -51,20 +52,23 @@
     async fn refresh(&mut self, shared: &Shared, driver: &Driver) {
         let watched = driver.watched(&shared.state.load());
         self.looks.retain(|id, _| watched.contains(id));
-        let count = watched.len();
-        for at in self.turn..self.turn + count.min(LOOKS) {
-            let id = &watched[at % count];
-            match shared.platform.state(id).await {
-                Ok(state) => drop(self.looks.insert(id.clone(), look(&state))),
-                Err(WorkerError::Refused(_)) => drop(self.looks.remove(id)),
-                Err(e) => {
-                    // What was seen before may have changed since.
-                    self.looks.clear();
-                    return log::debug!("{e}");
-                }
+        let most = (LOOKS / (rank(shared) as usize + 1)).max(1);
+        let start = self.turn.checked_rem(watched.len()).unwrap_or(0);
+        let (before, after) = watched.split_at(start);
+        let asked: Vec<_> = [after, before].concat().into_iter().take(most).collect();
+        self.turn = start + asked.len();
+        match shared.platform.states(&asked).await {
+            Ok(states) => {
+                self.looks.retain(|id, _| !asked.contains(id));
+                let looks = states.iter().map(|s| (s.id.clone(), look(s)));
+                self.looks.extend(looks);
+            }
+            Err(e) => {
+                // What was seen before may have changed since.
+                self.looks.clear();
+                log::debug!("{e}");
             }
         }
-        self.turn = (self.turn + LOOKS) % count.max(1);
     }
 }
 
--- /dev/null
+++ b/crates/maintenance/examples/rollout.rs
@@ -0,0 +1,222 @@
+//! Prints how long a maintenance wave takes against its bound, and what a driver's step costs.
+//!
+//! `cargo run --release -p cactuswheel-maintenance --example rollout`
+
+use std::time::{Duration, Instant};
+
+use cactuswheel_fleet::State;
+use cactuswheel_maintenance::{
+    Action, Activity, Driver, Look, Seen, Settings, Verb, View, rollout_bound,
+};
+use cactuswheel_model::{EntryId, Incarnation, InstanceId, Map, Offset, Record, Time};
+use serde_json::json;
+
+/// Time of a reboot.
+const REBOOT: Duration = Duration::from_secs(60);
+
+/// Time between two steps of the driver, as in the daemon.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Workers a rack.
+const RACK: usize = 4;
+
+/// Longest wave that is followed.
+const LIMIT: Duration = Duration::from_secs(24 * 3_600);
+
+struct Worker {
+    life: u64,
+    back: Option<Time>,
+    drained: Option<Offset>,
+}
+
+struct World {
+    now: Time,
+    state: State,
+    workers: Map<InstanceId, Worker>,
+    /// Time spent in steps, their number, and the longest.
+    spent: (Duration, u32, Duration),
+    most: usize,
+}
+
+fn main() {
+    for (name, workers, pools, dcs) in [
+        ("50 workers, 5 pools", 50, 5, 3),
+        ("8700 workers, 63 pools", 8_700, 63, 25),
+    ] {
+        for percent in [10, 25] {
+            println!("{name}, budgets of {percent} %");
+            let free = "as parallel as budgets allow";
+            row(free, workers, pools, dcs, percent, workers);
+            if workers > 1_000 {
+                row("at most 200 at once", workers, pools, dcs, percent, 200);
+            }
+            if workers < 100 {
+                row("one instance at a time", workers, pools, dcs, percent, 1);
+            }
+        }
+    }
+}
+
+fn row(name: &str, workers: usize, pools: usize, dcs: usize, percent: usize, parallel: usize) {
+    let settings = Settings {
+        parallel,
+        ..Settings::default()
+    };
+    let least = settings.quiet + REBOOT + settings.settle;
+    let mut world = World::new(workers, pools, dcs, percent);
+    let bound = rollout_bound(&world.state, least).unwrap_or_default();
+    let took = world.run(Driver::new(settings));
+    let (spent, steps, longest) = world.spent;
+    println!(
+        "  {name:28} {} s, bound {} s, ratio {:.2}; most at once {}; step {:?} mean, {longest:?} \
+         longest",
+        took.as_secs(),
+        bound.as_secs(),
+        took.as_secs_f64() / bound.as_secs_f64(),
+        world.most,
+        spent / steps.max(1),
+    );
+}
+
+impl World {
+    fn new(workers: usize, pools: usize, dcs: usize, percent: usize) -> Self {
+        let mut changes = Vec::new();
+        for dc in 0..dcs {
+            changes.push(json!({"dc": {"id": format!("dc{dc:02}"), "region": "r"}}));
+        }
+        for pool in 0..pools {
+            let name = format!("p{pool}");
+            let max = (workers / pools * percent / 100).max(1);
+            changes.push(json!({"pool": {"id": name}}));
+            changes.push(json!({"service": {"id": name, "pool": name, "max_down": max}}));
+        }
+        let racks = workers.div_ceil(RACK);
+        for n in 0..workers {
+            let rack = n / RACK;
+            changes.push(json!({"instance": {"id": format!("w{n:05}"),
+                "pool": format!("p{}", n % pools), "dc": format!("dc{:02}", rack * dcs / racks),
+                "rack": format!("r{rack:04}"), "cores": 64, "memory": 131072, "slots": 8,
+                "conns": 64}}));
+        }
+        let mut world = Self {
+            now: Time::new(0),
+            state: State::default(),
+            workers: Map::default(),
+            spent: (Duration::ZERO, 0, Duration::ZERO),
+            most: 0,
+        };
+        world.append(&json!({"ticket": {"ticket": 1, "changes": changes}}).to_string());
+        world.append(&json!({"wave": {"number": 1}}).to_string());
+        let ids = world.state.config().instances.values();
+        let worker = |id: &InstanceId| {
+            (
+                id.clone(),
+                Worker {
+                    life: 1,
+                    back: None,
+                    drained: None,
+                },
+            )
+        };
+        world.workers = ids.map(|i| worker(&i.id)).collect();
+        world
+    }
+
+    fn append(&mut self, body: &str) {
+        self.state.apply(self.state.next(), body);
+    }
+
+    /// Runs the wave to its end; its time.
+    fn run(&mut self, mut driver: Driver) -> Duration {
+        let entry: EntryId = "e1".parse().expect("a name");
+        while self.left() > 0 && self.now < Time::default().after(LIMIT) {
+            self.now = self.now.after(TICK);
+            self.come_back();
+            let (seen, looks) = (self.seen(), self.looks(&driver));
+            let view = View {
+                now: self.now,
+                wall: 0,
+                entry: &entry,
+                rank: 0,
+                state: &self.state,
+                age: Duration::ZERO,
+                seen: &seen,
+                looks: &looks,
+            };
+            let start = Instant::now();
+            let actions = driver.step(&view);
+            let took = start.elapsed();
+            self.spent.0 += took;
+            self.spent.1 += 1;
+            self.spent.2 = self.spent.2.max(took);
+            actions.into_iter().for_each(|action| self.act(action));
+        }
+        self.now.since(Time::default())
+    }
+
+    fn left(&self) -> usize {
+        let turn = |id| self.state.disruptions().turn(id).is_none();
+        self.workers.keys().filter(|id| turn(id)).count()
+    }
+
+    fn come_back(&mut self) {
+        for worker in self.workers.values_mut() {
+            if worker.back.is_some_and(|at| at <= self.now) {
+                worker.life += 1;
+                worker.back = None;
+                worker.drained = None;
+            }
+        }
+        let down = self.workers.values().filter(|w| w.back.is_some());
+        self.most = self.most.max(down.count());
+    }
+
+    fn seen(&self) -> Map<InstanceId, Seen> {
+        let up = self.workers.iter().filter(|(_, w)| w.back.is_none());
+        let seen = |life| Seen {
+            incarnation: Incarnation::new(life),
+            live: true,
+        };
+        up.map(|(id, w)| (id.clone(), seen(w.life))).collect()
+    }
+
+    fn looks(&self, driver: &Driver) -> Map<InstanceId, Look> {
+        let watched = driver.watched(&self.state).into_iter();
+        watched
+            .map(|id| {
+                let worker = &self.workers[&id];
+                let activity = match (worker.back, worker.drained) {
+                    (Some(_), _) => Activity::Down,
+                    (None, Some(fence)) => Activity::Draining(fence),
+                    (None, None) => Activity::Serving,
+                };
+                let look = Look {
+                    incarnation: Incarnation::new(worker.life),
+                    activity,
+                    running: Some(0),
+                };
+                (id, look)
+            })
+            .collect()
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Propose(step) => {
+                let record = Record::Disruption(step);
+                self.append(&serde_json::to_string(&record).expect("a record has text"));
+            }
+            Action::Start(_) => {}
+            Action::Order(order) => {
+                let Some(worker) = self.workers.get_mut(&order.instance) else {
+                    return;
+                };
+                match order.verb {
+                    Verb::Drain => worker.drained = Some(order.fence),
+                    Verb::Resume => worker.drained = None,
+                    Verb::Reboot => worker.back = Some(self.now.after(REBOOT)),
+                }
+            }
+        }
+    }
+}
--- a/crates/maintenance/src/outages.rs
+++ b/crates/maintenance/src/outages.rs
@@ -1,7 +1,7 @@
 //! Carrying outages that are under way to their end.
 
-use cactuswheel_fleet::{Hold, Stage};
-use cactuswheel_model::{Disruption, Purpose};
+use cactuswheel_fleet::{Budget, Hold, Stage};
+use cactuswheel_model::{Disruption, Map, PoolId, Purpose};
 
 use crate::driver::{Mark, Step};
 use crate::{Activity, Driver, Order, Verb, View};
@@ -10,13 +10,21 @@
     /// Does the next thing for every outage.
     pub(crate) fn carry_on(&mut self, view: &View<'_>) {
         self.overdue.clear();
-        for hold in view.state.disruptions().holds() {
+        let disruptions = view.state.disruptions();
+        if disruptions.holds().next().is_none() {
+            return;
+        }
+        let budgets = disruptions.budgets(view.state.config());
+        for hold in disruptions.holds() {
             if self.is_back(view, hold) {
                 self.bring_back(view, hold);
                 continue;
             }
             match &hold.stage {
-                Stage::Draining(purpose) => self.drain(view, hold, purpose),
+                Stage::Draining(purpose) => {
+                    let pointless = is_pointless(view, hold, purpose, &budgets);
+                    self.drain(view, hold, pointless);
+                }
                 Stage::Rebooting(_) => self.reboot(view, hold),
                 Stage::Arriving | Stage::Lost => {}
             }
@@ -54,7 +62,7 @@
         self.propose(view, hold.fence, Step::Back, back);
     }
 
-    fn drain(&mut self, view: &View<'_>, hold: &Hold, purpose: &Purpose) {
+    fn drain(&mut self, view: &View<'_>, hold: &Hold, pointless: bool) {
         let waited = self.held(view, &hold.instance, Mark::Draining(hold.fence));
         let Some(look) = view.looks.get(&hold.instance) else {
             return;
@@ -69,7 +77,7 @@
         let quiet =
             idle && self.held(view, &hold.instance, Mark::Quiet(hold.fence)) >= self.settings.quiet;
         let late = waited >= self.settings.drain && !idle;
-        if late || is_pointless(view, hold, purpose) {
+        if late || pointless {
             let cancel = Disruption::Cancel {
                 instance: hold.instance.clone(),
                 fence: hold.fence,
@@ -103,7 +111,12 @@
 
 /// Whether a commit would be refused: the wave is paused or past, the move is not wanted any
 /// more, or losses fill the budget.
-fn is_pointless(view: &View<'_>, hold: &Hold, purpose: &Purpose) -> bool {
+fn is_pointless(
+    view: &View<'_>,
+    hold: &Hold,
+    purpose: &Purpose,
+    budgets: &Map<PoolId, Budget>,
+) -> bool {
     let disruptions = view.state.disruptions();
     if let Purpose::Reboot(number) = purpose {
         let open = disruptions
@@ -122,7 +135,8 @@
     }
     let config = view.state.config();
     let instance = config.instances.get(&hold.instance);
-    instance.is_some_and(|i| disruptions.budget(&i.pool, config).excess(0).is_some())
+    let budget = instance.and_then(|i| budgets.get(&i.pool));
+    budget.is_some_and(|b| b.excess(0).is_some())
 }
 
 fn order(verb: Verb, hold: &Hold) -> Order {
--- a/crates/maintenance/src/reasons.rs
+++ b/crates/maintenance/src/reasons.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use cactuswheel_model::{InstanceId, OperatorId};
+use cactuswheel_model::{InstanceId, Map, OperatorId, PoolId};
 
 use crate::starts::remaining;
 use crate::{Driver, View};
@@ -43,10 +43,13 @@
             .filter(|(_, budget)| !budget.has_room())
             .collect();
         budgets.sort_by(|a, b| a.0.cmp(&b.0));
+        let mut waiting: Map<&PoolId, usize> = Map::default();
+        for instance in &left {
+            *waiting.entry(&instance.pool).or_default() += 1;
+        }
         for (pool, budget) in budgets {
-            let waiting = left.iter().filter(|i| i.pool == pool).count();
-            if waiting > 0 {
-                reasons.push(Reason::Budget(budget.describe(&pool), waiting));
+            if let Some(count) = waiting.get(&pool) {
+                reasons.push(Reason::Budget(budget.describe(&pool), *count));
             }
         }
         let late = left
--- a/crates/maintenance/src/settings.rs
+++ b/crates/maintenance/src/settings.rs
@@ -39,7 +39,7 @@
     /// Time between the starts of two waves.
     #[serde(rename = "cycle_ms", with = "millis")]
     pub cycle: Duration,
-    /// Most planned outages at once, over all pools.
+    /// Most planned outages at once, over all pools; by default budgets alone bound them.
     pub parallel: usize,
     /// Losses at once, in instances per thousand, from which on a wave waits; at least 4.
     pub burst: usize,
@@ -60,7 +60,7 @@
             retry: Duration::from_secs(5),
             stagger: Duration::from_secs(2),
             cycle: Duration::from_secs(28 * 24 * 3_600),
-            parallel: 200,
+            parallel: 10_000,
             burst: 10,
             failures: 4,
         }
--- a/crates/maintenance/src/starts.rs
+++ b/crates/maintenance/src/starts.rs
@@ -55,14 +55,14 @@
     /// A pool goes on into the next rack while others are still in the one before: budgets
     /// alone bound the pace, and order keeps the outages of a pool together, so that the loss
     /// of a rack under maintenance costs few others.
-    fn start_reboots(
+    fn start_reboots<'a>(
         &mut self,
-        view: &View<'_>,
+        view: &View<'a>,
         wave: WaveNo,
-        left: Vec<&Instance>,
+        left: Vec<&'a Instance>,
         room: &mut Room,
     ) {
-        for instance in left {
+        for instance in in_order(view, left, |pool| room.has(pool)) {
             if !self.is_postponed(view, instance) && room.take(&instance.pool) {
                 self.take(view, instance, Purpose::Reboot(wave));
             }
@@ -136,10 +136,16 @@
 }
 
 impl Room {
+    fn has(&self, pool: &PoolId) -> bool {
+        self.left > 0 && self.budgets.get(pool).is_some_and(Budget::has_room)
+    }
+
     /// Takes one from a pool's budget if there is room.
     fn take(&mut self, pool: &PoolId) -> bool {
-        let budget = self.budgets.get_mut(pool).filter(|b| b.has_room());
-        let Some(budget) = budget.filter(|_| self.left > 0) else {
+        if !self.has(pool) {
+            return false;
+        }
+        let Some(budget) = self.budgets.get_mut(pool) else {
             return false;
         };
         budget.down += 1;
@@ -148,15 +154,28 @@
     }
 }
 
-/// Instances that have not had their turn and are not held, in the order of the wave.
+/// Instances that have not had their turn and are not held.
 pub(crate) fn remaining<'a>(view: &View<'a>, wave: &Wave) -> Vec<&'a Instance> {
     let disruptions = view.state.disruptions();
     let instances = view.state.config().instances.values().map(|i| &**i);
-    let mut left: Vec<_> = instances
+    instances
         .filter(|i| disruptions.turn(&i.id).is_none_or(|n| n < wave.number))
         .filter(|i| disruptions.hold(&i.id).is_none())
-        .collect();
-    let place = |i: &Instance| wave.order.iter().position(|dc| *dc == i.dc);
+        .collect()
+}
+
+/// Those of the pools that have room, in the order of the wave.
+///
+/// Most pools have none at most steps, and sorting costs more than all else.
+fn in_order<'a>(
+    view: &View<'a>,
+    left: Vec<&'a Instance>,
+    has_room: impl Fn(&PoolId) -> bool,
+) -> Vec<&'a Instance> {
+    let disruptions = view.state.disruptions();
+    let order = disruptions.wave().map_or(&[][..], |w| &w.order);
+    let place = |i: &Instance| order.iter().position(|dc| *dc == i.dc);
+    let mut left: Vec<_> = left.into_iter().filter(|i| has_room(&i.pool)).collect();
     left.sort_by_cached_key(|i| {
         let late = disruptions.deferred(&i.id).is_some();
         let place = place(i).unwrap_or(usize::MAX);
--- a/crates/platform/src/control.rs
+++ b/crates/platform/src/control.rs
@@ -20,8 +20,11 @@
         self.order(instance, "reboot", order).await
     }
 
-    async fn state(&self, instance: &InstanceId) -> Result<WorkerState, WorkerError> {
-        let call = Call::get(self.platform, format!("/workers/{instance}")).with_limit(LIMIT);
+    async fn states(&self, instances: &[InstanceId]) -> Result<Vec<WorkerState>, WorkerError> {
+        let call = Call::post(self.platform, "/worker-states")
+            .with_json(&instances)
+            .map_err(|e| WorkerError::Unavailable(e.to_string()))?
+            .with_limit(LIMIT);
         let answer = check(call.send().await?)?;
         answer
             .json()
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -27,6 +27,8 @@
 /// One worker, as the platform sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerState {
+    /// The instance.
+    pub id: InstanceId,
     /// Which of its lives.
     pub incarnation: Incarnation,
     /// What it does.
@@ -72,9 +74,9 @@
         order: Order,
     ) -> impl Future<Output = Result<(), WorkerError>> + Send;
 
-    /// Looks at an instance.
-    fn state(
+    /// Looks at some instances; unknown ones are left out.
+    fn states(
         &self,
-        instance: &InstanceId,
-    ) -> impl Future<Output = Result<WorkerState, WorkerError>> + Send;
+        instances: &[InstanceId],
+    ) -> impl Future<Output = Result<Vec<WorkerState>, WorkerError>> + Send;
 }
--- a/crates/standin/src/worker_routes.rs
+++ b/crates/standin/src/worker_routes.rs
@@ -10,14 +10,14 @@
 use crate::Platform;
 
 impl Platform {
-    /// Answers `/workers/ID`, `/workers/ID/ORDER`, `/worker-history` and `/reboots`.
+    /// Answers `/worker-states`, `/workers/ID/ORDER`, `/worker-history` and `/reboots`.
     pub(crate) async fn control(&self, request: Request<Incoming>) -> Reply {
         let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         match (request.method().clone(), parts.as_slice()) {
             (Method::GET, ["worker-history"]) => json(StatusCode::OK, &self.lock().control.history),
             (Method::POST, ["reboots"]) => self.set_reboots(request).await,
-            (Method::GET, ["workers", id]) => self.show_worker(id).await,
+            (Method::POST, ["worker-states"]) => self.show_workers(request).await,
             (Method::POST, ["workers", id, what]) => self.order(id, what, request).await,
             _ => text(StatusCode::NOT_FOUND, "no such service"),
         }
@@ -31,19 +31,20 @@
         text(StatusCode::OK, "set")
     }
 
-    async fn show_worker(&self, id: &str) -> Reply {
-        let Ok(id) = id.parse::<InstanceId>() else {
-            return text(StatusCode::BAD_REQUEST, "not a name");
-        };
-        let state = {
-            let inner = self.lock();
-            inner.control.state(&id, &inner.roster)
-        };
-        let Some(mut state) = state else {
-            return text(StatusCode::NOT_FOUND, "no such worker");
+    async fn show_workers(&self, request: Request<Incoming>) -> Reply {
+        let ids: Vec<InstanceId> = match read_json(request.into_body()).await {
+            Ok(ids) => ids,
+            Err(e) => return text(StatusCode::BAD_REQUEST, e),
         };
-        state.running = self.running(&id).await;
-        json(StatusCode::OK, &state)
+        let mut states = Vec::new();
+        for id in &ids {
+            let state = self.with_control(|control, roster| control.state(id, roster));
+            if let Some(mut state) = state {
+                state.running = self.running(id).await;
+                states.push(state);
+            }
+        }
+        json(StatusCode::OK, &states)
     }
 
     /// Asks the instance itself what runs on it.
--- a/crates/standin/src/workers.rs
+++ b/crates/standin/src/workers.rs
@@ -75,6 +75,7 @@
             None => (s, Activity::Serving),
         });
         down.or(up).map(|(sighting, activity)| WorkerState {
+            id: id.clone(),
             incarnation: sighting.incarnation,
             activity,
             running: None,
