--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,10 +1,13 @@
 //! The operators' command line: it talks to entries' admin API and to nothing else.
 
+mod audit;
 mod client;
+mod date;
 mod diff;
 mod error;
 mod exit;
 mod files;
+mod jobs;
 mod keys;
 mod maintenance;
 mod options;
@@ -23,8 +26,8 @@
 pub use error::CliError;
 pub use exit::Exit;
 pub use options::{
-    Command, KeyCommand, MaintenanceCommand, Options, PlanCommand, TicketCommand, WaitOptions,
-    options,
+    Command, JobCommand, JobOptions, KeyCommand, MaintenanceCommand, Options, PlanCommand,
+    TicketCommand, WaitOptions, options,
 };
 pub use output::Output;
 pub use page::code_page;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod maintenance;
 mod metrics;
 mod node;
+mod peer_snapshot;
 mod peer_state;
 mod peers;
 mod phase;
--- a/crates/daemon/src/metrics/meters.rs
+++ b/crates/daemon/src/metrics/meters.rs
@@ -36,6 +36,24 @@
         .with_description("Answers to callers by result code")
         .with_callback(move |out| by_code(&weak, out))
         .build();
+    let weak = shared.clone();
+    meter
+        .u64_observable_counter("cactuswheel_retries")
+        .with_description("Further attempts at an upstream")
+        .with_callback(move |out| {
+            if let Some(shared) = weak.upgrade() {
+                out.observe(shared.metrics.requests.retries(), &[]);
+            }
+        })
+        .build();
+    let connections = |s: &Shared| s.metrics.requests.connections() as f64;
+    gauge(
+        meter,
+        shared,
+        "cactuswheel_connections",
+        "Connections of callers",
+        connections,
+    );
     let running = |s: &Shared| {
         let running = s.routes.load();
         let running = running.upstreams().map(|u| f64::from(u.running()));
@@ -77,7 +95,7 @@
     );
     let lag = |s: &Shared| {
         let next = s.state.load().next().get();
-        s.log_head().get().saturating_sub(next) as f64
+        s.replica().known().get().saturating_sub(next) as f64
     };
     gauge(
         meter,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::{Replica, Snapshot, State};
+use cactuswheel_fleet::{Replica, State};
 use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
@@ -16,6 +16,7 @@
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::Conns;
@@ -29,7 +30,8 @@
     pub(crate) phase: PhaseCell,
     /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
-    /// The newest sightings; only the roster's task stores here.
+    /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
+    /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
     /// When the roster last answered, as [`Time`].
     pub(crate) roster_at: AtomicU64,
@@ -41,7 +43,7 @@
     pub(crate) link: LogLink,
     pub(crate) appender: Appender,
     /// The snapshot that peers are taking in chunks.
-    pub(crate) served: Mutex<Option<Snapshot>>,
+    pub(crate) served: Mutex<Option<PeerSnapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
@@ -55,8 +57,6 @@
     requests: AtomicU64,
     /// Zero of this node's [`Time`].
     epoch: Instant,
-    /// Newest offset of the log's end that was heard of.
-    head: AtomicU64,
     pub(crate) metrics: Metrics,
     /// Bounds the lines on refusals.
     pub(crate) refusals: LineLimit,
@@ -87,7 +87,6 @@
             reached,
             requests: AtomicU64::new(0),
             epoch: Instant::now(),
-            head: AtomicU64::new(0),
             metrics: Metrics::new(),
             refusals: LineLimit::default(),
         }
@@ -113,17 +112,6 @@
         Time::default().after(self.epoch.elapsed())
     }
 
-    /// The log answered and ended at `head`.
-    pub(crate) fn log_answered(&self, head: Offset) {
-        self.metrics.log.mark();
-        self.head.fetch_max(head.get(), Ordering::Relaxed);
-    }
-
-    /// Newest offset of the log's end that was heard of.
-    pub(crate) fn log_head(&self) -> Offset {
-        Offset::new(self.head.load(Ordering::Relaxed))
-    }
-
     /// Which instances are there, locked for a moment.
     pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
         self.presences
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -5,12 +5,15 @@
 
 mod caller;
 mod cutter;
+mod faults;
 mod fleet;
 mod hosts;
 mod process;
+mod relay;
 
 pub use caller::{Caller, Reply};
 pub use cutter::{ANSWER, Cutter};
 pub use fleet::{Fleet, OPERATOR_KEY, TEAM_KEY};
 pub use hosts::Hosts;
 pub use process::Process;
+pub use relay::Relay;
