--- a/crates/assignment/src/planner.rs
+++ b/crates/assignment/src/planner.rs
@@ -7,6 +7,8 @@
     let mut draft = Draft::new(problem);
     draft.repair();
     draft.shorten();
+    // What pools gave back may be what others lack.
+    draft.repair();
     draft.finish()
 }
 
--- a/crates/assignment/src/snapshot.rs
+++ b/crates/assignment/src/snapshot.rs
@@ -5,6 +5,9 @@
 
 use crate::{Machine, Need, Problem, Weights};
 
+/// Time for which a move is taken to wait for one job, in seconds; run times are not known.
+const JOB: u64 = 3_600;
+
 /// Reads the problem off the fold; what is lost counts for nothing.
 pub fn problem_of(state: &State, weights: Weights, max_moves: usize) -> Problem {
     let config = state.config();
@@ -36,6 +39,7 @@
         let rack = *racks.entry((&instance.dc, &instance.rack)).or_insert(next);
         let next = dcs.len();
         let dc = *dcs.entry(&instance.dc).or_insert(next);
+        let placed = state.jobs().worker(&instance.id).map_or(0, |w| w.placed);
         let stage = state.disruptions().hold(&instance.id).map(|h| &h.stage);
         // What drains for a move counts where it goes, so that no other is moved in its place.
         let pool = match stage {
@@ -53,7 +57,7 @@
             pool: pools.get(pool).copied().unwrap_or(0),
             lost: stage == Some(&Stage::Lost),
             pinned: stage.is_some(),
-            drain: 0,
+            drain: u64::from(placed) * JOB,
         });
     }
     Problem {
--- a/crates/daemon/src/admin/maintenance.rs
+++ b/crates/daemon/src/admin/maintenance.rs
@@ -66,6 +66,7 @@
         .await
         .map_err(|e| Refusal::new(Code::BadRequest).with_detail(e))?;
     let wave = wanted(&shared.state.load(), wish, operator)?;
+    log::info!("{wave:?} proposed");
     propose(shared, &Record::Wave(wave.clone())).await?;
     let state = shared.state.load();
     if state.disruptions().wave().map(|w| w.number) < Some(wave.number) {
--- a/crates/daemon/src/admin/plan.rs
+++ b/crates/daemon/src/admin/plan.rs
@@ -41,6 +41,7 @@
         moves: moves.collect(),
         author: Some(operator),
     };
+    log::info!("{wanted:?} proposed");
     propose(shared, &Record::Moves(wanted.clone())).await?;
     let state = shared.state.load();
     // Drivers may have carried some out already; another list holds others.
--- a/crates/maintenance/src/outages.rs
+++ b/crates/maintenance/src/outages.rs
@@ -73,7 +73,11 @@
         if look.activity != Activity::Draining(hold.fence) {
             self.order(view, order(Verb::Drain, hold));
         }
-        let idle = look.running == Some(0) && look.activity == Activity::Draining(hold.fence);
+        // What worker control does not show yet, the log does: jobs that are placed.
+        let jobs = view.state.jobs().worker(&hold.instance);
+        let idle = look.running == Some(0)
+            && look.activity == Activity::Draining(hold.fence)
+            && jobs.is_none_or(|w| w.placed == 0);
         let quiet =
             idle && self.held(view, &hold.instance, Mark::Quiet(hold.fence)) >= self.settings.quiet;
         let late = waited >= self.settings.drain && !idle;
--- a/crates/maintenance/tests/waves.rs
+++ b/crates/maintenance/tests/waves.rs
@@ -198,3 +198,26 @@
         assert_eq!(moved.pool.as_str(), "check");
     }
 }
+
+#[test]
+fn placed_job() {
+    // A job that runs for days is placed on an instance that serves no request just now. The
+    // drain must not wait for ever with the budget in hand: the instance is postponed and the
+    // wave goes on with others. When the job has ended the instance has its turn.
+    let mut world = World::new(2);
+    let team = json!({"team": {"id": "lab", "share": 1, "limit": 9, "jobs": 2}});
+    let room = json!({"cores": 4, "memory": 100});
+    let spec = json!({"pool": "render", "room": room, "retry": "never"});
+    let submit = json!({"submit": {"job": "lab/a", "at": 1, "spec": spec}});
+    let place = json!({"place": {"job": "lab/a", "attempt": 1, "worker": "w0",
+        "incarnation": 1, "room": room}});
+    world.append(json!({"ticket": {"ticket": 2, "changes": [team]}}).to_string());
+    world.append(json!({"jobs": [submit, place]}).to_string());
+    run(&mut world, Duration::from_secs(60));
+    let disruptions = world.truth.disruptions();
+    assert!(disruptions.deferred(&id(0)).is_some());
+    assert!((1..8).all(|n| disruptions.turn(&id(n)).is_some()));
+    let end = json!({"end": {"job": "lab/a", "attempt": 1, "end": "done"}});
+    world.append(json!({"jobs": [end]}).to_string());
+    assert!(finish(&mut world).is_some());
+}
