--- a/crates/daemon/src/metrics/meters.rs
+++ b/crates/daemon/src/metrics/meters.rs
@@ -24,6 +24,7 @@
     let weak = Arc::downgrade(shared);
     requests(&meter, &weak);
     control(&meter, &weak);
+    platform(&meter, &weak);
     peers(&meter, &weak);
     process(&meter);
     Ok(provider)
@@ -120,6 +121,21 @@
     );
 }
 
+fn platform(meter: &Meter, shared: &Weak<Shared>) {
+    let weak = shared.clone();
+    meter
+        .u64_observable_counter("cactuswheel_platform_bytes")
+        .with_description("Bytes of calls to the platform")
+        .with_callback(move |out| {
+            let Some(shared) = weak.upgrade() else { return };
+            let bytes = shared.platform.meter();
+            let way = |name| KeyValue::new("way", name);
+            out.observe(bytes.sent(), &[way("sent")]);
+            out.observe(bytes.received(), &[way("received")]);
+        })
+        .build();
+}
+
 fn peers(meter: &Meter, shared: &Weak<Shared>) {
     let weak = shared.clone();
     meter
--- a/crates/e2e/tests/metrics.rs
+++ b/crates/e2e/tests/metrics.rs
@@ -41,6 +41,8 @@
     }
     let positive = [
         "cactuswheel_connections",
+        "cactuswheel_platform_bytes_total{way=\"sent\"}",
+        "cactuswheel_platform_bytes_total{way=\"received\"}",
         "process_cpu_seconds_total",
         "process_resident_memory_bytes",
         "cactuswheel_roster_age_seconds",
--- a/crates/http/src/call.rs
+++ b/crates/http/src/call.rs
@@ -1,6 +1,7 @@
 //! One HTTP call with a time limit.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::Meter;
+use crate::meter::Metered;
+
 /// Largest answer that a call takes, in bytes.
 const MAX_ANSWER: usize = 64 << 20;
 
@@ -45,6 +49,7 @@
     key: Option<String>,
     body: Vec<u8>,
     limit: Duration,
+    meter: Option<Arc<Meter>>,
 }
 
 impl Answer {
@@ -77,6 +82,7 @@
             key: None,
             body: Vec::new(),
             limit: Self::LIMIT,
+            meter: None,
         }
     }
 
@@ -98,6 +104,12 @@
         self
     }
 
+    /// Counts the call's bytes on `meter`.
+    pub fn with_meter(mut self, meter: Arc<Meter>) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Makes the call on a connection of its own.
     pub async fn send(self) -> Result<Answer, CallError> {
         let (peer, limit) = (self.peer, self.limit);
@@ -114,6 +126,7 @@
 
     async fn exchange(self, stream: TcpStream) -> Result<Answer, CallError> {
         let peer = self.peer;
+        let stream = Metered::new(stream, self.meter.clone());
         let request = self
             .request()
             .map_err(|e| CallError::NotSent(peer, e.to_string()))?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod body;
 mod call;
+mod meter;
 mod reply;
 mod server;
 
 pub use body::{MAX_JSON, parse_json, read_json};
 pub use call::{Answer, Call, CallError};
+pub use meter::Meter;
 pub use reply::{Body, Reply, json, text};
 pub use server::serve;
--- /dev/null
+++ b/crates/http/src/meter.rs
@@ -0,0 +1,97 @@
+//! Bytes of calls.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Counts what calls put on the wire, heads and bodies, without what TCP adds.
+#[derive(Debug, Default)]
+pub struct Meter {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// A stream that counts its bytes.
+#[derive(Debug)]
+pub(crate) struct Metered<S> {
+    stream: S,
+    meter: Option<Arc<Meter>>,
+}
+
+impl Meter {
+    /// Bytes sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received so far.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+}
+
+impl<S> Metered<S> {
+    /// Counts on `meter`, if there is one.
+    pub(crate) fn new(stream: S, meter: Option<Arc<Meter>>) -> Self {
+        Self { stream, meter }
+    }
+
+    fn wrote(&self, bytes: usize) -> usize {
+        if let Some(meter) = &self.meter {
+            meter.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+        bytes
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let bytes = buf.filled().len() - before;
+        if let Some(meter) = &self.meter {
+            meter.received.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        Poll::Ready(Ok(self.wrote(bytes)))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        Poll::Ready(Ok(self.wrote(bytes)))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,9 +1,10 @@
 //! The platform over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_http::{Answer, Call, CallError};
+use cactuswheel_http::{Answer, Call, CallError, Meter};
 use cactuswheel_model::Offset;
 use hyper::StatusCode;
 use serde::Serialize;
@@ -20,19 +21,37 @@
 /// Client of the platform's services.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pub(crate) platform: SocketAddr,
+    platform: SocketAddr,
+    meter: Arc<Meter>,
 }
 
 impl Client {
     /// A client of the platform at `platform`.
     pub fn new(platform: SocketAddr) -> Self {
-        Self { platform }
+        Self {
+            platform,
+            meter: Arc::default(),
+        }
+    }
+
+    /// Counts the bytes of all calls.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    pub(crate) fn get(&self, path: impl Into<String>) -> Call {
+        Call::get(self.platform, path).with_meter(self.meter.clone())
+    }
+
+    pub(crate) fn post(&self, path: impl Into<String>) -> Call {
+        Call::post(self.platform, path).with_meter(self.meter.clone())
     }
 }
 
 impl Log for Client {
     async fn append(&self, stream: Stream, bodies: Vec<String>) -> Result<Appended, LogError> {
-        let call = Call::post(self.platform, format!("/log/{stream}"))
+        let call = self
+            .post(format!("/log/{stream}"))
             .with_json(&bodies)
             .map_err(|e| LogError::Unavailable(e.to_string()))?
             .with_limit(LIMIT);
@@ -50,14 +69,14 @@
             "/log/{stream}?from={from}&max={max}&wait={}",
             wait.as_millis()
         );
-        let call = Call::get(self.platform, path).with_limit(wait + LIMIT);
+        let call = self.get(path).with_limit(wait + LIMIT);
         decode(call.send().await.map_err(LogError::from)?)
     }
 }
 
 impl Roster for Client {
     async fn list(&self) -> Result<Sightings, RosterError> {
-        let call = Call::get(self.platform, "/roster").with_limit(LIMIT);
+        let call = self.get("/roster").with_limit(LIMIT);
         let answer = call.send().await.map_err(|e| RosterError(e.to_string()))?;
         if answer.status != StatusCode::OK {
             return Err(RosterError(answer.status.to_string()));
@@ -83,9 +102,7 @@
 impl Client {
     async fn tell<T: Serialize + Sync>(&self, path: &str, what: &T) -> Result<(), TaskError> {
         let unknown = |e: &dyn std::fmt::Display| TaskError::Unknown(e.to_string());
-        let call = Call::post(self.platform, path)
-            .with_json(what)
-            .map_err(|e| unknown(&e))?;
+        let call = self.post(path).with_json(what).map_err(|e| unknown(&e))?;
         let answer = call
             .with_limit(LIMIT)
             .send()
--- a/crates/platform/src/control.rs
+++ b/crates/platform/src/control.rs
@@ -1,6 +1,6 @@
 //! Worker control over HTTP.
 
-use cactuswheel_http::{Answer, Call, CallError};
+use cactuswheel_http::{Answer, CallError};
 use cactuswheel_model::InstanceId;
 use hyper::StatusCode;
 
@@ -21,7 +21,7 @@
     }
 
     async fn state(&self, instance: &InstanceId) -> Result<WorkerState, WorkerError> {
-        let call = Call::get(self.platform, format!("/workers/{instance}")).with_limit(LIMIT);
+        let call = self.get(format!("/workers/{instance}")).with_limit(LIMIT);
         let answer = check(call.send().await?)?;
         answer
             .json()
@@ -36,7 +36,8 @@
         what: &str,
         order: Order,
     ) -> Result<(), WorkerError> {
-        let call = Call::post(self.platform, format!("/workers/{instance}/{what}"))
+        let call = self
+            .post(format!("/workers/{instance}/{what}"))
             .with_json(&order)
             .map_err(|e| WorkerError::Unavailable(e.to_string()))?
             .with_limit(LIMIT);
