--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,6 +5,7 @@
 mod history;
 mod instances;
 mod list;
+mod maintenance;
 mod pools;
 mod status;
 mod tickets;
@@ -38,6 +39,8 @@
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
         (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
+        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
+        (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -21,17 +21,18 @@
 use crate::Phase;
 use crate::shared::Shared;
 
+/// Buffer of a connection, in largest heads.
+///
+/// A head somewhat over the limit is still read, and refused with its code; one that does not
+/// fit here is refused by the HTTP library, with the status alone.
+const READ_AHEAD: usize = 2;
+
 /// Time without a byte after which a stopping entry closes a caller's connection.
 ///
 /// HTTP/1 has no way to close an idle connection that a caller cannot race: a request that is
 /// under way is lost. The balancer has heard long before that the entry is not ready, so only a
 /// connection on which nothing comes any more is closed.
 const QUIET: Duration = Duration::from_secs(2);
-/// Buffer of a connection, in largest heads.
-///
-/// A head somewhat over the limit is still read, and refused with its code; one that does not
-/// fit here is refused by the HTTP library, with the status alone.
-const READ_AHEAD: usize = 2;
 
 /// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
