--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 mod files;
 mod jobs;
 mod keys;
+mod maintenance;
 mod options;
 mod output;
 mod page;
@@ -24,7 +25,8 @@
 pub use error::CliError;
 pub use exit::Exit;
 pub use options::{
-    Command, JobCommand, JobOptions, KeyCommand, Options, TicketCommand, WaitOptions, options,
+    Command, JobCommand, JobOptions, KeyCommand, MaintenanceCommand, Options, TicketCommand,
+    WaitOptions, options,
 };
 pub use output::Output;
 pub use page::code_page;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -2,6 +2,7 @@
 
 mod job;
 mod key;
+mod maintenance;
 mod ticket;
 mod wait;
 
@@ -14,6 +15,8 @@
 pub use self::job::{JobCommand, JobOptions};
 pub use self::key::KeyCommand;
 use self::key::key_command;
+pub use self::maintenance::MaintenanceCommand;
+use self::maintenance::maintenance_command;
 pub use self::ticket::TicketCommand;
 use self::ticket::ticket_command;
 pub use self::wait::WaitOptions;
@@ -60,6 +63,9 @@
     /// Jobs of a team; takes the team's key
     #[bpaf(command, long("jobs"))]
     Job(#[bpaf(external(job_options))] JobOptions),
+    /// Maintenance waves
+    #[bpaf(command)]
+    Maintenance(#[bpaf(external(maintenance_command))] MaintenanceCommand),
     /// Where entries stand
     #[bpaf(command)]
     Status {
--- a/crates/e2e/tests/operator.rs
+++ b/crates/e2e/tests/operator.rs
@@ -189,3 +189,31 @@
     let unknown = run(&["show", "none"]);
     assert_eq!(unknown.status.code(), Some(3));
 }
+
+#[tokio::test]
+async fn wave_commands() {
+    let fleet = Fleet::start(1, 1);
+    assert_eq!(fleet.apply(0, &fleet.first_ticket(8)).0, Some(0));
+    fleet.settle(1).await;
+    let (_, text, _) = fleet.cli(0, &["maintenance", "show"]);
+    assert_eq!(text, "no wave has begun\n");
+    let (code, _, error) = fleet.cli(0, &["maintenance", "pause"]);
+    assert_eq!(code, Some(3));
+    assert!(error.starts_with("cactuswheel: 605 "), "{error}");
+    let (code, started) = ask(&fleet, 0, &["maintenance", "start", "--order", "lj1"]);
+    assert_eq!(code, Some(0), "{started}");
+    assert_eq!(started["wave"]["number"], 1);
+    let (_, text, _) = fleet.cli(0, &["maintenance", "pause"]);
+    assert!(text.starts_with("wave 1 paused, begun 20"), "{text}");
+    // The only instance of its pool: the budget lets nothing go down.
+    assert!(text.contains("0 of 1 instances had their turn"), "{text}");
+    let (_, text, _) = fleet.cli(0, &["maintenance", "resume"]);
+    assert!(text.starts_with("wave 1 running"), "{text}");
+    let (_, reordered) = ask(&fleet, 0, &["maintenance", "reorder", "lj1"]);
+    assert_eq!(reordered["wave"]["order"], json!(["lj1"]));
+    assert_eq!(fleet.cli(0, &["maintenance", "start"]).0, Some(3));
+    assert_eq!(
+        ask(&fleet, 0, &["maintenance", "start", "--force"]).1["wave"]["number"],
+        2
+    );
+}
