--- a/crates/cli/tests/diff.rs
+++ b/crates/cli/tests/diff.rs
@@ -1,8 +1,11 @@
 //! Tickets beside what is in force.
 
+use std::fs;
+use std::path::Path;
+
 use cactuswheel_cli::{DiffRow, diff};
 use cactuswheel_fleet::State;
-use cactuswheel_model::Ticket;
+use cactuswheel_model::{Record, Ticket};
 use serde_json::{Value, json};
 
 /// What `changes` would do to a fleet with a pool `render` and a team `ads`.
@@ -40,3 +43,21 @@
     let actions: Vec<_> = rows.iter().map(|r| r.action).collect();
     assert_eq!(actions, ["remove", "missing"]);
 }
+
+#[test]
+fn applied_same() {
+    // What a ticket described is in force: beside that the ticket changes nothing.
+    let mut state = State::default();
+    for file in ["platno/1-objects.json", "platno/2-instances.json"] {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../../examples")
+            .join(file);
+        let ticket: Ticket = serde_json::from_slice(&fs::read(path).unwrap()).unwrap();
+        let record = Record::Ticket(ticket.clone());
+        state.apply(state.next(), &serde_json::to_string(&record).unwrap());
+        let config = serde_json::to_value(state.config()).unwrap();
+        let rows = diff(&config, &ticket).unwrap();
+        assert_eq!(rows.len(), ticket.changes.len());
+        assert!(rows.iter().all(|r| r.action == "same"), "{rows:?}");
+    }
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -38,8 +38,6 @@
     let done = match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
-        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
-        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
@@ -58,6 +56,7 @@
     Ok(match path {
         "/v1/status" => return status::show(shared),
         "/v1/audit" => return audit::show(shared, query),
+        "/v1/maintenance" => maintenance::show(shared),
         "/v1/tickets" => return history::newest(&state, query),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
