--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum CliError {
     /// A file cannot be read or does not hold what it should.
-    #[error("{} {}: {message}", Code::BadFile, path.display())]
+    #[error("{}: {}: {message}", Code::BadFile, path.display())]
     File {
         /// The file.
         path: PathBuf,
@@ -19,10 +19,10 @@
         message: String,
     },
     /// Standard input does not hold what it should.
-    #[error("{code} standard input: {0}", code = Code::BadFile)]
+    #[error("{code}: standard input: {0}", code = Code::BadFile)]
     Input(String),
     /// A ticket can be read but no fleet could take it.
-    #[error("{code} {}: {detail}", path.display())]
+    #[error("{code}: {}: {detail}", path.display())]
     Ticket {
         /// The file.
         path: PathBuf,
@@ -108,8 +108,8 @@
 impl From<CallError> for CliError {
     fn from(error: CallError) -> Self {
         match error {
-            CallError::NotSent(..) => Self::Unreachable(error.to_string()),
-            CallError::Unknown(..) => Self::Lost(error.to_string()),
+            CallError::NotSent(addr, why) => Self::Unreachable(format!("{addr}: {why}")),
+            CallError::Unknown(addr, why) => Self::Lost(format!("{addr}: {why}")),
         }
     }
 }
--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::client::Client;
+use crate::run::given;
 use crate::{CliError, Exit, JobCommand, JobOptions, Output, table};
 
 const JOB: &[&str] = &["job", "phase", "attempt", "worker", "lost", "cancel", "why"];
@@ -14,7 +15,7 @@
 
 /// Carries out what a team does with its jobs.
 pub(crate) async fn run(options: JobOptions) -> Result<Output, CliError> {
-    let key = options.team_key.ok_or(CliError::NoTeamKey)?;
+    let key = given(options.team_key, "CACTUSWHEEL_TEAM_KEY").ok_or(CliError::NoTeamKey)?;
     let client = Client::new(options.callers, key);
     match options.command {
         JobCommand::Submit { file } => submit(&client, &file).await,
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -35,13 +35,15 @@
     /// Admin address of any entry
     #[bpaf(
         long,
-        argument("ADDR"),
         env("CACTUSWHEEL_ENTRY"),
+        argument::<String>("ADDR"),
+        parse(parse_addr),
         fallback(DEFAULT_ENTRY)
     )]
     pub entry: SocketAddr,
-    /// Operator key; give it in the environment, where other users do not see it
-    #[bpaf(long, argument("KEY"), env("CACTUSWHEEL_KEY"), optional)]
+    /// Operator key; better given as CACTUSWHEEL_KEY in the environment, where others do not
+    /// see it
+    #[bpaf(long, argument("KEY"), optional)]
     pub key: Option<String>,
     /// Print JSON instead of tables
     #[bpaf(long)]
@@ -112,10 +114,12 @@
 
 /// Reads addresses with commas between them.
 pub(crate) fn parse_addrs(text: String) -> Result<Vec<SocketAddr>, String> {
-    let parse = |s: &str| {
-        s.trim()
-            .parse()
-            .map_err(|_| format!("`{s}` is not an IP number with a port, such as 10.0.0.1:8081"))
-    };
-    text.split(',').map(parse).collect()
+    let addrs = text.split(',').map(|s| parse_addr(s.to_owned()));
+    addrs.collect()
+}
+
+/// Reads one address.
+pub(crate) fn parse_addr(text: String) -> Result<SocketAddr, String> {
+    let addr = text.trim().parse();
+    addr.map_err(|_| format!("`{text}` is not an IP number with a port, such as 10.0.0.1:8081"))
 }
--- a/crates/cli/src/options/job.rs
+++ b/crates/cli/src/options/job.rs
@@ -6,6 +6,8 @@
 use bpaf::Bpaf;
 use cactuswheel_model::JobName;
 
+use super::parse_addr;
+
 /// Where the small fleet's entry listens for callers.
 const DEFAULT_CALLERS: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 8080);
@@ -16,13 +18,15 @@
     /// Address for callers of any entry
     #[bpaf(
         long,
-        argument("ADDR"),
         env("CACTUSWHEEL_CALLERS"),
+        argument::<String>("ADDR"),
+        parse(parse_addr),
         fallback(DEFAULT_CALLERS)
     )]
     pub callers: SocketAddr,
-    /// Team key; give it in the environment, where other users do not see it
-    #[bpaf(long, argument("KEY"), env("CACTUSWHEEL_TEAM_KEY"), optional)]
+    /// Team key; better given as CACTUSWHEEL_TEAM_KEY in the environment, where others do not
+    /// see it
+    #[bpaf(long, argument("KEY"), optional)]
     pub team_key: Option<String>,
     /// What to do
     #[bpaf(external(job_command))]
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,7 +6,7 @@
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
-    let key = options.key.ok_or(CliError::NoKey);
+    let key = given(options.key, "CACTUSWHEEL_KEY").ok_or(CliError::NoKey);
     let client = || key.map(|key| Client::new(options.entry, key));
     match options.command {
         Command::Ticket(TicketCommand::Validate { files }) => validate::validate(&files),
@@ -26,3 +26,10 @@
         Command::Dcs => views::list(&client()?, &views::DCS).await,
     }
 }
+
+/// A key from the command line or else from the environment.
+///
+/// Not left to the parser of the command line, which shows the environment's values in its help.
+pub(crate) fn given(key: Option<String>, name: &str) -> Option<String> {
+    key.or_else(|| std::env::var(name).ok())
+}
--- a/crates/daemon/src/settings/error.rs
+++ b/crates/daemon/src/settings/error.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
     /// The file cannot be read.
-    #[error("{} {}: {source}", Code::BadSettings, path.display())]
+    #[error("{}: {}: {source}", Code::BadSettings, path.display())]
     Read {
         /// The file.
         path: PathBuf,
@@ -17,7 +17,7 @@
         source: std::io::Error,
     },
     /// The text is not what settings look like.
-    #[error("{} {}: {field}: {message}", Code::BadSettings, path.display())]
+    #[error("{}: {}: {field}: {message}", Code::BadSettings, path.display())]
     Parse {
         /// The file.
         path: PathBuf,
@@ -27,7 +27,7 @@
         message: String,
     },
     /// A value does not make sense.
-    #[error("{} {}: {fault}", Code::BadSettings, path.display())]
+    #[error("{}: {}: {fault}", Code::BadSettings, path.display())]
     Check {
         /// The file.
         path: PathBuf,
--- a/crates/e2e/tests/secrets.rs
+++ b/crates/e2e/tests/secrets.rs
@@ -67,3 +67,18 @@
         assert!(!shown.contains(key), "{key} is shown");
     }
 }
+
+#[test]
+fn help_hidden() {
+    // An operator shows a colleague the help while the keys stand in the environment.
+    let keys = [
+        ("CACTUSWHEEL_KEY", "s3cret-1"),
+        ("CACTUSWHEEL_TEAM_KEY", "s3cret-2"),
+    ];
+    for args in [&["--help"][..], &["job", "--help"], &["nonsense"]] {
+        let mut command = std::process::Command::new(Process::path("cactuswheel"));
+        let output = command.envs(keys).args(args).output().unwrap();
+        let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        assert!(!text.contains("s3cret"), "{text}");
+    }
+}
