--- a/crates/e2e/tests/docs.rs
+++ b/crates/e2e/tests/docs.rs
@@ -86,6 +86,16 @@
     }
 }
 
+#[test]
+fn crates_named() {
+    let page = fs::read_to_string(root().join("CONTRIBUTING.md")).unwrap();
+    for entry in fs::read_dir(root().join("crates")).unwrap() {
+        let name = entry.unwrap().file_name();
+        let row = format!("`crates/{}`", name.to_string_lossy());
+        assert!(page.contains(&row), "CONTRIBUTING.md does not name {row}");
+    }
+}
+
 /// Runs a command as a reader would, against the small fleet on `host`.
 fn run(command: &str, host: &str) -> String {
     let programs = Process::path("cactuswheel");
