--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -11,9 +11,25 @@
     pub fn check(&self) -> Result<(), SettingsFault> {
         self.check_addrs()?;
         self.check_operators()?;
+        self.check_maintenance()?;
         self.limits.check()
     }
 
+    /// Bounds of 0 would stop all maintenance without a word.
+    fn check_maintenance(&self) -> Result<(), SettingsFault> {
+        let bounds = [
+            ("parallel", self.maintenance.parallel),
+            ("failures", self.maintenance.failures),
+        ];
+        match bounds.iter().find(|(_, bound)| *bound == 0) {
+            None => Ok(()),
+            Some((name, bound)) => {
+                let field = format!("maintenance.{name}");
+                Err(SettingsFault::new(field, bound, "at least 1"))
+            }
+        }
+    }
+
     /// Every address is a full one and stands once; an entry is no peer of itself.
     fn check_addrs(&self) -> Result<(), SettingsFault> {
         let mut seen = BTreeMap::new();
