--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -43,7 +43,6 @@
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
         (&Method::POST, "/v1/denials") => denials::put(shared, operator, request).await,
-        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
         (&Method::GET, "/v1/plan") => plan::show(&shared).await,
         (&Method::POST, "/v1/plan/apply") => plan::apply(&shared, operator).await,
--- a/crates/e2e/tests/metrics.rs
+++ b/crates/e2e/tests/metrics.rs
@@ -51,6 +51,8 @@
     assert!(before >= 2.0 && (before..=next(&fleet).await).contains(&reached));
     let positive = [
         "cactuswheel_connections",
+        "cactuswheel_platform_bytes_total{way=\"sent\"}",
+        "cactuswheel_platform_bytes_total{way=\"received\"}",
         "process_cpu_seconds_total",
         "process_resident_memory_bytes",
         "cactuswheel_roster_age_seconds",
