--- a/crates/daemon/src/snapshots.rs
+++ b/crates/daemon/src/snapshots.rs
@@ -129,7 +129,7 @@
     loop {
         let read = shared
             .platform
-            .read(Stream::Snapshots, from, 1, Duration::ZERO)
+            .read(Stream::Snapshots, from, 0, Duration::ZERO)
             .await;
         match read {
             Ok(batch) => return Ok((batch.first, batch.head)),
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -84,7 +84,7 @@
 fn binary(name: &str) -> PathBuf {
     let mut dir = std::env::current_exe().expect("a test knows its own file");
     dir.pop();
-    if dir.ends_with("deps") {
+    if dir.ends_with("deps") || dir.ends_with("examples") {
         dir.pop();
     }
     let path = dir.join(name);
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -30,6 +30,8 @@
     ) -> impl Future<Output = Result<Appended, LogError>> + Send;
 
     /// Reads up to `max` records from `from` on, waiting up to `wait` for the first.
+    ///
+    /// With `max` 0 it only tells which offsets the stream keeps.
     fn read(
         &self,
         stream: Stream,
