--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,5 +1,6 @@
 //! Command line options.
 
+mod job;
 mod key;
 mod ticket;
 mod wait;
@@ -7,8 +8,10 @@
 use std::net::SocketAddr;
 
 use bpaf::Bpaf;
-use cactuswheel_model::PoolId;
+use cactuswheel_model::{ObjectId, PoolId};
 
+use self::job::job_options;
+pub use self::job::{JobCommand, JobOptions};
 pub use self::key::KeyCommand;
 use self::key::key_command;
 pub use self::ticket::TicketCommand;
@@ -54,6 +57,9 @@
     /// Keys of teams
     #[bpaf(command, long("keys"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Jobs of a team; takes the team's key
+    #[bpaf(command, long("jobs"))]
+    Job(#[bpaf(external(job_options))] JobOptions),
     /// Where entries stand
     #[bpaf(command)]
     Status {
@@ -86,6 +92,9 @@
     /// Who changed what, and what came of it
     #[bpaf(command)]
     Audit {
+        /// Only those on one object, such as pool/render
+        #[bpaf(argument("KIND/NAME"), optional)]
+        object: Option<ObjectId>,
         /// Most rows
         #[bpaf(argument("N"), fallback(MAX))]
         max: usize,
--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -41,7 +41,15 @@
 /// Availability budgets.
 pub(crate) const BUDGETS: View = View {
     path: "/v1/budgets",
-    columns: &["service", "pool", "instances", "down", "max_down", "room"],
+    columns: &[
+        "service",
+        "pool",
+        "instances",
+        "down",
+        "absent",
+        "max_down",
+        "room",
+    ],
 };
 
 /// Data centres.
@@ -59,14 +67,10 @@
 const INSTANCES: View = View {
     path: "/v1/instances",
     columns: &[
-        "id", "pool", "dc", "rack", "cores", "memory", "slots", "presence", "addr",
+        "id", "pool", "dc", "rack", "cores", "memory", "slots", "presence", "outage", "addr",
     ],
 };
 
-const AUDIT: &[&str] = &[
-    "offset", "ticket", "author", "code", "object", "before", "after", "reason", "detail",
-];
-
 /// Shows a list.
 pub(crate) async fn list(client: &Client, view: &View) -> Result<Output, CliError> {
     let list: Value = client.get(view.path).await?;
@@ -82,12 +86,6 @@
     Output::new(table(INSTANCES.columns, items(&list)), &list)
 }
 
-/// Shows the audit trail, newest first.
-pub(crate) async fn audit(client: &Client, max: usize) -> Result<Output, CliError> {
-    let list: Value = client.get(&format!("/v1/audit?max={max}")).await?;
-    Output::new(table(AUDIT, items(&list)), &list)
-}
-
 /// Shows all objects.
 pub(crate) async fn config(client: &Client) -> Result<Output, CliError> {
     let config: Value = client.get("/v1/config").await?;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,6 +5,7 @@
 mod history;
 mod instances;
 mod list;
+mod maintenance;
 mod pools;
 mod refused;
 mod status;
@@ -39,6 +40,8 @@
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
         (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
+        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
+        (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
@@ -55,6 +58,7 @@
     }
     Ok(match path {
         "/v1/status" => return status::show(shared),
+        "/v1/audit" => return audit::show(shared, query),
         "/v1/tickets" => return history::newest(&state, query),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod line_limit;
 mod log_link;
 mod logging;
+mod maintenance;
 mod metrics;
 mod node;
 mod peer_snapshot;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -33,6 +33,10 @@
     /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
     /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
+    /// When the roster last answered, as [`Time`].
+    pub(crate) roster_at: AtomicU64,
+    /// Why maintenance waits, as of its last step.
+    pub(crate) waits: ArcSwap<Vec<String>>,
     pub(crate) jobs: Desk,
     /// What the log and peers gave; its state is what `state` shows.
     pub(crate) replica: Mutex<Replica>,
@@ -53,8 +57,6 @@
     requests: AtomicU64,
     /// Zero of this node's [`Time`].
     epoch: Instant,
-    /// Newest offset of the log's end that was heard of.
-    head: AtomicU64,
     pub(crate) metrics: Metrics,
     /// Bounds the lines on refusals.
     pub(crate) refusals: LineLimit,
@@ -71,6 +73,8 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            roster_at: AtomicU64::new(0),
+            waits: ArcSwap::default(),
             jobs: Desk::default(),
             replica: Mutex::default(),
             link: LogLink::default(),
@@ -83,7 +87,6 @@
             reached,
             requests: AtomicU64::new(0),
             epoch: Instant::now(),
-            head: AtomicU64::new(0),
             metrics: Metrics::new(),
             refusals: LineLimit::default(),
         }
@@ -109,17 +112,6 @@
         Time::default().after(self.epoch.elapsed())
     }
 
-    /// The log answered and ended at `head`.
-    pub(crate) fn log_answered(&self, head: Offset) {
-        self.metrics.log.mark();
-        self.head.fetch_max(head.get(), Ordering::Relaxed);
-    }
-
-    /// Newest offset of the log's end that was heard of.
-    pub(crate) fn log_head(&self) -> Offset {
-        Offset::new(self.head.load(Ordering::Relaxed))
-    }
-
     /// Which instances are there, locked for a moment.
     pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
         self.presences
