--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod appender;
+mod basis;
 mod candidates;
 mod catch_up;
 mod embedded;
@@ -17,8 +18,10 @@
 mod line_limit;
 mod log_link;
 mod logging;
+mod maintenance;
 mod metrics;
 mod node;
+mod peer_snapshot;
 mod peer_state;
 mod peers;
 mod phase;
--- a/crates/daemon/src/proxy/conns.rs
+++ b/crates/daemon/src/proxy/conns.rs
@@ -1,5 +1,6 @@
 //! Connections to one life of one upstream.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,6 +31,20 @@
     open: Arc<AtomicU32>,
 }
 
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConnError {
+    /// All of this entry's share are in use, some perhaps by exchanges given up.
+    ///
+    /// That is no fault of the upstream: counted as one, callers who hang up would get healthy
+    /// upstreams ejected.
+    #[error("this entry's share of connections is in use")]
+    Spent,
+    /// It cannot be reached.
+    #[error(transparent)]
+    Unreachable(#[from] io::Error),
+}
+
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
@@ -55,13 +70,13 @@
     /// A connection to `addr`: an idle one, or by `until` a new one if fewer than `most` are
     /// open.
     ///
-    /// The error is a line for people; nothing was sent then.
+    /// Nothing was sent if there is none.
     pub(super) async fn get(
         &self,
         addr: SocketAddr,
         most: u32,
         until: Instant,
-    ) -> Result<Conn, String> {
+    ) -> Result<Conn, ConnError> {
         if let Some(conn) = self.take(|c| c.is_ready()) {
             return Ok(conn);
         }
@@ -70,10 +85,10 @@
         }
         // An exchange that has just ended leaves its connection busy for some microseconds.
         let settling = self.take(|c| !c.is_closed());
-        let mut conn = settling.ok_or("no connection left in this entry's share")?;
+        let mut conn = settling.ok_or(ConnError::Spent)?;
         match timeout(SETTLE_LIMIT, conn.sender.ready()).await {
             Ok(Ok(())) => Ok(conn),
-            _ => Err("no connection became free".to_owned()),
+            _ => Err(ConnError::Spent),
         }
     }
 
@@ -124,15 +139,15 @@
     }
 }
 
-async fn connect(addr: SocketAddr, open: Open, until: Instant) -> Result<Conn, String> {
+async fn connect(addr: SocketAddr, open: Open, until: Instant) -> Result<Conn, ConnError> {
     let stream = match timeout_at(until, TcpStream::connect(addr)).await {
-        Ok(stream) => stream.map_err(|e| e.to_string())?,
-        Err(_) => return Err("connect timed out".to_owned()),
+        Ok(stream) => stream?,
+        Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut).into()),
     };
     // Small requests would otherwise wait for the upstream's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, conn) = handshake.map_err(|e| e.to_string())?;
+    let (sender, conn) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         let _open = open;
         // Whoever waits for an answer on it hears of the error.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cactuswheel_admission::Gate;
-use cactuswheel_fleet::{Replica, Snapshot, State};
+use cactuswheel_fleet::{Replica, State};
 use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
@@ -13,9 +13,11 @@
 use tokio::time::Instant;
 
 use crate::appender::Appender;
+use crate::basis::Basis;
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
+use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
 use crate::proxy::{Conns, Slots};
@@ -29,19 +31,26 @@
     pub(crate) phase: PhaseCell,
     /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
-    /// The newest sightings; only the roster's task stores here.
+    /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
+    /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
+    /// When the roster last answered, as [`Time`].
+    pub(crate) roster_at: AtomicU64,
+    /// Why maintenance waits, as of its last step.
+    pub(crate) waits: ArcSwap<Vec<String>>,
     pub(crate) jobs: Desk,
     /// What the log and peers gave; its state is what `state` shows.
     pub(crate) replica: Mutex<Replica>,
     pub(crate) link: LogLink,
     pub(crate) appender: Appender,
     /// The snapshot that peers are taking in chunks.
-    pub(crate) served: Mutex<Option<Snapshot>>,
+    pub(crate) served: Mutex<Option<PeerSnapshot>>,
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     pub(crate) slots: Slots,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
+    /// What the routes were built from.
+    basis: Mutex<Option<Basis>>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
     gate: Mutex<Gate>,
@@ -52,8 +61,6 @@
     requests: AtomicU64,
     /// Zero of this node's [`Time`].
     epoch: Instant,
-    /// Newest offset of the log's end that was heard of.
-    head: AtomicU64,
     pub(crate) metrics: Metrics,
     /// Bounds the lines on refusals.
     pub(crate) refusals: LineLimit,
@@ -70,6 +77,8 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
+            roster_at: AtomicU64::new(0),
+            waits: ArcSwap::default(),
             slots: Slots::default(),
             jobs: Desk::default(),
             replica: Mutex::default(),
@@ -77,13 +86,13 @@
             appender: Appender::default(),
             served: Mutex::default(),
             presences: Mutex::default(),
+            basis: Mutex::default(),
             drained: ArcSwap::default(),
             gate: Mutex::default(),
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
             epoch: Instant::now(),
-            head: AtomicU64::new(0),
             metrics: Metrics::new(),
             refusals: LineLimit::default(),
         }
@@ -109,17 +118,6 @@
         Time::default().after(self.epoch.elapsed())
     }
 
-    /// The log answered and ended at `head`.
-    pub(crate) fn log_answered(&self, head: Offset) {
-        self.metrics.log.mark();
-        self.head.fetch_max(head.get(), Ordering::Relaxed);
-    }
-
-    /// Newest offset of the log's end that was heard of.
-    pub(crate) fn log_head(&self) -> Offset {
-        Offset::new(self.head.load(Ordering::Relaxed))
-    }
-
     /// Which instances are there, locked for a moment.
     pub(crate) fn presences(&self) -> MutexGuard<'_, Presences> {
         self.presences
@@ -144,13 +142,24 @@
     /// that was overtaken would put routes back that still list an instance that leaves.
     pub(crate) fn reroute(&self) {
         let presences = self.presences();
-        let candidates = candidates::list(
-            self.state.load().config(),
-            &presences,
-            &self.drained.load(),
-            &self.settings,
-        );
+        let basis = Basis::new(self.state.load().config(), self.drained.load_full());
+        let candidates = candidates::list(&basis, &presences, &self.settings);
         let routes = Routes::new(candidates, &self.routes.load());
         self.routes.store(Arc::new(routes));
+        *self.basis() = Some(basis);
+    }
+
+    /// Builds the routes anew if the state brought anything that they depend on.
+    ///
+    /// Most records do not, and routes over thousands of instances take milliseconds.
+    pub(crate) fn reroute_if_changed(&self) {
+        let now = Basis::new(self.state.load().config(), self.drained.load_full());
+        if self.basis().as_ref().is_none_or(|old| !old.is_same(&now)) {
+            self.reroute();
+        }
+    }
+
+    fn basis(&self) -> MutexGuard<'_, Option<Basis>> {
+        self.basis.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's roster.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuswheel_platform::{Presence, Roster, Sightings};
@@ -15,13 +16,15 @@
 /// Takes the roster over as it changes, for as long as the task lives.
 pub(crate) async fn watch(shared: Arc<Shared>) {
     loop {
-        let answer = shared.platform.list().await;
-        if answer.is_ok() {
-            shared.metrics.roster.mark();
-        }
-        match answer {
-            Ok(list) if **shared.sightings.load() != list => take(&shared, list),
-            Ok(_) => {}
+        match shared.platform.list().await {
+            Ok(list) => {
+                shared.metrics.roster.mark();
+                let now = shared.now().get();
+                shared.roster_at.store(now, Ordering::Relaxed);
+                if **shared.sightings.load() != list {
+                    take(&shared, list);
+                }
+            }
             Err(e) => log::warn!("{e}"),
         }
         shared
@@ -33,7 +36,21 @@
     }
 }
 
-fn take(shared: &Shared, list: Sightings) {
+/// The newest sightings, with what upstreams themselves said of their leaving.
+pub(crate) fn known(shared: &Shared) -> Sightings {
+    let mut list = Sightings::clone(&shared.sightings.load());
+    let presences = shared.presences();
+    for seen in &mut list.instances {
+        let life = presences.get(&seen.id);
+        if life.is_some_and(|l| l.incarnation == seen.incarnation && l.leaving) {
+            seen.presence = Presence::Leaving;
+        }
+    }
+    list
+}
+
+/// Takes what the roster, or a peer in its place, lists.
+pub(crate) fn take(shared: &Shared, list: Sightings) {
     let mut changed = false;
     let mut presences = shared.presences();
     for seen in &list.instances {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -52,6 +52,11 @@
         self.rows.values()
     }
 
+    /// Whether both share their content; content that is merely equal does not count.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.rows, &other.rows)
+    }
+
     /// Number of rows.
     pub fn len(&self) -> usize {
         self.rows.len()
