--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -17,10 +17,10 @@
 use super::request::enter;
 use super::slot::Slot;
 
-/// Usual run times for which there must be time left when a request gets its slot.
+/// Part of the usual run time for which there must be time left when a request gets its slot.
 ///
 /// Started later, most would run and be too late: their slot is lost and their outcome unknown.
-const RUNS: u32 = 2;
+const RUN: f64 = 1.5;
 
 /// What is known of a request while it is being sent.
 #[derive(Debug)]
@@ -105,7 +105,7 @@
         let shared = self.job.shared.clone();
         let pool = self.job.service.pool.clone();
         let latency = shared.routes.load().latency(&pool, shared.now());
-        let left = self.job.left().saturating_sub(latency * RUNS);
+        let left = self.job.left().saturating_sub(latency.mul_f64(RUN));
         let until = shared.now().after(left);
         let place = shared.slots.join(&pool, shared.now(), until)?;
         // What was full may have a slot again.
--- a/crates/e2e/tests/slot_queue.rs
+++ b/crates/e2e/tests/slot_queue.rs
@@ -61,6 +61,17 @@
     }
 }
 
+#[tokio::test]
+async fn too_late_to_start() {
+    // Six callers want two slots within 600 ms, at 200 ms each. The last two would get theirs
+    // after 400 ms and, with the least delay, their answer too late. They are not started.
+    let fleet = fleet(100).await;
+    burst(&fleet, 4, "20000").await;
+    let replies = burst(&fleet, 6, "600").await;
+    let codes = |code| replies.iter().filter(|(_, r)| r.code() == code).count();
+    assert_eq!((codes("0"), codes("303")), (4, 0), "{replies:?}");
+}
+
 #[tokio::test]
 async fn waits_without_unit() {
     // A team at a limit of three fills a pool of two slots and has more waiting. What waits
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -12,8 +12,10 @@
 pub struct SlotQueue {
     /// Invariant: at most [`Self::MOST`].
     waiting: u32,
-    /// Smoothed time between two free slots in microseconds, 0 before the first.
+    /// Average time between two free slots in microseconds, 0 before the first.
     gap: u64,
+    /// Times in that average, the last [`Self::PAST`] at most.
+    times: u64,
     /// When the last slot became free, or the queue was last empty.
     last: Time,
 }
@@ -22,7 +24,7 @@
     /// Most that wait.
     const MOST: u32 = 4_096;
 
-    /// Weight of the past in `gap`: so many parts to one.
+    /// Times that the average remembers.
     const PAST: u64 = 31;
 
     /// Lets one more wait, unless its turn would come after `until`.
@@ -53,10 +55,10 @@
         }
         let gap = now.since(self.last).as_micros() as u64;
         self.last = now;
-        self.gap = match self.gap {
-            0 => gap,
-            past => (past * Self::PAST + gap) / (Self::PAST + 1),
-        };
+        // All weigh the same at first: slots often become free in pairs, and the first gap alone
+        // would be far off.
+        self.gap = (self.gap * self.times + gap) / (self.times + 1);
+        self.times = (self.times + 1).min(Self::PAST);
     }
 
     /// Whether nobody waits.
