--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod appender;
+mod basis;
 mod candidates;
 mod catch_up;
 mod denials;
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::abandoned::{Sent, Waiting};
+use super::conns::ConnError;
 use super::headers::{LEAVING, NOT_RUN, is_set};
 use super::held::Permit;
 use super::live::Live;
@@ -51,10 +52,14 @@
         .await;
     let mut conn = match conn {
         Ok(conn) => conn,
-        Err(detail) => {
-            lease.learn(Outcome::Failed, shared.now());
+        Err(e) => {
+            let (code, outcome) = match e {
+                ConnError::Spent => (Code::Declined, Outcome::Full),
+                ConnError::Unreachable(_) => (Code::Unreachable, Outcome::Failed),
+            };
+            lease.learn(outcome, shared.now());
             return Err(Failure {
-                refusal: Refusal::new(Code::Unreachable).with_detail(detail),
+                refusal: Refusal::new(code).with_detail(e.to_string()),
                 ran: Attempt::Connecting.step(Event::NoConnection).ran(),
                 permit: Some(Box::new(permit)),
                 request: Some(Box::new(request)),
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -19,8 +19,8 @@
 /// Longest wait of a request whose team holds no unit here at all.
 const UNITS_WAIT: Duration = Duration::from_secs(2);
 
-/// Usual run times for which there must be time left when a request gets its slot.
-const RUNS: u32 = 2;
+/// Part of the usual run time for which there must be time left when a request gets its slot.
+const RUN: f64 = 1.5;
 
 /// When to come back if nothing better is known.
 const RETRY: Duration = Duration::from_secs(1);
@@ -156,7 +156,7 @@
 fn last_start(job: &Job) -> Time {
     let now = job.shared.now();
     let latency = job.shared.routes.load().latency(&job.service.pool, now);
-    now.after(job.left().saturating_sub(latency * RUNS))
+    now.after(job.left().saturating_sub(latency.mul_f64(RUN)))
 }
 
 fn try_start(job: &Job, queue: &mut Queue<Waiter>) -> Result<Option<Grant>, Refusal> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::appender::Appender;
+use crate::basis::Basis;
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
@@ -47,6 +48,8 @@
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
+    /// What the routes were built from.
+    basis: Mutex<Option<Basis>>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
     holder: Mutex<Holder>,
@@ -89,6 +92,7 @@
             appender: Appender::default(),
             served: Mutex::default(),
             presences: Mutex::default(),
+            basis: Mutex::default(),
             drained: ArcSwap::default(),
             holder: Mutex::new(holder),
             lines: Lines::default(),
@@ -163,13 +167,24 @@
     /// that was overtaken would put routes back that still list an instance that leaves.
     pub(crate) fn reroute(&self) {
         let presences = self.presences();
-        let candidates = candidates::list(
-            self.state.load().config(),
-            &presences,
-            &self.drained.load(),
-            &self.settings,
-        );
+        let basis = Basis::new(self.state.load().config(), self.drained.load_full());
+        let candidates = candidates::list(&basis, &presences, &self.settings);
         let routes = Routes::new(candidates, &self.routes.load());
         self.routes.store(Arc::new(routes));
+        *self.basis() = Some(basis);
+    }
+
+    /// Builds the routes anew if the state brought anything that they depend on.
+    ///
+    /// Most records do not, and routes over thousands of instances take milliseconds.
+    pub(crate) fn reroute_if_changed(&self) {
+        let now = Basis::new(self.state.load().config(), self.drained.load_full());
+        if self.basis().as_ref().is_none_or(|old| !old.is_same(&now)) {
+            self.reroute();
+        }
+    }
+
+    fn basis(&self) -> MutexGuard<'_, Option<Basis>> {
+        self.basis.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -60,6 +60,11 @@
         self.rows.values()
     }
 
+    /// Whether both share their content; content that is merely equal does not count.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.rows.ptr_eq(&other.rows)
+    }
+
     /// Number of rows.
     pub fn len(&self) -> usize {
         self.rows.len()
