--- /dev/null
+++ b/crates/admission/examples/share_error.rs
@@ -0,0 +1,263 @@
+//! How near each team comes to its share over all entries, for three ways of ordering.
+//!
+//! Nine entries share a pool of 400 slots. Twelve teams have shares from 1 to 4. Callers of each
+//! team reach a few entries more than the others. Each of five services in turn asks five times
+//! its mean for 8 s and a twentieth in between; all teams call all services. Prints, for each
+//! way, the largest relative error of a team's part of the slot time given while it waited, over
+//! all entries, against its share of it.
+//!
+//! cargo run --release -p cactuswheel-admission --example share_error
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use cactuswheel_admission::{Place, Queue, Room, Shares};
+use cactuswheel_model::{Map, Share, TeamId, Time};
+
+const ENTRIES: usize = 9;
+const TEAMS: usize = 12;
+const SERVICES: usize = 5;
+const SLOTS: u32 = 400;
+/// Length of a service's burst, in milliseconds.
+const BURST: u64 = 8_000;
+const END: u64 = 120_000;
+/// Time from a digest's sample to its use at a peer, in milliseconds.
+const DELAY: u64 = 1_000;
+const MEAN_RUN: u64 = 100;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Order {
+    Fifo,
+    Local,
+    Fleet,
+}
+
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, n: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % n
+    }
+}
+
+struct Entry {
+    fair: Queue<u64>,
+    fifo: VecDeque<(usize, u64)>,
+    running: Vec<u32>,
+    slots: u32,
+    shares: Shares,
+}
+
+impl Entry {
+    fn waits(&self, team: usize, id: &TeamId) -> bool {
+        self.fair.waiting(id) > 0 || self.fifo.iter().any(|(t, _)| *t == team)
+    }
+}
+
+fn share(team: usize) -> u32 {
+    1 + team as u32 % 4
+}
+
+/// Where a request of a team goes: half of them to one of two entries of its own.
+fn entry_of(team: usize, dice: &mut Dice) -> usize {
+    match dice.roll(2) {
+        0 => (team + dice.roll(2) as usize) % ENTRIES,
+        _ => dice.roll(ENTRIES as u64) as usize,
+    }
+}
+
+/// Requests of one millisecond: one service in turn has five times its mean.
+fn arrivals(now: u64, dice: &mut Dice) -> u64 {
+    let bursting = (now / BURST) as usize % SERVICES;
+    // A mean of half the slots for each service: a burst asks for more than the pool holds.
+    let mean = u64::from(SLOTS) * 1_000 / MEAN_RUN / 2;
+    let rate = |s: usize| if s == bursting { 5 * mean } else { mean / 20 };
+    let millionths: u64 = (0..SERVICES).map(|s| rate(s) * 1_000).sum();
+    millionths / 1_000_000 + u64::from(dice.roll(1_000_000) < millionths % 1_000_000)
+}
+
+/// A request that runs: when it ends, at which entry, of which team, how long it runs and what
+/// its team was charged.
+type End = Reverse<(u64, usize, usize, u64, u64)>;
+
+struct Fleet {
+    order: Order,
+    dice: Dice,
+    ids: Vec<TeamId>,
+    index: Map<TeamId, usize>,
+    entries: Vec<Entry>,
+    ends: BinaryHeap<End>,
+}
+
+impl Fleet {
+    fn new(order: Order) -> Self {
+        let name = |t: usize| format!("team{t}").parse().unwrap();
+        let ids: Vec<TeamId> = (0..TEAMS).map(name).collect();
+        let entry = |n: usize| Entry {
+            fair: Queue::default(),
+            fifo: VecDeque::new(),
+            running: vec![0; TEAMS],
+            slots: SLOTS / ENTRIES as u32 + u32::from((n as u32) < SLOTS % ENTRIES as u32),
+            shares: Shares::default(),
+        };
+        Self {
+            order,
+            dice: Dice(9),
+            index: ids.iter().cloned().zip(0..).collect(),
+            ids,
+            entries: (0..ENTRIES).map(entry).collect(),
+            ends: BinaryHeap::new(),
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        for _ in 0..arrivals(now, &mut self.dice) {
+            let team = self.dice.roll(TEAMS as u64) as usize;
+            let n = entry_of(team, &mut self.dice);
+            // Teams differ in how long they run.
+            let took = MEAN_RUN / 2 + self.dice.roll(MEAN_RUN) * (1 + team as u64 % 3) / 2;
+            push(&mut self.entries[n], self.order, now, team, &self.ids, took);
+        }
+    }
+
+    fn end(&mut self, now: u64) {
+        while let Some(Reverse((at, ..))) = self.ends.peek()
+            && *at <= now
+            && let Some(Reverse((_, n, team, took, paid))) = self.ends.pop()
+        {
+            let entry = &mut self.entries[n];
+            entry.running[team] -= 1;
+            let millis = Duration::from_millis;
+            entry
+                .fair
+                .ended(&self.ids[team], millis(paid), millis(took));
+        }
+    }
+
+    fn start(&mut self, now: u64) {
+        for (n, entry) in self.entries.iter_mut().enumerate() {
+            entry.fair.begin(Time::new(now));
+            while entry.running.iter().sum::<u32>() < entry.slots {
+                let fair = |(t, took): (TeamId, u64)| (self.index[&t], took);
+                let next = match self.order {
+                    Order::Fifo => entry.fifo.pop_front(),
+                    _ => entry.fair.pop(|_| true).map(fair),
+                };
+                let Some((team, took)) = next else { break };
+                let share = Share::new(share(team));
+                let paid = entry.fair.started(&self.ids[team], share).as_millis() as u64;
+                entry.running[team] += 1;
+                self.ends.push(Reverse((now + took, n, team, took, paid)));
+            }
+        }
+    }
+}
+
+fn run(order: Order) -> (f64, f64, u64) {
+    let mut fleet = Fleet::new(order);
+    let mut given = vec![0u64; TEAMS];
+    let mut due = vec![0f64; TEAMS];
+    for now in 0..END {
+        fleet.arrive(now);
+        fleet.end(now);
+        fleet.start(now);
+        if order == Order::Fleet && now.is_multiple_of(250) {
+            exchange(&mut fleet.entries, now, &fleet.ids, &fleet.index);
+        }
+        account(&fleet.entries, &fleet.ids, &mut given, &mut due);
+    }
+    let errors = (0..TEAMS).map(|t| (given[t] as f64 - due[t]).abs() / due[t]);
+    let worst = errors.clone().fold(0.0, f64::max);
+    let mean = errors.sum::<f64>() / TEAMS as f64;
+    (worst, mean, given.iter().sum::<u64>() / END)
+}
+
+fn push(entry: &mut Entry, order: Order, now: u64, team: usize, ids: &[TeamId], took: u64) {
+    if order == Order::Fifo {
+        // The same bound as the fair queue has.
+        if entry.fifo.len() < 4_096 {
+            entry.fifo.push_back((team, took));
+        }
+        return;
+    }
+    let place = Place {
+        team: ids[team].clone(),
+        share: Share::new(share(team)),
+        urgent: false,
+        deadline: Time::new(now + 60_000),
+    };
+    let room = Room {
+        slots: entry.slots,
+        units: SLOTS,
+    };
+    // A full line refuses; that is part of the policy.
+    let _ = entry.fair.push(Time::new(now), place, room, took);
+}
+
+/// Digests go to all others once a second and are used a second later.
+fn exchange(entries: &mut [Entry], now: u64, ids: &[TeamId], index: &Map<TeamId, usize>) {
+    for entry in entries.iter_mut() {
+        for (team, id) in ids.iter().enumerate() {
+            let waits = entry.waits(team, id);
+            entry.shares.sample(id, entry.running[team], waits);
+        }
+    }
+    if now.is_multiple_of(DELAY) {
+        let told: Vec<Vec<_>> = entries
+            .iter()
+            .map(|e| e.shares.digest().map(|(t, g)| (t.clone(), g)).collect())
+            .collect();
+        for (n, entry) in entries.iter_mut().enumerate() {
+            for (m, digest) in told.iter().enumerate().filter(|(m, _)| *m != n) {
+                let name = format!("e{m}").parse().unwrap();
+                entry.shares.hear(Time::new(now), name, digest.clone());
+            }
+        }
+    }
+    if now % DELAY == DELAY / 2 {
+        for entry in entries.iter_mut() {
+            let of = |t: &TeamId| Share::new(share(index[t]));
+            let factors = entry.shares.factors(Time::new(now), of);
+            let factor = |t: &TeamId| factors.get(t).copied().unwrap_or(1_024);
+            entry.fair.correct(factor);
+        }
+    }
+}
+
+/// Slot time of teams that wait somewhere, and what their shares of it are.
+fn account(entries: &[Entry], ids: &[TeamId], given: &mut [u64], due: &mut [f64]) {
+    let waits: Vec<bool> = (0..TEAMS)
+        .map(|t| entries.iter().any(|e| e.waits(t, &ids[t])))
+        .collect();
+    // Only a full fleet has shares to give.
+    if entries
+        .iter()
+        .any(|e| e.running.iter().sum::<u32>() < e.slots)
+    {
+        return;
+    }
+    let used = |t: usize| -> u64 { entries.iter().map(|e| u64::from(e.running[t])).sum() };
+    let waiting: Vec<usize> = (0..TEAMS).filter(|t| waits[*t]).collect();
+    let slots: u64 = waiting.iter().map(|t| used(*t)).sum();
+    let shares: u32 = waiting.iter().map(|t| share(*t)).sum();
+    for &t in &waiting {
+        given[t] += used(t);
+        due[t] += slots as f64 * f64::from(share(t)) / f64::from(shares);
+    }
+}
+
+fn main() {
+    for order in [Order::Fifo, Order::Local, Order::Fleet] {
+        let (worst, mean, slots) = run(order);
+        println!(
+            "{order:?}: largest error {:.1}%, mean {:.1}%, {slots} slots in use on average",
+            100.0 * worst,
+            100.0 * mean
+        );
+    }
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 mod mean;
 mod place;
 mod queue;
+mod shares;
 
 pub use contact::Contact;
 pub use denials::Denials;
@@ -19,3 +20,4 @@
 pub use mean::Mean;
 pub use place::Place;
 pub use queue::{Queue, Room};
+pub use shares::{Given, Shares};
