--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -75,6 +75,12 @@
         self.flows.get(team).map_or(0, Flow::len)
     }
 
+    /// Teams with requests that wait.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
+        let waiting = self.flows.iter().filter(|(_, f)| f.len() > 0);
+        waiting.map(|(team, _)| team)
+    }
+
     /// Puts a request into its place, or refuses one that cannot start in time; its id.
     pub fn push(&mut self, now: Time, place: Place, room: Room, value: T) -> Result<u64, Refusal> {
         let wait = self.estimate(&place, room);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod proxy;
 mod settings;
 mod shared;
+mod shares;
 mod sightings;
 mod snapshots;
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,7 +15,7 @@
 use crate::shared::Shared;
 use crate::{
     Phase, Settings, StartError, admin, appender, catch_up, denials, follower, holding, jobs,
-    metrics, peers, proxy, sightings, snapshots,
+    metrics, peers, proxy, shares, sightings, snapshots,
 };
 
 /// A running entry instance.
@@ -52,6 +52,7 @@
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
         tokio::spawn(proxy::start_waiting(shared.clone()));
+        tokio::spawn(shares::balance(shared.clone()));
         tokio::spawn(denials::record(shared.clone()));
         tokio::spawn(holding::drive(shared.clone()));
         tokio::spawn(holding::watch(shared.clone()));
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,8 +8,8 @@
 use cactuswheel_wire::{Answers, Beat, Chunk, Denial, Link, Tail, WireError};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::peer_state;
 use crate::shared::Shared;
+use crate::{peer_state, shares};
 
 /// Time between two beats to one peer.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -85,6 +85,7 @@
         echo: heard.as_ref().map(|h| h.stamp),
         heard: heard.map(|h| h.life.to_string()),
         denials: denials(shared, now.get() as usize),
+        given: shares::told(shared, now),
     }
 }
 
@@ -117,6 +118,9 @@
     for told in beat.denials.iter().flatten() {
         hear_denial(shared, told);
     }
+    if let Some(given) = &beat.given {
+        shares::hear(shared, &entry, given);
+    }
     hear_units(shared, &heard.life, beat);
     shared.heard().insert(entry, heard);
 }
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_admission::{Place, Queue, Room};
-use cactuswheel_model::{Code, Map, PoolId, Refusal, Share, TeamId, Time};
+use cactuswheel_model::{Code, Map, PoolId, Refusal, Set, Share, TeamId, Time};
 use cactuswheel_routing::Lease;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
@@ -67,6 +67,22 @@
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Teams with requests that wait.
+    pub(crate) fn waiting_teams(&self) -> Set<TeamId> {
+        if self.waiting.load(Ordering::Relaxed) == 0 {
+            return Set::default();
+        }
+        let queues = self.lock();
+        let teams = queues.values().flat_map(Queue::teams);
+        teams.cloned().collect()
+    }
+
+    /// Corrects teams' weights, in 1/1024.
+    pub(crate) fn correct(&self, factors: &Map<TeamId, u32>) {
+        let factor = |team: &TeamId| factors.get(team).copied().unwrap_or(1_024);
+        self.lock().values_mut().for_each(|q| q.correct(factor));
+    }
+
     /// Notes the end of a request; whoever waits may start.
     pub(super) fn ended(&self, team: &TeamId, charge: &Charge, took: Duration) {
         if let Some(queue) = self.lock().get_mut(&charge.pool) {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use cactuswheel_admission::{Denials, Holder};
+use cactuswheel_admission::{Denials, Holder, Shares};
 use cactuswheel_fleet::{Replica, Snapshot, State};
 use cactuswheel_model::{EntryId, InstanceId, LifeId, Map, Offset, Refusal, Set, TeamId, Time};
 use cactuswheel_platform::{Client, Sightings};
@@ -44,6 +44,8 @@
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
     holder: Mutex<Holder>,
+    /// What entries give teams.
+    pub(crate) shares: Mutex<Shares>,
     /// Where requests wait.
     pub(crate) lines: Lines,
     /// Withdrawn keys that the log may not show yet.
@@ -85,6 +87,7 @@
             presences: Mutex::default(),
             drained: ArcSwap::default(),
             holder: Mutex::new(holder),
+            shares: Mutex::default(),
             lines: Lines::default(),
             denials: ArcSwap::default(),
             news: Notify::new(),
--- a/crates/wire/peer.thrift
+++ b/crates/wire/peer.thrift
@@ -8,6 +8,15 @@
   2: required string operator;
 }
 
+// What an entry gives a team.
+struct Given {
+  1: required string team;
+  // Slots in use, a moving mean in 1/256.
+  2: required i32 slots;
+  // Whether requests of the team wait there.
+  3: required bool waits;
+}
+
 // What an entry tells a peer about itself, every period.
 struct Beat {
   1: required string entry;
@@ -25,6 +34,8 @@
   8: required bool renews;
   // Digests of keys that operators withdrew and that the log may not show yet.
   9: optional list<Denial> denials;
+  // What the sender gives teams; not in every beat.
+  10: optional list<Given> given;
 }
 
 // Records of the fleet's stream, without a gap.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,5 +13,5 @@
 pub use answers::{Answers, serve};
 pub use codec::{decode, encode};
 pub use error::WireError;
-pub use generated::peer::{Beat, Chunk, Denial, Tail};
+pub use generated::peer::{Beat, Chunk, Denial, Given, Tail};
 pub use link::Link;
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -33,6 +33,7 @@
         echo: None,
         renews: false,
         denials: None,
+        given: None,
     })
     .unwrap();
     for end in 0..bytes.len() {
