--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod repeats;
 mod settings;
 mod shared;
+mod shares;
 mod sightings;
 mod snapshots;
 
