--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -66,7 +66,8 @@
         return;
     };
     let (code, ran) = (refusal.code.number(), refusal.code.ran());
-    let team = find_team(&shared.state.load(), key).ok();
+    let headers = key.map(|key| (AUTHORIZATION, key.clone()));
+    let team = find_team(&shared.state.load(), &headers.into_iter().collect()).ok();
     let team = team.as_ref().map_or("-", |team| team.id.as_str());
     log::info!(request = id, team, code, ran:%, suppressed; "refused: {refusal}");
 }
@@ -121,7 +122,7 @@
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&state, headers.get(AUTHORIZATION))?,
+        team: find_team(&state, headers)?,
         idempotent: is_idempotent(request.method(), headers),
         deadline: deadline(headers, shared.now())?,
         shared,
@@ -133,7 +134,7 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared.state.load(), request.headers().get(AUTHORIZATION))?;
+    let team = find_team(&shared.state.load(), request.headers())?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -154,8 +155,10 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(state: &State, value: Option<&HeaderValue>) -> Result<Arc<Team>, Refusal> {
-    let value = value.ok_or_else(|| Refusal::new(Code::NoKey))?;
+fn find_team(state: &State, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
+    let value = headers
+        .get(AUTHORIZATION)
+        .ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let bad = || Refusal::new(Code::BadKey);
