--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -15,16 +15,21 @@
 
 /// Takes the roster over as it changes, for as long as the task lives.
 pub(crate) async fn watch(shared: Arc<Shared>) {
+    let mut version = String::new();
     loop {
-        let answer = shared.platform.list().await;
+        let answer = shared.platform.changes(&version).await;
         if answer.is_ok() {
             shared.metrics.roster.mark();
             let now = shared.now().get();
             shared.roster_at.store(now, Ordering::Relaxed);
         }
         match answer {
-            Ok(list) if **shared.sightings.load() != list => take(&shared, list),
-            Ok(_) => {}
+            Ok(changes) => {
+                if !changes.is_empty() {
+                    take(&shared, changes.apply(&shared.sightings.load()));
+                }
+                version = changes.version;
+            }
             Err(e) => log::warn!("{e}"),
         }
         shared
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    Appended, Batch, Log, LogError, Roster, RosterError, Sightings, Stream, TaskError, TaskId,
+    Appended, Batch, Changes, Log, LogError, Roster, RosterError, Stream, TaskError, TaskId,
     TaskOrder, Tasks,
 };
 
@@ -75,8 +75,8 @@
 }
 
 impl Roster for Client {
-    async fn list(&self) -> Result<Sightings, RosterError> {
-        let call = self.get("/roster").with_limit(LIMIT);
+    async fn changes(&self, since: &str) -> Result<Changes, RosterError> {
+        let call = self.get(format!("/roster?since={since}")).with_limit(LIMIT);
         let answer = call.send().await.map_err(|e| RosterError(e.to_string()))?;
         if answer.status != StatusCode::OK {
             return Err(RosterError(answer.status.to_string()));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod batch;
 mod budget;
+mod changes;
 mod client;
 mod control;
 mod error;
@@ -18,6 +19,7 @@
 
 pub use batch::{Appended, Batch, Entry};
 pub use budget::{AppendBudget, Use};
+pub use changes::Changes;
 pub use client::Client;
 pub use error::LogError;
 pub use log::{Log, Stream};
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -1,6 +1,6 @@
 //! The roster of instances.
 
-use crate::Sightings;
+use crate::Changes;
 
 /// Why the roster could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -12,6 +12,9 @@
 
 /// The platform's lagging list of instances.
 pub trait Roster: Send + Sync + 'static {
-    /// Reads the whole list.
-    fn list(&self) -> impl Future<Output = Result<Sightings, RosterError>> + Send;
+    /// Reads what changed since a version; the whole list if that is unknown.
+    ///
+    /// The list is long and seldom changes: read whole, 8,700 instances would cost a node far
+    /// more than its part of the network.
+    fn changes(&self, since: &str) -> impl Future<Output = Result<Changes, RosterError>> + Send;
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod log;
 mod platform;
+mod roster;
 mod run;
 mod tasks;
 mod trouble;
--- /dev/null
+++ b/crates/standin/tests/roster.rs
@@ -0,0 +1,55 @@
+//! The roster's stand-in tells what changed.
+
+use std::net::SocketAddr;
+
+use cactuswheel_http::Call;
+use cactuswheel_model::Incarnation;
+use cactuswheel_platform::{Client, Presence, Roster, Sighting};
+use cactuswheel_standin::Platform;
+use tokio::net::TcpListener;
+
+async fn start() -> (Platform, Client, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let platform = Platform::default();
+    tokio::spawn(platform.clone().serve(listener));
+    (platform, Client::new(at), at)
+}
+
+fn seen(id: &str, incarnation: u64) -> Sighting {
+    Sighting {
+        id: id.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        presence: Presence::Live,
+    }
+}
+
+#[tokio::test]
+async fn only_news() {
+    let (platform, client, at) = start().await;
+    platform.list(seen("a", 1));
+    platform.list(seen("b", 1));
+    let first = client.changes("").await.unwrap();
+    assert!(first.whole && first.listed.len() == 2);
+    platform.list(seen("b", 2));
+    let lose = Call::post(at, "/workers/a/lose").send().await.unwrap();
+    assert!(lose.status.is_success(), "{}", lose.status);
+    let second = client.changes(&first.version).await.unwrap();
+    assert!(!second.whole);
+    assert_eq!(second.listed, [seen("b", 2)]);
+    assert_eq!(second.gone, ["a".parse().unwrap()]);
+    assert!(client.changes(&second.version).await.unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn other_start() {
+    // The platform was started anew: a version of its former list must not pass for one of
+    // this list, or changes would be left out.
+    let (_, old, _) = start().await;
+    let version = old.changes("").await.unwrap().version;
+    let (platform, new, _) = start().await;
+    platform.list(seen("a", 1));
+    assert!(new.changes(&version).await.unwrap().whole);
+    assert!(new.changes("junk").await.unwrap().whole);
+}
