--- a/crates/e2e/src/faults.rs
+++ b/crates/e2e/src/faults.rs
@@ -1,6 +1,7 @@
 //! What goes wrong with a fleet.
 
 use cactuswheel_http::Call;
+use cactuswheel_standin::Fault;
 use serde_json::{Value, json};
 
 use crate::{Fleet, OPERATOR_KEY, Process, Relay};
@@ -41,6 +42,15 @@
         relay
     }
 
+    /// Sets what is wrong with the platform.
+    pub async fn fault(&self, fault: Fault) {
+        let call = Call::post(self.platform_addr, "/fault").with_json(&fault);
+        call.expect("a fault is JSON")
+            .send()
+            .await
+            .expect("the platform listens");
+    }
+
     /// Lets the log forget all but the newest `kept` records.
     pub async fn trim(&self, kept: usize) {
         let call = Call::post(self.platform_addr, format!("/trim?kept={kept}"));
