--- a/crates/e2e/tests/log_faults.rs
+++ b/crates/e2e/tests/log_faults.rs
@@ -204,3 +204,27 @@
     sleep(Duration::from_secs(3)).await;
     assert_eq!(ready(&fleet, 0).await, 503);
 }
+
+#[tokio::test]
+async fn large_state() {
+    // A state of many parts: all records that made it are forgotten, so an entry starts from
+    // the snapshot in the log, and the next one, with the platform down, from its peer's
+    // chunks. A part lost on either way would show as an instance that is missing.
+    let mut fleet = Fleet::start(1, 2);
+    fleet.open(8).await;
+    let mut some: Vec<_> = (1..3000).map(|n| Fleet::instance(n, "spare")).collect();
+    some[0] = Fleet::instance(1, "render");
+    let ticket = json!({"ticket": 2, "changes": some});
+    assert_eq!(fleet.apply(0, &ticket).0, Some(0));
+    trim_to_snapshot(&fleet, 0, 3).await;
+    let before = fleet.admin(0, "/v1/config").await;
+    assert_eq!(before["instances"].as_object().unwrap().len(), 2999);
+    fleet.replace_entry(0);
+    fleet.settle(1).await;
+    assert!(fleet.admin(0, "/v1/config").await == before);
+    fleet.fault(DOWN).await;
+    fleet.replace_entry(1);
+    fleet.settle(1).await;
+    assert!(fleet.admin(1, "/v1/config").await == before);
+    assert!(serves(&fleet, 1).await);
+}
