--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -80,7 +80,10 @@
 fn ready(shared: &Shared) -> Reply {
     match shared.phase.get() {
         Phase::Ready => text(StatusCode::OK, "ready"),
-        Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
+        Phase::Starting => {
+            let why = format!("starting: {}", shared.link.waiting());
+            text(StatusCode::SERVICE_UNAVAILABLE, why)
+        }
         Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
 }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -13,6 +13,9 @@
     entry: &'a str,
     dc: &'a str,
     ready: bool,
+    /// Why it is not in service yet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    waiting: Option<&'static str>,
     next: Offset,
     /// Head of the last snapshot in the log.
     snapshot: Option<Offset>,
@@ -42,6 +45,7 @@
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
+        waiting: (shared.phase.get() == Phase::Starting).then(|| shared.link.waiting()),
         next: state.next(),
         snapshot: state.snapshot().map(|s| s.head),
         undecodable: state.undecodable(),
--- a/crates/daemon/src/log_link.rs
+++ b/crates/daemon/src/log_link.rs
@@ -34,6 +34,15 @@
         Offset::new(self.first.load(Ordering::Relaxed))
     }
 
+    /// Why a node that starts is not in service yet, for people.
+    pub(crate) fn waiting(&self) -> &'static str {
+        match (self.has_gap(), self.is_down()) {
+            (true, _) => "records are missing between the newest snapshot and the log",
+            (_, true) => "no answer from the log, and no peer in service reached",
+            _ => "reading the log",
+        }
+    }
+
     /// Whether the last read failed.
     pub(crate) fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
