--- a/crates/daemon/src/admin/tickets.rs
+++ b/crates/daemon/src/admin/tickets.rs
@@ -5,7 +5,9 @@
 
 use cactuswheel_fleet::Outcome;
 use cactuswheel_http::{Reply, json, read_json};
-use cactuswheel_model::{Code, Digest, Offset, OperatorId, Record, Refusal, Ticket, WallTime};
+use cactuswheel_model::{
+    Code, Digest, ObjectId, Offset, OperatorId, Record, Refusal, Ticket, WallTime,
+};
 use cactuswheel_platform::{LogError, Use};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
@@ -39,6 +41,7 @@
         at: Some(wall_time()),
         ..ticket
     };
+    check_reason(&shared, &ticket)?;
     let outcome = put(&shared, ticket).await?;
     if outcome.code == Code::Ok {
         log::info!(
@@ -51,6 +54,33 @@
     Err(Refusal::new(outcome.code).with_detail(outcome.detail.clone()))
 }
 
+/// Refuses a reason that holds a key.
+///
+/// Failure: an operator pastes a key into the reason, and it stands readable in the log for as
+/// long as that keeps it. Every word is compared by its digest with all keys known here and
+/// with those that the ticket grants; a key that neither holds opens nothing.
+fn check_reason(shared: &Shared, ticket: &Ticket) -> Result<(), Refusal> {
+    let state = shared.state.load();
+    let granted = |digest: &Digest| {
+        let mut changes = ticket.changes.iter();
+        changes.any(|c| c.object() == ObjectId::Key(*digest))
+    };
+    let operator = |digest: &Digest| {
+        let mut operators = shared.settings.operators.iter();
+        operators.any(|o| o.digest == *digest)
+    };
+    let plain = |c: char| c.is_whitespace() || "\"'`,;()<>".contains(c);
+    let mut words = ticket.reason.split(plain).filter(|w| !w.is_empty());
+    let found = words.any(|word| {
+        let digest = Digest::of(word.as_bytes());
+        state.config().keys.contains(&digest) || granted(&digest) || operator(&digest)
+    });
+    match found {
+        true => Err(Refusal::new(Code::BadTicket).with_detail("the reason holds a key")),
+        false => Ok(()),
+    }
+}
+
 fn wall_time() -> WallTime {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     WallTime::new(since.unwrap_or_default().as_millis() as u64)
--- a/crates/e2e/tests/tickets.rs
+++ b/crates/e2e/tests/tickets.rs
@@ -1,6 +1,6 @@
 //! Tickets when operators race and the log is slow.
 
-use cactuswheel_e2e::{Fleet, OPERATOR_KEY};
+use cactuswheel_e2e::{Fleet, OPERATOR_KEY, TEAM_KEY};
 use cactuswheel_http::{Answer, Call};
 use cactuswheel_standin::Fault;
 use serde_json::{Value, json};
@@ -104,3 +104,20 @@
     assert_eq!(again.json::<Value>().unwrap()["offset"], 1);
     assert_eq!(limit(&fleet, 1).await, 6);
 }
+
+#[tokio::test]
+async fn key_in_reason() {
+    // An operator pastes a key into the reason. It must not reach the log, where everybody who
+    // reads the log would find it.
+    let fleet = Fleet::start(1, 1);
+    fleet.open(8).await;
+    for key in [TEAM_KEY, OPERATOR_KEY] {
+        let mut ticket = team(2, 5);
+        ticket["reason"] = json!(format!("for ana (\"{key}\")"));
+        assert_eq!(put(&fleet, 0, &ticket).await.status, 400);
+    }
+    let log = Call::get(fleet.platform_addr, "/log/fleet?from=0&max=100");
+    let log = log.send().await.unwrap().body;
+    let log = String::from_utf8_lossy(&log);
+    assert!(!log.contains(TEAM_KEY) && !log.contains(OPERATOR_KEY));
+}
