--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -88,7 +88,10 @@
         Phase::Ready if shared.is_open() => text(StatusCode::OK, "ready"),
         // All callers would be turned away; other entries may serve them.
         Phase::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "may start nothing"),
-        Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
+        Phase::Starting => {
+            let why = format!("starting: {}", shared.link.waiting());
+            text(StatusCode::SERVICE_UNAVAILABLE, why)
+        }
         Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
 }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -15,6 +15,9 @@
     ready: bool,
     /// Whether it may start work: its life stands in the log and was heard of lately.
     open: bool,
+    /// Why it is not in service yet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    waiting: Option<&'static str>,
     next: Offset,
     /// Head of the last snapshot in the log.
     snapshot: Option<Offset>,
@@ -45,6 +48,7 @@
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
         open: shared.is_open(),
+        waiting: (shared.phase.get() == Phase::Starting).then(|| shared.link.waiting()),
         next: state.next(),
         snapshot: state.snapshot().map(|s| s.head),
         undecodable: state.undecodable(),
