--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -3,6 +3,7 @@
 //! Each service in turn asks five times its mean for some seconds, more than its pool holds,
 //! and a twentieth of that in between.
 
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -179,6 +180,7 @@
         at(0.5),
         at(0.99),
     );
+    println!("  other codes: {}", codes(done));
     let attempts: u64 = stage.upstreams.iter().map(Upstream::asked).sum();
     println!(
         "  attempts a request {:.3}",
@@ -193,6 +195,17 @@
     }
 }
 
+/// How many requests did not run, by code.
+fn codes(done: &[Done]) -> String {
+    let mut counts = BTreeMap::<u16, u64>::new();
+    let codes = done.iter().filter_map(|d| d.code);
+    for code in codes.filter(|code| *code != 0) {
+        *counts.entry(code).or_default() += 1;
+    }
+    let shown = counts.iter().map(|(code, n)| format!("{code}: {n}"));
+    shown.collect::<Vec<_>>().join(", ")
+}
+
 /// Useful answers if every slot were used whenever there is work, queued up to the deadline.
 fn optimum(asked: u64, fault: Fault) -> f64 {
     let pools = Shape::TODAY.services - usize::from(fault == Fault::Outage);
