--- a/crates/daemon/src/proxy/abandoned.rs
+++ b/crates/daemon/src/proxy/abandoned.rs
@@ -69,7 +69,11 @@
 }
 
 async fn wait<F: Future<Output = Sent>>(sent: Pin<Box<F>>, mut live: Live) {
-    match timeout_at(live.last(), sent).await {
+    let sent = timeout_at(live.last(), sent).await;
+    if let Ok(Ok(answer)) = &sent {
+        live.hear(answer.headers());
+    }
+    match sent {
         Ok(Ok(answer)) if is_set(answer.headers(), NOT_RUN) => live.step(Event::Declined),
         Ok(Ok(answer)) => {
             live.step(Event::Head);
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::abandoned::{Sent, Waiting};
 use super::conns::ConnError;
-use super::headers::{LEAVING, NOT_RUN, is_set};
+use super::headers::{NOT_RUN, is_set};
 use super::held::Permit;
 use super::live::Live;
 use super::payload::Payload;
@@ -70,16 +70,12 @@
     let live = Live::new(permit, lease, conn, shared.clone());
     let until = until.min(live.last());
     match Waiting::new(sent, live).head(until).await {
-        Some((sent, live)) => judge(shared, sent, live),
+        Some((sent, live)) => judge(sent, live),
         None => Err(timed_out()),
     }
 }
 
-fn judge(
-    shared: &Shared,
-    sent: Sent,
-    mut live: Live,
-) -> Result<(Response<Incoming>, Live), Failure> {
+fn judge(sent: Sent, mut live: Live) -> Result<(Response<Incoming>, Live), Failure> {
     let answer = match sent {
         Ok(answer) => answer,
         Err(mut e) => {
@@ -90,9 +86,7 @@
             return Err(fail(live, event, code, e.error().to_string(), request));
         }
     };
-    if is_set(answer.headers(), LEAVING) {
-        shared.hear_leaving(live.lease().upstream());
-    }
+    live.hear(answer.headers());
     if is_set(answer.headers(), NOT_RUN) {
         return Err(fail(
             live,
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -5,10 +5,12 @@
 
 use cactuswheel_model::{Incarnation, InstanceId, Ran};
 use cactuswheel_routing::{Attempt, Event, Outcome};
+use hyper::HeaderMap;
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep};
 
 use super::conns::Conn;
+use super::headers::{LEAVING, is_set};
 use super::held::Permit;
 use super::slot::Slot;
 use crate::shared::Shared;
@@ -71,16 +73,18 @@
         }
     }
 
+    /// Takes the upstream's own word that it leaves, if an answer carries it.
+    pub(super) fn hear(&self, headers: &HeaderMap) {
+        if is_set(headers, LEAVING) {
+            self.shared.hear_leaving(self.lease.upstream());
+        }
+    }
+
     /// What is known of the request's execution.
     pub(super) fn ran(&self) -> Ran {
         self.attempt.ran()
     }
 
-    /// The slot.
-    pub(super) fn lease(&self) -> &Slot {
-        &self.lease
-    }
-
     /// Ends a whole exchange: the connection may serve the next one.
     pub(super) fn end(mut self) {
         self.step(Event::End);
