--- a/crates/cli/src/diff.rs
+++ b/crates/cli/src/diff.rs
@@ -95,7 +95,7 @@
     Ok(fields.cloned().unwrap_or_default())
 }
 
-fn differing(before: &Map<String, Value>, after: &Map<String, Value>) -> Vec<FieldDiff> {
+pub(crate) fn differing(before: &Map<String, Value>, after: &Map<String, Value>) -> Vec<FieldDiff> {
     let mut names: Vec<_> = before.keys().chain(after.keys()).collect();
     names.sort();
     names.dedup();
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -19,6 +19,9 @@
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause before another look for a snapshot that closes a gap.
+const GAP_PAUSE: Duration = Duration::from_secs(1);
+
 /// Applies records as they come, for as long as the task lives.
 pub(crate) async fn follow(shared: Arc<Shared>) {
     if let Err(e) = snapshots::restore(&shared, Offset::default()).await {
@@ -45,9 +48,9 @@
 
 async fn take(shared: &Shared, from: Offset, batch: &Batch) {
     shared.link.answered(batch.first);
+    shared.metrics.log.mark();
     shared.link.set_gap(false);
     shared.hear_head(batch.head);
-    shared.log_answered(batch.head);
     let first = batch.entries.first().map_or(from, |e| e.offset);
     let bodies: Vec<_> = batch.entries.iter().map(|e| e.body.as_str()).collect();
     if let Err(gap) = shared.take(first, &bodies) {
@@ -75,5 +78,5 @@
         Err(e) => log::error!("log starts at {first}, this node needs {from}: {e}"),
     }
     shared.link.set_gap(true);
-    sleep(PAUSE).await;
+    sleep(GAP_PAUSE).await;
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_http::serve;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -15,9 +16,12 @@
 use crate::shared::Shared;
 use crate::{
     Phase, Settings, StartError, admin, appender, catch_up, denials, follower, holding, jobs,
-    metrics, peers, proxy, shares, sightings, snapshots,
+    maintenance, metrics, peers, proxy, shares, sightings, snapshots,
 };
 
+/// Time between two looks whether the entry may start work.
+const OPEN_LOOK: Duration = Duration::from_millis(20);
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -57,6 +61,7 @@
         tokio::spawn(holding::drive(shared.clone()));
         tokio::spawn(holding::watch(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
+        tokio::spawn(maintenance::drive(shared.clone()));
         tokio::spawn(jobs::write(shared.clone()));
         tokio::spawn(jobs::drive(shared.clone()));
         tokio::spawn(cactuswheel_wire::serve(peer, Answerer(shared.clone())));
@@ -81,6 +86,13 @@
         self.admin
     }
 
+    /// Waits until it may start work.
+    pub async fn wait_open(&self) {
+        while !self.shared.is_open() {
+            tokio::time::sleep(OPEN_LOOK).await;
+        }
+    }
+
     /// Serves until SIGTERM or SIGINT, then stops without cutting a request.
     pub async fn run_until_signal(self) -> Result<(), StartError> {
         let mut term = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
--- a/crates/fleet/src/allotments.rs
+++ b/crates/fleet/src/allotments.rs
@@ -115,7 +115,7 @@
             .map(|(other, _)| other.clone())
             .collect();
         for life in &earlier {
-            self.revoke(at, life);
+            self.replace(at, life);
         }
         let life = Life::new(dc.clone(), timing, at);
         self.lives.insert(id.clone(), life);
@@ -152,6 +152,33 @@
         true
     }
 
+    /// Revokes a life whose name another process has taken.
+    ///
+    /// Its peers reach the new process at its address, so from here on it renews nobody and
+    /// nobody renews it: no word of its own is waited for. What it renewed before runs out by
+    /// the others' clocks, which start anew. Without this, entries of a data centre that are
+    /// all killed at once wait for each other's word until `cut` is over.
+    fn replace(&mut self, at: Offset, id: &LifeId) {
+        self.revoke(at, id);
+        if let Some(life) = self.lives.get_mut(id) {
+            life.replaced = true;
+        }
+        let dc = self.life(id).map(|l| l.dc.clone());
+        self.wait_anew(at, dc.as_ref());
+    }
+
+    /// Makes the witnesses of all revoked lives of a data centre count anew.
+    fn wait_anew(&mut self, at: Offset, dc: Option<&DcId>) {
+        let revoked = |l: &Life| !l.is_open() && Some(&l.dc) == dc;
+        let left: Vec<_> = self.lives().filter(|(_, l)| revoked(l)).collect();
+        let left: Vec<_> = left.into_iter().map(|(other, _)| other.clone()).collect();
+        for other in &left {
+            if let Some(life) = self.lives.get_mut(other) {
+                life.revoke_anew(at);
+            }
+        }
+    }
+
     fn witness(&mut self, at: Offset, id: &LifeId, by: &LifeId, word: (Offset, bool)) -> bool {
         let (since, cut) = word;
         if !self.same_dc(id, by) {
@@ -182,7 +209,8 @@
         };
         let mut peers = self
             .lives()
-            .filter(|(other, l)| *other != id && l.dc == life.dc && l.joined < life.since);
+            .filter(|(other, l)| *other != id && l.dc == life.dc)
+            .filter(|(_, l)| l.joined < life.since && !l.replaced);
         life.has_witness() && peers.all(|(other, _)| life.witnessed(other))
     }
 
@@ -192,15 +220,11 @@
     /// renewed to the last; taking its end for its word frees units that are in use. It renews
     /// no one after its end, so the others' clocks start anew from here.
     fn release(&mut self, at: Offset, id: &LifeId) -> bool {
-        let dc = self.life(id).map(|l| l.dc.clone());
+        // They did already where it was replaced.
+        let dc = self.life(id).filter(|l| !l.replaced).map(|l| l.dc.clone());
         self.lives.remove(id);
-        let revoked = |l: &Life| !l.is_open() && Some(&l.dc) == dc.as_ref();
-        let left: Vec<_> = self.lives().filter(|(_, l)| revoked(l)).collect();
-        let left: Vec<_> = left.into_iter().map(|(other, _)| other.clone()).collect();
-        for other in &left {
-            if let Some(life) = self.lives.get_mut(other) {
-                life.revoke_anew(at);
-            }
+        if dc.is_some() {
+            self.wait_anew(at, dc.as_ref());
         }
         self.each_split(at, |split| split.release(id));
         true
--- a/crates/fleet/src/allotments/life.rs
+++ b/crates/fleet/src/allotments/life.rs
@@ -18,6 +18,8 @@
     pub revoked: Option<Offset>,
     /// From where on its peers count their time: the revocation, or the end of a peer after it.
     pub since: Offset,
+    /// Whether another process has taken its name since.
+    pub(crate) replaced: bool,
     /// Peers that know it to have nothing running as far as they could renew it.
     ///
     /// Invariant: empty before the revocation; all counted from `since`.
@@ -33,6 +35,7 @@
             joined,
             revoked: None,
             since: joined,
+            replaced: false,
             witnesses: BTreeSet::new(),
         }
     }
--- a/crates/fleet/src/allotments/split.rs
+++ b/crates/fleet/src/allotments/split.rs
@@ -61,55 +61,47 @@
 
     /// Moves units to where they are wanted, as far as that is safe at once.
     pub(crate) fn settle(&mut self, at: Offset) {
-        let wants = self.wants();
+        let most = self.available();
+        let wants = self.wants(most);
         let open: Vec<bool> = self.rows.values().map(|r| r.open).collect();
-        let goals = goals(self.limit, &wants, &open);
+        let goals = goals(most, &wants, &open);
         let mut next: Vec<u32> = self.rows.values().map(|r| r.cap).collect();
         let closed = open.iter().zip(&mut next).filter(|(open, _)| !**open);
         closed.for_each(|(_, cap)| *cap = 0);
-        self.lower(&mut next, &goals, &wants);
-        self.raise(&mut next, &goals, &wants);
+        lower(most, &mut next, &goals, &wants);
+        self.raise(most, &mut next, &goals, &wants);
         for (row, cap) in self.rows.values_mut().zip(next) {
             row.set_cap(cap, at);
         }
     }
 
+    /// What the open lives together may have. Units of closed ones come back only in the end;
+    /// counted on, they would leave a new entry without any until then.
+    fn available(&self) -> u32 {
+        let closed = self.rows.values().filter(|r| !r.open);
+        let held: u32 = closed.map(|r| r.occupied).sum();
+        self.limit.saturating_sub(held)
+    }
+
     /// What each life could use, and never less than half an even part, so that a burst at an
     /// idle entry finds units there before a record has gone round; nothing for closed ones.
-    fn wants(&self) -> Vec<u32> {
+    fn wants(&self, most: u32) -> Vec<u32> {
         let open = self.rows.values().filter(|r| r.open).count() as u32;
-        let least = self.limit.checked_div(2 * open).unwrap_or(0);
+        let least = most.checked_div(2 * open).unwrap_or(0);
         let want = |r: &Row| if r.open { r.want.max(least) } else { 0 };
         self.rows.values().map(want).collect()
     }
 
-    /// Takes units from lives above their goal, as many as are wanted elsewhere and no more:
-    /// each step down costs its life a confirmation in the log.
-    fn lower(&self, next: &mut [u32], goals: &[u32], wants: &[u32]) {
-        let sum: u32 = next.iter().sum();
-        let short = |((n, g), w): ((&u32, &u32), &u32)| (*g).min(*w).saturating_sub(*n);
-        let wanted: u32 = next.iter().zip(goals).zip(wants).map(short).sum();
-        let spare = self.limit.saturating_sub(sum);
-        let mut need = wanted.saturating_sub(spare) + sum.saturating_sub(self.limit);
-        let mut givers: Vec<usize> = (0..next.len()).collect();
-        givers.sort_by_key(|&i| std::cmp::Reverse(next[i].saturating_sub(goals[i])));
-        for i in givers {
-            let give = next[i].saturating_sub(goals[i]).min(need);
-            next[i] -= give;
-            need -= give;
-        }
-    }
-
     /// Gives out what nobody may be using, first to where it is wanted.
-    fn raise(&self, next: &mut [u32], goals: &[u32], wants: &[u32]) {
+    fn raise(&self, most: u32, next: &mut [u32], goals: &[u32], wants: &[u32]) {
         let mut free = self.limit.saturating_sub(self.occupied());
-        let mut room = self.limit.saturating_sub(next.iter().sum());
+        let mut room = most.saturating_sub(next.iter().sum());
         let wanted: Vec<u32> = goals.iter().zip(wants).map(|(g, w)| *g.min(w)).collect();
         for targets in [wanted.as_slice(), goals] {
             for (i, row) in self.rows.values().enumerate() {
                 // Up to what is occupied there anyway, a raise takes nothing from the others.
-                let most = row.occupied.max(next[i]) + free;
-                let goal = targets[i].min(most).max(next[i]);
+                let bound = row.occupied.max(next[i]) + free;
+                let goal = targets[i].min(bound).max(next[i]);
                 let more = (goal - next[i]).min(room);
                 free -= (next[i] + more).saturating_sub(row.occupied.max(next[i]));
                 next[i] += more;
@@ -119,6 +111,23 @@
     }
 }
 
+/// Takes units from lives above their goal, as many as are wanted elsewhere and no more:
+/// each step down costs its life a confirmation in the log.
+fn lower(most: u32, next: &mut [u32], goals: &[u32], wants: &[u32]) {
+    let sum: u32 = next.iter().sum();
+    let short = |((n, g), w): ((&u32, &u32), &u32)| (*g).min(*w).saturating_sub(*n);
+    let wanted: u32 = next.iter().zip(goals).zip(wants).map(short).sum();
+    let spare = most.saturating_sub(sum);
+    let mut need = wanted.saturating_sub(spare) + sum.saturating_sub(most);
+    let mut givers: Vec<usize> = (0..next.len()).collect();
+    givers.sort_by_key(|&i| std::cmp::Reverse(next[i].saturating_sub(goals[i])));
+    for i in givers {
+        let give = next[i].saturating_sub(goals[i]).min(need);
+        next[i] -= give;
+        need -= give;
+    }
+}
+
 /// Max-min fair parts of `limit` by `wants`; what nobody wants is spread evenly over the open.
 fn goals(limit: u32, wants: &[u32], open: &[bool]) -> Vec<u32> {
     let mut goals = vec![0; wants.len()];
