--- /dev/null
+++ b/crates/admission/examples/decision_cost.rs
@@ -0,0 +1,116 @@
+//! What admission costs at 160 teams and 225 entries: time for each decision, and for the fold
+//! of one report of units.
+//!
+//! cargo run --release -p cactuswheel-admission --example decision_cost
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use cactuswheel_admission::{Holder, Place, Queue, Room};
+use cactuswheel_fleet::State;
+use cactuswheel_model::{Holding, LifeId, Offset, Record, Share, TeamId, Time, Timing, Usage};
+use serde_json::json;
+
+const TEAMS: usize = 160;
+const ENTRIES: usize = 225;
+const ROUNDS: usize = 200_000;
+
+fn team(n: usize) -> TeamId {
+    format!("team{n}").parse().unwrap()
+}
+
+fn life(n: usize) -> LifeId {
+    LifeId::new(format!("entry{n}").parse().unwrap(), n as u64)
+}
+
+fn append(state: &mut State, body: &str) {
+    state.apply(state.next(), body);
+}
+
+fn told(holding: Holding) -> String {
+    serde_json::to_string(&Record::Holding(holding)).unwrap()
+}
+
+/// A fleet whose entries have all joined.
+fn fleet() -> State {
+    let mut state = State::default();
+    let limit = |n: usize| json!({"team": {"id": team(n), "share": 1 + n % 4, "limit": 2_000}});
+    let changes: Vec<_> = (0..TEAMS).map(limit).collect();
+    let ticket = json!({"ticket": {"ticket": 1, "changes": changes}});
+    append(&mut state, &ticket.to_string());
+    for n in 0..ENTRIES {
+        let join = Holding::Join {
+            life: life(n),
+            dc: format!("d{}", n % 25).parse().unwrap(),
+            timing: Timing::default(),
+        };
+        append(&mut state, &told(join));
+    }
+    state
+}
+
+fn measure(name: &str, rounds: usize, mut step: impl FnMut(usize)) {
+    let start = Instant::now();
+    (0..rounds).for_each(&mut step);
+    let each = start.elapsed() / rounds as u32;
+    println!("{name}: {each:?}");
+}
+
+fn main() {
+    let mut state = fleet();
+    let teams: Vec<_> = (0..TEAMS).map(team).collect();
+    let mut holder = Holder::new(life(0), "d0".parse().unwrap(), Timing::default());
+    holder.log_answered(Time::new(1));
+    let now = Time::new(2);
+    measure("unit taken and given back", ROUNDS, |n| {
+        let team = &teams[n % TEAMS];
+        if holder.enter(now, state.allotments(), team).is_ok() {
+            holder.leave(black_box(team));
+        }
+    });
+    queue(&teams);
+    let snapshot = serde_json::to_vec(state.allotments()).unwrap();
+    println!("allotments as JSON: {} bytes", snapshot.len());
+    let mut bytes = 0;
+    measure("report of 16 teams folded", 500, |n| {
+        let rows = (0..16).map(|t| Usage {
+            team: teams[t].clone(),
+            want: (n % 40) as u32,
+            used: 0,
+            epoch: Offset::default(),
+        });
+        let rows = rows.collect();
+        let life = life(n % ENTRIES);
+        let body = told(Holding::Usage { life, rows });
+        bytes = body.len();
+        append(&mut state, &body);
+    });
+    println!("report of 16 teams as a record: {bytes} bytes");
+}
+
+fn queue(teams: &[TeamId]) {
+    let mut queue = Queue::default();
+    let room = Room {
+        slots: 400,
+        units: 100,
+    };
+    let now = Time::new(1);
+    let place = |n: usize| Place {
+        team: teams[n % TEAMS].clone(),
+        share: Share::new(1),
+        urgent: n.is_multiple_of(10),
+        deadline: Time::new(1_000_000),
+    };
+    measure("start where nobody waits", ROUNDS, |n| {
+        let paid = queue.started(&teams[n % TEAMS], Share::new(1));
+        queue.ended(&teams[n % TEAMS], paid, Duration::from_millis(20));
+    });
+    (0..TEAMS * 10).for_each(|n| drop(queue.push(now, place(n), room, n)));
+    measure("put in and taken out, 160 teams waiting", ROUNDS, |n| {
+        let _ = black_box(queue.push(now, place(n), room, n));
+        queue.begin(now);
+        if let Some((team, _)) = queue.pop(|_| true) {
+            queue.started(&team, Share::new(1));
+        }
+    });
+}
--- a/crates/admission/src/holder.rs
+++ b/crates/admission/src/holder.rs
@@ -9,7 +9,7 @@
 
 /// Reports of all entries together, per second; each entry takes an even part.
 ///
-/// At 225 entries and 32 rows a report this is under 8 KB of log to read a second.
+/// With reports of 16 rows, 0.8 KB each, this is 4.8 KB of log to read a second.
 const REPORTS: u64 = 6;
 
 /// Shortest time between two reports of one entry, in milliseconds.
@@ -22,7 +22,7 @@
 const WINDOW: u128 = 5_000;
 
 /// Most rows in one report.
-const ROWS: usize = 32;
+const ROWS: usize = 16;
 
 /// Decides what may start here, and which records to append.
 ///
--- /dev/null
+++ b/crates/admission/src/mesh.rs
@@ -0,0 +1,81 @@
+//! Which entries beat to each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+use cactuswheel_model::{DcId, EntryId};
+
+/// Links from each data centre to others chosen by hash, beside those to its neighbours.
+const CHORDS: usize = 1;
+
+/// Pairs of entries that join two linked data centres; one may be down.
+const GATEWAYS: usize = 2;
+
+/// An entry and its data centre.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MeshNode {
+    /// Its name.
+    pub entry: EntryId,
+    /// Its data centre.
+    pub dc: DcId,
+}
+
+/// The peers of `me` among `nodes`.
+///
+/// All of its data centre, since they renew each other; between data centres a ring in order of
+/// their names with a chord for each, so the graph stays connected with any one data centre
+/// gone and news crosses it in few hops. Every entry works out the same links from the same
+/// list; a link is known at both of its ends.
+pub fn peers<'a>(nodes: &'a [MeshNode], me: &MeshNode) -> Vec<&'a MeshNode> {
+    let mut dcs: BTreeMap<&DcId, Vec<&MeshNode>> = BTreeMap::new();
+    for node in nodes {
+        dcs.entry(&node.dc).or_default().push(node);
+    }
+    dcs.values_mut().for_each(|entries| entries.sort());
+    let near = nodes
+        .iter()
+        .filter(|n| n.dc == me.dc && n.entry != me.entry);
+    let mut peers: Vec<_> = near.collect();
+    let names: Vec<_> = dcs.keys().copied().collect();
+    for (one, other) in pairs(&names) {
+        for gate in 0..GATEWAYS {
+            let ends = [one, other].map(|dc| gateway(&dcs[dc], (one, other), gate));
+            match ends {
+                [a, b] if a == me => peers.push(b),
+                [a, b] if b == me => peers.push(a),
+                _ => {}
+            }
+        }
+    }
+    peers.sort();
+    peers.dedup();
+    peers
+}
+
+/// Linked data centres, each pair once.
+fn pairs<'a>(names: &[&'a DcId]) -> BTreeSet<(&'a DcId, &'a DcId)> {
+    let count = names.len();
+    let mut pairs = BTreeSet::new();
+    for (i, name) in names.iter().enumerate() {
+        let chords = (0..CHORDS).map(|c| 2 + hash(&(name, c)) as usize % count.max(1));
+        for step in [1].into_iter().chain(chords) {
+            let other = names[(i + step) % count];
+            if other != *name {
+                pairs.insert(((*name).min(other), (*name).max(other)));
+            }
+        }
+    }
+    pairs
+}
+
+/// The entry that holds the end of a link; neighbours in order take the pairs of one link.
+fn gateway<'a>(entries: &[&'a MeshNode], link: (&DcId, &DcId), gate: usize) -> &'a MeshNode {
+    entries[(hash(&link) as usize + gate) % entries.len()]
+}
+
+/// The same at every entry and in every build.
+fn hash<T: Hash>(value: &T) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish() >> 20
+}
--- a/crates/e2e/tests/keys.rs
+++ b/crates/e2e/tests/keys.rs
@@ -55,7 +55,9 @@
         .await;
     assert_eq!(deny(&fleet, 0).await["recorded"], false);
     assert_eq!(code(&fleet, 0).await, 103);
+    let told = Instant::now();
     wait_denied(&fleet, 1).await;
+    println!("denied at the peer after {:?}", told.elapsed());
 
     fleet.fault(Fault::default()).await;
     let recorded = |s: &Value| s["items"][0]["withdrawn"] == true;
--- a/crates/e2e/tests/team_limit.rs
+++ b/crates/e2e/tests/team_limit.rs
@@ -100,7 +100,9 @@
     let team = json!({"team": {"id": "ads", "share": 1, "limit": 2}});
     let ticket = json!({"ticket": 2, "changes": [team]});
     assert_eq!(fleet.apply(0, &ticket).0, Some(0));
+    let lowered = Instant::now();
     wait_caps(&fleet, 2).await;
+    println!("holds {:?} after the ticket", lowered.elapsed());
     let before = fleet.runs(0).await.len();
     while callers.join_next().await.is_some() {}
     let runs = fleet.runs(0).await;
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,7 +3,7 @@
 use cactuswheel_testkit::check;
 use quickcheck::Arbitrary;
 
-use cactuswheel_wire::{Beat, Tail, decode, encode};
+use cactuswheel_wire::{Beat, Given, Tail, decode, encode};
 
 fn tail(first: i64, bodies: Vec<String>) -> Tail {
     Tail { first, bodies }
@@ -45,6 +45,31 @@
     }
 }
 
+#[test]
+fn beat_size() {
+    // Beats go out each second over each link; their size is most of what peers cost.
+    let mut beat = Beat {
+        entry: "entry-kathmandu-117".into(),
+        dc: "kathmandu-3".into(),
+        head: 1 << 40,
+        life: "entry-kathmandu-117:0123456789abcdef".into(),
+        stamp: 1 << 40,
+        heard: Some("entry-kathmandu-118:0123456789abcdef".into()),
+        echo: Some(1 << 40),
+        renews: true,
+        denials: None,
+        given: None,
+    };
+    assert!(encode(&beat).unwrap().len() <= 140);
+    let row = |n: usize| Given {
+        team: format!("team-{n}"),
+        slots: 4_000,
+        waits: n.is_multiple_of(2),
+    };
+    beat.given = Some((0..160).map(row).collect());
+    assert!(encode(&beat).unwrap().len() <= 160 * 16 + 140);
+}
+
 #[test]
 fn huge_list() {
     // Field 1 is an i64; field 2 declares a list of 2^31 - 1 strings that never come.
