--- a/crates/admission/tests/limit/handover.rs
+++ b/crates/admission/tests/limit/handover.rs
@@ -52,6 +52,18 @@
     world.heal().unwrap();
 }
 
+#[test]
+fn all_replaced() {
+    // All entries of a data centre are killed at once and replaced. The dead cannot speak for
+    // each other; their units are free after the fence time and the longest run, not only
+    // when the cut time is over.
+    let mut world = busy();
+    [0, 2, 4].into_iter().for_each(|n| world.kill(n));
+    world.live(TIMING.fence + TIMING.run + 250).unwrap();
+    assert_eq!(world.lives(), 6);
+    world.heal().unwrap();
+}
+
 #[test]
 fn cut_data_centre() {
     // A whole data centre loses the log. Its entries go on with what they hold, and nobody
--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -33,6 +33,7 @@
         start_upstream(&platform, name, host).await?;
     }
     let node = Node::start(settings(host, at)?).await?;
+    node.wait_open().await;
     put_first_ticket(node.admin()).await?;
     print_help(node.callers(), node.admin());
     node.run_until_signal().await
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_http::serve;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -18,6 +19,9 @@
     maintenance, metrics, peers, proxy, shares, sightings, snapshots,
 };
 
+/// Time between two looks whether the entry may start work.
+const OPEN_LOOK: Duration = Duration::from_millis(20);
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -82,6 +86,13 @@
         self.admin
     }
 
+    /// Waits until it may start work.
+    pub async fn wait_open(&self) {
+        while !self.shared.is_open() {
+            tokio::time::sleep(OPEN_LOOK).await;
+        }
+    }
+
     /// Serves until SIGTERM or SIGINT, then stops without cutting a request.
     pub async fn run_until_signal(self) -> Result<(), StartError> {
         let mut term = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
--- a/crates/e2e/tests/log_faults.rs
+++ b/crates/e2e/tests/log_faults.rs
@@ -154,6 +154,7 @@
     assert_eq!(fleet.apply(0, &team(3, 6)).0, Some(0));
     assert_eq!(limit(&fleet, 0).await, 6);
     wait_serves(&fleet, 0).await;
+    assert_eq!(ready(&fleet, 0).await.0, 200);
 }
 
 #[tokio::test]
