--- a/crates/e2e/tests/maintenance.rs
+++ b/crates/e2e/tests/maintenance.rs
@@ -103,6 +103,21 @@
     check(&history(&fleet).await, 5);
 }
 
+#[tokio::test]
+async fn frozen_entry() {
+    // The entry that drives the wave is frozen in the middle of it, and thawed when the other
+    // has brought the wave to its end. What it still had in hand takes nothing down again.
+    let fleet = fleet(4).await;
+    wish(&fleet, 0, json!({"start": {}})).await;
+    wait(&fleet, 1, |s| s["done"].as_u64() >= Some(1)).await;
+    fleet.entries[0].signal("STOP");
+    wait(&fleet, 1, |s| s["done"] == 4 && s["outages"] == json!([])).await;
+    fleet.entries[0].signal("CONT");
+    sleep(Duration::from_secs(4)).await;
+    wait(&fleet, 0, |s| s["done"] == 4 && s["outages"] == json!([])).await;
+    check(&history(&fleet).await, 4);
+}
+
 #[tokio::test]
 async fn dark_platform() {
     // The platform is down for a while in the middle of a wave. Entries go on serving, nothing
--- a/crates/maintenance/tests/waves.rs
+++ b/crates/maintenance/tests/waves.rs
@@ -107,6 +107,8 @@
 
 #[test]
 fn near_bound() {
+    // Six steps of drivers an outage come on top of draining, rebooting and settling; with
+    // reboots of seconds, as here, that is much, with real ones little.
     let mut world = World::new(3);
     let outage = world::settings().settle + world::settings().quiet + Duration::from_secs(4);
     let bound = rollout_bound(&world.truth, outage + TICK * 6).unwrap();
@@ -221,3 +223,27 @@
     world.append(json!({"jobs": [end]}).to_string());
     assert!(finish(&mut world).is_some());
 }
+
+#[test]
+fn lost_rack() {
+    // A rack is lost in the middle of a wave and takes up both pools' budgets. Nothing new goes
+    // down for as long as it is away; the wave goes on when it is back.
+    let mut world = World::new(3);
+    run(&mut world, Duration::from_secs(3));
+    let until = world.now.after(Duration::from_secs(60));
+    for n in [3, 7, 11] {
+        world.workers.lose(&id(n), until);
+    }
+    run(&mut world, Duration::from_secs(15));
+    for _ in 0..60 {
+        world.tick();
+        assert_eq!(world.workers.rebooting().count(), 0);
+    }
+    let reasons = world.nodes[0].reasons(world.now, &world.workers);
+    assert!(
+        reasons
+            .iter()
+            .any(|r| r.contains("pool render: 2 of 8 down"))
+    );
+    assert!(finish(&mut world).is_some());
+}
