--- a/crates/cli/src/options/maintenance.rs
+++ b/crates/cli/src/options/maintenance.rs
@@ -6,29 +6,29 @@
 /// What to do with maintenance waves.
 #[derive(Debug, Clone, Bpaf)]
 pub enum MaintenanceCommand {
-    /// Show the newest wave, what is under way and why the rest waits
+    /// Show the newest wave, outages under way and why the rest waits
     #[bpaf(command)]
     Show,
-    /// Begin the next wave
+    /// Begin the next wave: every instance has its turn within the budgets
     #[bpaf(command)]
     Start {
         /// Drop what is left of the newest wave
         force: bool,
-        /// Data centres to go first, in this order
-        #[bpaf(positional("DC"))]
+        /// Data centres that come first, with commas between
+        #[bpaf(argument::<String>("DC,.."), parse(parse_dcs), fallback(Vec::new()))]
         order: Vec<DcId>,
     },
-    /// Start no more reboots
+    /// Begin no more outages; those under way end
     #[bpaf(command)]
     Pause,
     /// Go on
     #[bpaf(command)]
     Resume,
-    /// Put data centres first
+    /// Put other data centres first
     #[bpaf(command)]
     Reorder {
-        /// Data centres to go first, in this order
-        #[bpaf(positional("DC"))]
+        /// Data centres that come first, with commas between
+        #[bpaf(positional::<String>("DC,.."), parse(parse_dcs))]
         order: Vec<DcId>,
     },
 }
@@ -43,3 +43,8 @@
     #[bpaf(command)]
     Apply,
 }
+
+fn parse_dcs(text: String) -> Result<Vec<DcId>, String> {
+    let parse = |s: &str| s.trim().parse().map_err(|e| format!("{e}"));
+    text.split(',').map(parse).collect()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,11 +7,14 @@
 
 mod admin;
 mod appender;
+mod basis;
 mod candidates;
 mod catch_up;
+mod denials;
 mod embedded;
 mod error;
 mod follower;
+mod holding;
 mod intake;
 mod jobs;
 mod line_limit;
@@ -25,8 +28,11 @@
 mod peers;
 mod phase;
 mod proxy;
+mod refused;
+mod repeats;
 mod settings;
 mod shared;
+mod shares;
 mod sightings;
 mod snapshots;
 
@@ -36,4 +42,5 @@
 pub use logging::{init_log, line};
 pub use node::Node;
 pub use phase::Phase;
+pub use repeats::Repeats;
 pub use settings::{Limits, Listen, LogSettings, Operator, Settings, SettingsError, SettingsFault};
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -8,12 +8,15 @@
 mod headers;
 mod held;
 mod job;
+mod lines;
 mod live;
 mod payload;
 mod relay;
 mod request;
 mod server;
+mod slot;
 mod traffic;
 
 pub(crate) use conns::Conns;
+pub(crate) use lines::{Lines, serve as start_waiting};
 pub(crate) use server::serve;
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -4,18 +4,19 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Code, Ran, Refusal};
-use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
+use cactuswheel_routing::{Attempt, Event, Outcome};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use super::abandoned::{Sent, Waiting};
-use super::conns::Conns;
+use super::conns::ConnError;
 use super::headers::{LEAVING, NOT_RUN, is_set};
 use super::held::Permit;
 use super::live::Live;
 use super::payload::Payload;
+use super::slot::Slot;
 use crate::shared::Shared;
 
 /// When to come back to upstreams that are full.
@@ -29,7 +30,7 @@
     /// What is known of this attempt's execution.
     pub(super) ran: Ran,
     /// The team's unit, unless this attempt may still be running on it.
-    pub(super) permit: Option<Permit>,
+    pub(super) permit: Option<Box<Permit>>,
     /// The request, if it was not given to a connection or came back from it.
     pub(super) request: Option<Box<Request<Payload>>>,
 }
@@ -39,7 +40,7 @@
     shared: &Arc<Shared>,
     request: Request<Payload>,
     permit: Permit,
-    lease: Lease<Conns>,
+    lease: Slot,
     until: Instant,
 ) -> Result<(Response<Incoming>, Live), Failure> {
     let upstream = lease.upstream();
@@ -51,16 +52,29 @@
         .await;
     let mut conn = match conn {
         Ok(conn) => conn,
-        Err(detail) => {
-            lease.learn(Outcome::Failed, shared.now());
+        Err(e) => {
+            let (code, outcome) = match e {
+                ConnError::Spent => (Code::Declined, Outcome::Full),
+                ConnError::Unreachable(_) => (Code::Unreachable, Outcome::Failed),
+            };
+            lease.learn(outcome, shared.now());
             return Err(Failure {
-                refusal: Refusal::new(Code::Unreachable).with_detail(detail),
+                refusal: Refusal::new(code).with_detail(e.to_string()),
                 ran: Attempt::Connecting.step(Event::NoConnection).ran(),
-                permit: Some(permit),
+                permit: Some(Box::new(permit)),
                 request: Some(Box::new(request)),
             });
         }
     };
+    if let Err(refusal) = permit.check() {
+        lease.upstream().link.put(conn);
+        return Err(Failure {
+            refusal,
+            ran: Ran::NotRun,
+            permit: Some(Box::new(permit)),
+            request: None,
+        });
+    }
     let sent = conn.sender.try_send_request(request);
     let live = Live::new(permit, lease, conn, shared.clone());
     let until = until.min(live.last());
@@ -125,7 +139,7 @@
             _ => refusal,
         },
         ran: live.ran(),
-        permit: live.unrun(),
+        permit: live.unrun().map(Box::new),
         request: request.map(Box::new),
     }
 }
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -4,20 +4,15 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Incarnation, InstanceId, Ran};
-use cactuswheel_routing::{Attempt, Event, Lease, Outcome};
+use cactuswheel_routing::{Attempt, Event, Outcome};
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep};
 
-use super::conns::{Conn, Conns};
+use super::conns::Conn;
 use super::held::Permit;
+use super::slot::Slot;
 use crate::shared::Shared;
 
-/// Longest that an upstream runs a request.
-///
-/// The entry waits no longer for the head of an answer, and takes a request with unknown
-/// outcome for running until then.
-pub(super) const LONGEST_RUN: Duration = Duration::from_secs(60);
-
 /// Time between two looks whether an upstream was replaced.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -28,24 +23,19 @@
 /// comes again would have more running than the team's limit.
 #[derive(Debug)]
 pub(super) struct Live {
-    /// Some until drop.
-    permit: Option<Permit>,
     /// Some until the exchange is over.
     conn: Option<Conn>,
-    lease: Lease<Conns>,
+    lease: Slot,
     attempt: Attempt,
     sent: Instant,
     shared: Arc<Shared>,
+    /// Some until drop; dropped after the slot, so that who waits for both finds both.
+    permit: Option<Permit>,
 }
 
 impl Live {
     /// An attempt whose request `conn` takes now.
-    pub(super) fn new(
-        permit: Permit,
-        lease: Lease<Conns>,
-        conn: Conn,
-        shared: Arc<Shared>,
-    ) -> Self {
+    pub(super) fn new(permit: Permit, lease: Slot, conn: Conn, shared: Arc<Shared>) -> Self {
         Self {
             permit: Some(permit),
             conn: Some(conn),
@@ -58,7 +48,7 @@
 
     /// The last moment at which it may still run.
     pub(super) fn last(&self) -> Instant {
-        self.sent + LONGEST_RUN
+        self.sent + self.shared.settings.limits.run_ms.duration()
     }
 
     /// Notes what happened.
@@ -81,7 +71,7 @@
     }
 
     /// The slot.
-    pub(super) fn lease(&self) -> &Lease<Conns> {
+    pub(super) fn lease(&self) -> &Slot {
         &self.lease
     }
 
@@ -115,7 +105,7 @@
             permit,
             upstream.id.clone(),
             upstream.incarnation,
-            self.last(),
+            self.sent + self.shared.settings.limits.timing().lost(),
             self.shared.clone(),
         );
         // Without a runtime the process ends, and its units with it.
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -13,8 +13,8 @@
 use super::answer::{Answer, pass, refuse, tell};
 use super::forward::Forward;
 use super::headers::REQUEST_ID;
-use super::held::Permit;
-use super::job::{Job, deadline, is_idempotent};
+use super::job::{Job, deadline, is_idempotent, is_urgent};
+use super::lines;
 use super::payload::Payload;
 use crate::shared::Shared;
 use crate::{Phase, jobs};
@@ -66,8 +66,8 @@
         return;
     };
     let (code, ran) = (refusal.code.number(), refusal.code.ran());
-    let team = find_team(&shared.state.load(), key).ok();
-    let team = team.as_ref().map_or("-", |team| team.id.as_str());
+    let team = find_team(shared, &shared.state.load(), key).ok();
+    let team = team.as_ref().map_or("-", |(_, team)| team.id.as_str());
     log::info!(request = id, team, code, ran:%, suppressed; "refused: {refusal}");
 }
 
@@ -84,20 +84,28 @@
         return answer_jobs(shared, request, id).await;
     }
     let job = job(shared, &request, id)?;
-    let asked = Instant::now();
-    let permit = enter(&job).await?;
-    job.shared.metrics.requests.waited(asked.elapsed());
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
+    // Before a slot is taken: a slow caller holds nothing that others wait for.
     let mut request = Request::from_parts(head, Payload::read(body, most).await?);
-    job.dress(&mut request, permit.team())?;
-    let (answer, live) = Forward::new(job).send(permit, request).await?;
+    let asked = Instant::now();
+    let grant = lines::enter(&job).await?;
+    job.shared.metrics.requests.waited(asked.elapsed());
+    check_key(&job)?;
+    job.dress(&mut request, grant.permit.team())?;
+    let forward = Forward::new(job, grant.slot);
+    let (answer, live) = forward.send(grant.permit, request).await?;
     Ok(pass(answer, live, id))
 }
 
-/// Takes a unit of the team for one attempt.
-pub(super) async fn enter(job: &Job) -> Result<Permit, Refusal> {
-    Permit::take(&job.shared, &job.team)
+/// Refuses a key that was withdrawn, also while its request waited.
+pub(super) fn check_key(job: &Job) -> Result<(), Refusal> {
+    let state = job.shared.state.load();
+    let grant = state.config().keys.get(&job.key);
+    if grant.is_some_and(|g| g.withdrawn) || job.shared.is_denied(&job.key) {
+        return Err(Refusal::new(Code::KeyWithdrawn));
+    }
+    Ok(())
 }
 
 /// HTTP/1.0 has no way to tell a caller that an answer of unknown length was cut short.
@@ -116,14 +124,21 @@
         Some(query) => format!("{rest}?{query}"),
         None => rest,
     };
+    let (key, team) = find_team(&shared, &state, headers.get(AUTHORIZATION))?;
     let bad = |e: InvalidUri| Refusal::new(Code::BadRequest).with_detail(e.to_string());
     Ok(Job {
         id: id.to_owned(),
         uri: rest.parse().map_err(bad)?,
         service,
-        team: find_team(&state, headers.get(AUTHORIZATION))?,
+        urgent: is_urgent(headers),
+        key,
+        team,
         idempotent: is_idempotent(request.method(), headers),
-        deadline: deadline(headers, shared.now())?,
+        deadline: deadline(
+            headers,
+            shared.now(),
+            shared.settings.limits.run_ms.duration(),
+        )?,
         shared,
     })
 }
@@ -133,7 +148,8 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let team = find_team(&shared.state.load(), request.headers().get(AUTHORIZATION))?;
+    let key = request.headers().get(AUTHORIZATION);
+    let (_, team) = find_team(&shared, &shared.state.load(), key)?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
@@ -154,13 +170,18 @@
 }
 
 /// Finds the team that the request's key speaks for.
-fn find_team(state: &State, value: Option<&HeaderValue>) -> Result<Arc<Team>, Refusal> {
+fn find_team(
+    shared: &Shared,
+    state: &State,
+    value: Option<&HeaderValue>,
+) -> Result<(Digest, Arc<Team>), Refusal> {
     let value = value.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let key = value.as_bytes().strip_prefix(b"Bearer ");
     let key = key.ok_or_else(|| Refusal::new(Code::NoKey))?;
     let bad = || Refusal::new(Code::BadKey);
-    let grant = state.config().keys.get(&Digest::of(key)).ok_or_else(bad)?;
-    if grant.withdrawn {
+    let digest = Digest::of(key);
+    let grant = state.config().keys.get(&digest).ok_or_else(bad)?;
+    if grant.withdrawn || shared.is_denied(&digest) {
         return Err(Refusal::new(Code::KeyWithdrawn));
     }
     state
@@ -168,6 +189,7 @@
         .teams
         .get(&grant.team)
         .cloned()
+        .map(|team| (digest, team))
         .ok_or_else(bad)
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,22 +4,23 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use cactuswheel_admission::Gate;
+use cactuswheel_admission::{Denials, Holder, Shares};
 use cactuswheel_fleet::{Replica, State};
-use cactuswheel_model::{EntryId, InstanceId, Map, Offset, Set, Time};
+use cactuswheel_model::{EntryId, InstanceId, LifeId, Map, Offset, Refusal, Set, TeamId, Time};
 use cactuswheel_platform::{Client, Sightings};
 use cactuswheel_routing::{Presences, Routes, Upstream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::appender::Appender;
+use crate::basis::Basis;
 use crate::jobs::Desk;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
 use crate::peer_snapshot::PeerSnapshot;
 use crate::peers::Heard;
 use crate::phase::PhaseCell;
-use crate::proxy::Conns;
+use crate::proxy::{Conns, Lines};
 use crate::{LineLimit, Settings, candidates};
 
 /// State that requests read without waiting; one writer for each part.
@@ -47,9 +48,19 @@
     pub(crate) routes: ArcSwap<Routes<Conns>>,
     /// Which instances are there; the lock is held while routes are built from them.
     presences: Mutex<Presences>,
+    /// What the routes were built from.
+    basis: Mutex<Option<Basis>>,
     /// Instances that maintenance keeps free of new work, as of the newest state.
     pub(crate) drained: ArcSwap<Set<InstanceId>>,
-    gate: Mutex<Gate>,
+    holder: Mutex<Holder>,
+    /// What entries give teams.
+    pub(crate) shares: Mutex<Shares>,
+    /// Where requests wait.
+    pub(crate) lines: Lines,
+    /// Withdrawn keys that the log may not show yet.
+    pub(crate) denials: ArcSwap<Denials>,
+    /// Wakes what tells the peers news.
+    pub(crate) news: Notify,
     /// What each peer last said; off the request path.
     heard: Mutex<Map<EntryId, Heard>>,
     /// Tells how far the state has come.
@@ -66,6 +77,8 @@
     /// A node that knows nothing yet.
     pub(crate) fn new(settings: Settings) -> Self {
         let (reached, _) = watch::channel(Offset::default());
+        let life = LifeId::new(settings.entry.clone(), rand::random());
+        let holder = Holder::new(life, settings.dc.clone(), settings.limits.timing());
         Self {
             platform: Client::new(settings.platform),
             settings,
@@ -81,8 +94,13 @@
             appender: Appender::default(),
             served: Mutex::default(),
             presences: Mutex::default(),
+            basis: Mutex::default(),
             drained: ArcSwap::default(),
-            gate: Mutex::default(),
+            holder: Mutex::new(holder),
+            shares: Mutex::default(),
+            lines: Lines::default(),
+            denials: ArcSwap::default(),
+            news: Notify::new(),
             heard: Mutex::default(),
             reached,
             requests: AtomicU64::new(0),
@@ -92,9 +110,25 @@
         }
     }
 
-    /// The gate, locked for a moment; never held over an await.
-    pub(crate) fn gate(&self) -> MutexGuard<'_, Gate> {
-        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    /// This entry's units, locked for a moment; never held over an await.
+    pub(crate) fn holder(&self) -> MutexGuard<'_, Holder> {
+        self.holder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a unit of a team.
+    ///
+    /// The state is read with the lock held: read before, it may be older than the one that
+    /// the last report was made from, and the unit would be taken under a cap already given up.
+    pub(crate) fn enter(&self, team: &TeamId) -> Result<(), Refusal> {
+        let mut holder = self.holder();
+        let state = self.state.load();
+        holder.enter(self.now(), state.allotments(), team)
+    }
+
+    /// Whether this entry may start work.
+    pub(crate) fn is_open(&self) -> bool {
+        let holder = self.holder();
+        holder.is_open(self.now(), self.state.load().allotments())
     }
 
     /// What each peer last said, locked for a moment.
@@ -136,13 +170,24 @@
     /// that was overtaken would put routes back that still list an instance that leaves.
     pub(crate) fn reroute(&self) {
         let presences = self.presences();
-        let candidates = candidates::list(
-            self.state.load().config(),
-            &presences,
-            &self.drained.load(),
-            &self.settings,
-        );
+        let basis = Basis::new(self.state.load().config(), self.drained.load_full());
+        let candidates = candidates::list(&basis, &presences, &self.settings);
         let routes = Routes::new(candidates, &self.routes.load());
         self.routes.store(Arc::new(routes));
+        *self.basis() = Some(basis);
+    }
+
+    /// Builds the routes anew if the state brought anything that they depend on.
+    ///
+    /// Most records do not, and routes over thousands of instances take milliseconds.
+    pub(crate) fn reroute_if_changed(&self) {
+        let now = Basis::new(self.state.load().config(), self.drained.load_full());
+        if self.basis().as_ref().is_none_or(|old| !old.is_same(&now)) {
+            self.reroute();
+        }
+    }
+
+    fn basis(&self) -> MutexGuard<'_, Option<Basis>> {
+        self.basis.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/fleet/tests/audit.rs
+++ b/crates/fleet/tests/audit.rs
@@ -73,3 +73,27 @@
     assert!(text.contains(&digest) && !text.contains("secret"));
     assert_eq!(rows(&state, &format!("key/{digest}")).len(), 1);
 }
+
+#[test]
+fn planned_move() {
+    let mut state = State::default();
+    let instance = |id: &str| {
+        json!({"instance": {"id": id, "pool": "spare", "dc": "lj1", "rack": "r1", "cores": 1,
+            "memory": 1, "slots": 1, "conns": 1}})
+    };
+    let changes = json!([{"dc": {"id": "lj1", "region": "lj"}}, {"pool": {"id": "spare"}},
+        {"pool": {"id": "render"}}, instance("w1"), instance("w2")]);
+    put(&mut state, 1, "ana", changes);
+    let take = json!({"disruption": {"take": {"instance": "w1", "incarnation": 1, "holder": "e1",
+        "purpose": {"move": {"from": "spare", "to": "render"}}}}});
+    let commit = json!({"disruption": {"commit": {"instance": "w1", "fence": 2}}});
+    let wanted = json!({"moves": {"moves": [{"instance": "w1", "from": "spare", "to": "render"}]}});
+    state.apply(state.next(), &wanted.to_string());
+    state.apply(state.next(), &take.to_string());
+    state.apply(state.next(), &commit.to_string());
+    let rows = rows(&state, "instance/w1");
+    assert_eq!(rows.len(), 2, "{rows:?}");
+    assert_eq!(rows[1]["before"]["instance"]["pool"], "spare");
+    assert_eq!(rows[1]["after"]["instance"]["pool"], "render");
+    assert_eq!(rows[1]["detail"], "move granted at offset 2");
+}
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Disruption, JobEvent, Moves, SnapshotMark, Ticket, Wave};
+use crate::{Denial, Disruption, Holding, JobEvent, Moves, SnapshotMark, Ticket, Wave};
 
 /// One record: a proposal that the fold accepts or refuses, alike on every node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,6 +10,10 @@
 pub enum Record {
     /// An operator's change.
     Ticket(Ticket),
+    /// A key withdrawn outside tickets.
+    Denial(Denial),
+    /// An entry's word on units of teams' limits.
+    Holding(Holding),
     /// Events of jobs, each judged by itself, in their order.
     Jobs(Vec<JobEvent>),
     /// Word of a complete snapshot; none is due for a while.
--- a/crates/platform/src/control.rs
+++ b/crates/platform/src/control.rs
@@ -1,6 +1,6 @@
 //! Worker control over HTTP.
 
-use cactuswheel_http::{Answer, Call, CallError};
+use cactuswheel_http::{Answer, CallError};
 use cactuswheel_model::InstanceId;
 use hyper::StatusCode;
 
@@ -21,7 +21,8 @@
     }
 
     async fn states(&self, instances: &[InstanceId]) -> Result<Vec<WorkerState>, WorkerError> {
-        let call = Call::post(self.platform, "/worker-states")
+        let call = self
+            .post("/worker-states")
             .with_json(&instances)
             .map_err(|e| WorkerError::Unavailable(e.to_string()))?
             .with_limit(LIMIT);
@@ -39,7 +40,8 @@
         what: &str,
         order: Order,
     ) -> Result<(), WorkerError> {
-        let call = Call::post(self.platform, format!("/workers/{instance}/{what}"))
+        let call = self
+            .post(format!("/workers/{instance}/{what}"))
             .with_json(&order)
             .map_err(|e| WorkerError::Unavailable(e.to_string()))?
             .with_limit(LIMIT);
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -27,6 +27,13 @@
         entry: "e1".into(),
         dc: "lj1".into(),
         head: 7,
+        life: "e1:7".into(),
+        stamp: 1,
+        heard: None,
+        echo: None,
+        renews: false,
+        denials: None,
+        given: None,
     })
     .unwrap();
     for end in 0..bytes.len() {
