--- /dev/null
+++ b/crates/admission/src/denials.rs
@@ -0,0 +1,67 @@
+//! Withdrawn keys that the log may not show yet.
+
+use cactuswheel_model::{Denial, Digest, Map, Time};
+
+/// Denials kept; each is a few dozen bytes.
+const KEPT: usize = 10_000;
+
+/// Denials told to a peer at once.
+const TOLD: usize = 32;
+
+/// Denials in force here and on their way to the peers and the log.
+///
+/// Invariant: one that is not in the log's state yet stays here.
+#[derive(Debug, Clone, Default)]
+pub struct Denials {
+    rows: Map<Digest, Pending>,
+}
+
+#[derive(Debug, Clone)]
+struct Pending {
+    denial: Denial,
+    /// When it is to be appended.
+    due: Time,
+}
+
+impl Denials {
+    /// Whether a key is denied.
+    pub fn contains(&self, digest: &Digest) -> bool {
+        self.rows.contains_key(digest)
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Takes a denial that this entry appends at `due`, if nobody has before; whether it is news.
+    pub fn insert(&mut self, denial: Denial, due: Time) -> bool {
+        if self.contains(&denial.digest) || self.rows.len() >= KEPT {
+            return false;
+        }
+        self.rows.insert(denial.digest, Pending { denial, due });
+        true
+    }
+
+    /// Forgets those that the log's state holds by now.
+    pub fn settle(&mut self, recorded: impl Fn(&Digest) -> bool) {
+        self.rows.retain(|digest, _| !recorded(digest));
+    }
+
+    /// Those to append now; each is due again after `pause`.
+    pub fn due(&mut self, now: Time, pause: std::time::Duration) -> Vec<Denial> {
+        let due = self.rows.values_mut().filter(|p| p.due <= now);
+        due.map(|pending| {
+            pending.due = now.after(pause);
+            pending.denial.clone()
+        })
+        .collect()
+    }
+
+    /// Some to tell a peer; `turn` picks others each time if there are many.
+    pub fn told(&self, turn: usize) -> impl Iterator<Item = &Denial> {
+        let parts = self.rows.len().div_ceil(TOLD).max(1);
+        let from = (turn % parts) * TOLD;
+        self.rows.values().skip(from).take(TOLD).map(|p| &p.denial)
+    }
+}
--- a/crates/assignment/src/snapshot.rs
+++ b/crates/assignment/src/snapshot.rs
@@ -1,11 +1,14 @@
 //! The problem that the fleet's state poses.
 
-use cactuswheel_fleet::State;
-use cactuswheel_model::{DcId, Map, PoolId, RackId};
+use cactuswheel_fleet::{Stage, State};
+use cactuswheel_model::{DcId, Map, PoolId, Purpose, RackId};
 
 use crate::{Machine, Need, Problem, Weights};
 
-/// Reads the problem off the fold; what an outage holds counts for nothing.
+/// Time for which a move is taken to wait for one job, in seconds; run times are not known.
+const JOB: u64 = 3_600;
+
+/// Reads the problem off the fold; what is lost counts for nothing.
 pub fn problem_of(state: &State, weights: Weights, max_moves: usize) -> Problem {
     let config = state.config();
     let mut pools: Map<&PoolId, usize> = Map::default();
@@ -14,7 +17,6 @@
         pools.insert(&pool.id, needs.len());
         needs.push(Need {
             id: Some(pool.id.clone()),
-            max_down: usize::MAX,
             spare: pool.spare,
             ..Need::default()
         });
@@ -24,15 +26,11 @@
             continue;
         };
         need.demand += u64::from(service.demand.get());
-        need.max_down = need.max_down.min(service.max_down as usize);
+        let down = service.max_down as usize;
+        need.max_down = Some(need.max_down.map_or(down, |least| least.min(down)));
         // A pool that serves something is no store to take from freely.
         need.spare = false;
     }
-    for need in &mut needs {
-        if need.max_down == usize::MAX {
-            need.max_down = 0;
-        }
-    }
     let mut racks: Map<(&DcId, &RackId), usize> = Map::default();
     let mut dcs: Map<&DcId, usize> = Map::default();
     let mut machines = Vec::new();
@@ -41,6 +39,13 @@
         let rack = *racks.entry((&instance.dc, &instance.rack)).or_insert(next);
         let next = dcs.len();
         let dc = *dcs.entry(&instance.dc).or_insert(next);
+        let placed = state.jobs().worker(&instance.id).map_or(0, |w| w.placed);
+        let stage = state.disruptions().hold(&instance.id).map(|h| &h.stage);
+        // What drains for a move counts where it goes, so that no other is moved in its place.
+        let pool = match stage {
+            Some(Stage::Draining(Purpose::Move { to, .. })) => to,
+            _ => &instance.pool,
+        };
         machines.push(Machine {
             id: instance.id.clone(),
             rack,
@@ -49,9 +54,10 @@
             cores: u64::from(instance.cores.get()),
             memory: instance.memory.get(),
             accels: u64::from(instance.accels),
-            pool: pools.get(&instance.pool).copied().unwrap_or(0),
-            held: state.disruptions().hold(&instance.id).is_some(),
-            drain: 0,
+            pool: pools.get(pool).copied().unwrap_or(0),
+            lost: stage == Some(&Stage::Lost),
+            pinned: stage.is_some(),
+            drain: u64::from(placed) * JOB,
         });
     }
     Problem {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,13 +1,16 @@
 //! The operators' API, JSON over HTTP; `docs/API.md` describes it.
 
+mod allotments;
 mod audit;
 mod check;
+mod denials;
 mod history;
 mod instances;
 mod list;
 mod maintenance;
+mod plan;
 mod pools;
-mod refused;
+mod propose;
 mod status;
 mod tickets;
 
@@ -20,8 +23,8 @@
 use hyper::{Method, Request, StatusCode};
 
 use self::list::list;
-use self::refused::refused;
 use crate::Phase;
+use crate::refused::refused;
 use crate::shared::Shared;
 
 /// Answers one request of an operator.
@@ -39,9 +42,10 @@
     let done = match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
-        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
-        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
+        (&Method::POST, "/v1/denials") => denials::put(shared, operator, request).await,
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
+        (&Method::GET, "/v1/plan") => plan::show(&shared).await,
+        (&Method::POST, "/v1/plan/apply") => plan::apply(&shared, operator).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
@@ -60,8 +64,10 @@
         "/v1/status" => return status::show(shared),
         "/v1/audit" => return audit::show(shared, query),
         "/v1/tickets" => return history::newest(&state, query),
+        "/v1/maintenance" => maintenance::show(shared),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
+        "/v1/allotments" => list(&state, allotments::splits(&state)),
         "/v1/pools" => list(&state, pools::pools(&state, &seen)),
         "/v1/budgets" => list(&state, pools::budgets(&state, &seen)),
         "/v1/services" => list(&state, config.services.values()),
@@ -79,7 +85,9 @@
 /// For the balancer: whether new callers may be sent here.
 fn ready(shared: &Shared) -> Reply {
     match shared.phase.get() {
-        Phase::Ready => text(StatusCode::OK, "ready"),
+        Phase::Ready if shared.is_open() => text(StatusCode::OK, "ready"),
+        // All callers would be turned away; other entries may serve them.
+        Phase::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "may start nothing"),
         Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
         Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -13,6 +13,8 @@
     entry: &'a str,
     dc: &'a str,
     ready: bool,
+    /// Whether it may start work: its life stands in the log and was heard of lately.
+    open: bool,
     next: Offset,
     /// Head of the last snapshot in the log.
     snapshot: Option<Offset>,
@@ -42,6 +44,7 @@
         entry: shared.settings.entry.as_str(),
         dc: shared.settings.dc.as_str(),
         ready: shared.phase.get() == Phase::Ready,
+        open: shared.is_open(),
         next: state.next(),
         snapshot: state.snapshot().map(|s| s.head),
         undecodable: state.undecodable(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,8 +14,8 @@
 use crate::peers::Answerer;
 use crate::shared::Shared;
 use crate::{
-    Phase, Settings, StartError, admin, appender, catch_up, follower, jobs, maintenance, metrics,
-    peers, proxy, sightings, snapshots,
+    Phase, Settings, StartError, admin, appender, catch_up, denials, follower, holding, jobs,
+    maintenance, metrics, peers, proxy, shares, sightings, snapshots,
 };
 
 /// A running entry instance.
@@ -51,6 +51,11 @@
         tokio::spawn(catch_up::watch(shared.clone()));
         tokio::spawn(snapshots::write_when_due(shared.clone()));
         tokio::spawn(appender::run(shared.clone()));
+        tokio::spawn(proxy::start_waiting(shared.clone()));
+        tokio::spawn(shares::balance(shared.clone()));
+        tokio::spawn(denials::record(shared.clone()));
+        tokio::spawn(holding::drive(shared.clone()));
+        tokio::spawn(holding::watch(shared.clone()));
         tokio::spawn(sightings::watch(shared.clone()));
         tokio::spawn(maintenance::drive(shared.clone()));
         tokio::spawn(jobs::write(shared.clone()));
@@ -101,6 +106,7 @@
         {
             log::error!("stopping with {} connections still busy", self.open.len());
         }
+        holding::hand_back(&self.shared).await;
     }
 }
 
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -30,7 +30,7 @@
     /// What is known of this attempt's execution.
     pub(super) ran: Ran,
     /// The team's unit, unless this attempt may still be running on it.
-    pub(super) permit: Option<Permit>,
+    pub(super) permit: Option<Box<Permit>>,
     /// The request, if it was not given to a connection or came back from it.
     pub(super) request: Option<Box<Request<Payload>>>,
 }
@@ -61,11 +61,20 @@
             return Err(Failure {
                 refusal: Refusal::new(code).with_detail(e.to_string()),
                 ran: Attempt::Connecting.step(Event::NoConnection).ran(),
-                permit: Some(permit),
+                permit: Some(Box::new(permit)),
                 request: Some(Box::new(request)),
             });
         }
     };
+    if let Err(refusal) = permit.check() {
+        lease.upstream().link.put(conn);
+        return Err(Failure {
+            refusal,
+            ran: Ran::NotRun,
+            permit: Some(Box::new(permit)),
+            request: None,
+        });
+    }
     let sent = conn.sender.try_send_request(request);
     let live = Live::new(permit, lease, conn, shared.clone());
     let until = until.min(live.last());
@@ -124,7 +133,7 @@
             _ => refusal,
         },
         ran: live.ran(),
-        permit: live.unrun(),
+        permit: live.unrun().map(Box::new),
         request: request.map(Box::new),
     }
 }
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -12,21 +12,19 @@
 use super::conns::Conns;
 use super::held::Permit;
 use super::job::Job;
+use super::lines::{Grant, enter};
 use super::live::Live;
 use super::payload::Payload;
-use super::request::enter;
+use super::request::check_key;
 use super::slot::Slot;
 
-/// Part of the usual run time for which there must be time left when a request gets its slot.
-///
-/// Started later, most would run and be too late: their slot is lost and their outcome unknown.
-const RUN: f64 = 1.5;
-
 /// What is known of a request while it is being sent.
 #[derive(Debug)]
 pub(super) struct Forward {
     job: Job,
     exchange: Exchange,
+    /// The slot for the first attempt.
+    first: Option<Slot>,
     /// Upstreams that failed.
     tried: Vec<Arc<Upstream<Conns>>>,
     /// Why the last attempt failed.
@@ -35,10 +33,11 @@
 
 impl Forward {
     /// A request that was not sent yet.
-    pub(super) fn new(job: Job) -> Self {
+    pub(super) fn new(job: Job, first: Slot) -> Self {
         Self {
             exchange: Exchange::new(job.idempotent, job.deadline),
             job,
+            first: Some(first),
             tried: Vec::new(),
             last: None,
         }
@@ -75,48 +74,27 @@
         }
     }
 
-    /// A slot, with the unit for it; waits for a slot while the upstreams are merely full.
+    /// A slot, with the unit for it; waits its turn again while the upstreams are merely full.
     async fn place(&mut self, permit: Permit) -> Result<(Permit, Slot), Refusal> {
-        let refusal = match self.pick_at_once() {
+        if let Some(slot) = self.first.take() {
+            slot.budget().deposit();
+            return Ok((permit, slot));
+        }
+        let refusal = match self.pick() {
             Ok(slot) => return Ok((permit, slot)),
             Err(refusal) => refusal,
         };
-        let full = self.last.as_ref().is_none_or(|r| r.code == Code::Declined);
+        let full = self.last.as_ref().is_some_and(|r| r.code == Code::Declined);
         if !full || !self.is_usable() {
             return Err(self.last.take().unwrap_or(refusal));
         }
         // Whoever waits has nothing running: the unit is there for the team's other requests.
         drop(permit);
-        let slot = self.wait().await?;
-        Ok((enter(&self.job).await?, slot))
-    }
-
-    /// A slot, unless others wait for one.
-    fn pick_at_once(&self) -> Result<Slot, Refusal> {
-        let first = self.last.is_none();
-        if first && !self.job.shared.slots.is_empty(&self.job.service.pool) {
-            return Err(Refusal::new(Code::NoUpstream));
-        }
-        self.pick()
-    }
-
-    /// Waits for a slot for as long as there is time to use it.
-    async fn wait(&mut self) -> Result<Slot, Refusal> {
-        let shared = self.job.shared.clone();
-        let pool = self.job.service.pool.clone();
-        let latency = shared.routes.load().latency(&pool, shared.now());
-        let left = self.job.left().saturating_sub(latency.mul_f64(RUN));
-        let until = shared.now().after(left);
-        let place = shared.slots.join(&pool, shared.now(), until)?;
         // What was full may have a slot again.
         self.tried.clear();
-        while shared.now() < until {
-            place.turn().await;
-            if let Ok(slot) = self.pick() {
-                return Ok(slot);
-            }
-        }
-        Err(Refusal::new(Code::Deadline).with_retry(place.wait()))
+        let Grant { permit, slot } = enter(&self.job).await?;
+        check_key(&self.job)?;
+        Ok((permit, slot))
     }
 
     /// Whether the pool has an upstream that could take a request, were it not full.
@@ -131,9 +109,6 @@
         let pool = &self.job.service.pool;
         let (now, draw) = (self.job.shared.now(), rand::random());
         let lease = routes.pick(pool, &self.tried, now, draw)?;
-        if self.last.is_none() {
-            lease.budget().deposit();
-        }
         Ok(Slot::new(lease, self.job.shared.clone()))
     }
 
@@ -154,8 +129,8 @@
         // An attempt that may still be running keeps its unit; another attempt beside it needs
         // one more, or the team would have more running than its limit.
         let permit = match failure.permit {
-            Some(permit) => permit,
-            None => match enter(&self.job).await {
+            Some(permit) => *permit,
+            None => match Permit::another(&self.job.shared, &self.job.team.id) {
                 Ok(permit) => permit,
                 Err(_) => return Err(failure.refusal),
             },
--- a/crates/daemon/src/proxy/live.rs
+++ b/crates/daemon/src/proxy/live.rs
@@ -15,12 +15,6 @@
 use super::slot::Slot;
 use crate::shared::Shared;
 
-/// Longest that an upstream runs a request.
-///
-/// The entry waits no longer for the head of an answer, and takes a request with unknown
-/// outcome for running until then.
-pub(super) const LONGEST_RUN: Duration = Duration::from_secs(60);
-
 /// Time between two looks whether an upstream was replaced.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -31,14 +25,14 @@
 /// comes again would have more running than the team's limit.
 #[derive(Debug)]
 pub(super) struct Live {
-    /// Some until drop.
-    permit: Option<Permit>,
     /// Some until the exchange is over.
     conn: Option<Conn>,
     lease: Slot,
     attempt: Attempt,
     sent: Instant,
     shared: Arc<Shared>,
+    /// Some until drop; dropped after the slot, so that who waits for both finds both.
+    permit: Option<Permit>,
 }
 
 impl Live {
@@ -56,7 +50,7 @@
 
     /// The last moment at which it may still run.
     pub(super) fn last(&self) -> Instant {
-        self.sent + LONGEST_RUN
+        self.sent + self.shared.settings.limits.run_ms.duration()
     }
 
     /// Notes what happened.
@@ -115,7 +109,7 @@
             permit,
             upstream.id.clone(),
             upstream.incarnation,
-            self.last(),
+            self.sent + self.shared.settings.limits.timing().lost(),
             self.shared.clone(),
         );
         // Without a runtime the process ends, and its units with it.
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -3,13 +3,12 @@
 use std::ops::Deref;
 use std::sync::Arc;
 
-use cactuswheel_model::PoolId;
 use cactuswheel_routing::Lease;
 
 use super::conns::Conns;
 use crate::shared::Shared;
 
-/// A lease; once it is dropped, whoever waits for a slot of the pool is woken.
+/// A lease; once it is dropped, whoever waits for one is woken.
 #[derive(Debug)]
 pub(super) struct Slot {
     /// Invariant: declared before `_wake`, so that the slot is free when the wake comes.
@@ -17,18 +16,16 @@
     _wake: Wake,
 }
 
-/// Wakes the queue of a pool when dropped.
+/// Wakes whoever waits when dropped.
 #[derive(Debug)]
 struct Wake {
-    pool: PoolId,
     shared: Arc<Shared>,
 }
 
 impl Slot {
     /// Wraps a lease.
     pub(super) fn new(lease: Lease<Conns>, shared: Arc<Shared>) -> Self {
-        let pool = lease.pool().clone();
-        let _wake = Wake { pool, shared };
+        let _wake = Wake { shared };
         Self { lease, _wake }
     }
 }
@@ -43,6 +40,6 @@
 
 impl Drop for Wake {
     fn drop(&mut self) {
-        self.shared.slots.freed(&self.pool, self.shared.now());
+        self.shared.lines.freed();
     }
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{
-    Code, Disruption, JobEvent, Offset, Record, Refusal, SnapshotMark, Ticket,
+    Code, Denial, Disruption, JobEvent, ObjectId, Offset, Record, Refusal, SnapshotMark, TeamId,
+    Ticket,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{Audit, Config, Disruptions, Jobs, Ledger, Outcome, rules};
+use crate::{Allotments, Audit, Config, Denials, Disruptions, Jobs, Ledger, Outcome, rules};
 
 /// The fleet as of one offset; copies are cheap.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,10 @@
     config: Config,
     ledger: Ledger,
     #[serde(default)]
+    denials: Denials,
+    #[serde(default)]
+    allotments: Allotments,
+    #[serde(default)]
     disruptions: Disruptions,
     #[serde(default)]
     jobs: Jobs,
@@ -37,12 +42,18 @@
     ///
     /// For a number used before with other content the code is [`Code::TicketUsed`].
     Ticket(Arc<Outcome>),
+    /// A key withdrawn outside tickets; whether that is news.
+    Denial(bool),
+    /// An entry's word on units; whether it changed anything.
+    Holding(bool),
     /// Events of jobs, with what became of each.
     Jobs(Vec<Result<(), Refusal>>),
     /// Word of a snapshot.
     Snapshot,
     /// A step of an outage, with the fence of the outage it belongs to.
     Disruption(Result<Offset, Refusal>),
+    /// The wanted moves.
+    Moves(Result<(), Refusal>),
     /// A wave's wanted state.
     Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
@@ -67,6 +78,16 @@
         &self.ledger
     }
 
+    /// Keys withdrawn outside tickets.
+    pub fn denials(&self) -> &Denials {
+        &self.denials
+    }
+
+    /// Who may run how much for which team.
+    pub fn allotments(&self) -> &Allotments {
+        &self.allotments
+    }
+
     /// Jobs and what is placed where.
     pub fn jobs(&self) -> &Jobs {
         &self.jobs
@@ -109,11 +130,18 @@
         self.next = offset.next();
         match serde_json::from_str(body) {
             Ok(Record::Ticket(ticket)) => Applied::Ticket(self.apply_ticket(offset, &ticket)),
-            Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(&events)),
+            Ok(Record::Denial(denial)) => Applied::Denial(self.deny(offset, &denial)),
+            Ok(Record::Holding(holding)) => {
+                Applied::Holding(self.allotments.apply(offset, &holding))
+            }
+            Ok(Record::Jobs(events)) => Applied::Jobs(self.apply_jobs(offset, &events)),
             Ok(Record::Snapshot(mark)) => self.apply_mark(mark),
             Ok(Record::Disruption(step)) => {
                 Applied::Disruption(self.apply_disruption(offset, &step))
             }
+            Ok(Record::Moves(wanted)) => {
+                Applied::Moves(self.disruptions.set_moves(&wanted, &self.config))
+            }
             Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
                 self.undecodable += 1;
@@ -122,6 +150,58 @@
         }
     }
 
+    fn deny(&mut self, at: Offset, denial: &Denial) -> bool {
+        if !self.denials.insert(denial) {
+            return false;
+        }
+        let old = self.config.clone();
+        self.config.withdraw(&denial.digest);
+        self.audit.deny(at, denial, &old, &self.config);
+        true
+    }
+
+    fn apply_jobs(&mut self, at: Offset, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
+        events.iter().map(|e| self.apply_job(at, e)).collect()
+    }
+
+    fn apply_job(&mut self, at: Offset, event: &JobEvent) -> Result<(), Refusal> {
+        let team = match event {
+            JobEvent::Place { job, .. } => {
+                self.check_room(&job.team)?;
+                Some(&job.team)
+            }
+            JobEvent::End { job, .. } => Some(&job.team),
+            _ => None,
+        };
+        let done = self.jobs.apply(event, &self.config, &self.disruptions);
+        if let Some(team) = team {
+            self.split_limit(at, team);
+        }
+        done
+    }
+
+    /// Refuses a job while requests still occupy units that a ticket set aside for jobs.
+    fn check_room(&self, team: &TeamId) -> Result<(), Refusal> {
+        let limit = self.config.teams.get(team).map_or(0, |t| t.limit.get());
+        let split = self.allotments.split(team);
+        let requests = split.map_or(0, |s| s.occupied());
+        if self.jobs.placed(team) + requests < limit {
+            return Ok(());
+        }
+        Err(Refusal::new(Code::TeamLimit))
+    }
+
+    /// Gives requests what the limit leaves beside jobs: those set aside for, or those placed
+    /// where a ticket has since set fewer aside.
+    fn split_limit(&mut self, at: Offset, team: &TeamId) {
+        let placed = self.jobs.placed(team);
+        let limit = self.config.teams.get(team).map_or(0, |t| {
+            let jobs = t.jobs.get().max(placed);
+            t.limit.get().saturating_sub(jobs)
+        });
+        self.allotments.set_limit(at, team, limit);
+    }
+
     /// A step of an outage; the action itself waits for the jobs on the instance.
     ///
     /// Failure: a reboot under a job that may not be repeated loses its outcome for good. A
@@ -132,14 +212,16 @@
             let detail = format!("{placed} jobs are placed on {}", step.instance());
             return Err(Refusal::new(Code::WrongStage).with_detail(detail));
         }
-        self.disruptions.apply(offset, step, &mut self.config)
-    }
-
-    fn apply_jobs(&mut self, events: &[JobEvent]) -> Vec<Result<(), Refusal>> {
-        events
-            .iter()
-            .map(|e| self.jobs.apply(e, &self.config, &self.disruptions))
-            .collect()
+        let object = ObjectId::Instance(step.instance().clone());
+        let before = self.config.image(&object);
+        let fence = self.disruptions.apply(offset, step, &mut self.config)?;
+        match (before, self.config.image(&object)) {
+            (Some(before), Some(after)) if before != after => {
+                self.audit.moved(offset, fence, before, after);
+            }
+            _ => {}
+        }
+        Ok(fence)
     }
 
     /// A paused writer marks an old snapshot late; the newest stays the one that counts.
@@ -196,7 +278,11 @@
         self.disruptions.follow_ticket(ticket, &self.config, &next);
         self.config = next;
         for change in &ticket.changes {
-            self.ledger.touch(change.object(), ticket.ticket);
+            let object = change.object();
+            if let ObjectId::Team(team) = &object {
+                self.split_limit(outcome.offset, team);
+            }
+            self.ledger.touch(object, ticket.ticket);
         }
         Arc::new(outcome)
     }
