--- a/crates/assignment/src/need.rs
+++ b/crates/assignment/src/need.rs
@@ -11,8 +11,8 @@
     pub id: Option<PoolId>,
     /// Slots of work at peak, over all its services; 0 for a spare pool.
     pub demand: u64,
-    /// Most members that may be unavailable at once.
-    pub max_down: usize,
+    /// Most members that may be unavailable at once; `None` if no service needs the pool.
+    pub max_down: Option<usize>,
     /// Whether its members may be given to other pools, and surplus goes there.
     pub spare: bool,
     /// Whether its demand has to fit after the loss of a data centre too.
--- a/crates/assignment/src/problem.rs
+++ b/crates/assignment/src/problem.rs
@@ -27,7 +27,7 @@
             .iter()
             .map(|_| Load::new(self.racks, self.dcs))
             .collect();
-        for machine in self.machines.iter().filter(|m| !m.held) {
+        for machine in self.machines.iter().filter(|m| !m.lost) {
             let worth = self.needs[machine.pool].worth(machine);
             loads[machine.pool].add(machine, worth);
         }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,11 +2,11 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{audit, jobs, keys, status, ticket, validate, views};
+use crate::{audit, jobs, keys, maintenance, plan, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
-    let key = options.key.ok_or(CliError::NoKey);
+    let key = given(options.key, "CACTUSWHEEL_KEY").ok_or(CliError::NoKey);
     let client = || key.map(|key| Client::new(options.entry, key));
     match options.command {
         Command::Ticket(TicketCommand::Validate { files }) => validate::validate(&files),
@@ -15,6 +15,8 @@
         Command::Key(command) => keys::run(&client()?, command).await,
         Command::Job(job) => jobs::run(job).await,
         Command::Status { entries } => status::show(&client()?, &entries).await,
+        Command::Maintenance(command) => maintenance::run(&client()?, command).await,
+        Command::Plan(command) => plan::run(&client()?, command).await,
         Command::Audit { object, max } => audit::show(&client()?, object, max).await,
         Command::Config => views::config(&client()?).await,
         Command::Instances { pool } => views::instances(&client()?, pool).await,
@@ -25,3 +27,10 @@
         Command::Dcs => views::list(&client()?, &views::DCS).await,
     }
 }
+
+/// A key from the command line or else from the environment.
+///
+/// Not left to the parser of the command line, which shows the environment's values in its help.
+pub(crate) fn given(key: Option<String>, name: &str) -> Option<String> {
+    key.or_else(|| std::env::var(name).ok())
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -8,8 +8,9 @@
 mod instances;
 mod list;
 mod maintenance;
+mod plan;
 mod pools;
-mod refused;
+mod propose;
 mod status;
 mod tickets;
 
@@ -22,8 +23,8 @@
 use hyper::{Method, Request, StatusCode};
 
 use self::list::list;
-use self::refused::refused;
 use crate::Phase;
+use crate::refused::refused;
 use crate::shared::Shared;
 
 /// Answers one request of an operator.
@@ -42,9 +43,9 @@
         (&Method::POST, "/v1/tickets") => tickets::apply(shared, operator, request).await,
         (&Method::POST, "/v1/tickets/check") => check::check(&shared.state.load(), request).await,
         (&Method::POST, "/v1/denials") => denials::put(shared, operator, request).await,
-        (&Method::GET, "/v1/audit") => audit::show(&shared, request.uri().query()),
-        (&Method::GET, "/v1/maintenance") => Ok(maintenance::show(&shared)),
         (&Method::POST, "/v1/maintenance") => maintenance::change(&shared, operator, request).await,
+        (&Method::GET, "/v1/plan") => plan::show(&shared).await,
+        (&Method::POST, "/v1/plan/apply") => plan::apply(&shared, operator).await,
         (&Method::GET, path) => show(&shared, path, request.uri().query()),
         (method, path) => Err(not_found(format!("{method} {path}"))),
     };
@@ -63,6 +64,7 @@
         "/v1/status" => return status::show(shared),
         "/v1/audit" => return audit::show(shared, query),
         "/v1/tickets" => return history::newest(&state, query),
+        "/v1/maintenance" => maintenance::show(shared),
         "/v1/config" => json(StatusCode::OK, config),
         "/v1/dcs" => list(&state, config.dcs.values()),
         "/v1/allotments" => list(&state, allotments::splits(&state)),
--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -84,6 +84,7 @@
             balancer_ms: Millis::new(0),
             ..Limits::default()
         },
+        assignment: Default::default(),
         maintenance: Default::default(),
     })
 }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -24,7 +24,7 @@
             log::error!("record {offset} passed over: {e}");
         }
         if progress.applied > 0 {
-            self.reroute();
+            self.reroute_if_changed();
         }
         Ok(progress.applied)
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod appender;
+mod basis;
 mod candidates;
 mod catch_up;
 mod denials;
@@ -27,6 +28,8 @@
 mod peers;
 mod phase;
 mod proxy;
+mod refused;
+mod repeats;
 mod settings;
 mod shared;
 mod shares;
@@ -39,4 +42,5 @@
 pub use logging::{init_log, line};
 pub use node::Node;
 pub use phase::Phase;
+pub use repeats::Repeats;
 pub use settings::{Limits, Listen, LogSettings, Operator, Settings, SettingsError, SettingsFault};
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod request;
 mod server;
+mod slot;
 mod traffic;
 
 pub(crate) use conns::Conns;
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{Code, Ran, Refusal};
-use cactuswheel_routing::{Exchange, Lease, Upstream};
+use cactuswheel_routing::{Exchange, Upstream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::time::Instant;
@@ -12,8 +12,11 @@
 use super::conns::Conns;
 use super::held::Permit;
 use super::job::Job;
+use super::lines::{Grant, enter};
 use super::live::Live;
 use super::payload::Payload;
+use super::request::check_key;
+use super::slot::Slot;
 
 /// What is known of a request while it is being sent.
 #[derive(Debug)]
@@ -21,7 +24,7 @@
     job: Job,
     exchange: Exchange,
     /// The slot for the first attempt.
-    first: Option<Lease<Conns>>,
+    first: Option<Slot>,
     /// Upstreams that failed.
     tried: Vec<Arc<Upstream<Conns>>>,
     /// Why the last attempt failed.
@@ -30,7 +33,7 @@
 
 impl Forward {
     /// A request that was not sent yet.
-    pub(super) fn new(job: Job, first: Lease<Conns>) -> Self {
+    pub(super) fn new(job: Job, first: Slot) -> Self {
         Self {
             exchange: Exchange::new(job.idempotent, job.deadline),
             job,
@@ -57,13 +60,13 @@
         mut request: Request<Payload>,
     ) -> Result<(Response<Incoming>, Live), Refusal> {
         loop {
-            let lease = self.pick()?;
+            let (unit, lease) = self.place(permit).await?;
             let upstream = lease.upstream().clone();
             self.job.address(&mut request, upstream.addr)?;
             let copy = copy(&request);
             self.exchange.begin();
             let until = Instant::now() + self.job.left();
-            match attempt::send(&self.job.shared, request, permit, lease, until).await {
+            match attempt::send(&self.job.shared, request, unit, lease, until).await {
                 Ok(answered) => return Ok(answered),
                 Err(failure) => (permit, request) = self.again(failure, copy).await?,
             }
@@ -71,17 +74,42 @@
         }
     }
 
-    fn pick(&mut self) -> Result<Lease<Conns>, Refusal> {
-        if let Some(lease) = self.first.take() {
-            lease.budget().deposit();
-            return Ok(lease);
+    /// A slot, with the unit for it; waits its turn again while the upstreams are merely full.
+    async fn place(&mut self, permit: Permit) -> Result<(Permit, Slot), Refusal> {
+        if let Some(slot) = self.first.take() {
+            slot.budget().deposit();
+            return Ok((permit, slot));
         }
+        let refusal = match self.pick() {
+            Ok(slot) => return Ok((permit, slot)),
+            Err(refusal) => refusal,
+        };
+        let full = self.last.as_ref().is_some_and(|r| r.code == Code::Declined);
+        if !full || !self.is_usable() {
+            return Err(self.last.take().unwrap_or(refusal));
+        }
+        // Whoever waits has nothing running: the unit is there for the team's other requests.
+        drop(permit);
+        // What was full may have a slot again.
+        self.tried.clear();
+        let Grant { permit, slot } = enter(&self.job).await?;
+        check_key(&self.job)?;
+        Ok((permit, slot))
+    }
+
+    /// Whether the pool has an upstream that could take a request, were it not full.
+    fn is_usable(&self) -> bool {
+        let shared = &self.job.shared;
+        let routes = shared.routes.load();
+        routes.usable(&self.job.service.pool, shared.now()) > 0
+    }
+
+    fn pick(&self) -> Result<Slot, Refusal> {
         let routes = self.job.shared.routes.load();
         let pool = &self.job.service.pool;
         let (now, draw) = (self.job.shared.now(), rand::random());
-        let picked = routes.pick(pool, &self.tried, now, draw);
-        let lease = picked.map_err(|refusal| self.last.take().unwrap_or(refusal))?;
-        Ok(lease)
+        let lease = routes.pick(pool, &self.tried, now, draw)?;
+        Ok(Slot::new(lease, self.job.shared.clone()))
     }
 
     /// What another attempt needs, if there may be one.
@@ -90,8 +118,9 @@
         failure: Failure,
         copy: Option<Request<Payload>>,
     ) -> Result<(Permit, Request<Payload>), Refusal> {
+        let code = failure.refusal.code;
         let request = failure.request.map(|r| *r).or(copy);
-        if !self.may_retry(failure.ran, request.is_some()) {
+        if !self.may_retry(code, failure.ran, request.is_some()) {
             return Err(failure.refusal);
         }
         let Some(request) = request else {
@@ -111,8 +140,11 @@
         Ok((permit, request))
     }
 
-    fn may_retry(&mut self, ran: Ran, whole: bool) -> bool {
+    fn may_retry(&mut self, code: Code, ran: Ran, whole: bool) -> bool {
         let shared = &self.job.shared;
+        if code == Code::Declined {
+            return self.exchange.declined(whole, shared.now());
+        }
         let routes = shared.routes.load();
         let Some(budget) = routes.budget(&self.job.service.pool) else {
             return false;
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -13,11 +13,15 @@
 use super::conns::Conns;
 use super::held::{Charge, Permit};
 use super::job::Job;
+use super::slot::Slot;
 use crate::shared::Shared;
 
 /// Longest wait of a request whose team holds no unit here at all.
 const UNITS_WAIT: Duration = Duration::from_secs(2);
 
+/// Part of the usual run time for which there must be time left when a request gets its slot.
+const RUN: f64 = 1.5;
+
 /// When to come back if nothing better is known.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -36,7 +40,7 @@
 #[derive(Debug)]
 pub(super) struct Grant {
     pub(super) permit: Permit,
-    pub(super) lease: Lease<Conns>,
+    pub(super) slot: Slot,
 }
 
 #[derive(Debug)]
@@ -83,11 +87,16 @@
         self.lock().values_mut().for_each(|q| q.correct(factor));
     }
 
-    /// Notes the end of a request; whoever waits may start.
+    /// Notes the end of a request.
     pub(super) fn ended(&self, team: &TeamId, charge: &Charge, took: Duration) {
         if let Some(queue) = self.lock().get_mut(&charge.pool) {
             queue.ended(team, charge.paid, took);
         }
+        self.freed();
+    }
+
+    /// Notes that a slot or a unit came free; whoever waits may start.
+    pub(super) fn freed(&self) {
         if self.waiting.load(Ordering::Relaxed) > 0 {
             self.wake.notify_one();
         }
@@ -148,7 +157,7 @@
     let state = shared.state.load();
     let row = state.allotments().row(&job.team.id, holder.life());
     if row.is_some_and(|r| r.cap > 0) {
-        return (job.deadline, Code::Deadline);
+        return (last_start(job), Code::Deadline);
     }
     let code = match state.allotments().life(holder.life()) {
         Some(_) => Code::TeamLimit,
@@ -157,6 +166,15 @@
     (job.deadline.min(shared.now().after(UNITS_WAIT)), code)
 }
 
+/// When a request has to start so that there is time to run.
+///
+/// Started later, most would run and be too late: their slot is lost, their outcome unknown.
+fn last_start(job: &Job) -> Time {
+    let now = job.shared.now();
+    let latency = job.shared.routes.load().latency(&job.service.pool, now);
+    now.after(job.left().saturating_sub(latency.mul_f64(RUN)))
+}
+
 fn try_start(job: &Job, queue: &mut Queue<Waiter>) -> Result<Option<Grant>, Refusal> {
     let (shared, team) = (&job.shared, &job.team);
     match shared.enter(&team.id) {
@@ -170,9 +188,13 @@
     };
     let paid = queue.started(&team.id, team.share);
     let permit = Permit::new(shared, &team.id, charge(shared, &job.service.pool, paid));
-    Ok(Some(Grant { permit, lease }))
+    let slot = Slot::new(lease, shared.clone());
+    Ok(Some(Grant { permit, slot }))
 }
 
+/// A slot, not yet one whose end wakes the queue.
+///
+/// A slot that is taken for nobody and given back would wake the queue to take it again.
 fn pick(shared: &Shared, pool: &PoolId) -> Option<Lease<Conns>> {
     let routes = shared.routes.load();
     routes.pick(pool, &[], shared.now(), rand::random()).ok()
@@ -241,7 +263,8 @@
         };
         let paid = queue.started(&team, waiter.share);
         let permit = Permit::new(shared, &team, charge(shared, pool, paid));
-        if let Err(grant) = waiter.grant.send(Grant { permit, lease }) {
+        let slot = Slot::new(lease, shared.clone());
+        if let Err(grant) = waiter.grant.send(Grant { permit, slot }) {
             gone.push(grant);
         }
     }
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -93,13 +93,13 @@
     job.shared.metrics.requests.waited(asked.elapsed());
     check_key(&job)?;
     job.dress(&mut request, grant.permit.team())?;
-    let forward = Forward::new(job, grant.lease);
+    let forward = Forward::new(job, grant.slot);
     let (answer, live) = forward.send(grant.permit, request).await?;
     Ok(pass(answer, live, id))
 }
 
 /// Refuses a key that was withdrawn, also while its request waited.
-fn check_key(job: &Job) -> Result<(), Refusal> {
+pub(super) fn check_key(job: &Job) -> Result<(), Refusal> {
     let state = job.shared.state.load();
     let grant = state.config().keys.get(&job.key);
     if grant.is_some_and(|g| g.withdrawn) || job.shared.is_denied(&job.key) {
@@ -148,8 +148,8 @@
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Answer>, Refusal> {
-    let value = request.headers().get(AUTHORIZATION);
-    let (_, team) = find_team(&shared, &shared.state.load(), value)?;
+    let key = request.headers().get(AUTHORIZATION);
+    let (_, team) = find_team(&shared, &shared.state.load(), key)?;
     let reply = jobs::answer(shared, team.id.clone(), request).await?;
     Ok(tell(reply, id))
 }
--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -1,12 +1,12 @@
 //! Who changed what.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
-use cactuswheel_model::{Change, Code, Denial, ObjectId, Offset, Ticket, TicketNo};
+use cactuswheel_model::{Change, Code, Denial, ObjectId, Offset, Ticket};
+use imbl::Vector;
 use serde::{Deserialize, Serialize};
 
-use crate::{AuditRow, Config, Outcome};
+use crate::{AuditRow, Config, Image, Outcome};
 
 /// Rows kept. Older ones can still be read from the log itself, as far as it keeps them.
 const KEPT: usize = 4_000;
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Audit {
     /// Invariant: at most `KEPT` and ordered by offset.
-    rows: Arc<VecDeque<Arc<AuditRow>>>,
+    rows: Vector<Arc<AuditRow>>,
 }
 
 impl Audit {
@@ -79,7 +79,7 @@
         self.extend([AuditRow {
             at: None,
             author: Some(denial.by.clone()),
-            ticket: TicketNo::default(),
+            ticket: None,
             offset: at,
             before: old.image(&object),
             after: next.image(&object),
@@ -89,11 +89,30 @@
         }]);
     }
 
+    /// Notes a move to another pool, which no ticket made.
+    pub(crate) fn moved(&mut self, offset: Offset, fence: Offset, before: Image, after: Image) {
+        let object = match &after {
+            Image::Instance(instance) => Some(ObjectId::Instance(instance.id.clone())),
+            _ => None,
+        };
+        self.extend([AuditRow {
+            at: None,
+            author: None,
+            ticket: None,
+            offset,
+            object,
+            before: Some(before),
+            after: Some(after),
+            code: Code::Ok,
+            detail: format!("move granted at offset {fence}"),
+        }]);
+    }
+
     fn extend(&mut self, rows: impl IntoIterator<Item = AuditRow>) {
-        let kept = Arc::make_mut(&mut self.rows);
-        kept.extend(rows.into_iter().map(Arc::new));
-        let surplus = kept.len().saturating_sub(KEPT);
-        kept.drain(..surplus);
+        self.rows.extend(rows.into_iter().map(Arc::new));
+        while self.rows.len() > KEPT {
+            self.rows.pop_front();
+        }
     }
 }
 
@@ -101,7 +120,7 @@
     AuditRow {
         at: ticket.at,
         author: ticket.author.clone(),
-        ticket: ticket.ticket,
+        ticket: Some(ticket.ticket),
         offset: outcome.offset,
         object,
         before: None,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -52,6 +52,8 @@
     Snapshot,
     /// A step of an outage, with the fence of the outage it belongs to.
     Disruption(Result<Offset, Refusal>),
+    /// The wanted moves.
+    Moves(Result<(), Refusal>),
     /// A wave's wanted state.
     Wave(Result<(), Refusal>),
     /// A record that does not decode; every node passes over it alike.
@@ -137,6 +139,9 @@
             Ok(Record::Disruption(step)) => {
                 Applied::Disruption(self.apply_disruption(offset, &step))
             }
+            Ok(Record::Moves(wanted)) => {
+                Applied::Moves(self.disruptions.set_moves(&wanted, &self.config))
+            }
             Ok(Record::Wave(wave)) => Applied::Wave(self.disruptions.set_wave(&wave)),
             Err(e) => {
                 self.undecodable += 1;
@@ -207,7 +212,16 @@
             let detail = format!("{placed} jobs are placed on {}", step.instance());
             return Err(Refusal::new(Code::WrongStage).with_detail(detail));
         }
-        self.disruptions.apply(offset, step, &mut self.config)
+        let object = ObjectId::Instance(step.instance().clone());
+        let before = self.config.image(&object);
+        let fence = self.disruptions.apply(offset, step, &mut self.config)?;
+        match (before, self.config.image(&object)) {
+            (Some(before), Some(after)) if before != after => {
+                self.audit.moved(offset, fence, before, after);
+            }
+            _ => {}
+        }
+        Ok(fence)
     }
 
     /// A paused writer marks an old snapshot late; the newest stays the one that counts.
