--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -5,7 +5,7 @@
 use cactuswheel_fleet::Outcome;
 use cactuswheel_model::{Change, Code, Digest, KeyGrant, Offset, Ticket, TicketNo};
 use serde::Serialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::client::{Client, items};
 use crate::files::read_key;
@@ -31,6 +31,7 @@
     match command {
         KeyCommand::List => views::list(client, &views::KEYS).await,
         KeyCommand::Digest => digest(std::io::stdin()),
+        KeyCommand::Deny { digest } => deny(client, digest).await,
         KeyCommand::Grant { wait, team } => {
             let key = new_key();
             let digest = Digest::of(key.as_bytes());
@@ -72,6 +73,17 @@
     Output::new(digest.to_string(), &digest)
 }
 
+/// Denies a key at the client's entry.
+async fn deny(client: &Client, digest: Digest) -> Result<Output, CliError> {
+    let asked = json!({ "digest": digest });
+    let denied: Value = client.post("/v1/denials", &asked).await?;
+    let text = match denied["recorded"] == true {
+        true => "denied, and in the log",
+        false => "denied at this entry; its peers and the log are being told",
+    };
+    Output::new(text, &denied)
+}
+
 fn new_key() -> String {
     let bytes: [u8; KEY_LEN] = rand::random();
     let digits = bytes.iter().map(|b| format!("{b:02x}"));
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,6 +13,7 @@
 mod options;
 mod output;
 mod page;
+mod plan;
 mod run;
 mod status;
 mod table;
@@ -25,8 +26,8 @@
 pub use error::CliError;
 pub use exit::Exit;
 pub use options::{
-    Command, JobCommand, JobOptions, KeyCommand, MaintenanceCommand, Options, TicketCommand,
-    WaitOptions, options,
+    Command, JobCommand, JobOptions, KeyCommand, MaintenanceCommand, Options, PlanCommand,
+    TicketCommand, WaitOptions, options,
 };
 pub use output::Output;
 pub use page::code_page;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -3,6 +3,7 @@
 mod job;
 mod key;
 mod maintenance;
+mod plan;
 mod ticket;
 mod wait;
 
@@ -17,6 +18,8 @@
 use self::key::key_command;
 pub use self::maintenance::MaintenanceCommand;
 use self::maintenance::maintenance_command;
+pub use self::plan::PlanCommand;
+use self::plan::plan_command;
 pub use self::ticket::TicketCommand;
 use self::ticket::ticket_command;
 pub use self::wait::WaitOptions;
@@ -68,6 +71,9 @@
     /// Maintenance waves
     #[bpaf(command)]
     Maintenance(#[bpaf(external(maintenance_command))] MaintenanceCommand),
+    /// Plans of moves between pools
+    #[bpaf(command)]
+    Plan(#[bpaf(external(plan_command))] PlanCommand),
     /// Where entries stand
     #[bpaf(command)]
     Status {
@@ -88,6 +94,9 @@
     /// Teams, their shares and upper limits
     #[bpaf(command)]
     Teams,
+    /// Who holds how much of each team's limit
+    #[bpaf(command)]
+    Allotments,
     /// Services and their pools
     #[bpaf(command)]
     Services,
--- a/crates/cli/src/options/key.rs
+++ b/crates/cli/src/options/key.rs
@@ -31,6 +31,15 @@
         #[bpaf(positional("DIGEST"))]
         digest: Digest,
     },
+    /// Withdraw a key at one entry at once, also while the platform is out of reach
+    ///
+    /// The entry tells its peers, and the log as soon as it answers.
+    #[bpaf(command)]
+    Deny {
+        /// The key's digest
+        #[bpaf(positional("DIGEST"))]
+        digest: Digest,
+    },
     /// Print the digest of the key that stands on standard input
     #[bpaf(command)]
     Digest,
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{audit, jobs, keys, maintenance, status, ticket, validate, views};
+use crate::{audit, jobs, keys, maintenance, plan, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
@@ -15,12 +15,14 @@
         Command::Key(command) => keys::run(&client()?, command).await,
         Command::Job(job) => jobs::run(job).await,
         Command::Maintenance(command) => maintenance::run(&client()?, command).await,
+        Command::Plan(command) => plan::run(&client()?, command).await,
         Command::Status { entries } => status::show(&client()?, &entries).await,
         Command::Audit { object, max } => audit::show(&client()?, object, max).await,
         Command::Config => views::config(&client()?).await,
         Command::Instances { pool } => views::instances(&client()?, pool).await,
         Command::Pools => views::list(&client()?, &views::POOLS).await,
         Command::Teams => views::list(&client()?, &views::TEAMS).await,
+        Command::Allotments => views::allotments(&client()?).await,
         Command::Services => views::list(&client()?, &views::SERVICES).await,
         Command::Budgets => views::list(&client()?, &views::BUDGETS).await,
         Command::Dcs => views::list(&client()?, &views::DCS).await,
--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -71,6 +71,8 @@
     ],
 };
 
+const ALLOTMENTS: &[&str] = &["team", "limit", "life", "cap", "occupied", "want", "open"];
+
 /// Shows a list.
 pub(crate) async fn list(client: &Client, view: &View) -> Result<Output, CliError> {
     let list: Value = client.get(view.path).await?;
@@ -86,6 +88,25 @@
     Output::new(table(INSTANCES.columns, items(&list)), &list)
 }
 
+/// Shows who holds how much of each team's limit, one row an entry.
+pub(crate) async fn allotments(client: &Client) -> Result<Output, CliError> {
+    let list: Value = client.get("/v1/allotments").await?;
+    let rows: Vec<_> = items(&list).iter().flat_map(split).collect();
+    Output::new(table(ALLOTMENTS, &rows), &list)
+}
+
+/// The rows of one team's entries.
+fn split(team: &Value) -> Vec<Value> {
+    let entries = team["entries"].as_array().map_or(&[][..], Vec::as_slice);
+    let rows = entries.iter().map(|entry| {
+        let mut row = entry.clone();
+        row["team"] = team["team"].clone();
+        row["limit"] = team["limit"].clone();
+        row
+    });
+    rows.collect()
+}
+
 /// Shows all objects.
 pub(crate) async fn config(client: &Client) -> Result<Output, CliError> {
     let config: Value = client.get("/v1/config").await?;
--- a/crates/cli/tests/options.rs
+++ b/crates/cli/tests/options.rs
@@ -54,3 +54,19 @@
             .is_err()
     );
 }
+
+#[test]
+fn fleet_commands() {
+    let digest = "0".repeat(64);
+    let lines: [&[&str]; 5] = [
+        &["plan", "show"],
+        &["plan", "apply"],
+        &["allotments"],
+        &["keys", "deny", &digest],
+        &["maintenance", "start", "--force", "--order", "lj1,lj2"],
+    ];
+    for args in lines {
+        assert!(options().run_inner(args).is_ok(), "{args:?}");
+    }
+    assert!(options().run_inner(&["key", "deny", "my-key"]).is_err());
+}
