--- a/crates/cli/src/options/maintenance.rs
+++ b/crates/cli/src/options/maintenance.rs
@@ -1,4 +1,4 @@
-//! Options of `maintenance` and `plan`.
+//! Options of `maintenance`.
 
 use bpaf::Bpaf;
 use cactuswheel_model::DcId;
@@ -33,17 +33,6 @@
     },
 }
 
-/// What to do with the assignment of instances to pools.
-#[derive(Debug, Clone, Bpaf)]
-pub enum PlanCommand {
-    /// Show what would move now and why, what is missing, and the moves under way
-    #[bpaf(command)]
-    Show,
-    /// Have these moves carried out
-    #[bpaf(command)]
-    Apply,
-}
-
 fn parse_dcs(text: String) -> Result<Vec<DcId>, String> {
     let parse = |s: &str| s.trim().parse().map_err(|e| format!("{e}"));
     text.split(',').map(parse).collect()
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -22,6 +22,7 @@
         Command::Instances { pool } => views::instances(&client()?, pool).await,
         Command::Pools => views::list(&client()?, &views::POOLS).await,
         Command::Teams => views::list(&client()?, &views::TEAMS).await,
+        Command::Allotments => views::allotments(&client()?).await,
         Command::Services => views::list(&client()?, &views::SERVICES).await,
         Command::Budgets => views::list(&client()?, &views::BUDGETS).await,
         Command::Dcs => views::list(&client()?, &views::DCS).await,
