--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -1,11 +1,10 @@
 //! Gives the maintenance driver its clock, its eyes and its hands.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuswheel_maintenance::{Action, Activity, Driver, Look, Order, Seen, Verb, View};
-use cactuswheel_model::{InstanceId, Map, Record, Time};
+use cactuswheel_model::{InstanceId, Map, Record};
 use cactuswheel_platform as platform;
 use cactuswheel_platform::{Presence, Use, WorkerState, Workers};
 use tokio::time::sleep;
@@ -80,14 +79,13 @@
         let incarnation = s.incarnation;
         (s.id.clone(), Seen { incarnation, live })
     });
-    let heard = Time::new(shared.roster_at.load(Ordering::Relaxed));
     let view = View {
         now: shared.now(),
         wall: wall(),
         entry: &shared.settings.entry,
         rank: rank(shared),
         state: &state,
-        age: shared.now().since(heard),
+        age: shared.metrics.roster.age(),
         seen: &seen.collect(),
         looks: &eyes.looks,
     };
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -34,8 +34,6 @@
     /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
     /// none.
     pub(crate) sightings: ArcSwap<Sightings>,
-    /// When the roster last answered, as [`Time`].
-    pub(crate) roster_at: AtomicU64,
     /// Why maintenance waits, as of its last step.
     pub(crate) waits: ArcSwap<Vec<String>>,
     pub(crate) jobs: Desk,
@@ -86,7 +84,6 @@
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
-            roster_at: AtomicU64::new(0),
             waits: ArcSwap::default(),
             jobs: Desk::default(),
             replica: Mutex::default(),
--- a/crates/daemon/src/sightings.rs
+++ b/crates/daemon/src/sightings.rs
@@ -1,7 +1,6 @@
 //! Follows the platform's roster.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuswheel_platform::{Presence, Roster, Sightings};
@@ -20,8 +19,6 @@
         let answer = shared.platform.changes(&version).await;
         if answer.is_ok() {
             shared.metrics.roster.mark();
-            let now = shared.now().get();
-            shared.roster_at.store(now, Ordering::Relaxed);
         }
         match answer {
             Ok(changes) => {
