--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -14,6 +14,9 @@
     /// An address cannot be listened on.
     #[error("cannot listen on {0}: {1}")]
     Listen(SocketAddr, io::Error),
+    /// The threads cannot be started.
+    #[error("cannot start threads: {0}")]
+    Runtime(io::Error),
     /// Signals cannot be received.
     #[error("cannot receive signals: {0}")]
     Signal(io::Error),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use cactuswheel_daemon::{Node, Settings, StartError, init_log, run_embedded};
+use cactuswheel_daemon::{Limits, Node, Settings, StartError, init_log, run_embedded};
+use tokio::runtime::{Builder, Runtime};
 
 /// Entry instance of cactuswheel
 #[derive(Debug, Clone, Bpaf)]
@@ -34,9 +35,8 @@
     },
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    match run(mode().run()).await {
+fn main() -> ExitCode {
+    match run(mode().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("cactuswheeld: {e}");
@@ -45,9 +45,11 @@
     }
 }
 
-async fn run(mode: Mode) -> Result<(), StartError> {
+fn run(mode: Mode) -> Result<(), StartError> {
     let (check, path) = match mode {
-        Mode::Embedded { host, .. } => return run_embedded(host).await,
+        Mode::Embedded { host, .. } => {
+            return runtime(Limits::default().threads)?.block_on(run_embedded(host));
+        }
         Mode::Entry { check, settings } => (check, settings),
     };
     let settings = Settings::load(&path)?;
@@ -55,6 +57,19 @@
         println!("{}: usable", path.display());
         return Ok(());
     }
+    runtime(settings.limits.threads)?.block_on(serve(settings))
+}
+
+/// Every thread keeps memory of its own for what it allocates, so their number is a setting.
+fn runtime(threads: u16) -> Result<Runtime, StartError> {
+    Builder::new_multi_thread()
+        .worker_threads(threads.into())
+        .enable_all()
+        .build()
+        .map_err(StartError::Runtime)
+}
+
+async fn serve(settings: Settings) -> Result<(), StartError> {
     init_log(settings.log.level)?;
     let node = Node::start(settings).await?;
     println!("ready {}", node.callers());
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -11,6 +11,10 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Threads that carry the entry's tasks.
+    ///
+    /// Invariant: 1 to 256.
+    pub threads: u16,
     /// Largest head of a request.
     ///
     /// Invariant: 8 KiB to 1 MiB.
@@ -60,6 +64,7 @@
     fn default() -> Self {
         let timing = Timing::default();
         Self {
+            threads: 2,
             head_bytes: ByteSize::new(32 << 10),
             head_ms: Millis::new(75_000),
             body_bytes: ByteSize::new(256 << 20),
@@ -76,6 +81,7 @@
 impl Limits {
     /// Finds a limit that is out of its range.
     pub(super) fn check(&self) -> Result<(), SettingsFault> {
+        within("threads", self.threads.into(), 1..=256)?;
         within("head_bytes", self.head_bytes.get(), 8 << 10..=1 << 20)?;
         within("head_ms", self.head_ms.get(), 100..=300_000)?;
         within("body_bytes", self.body_bytes.get(), 1..=1 << 40)?;
