--- a/crates/daemon/src/jobs/driver.rs
+++ b/crates/daemon/src/jobs/driver.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::round;
-use super::workers::{LEASE, Told, lost, unwanted};
+use super::workers::{LEASE, StartedTasks, lost, unwanted};
 use crate::Phase;
 use crate::shared::Shared;
 
@@ -46,17 +46,17 @@
 struct Driver {
     shared: Arc<Shared>,
     planner: Planner,
-    told: Told,
+    tasks: StartedTasks,
     renewed: Instant,
 }
 
 impl Driver {
     fn new(shared: Arc<Shared>) -> Self {
-        let (planner, told) = (Planner::default(), Told::default());
+        let (planner, tasks) = (Planner::default(), StartedTasks::default());
         Self {
             shared,
             planner,
-            told,
+            tasks,
             renewed: Instant::now(),
         }
     }
@@ -108,7 +108,7 @@
     }
 
     async fn start(&mut self) {
-        let orders = self.told.orders(&self.shared.state.load());
+        let orders = self.tasks.orders(&self.shared.state.load());
         let platform = &self.shared.platform;
         let calls = orders.into_iter().map(|order| async move {
             let told = platform.start(&order).await;
@@ -120,7 +120,7 @@
             .await;
         for (task, told) in done {
             match told {
-                Ok(()) => self.told.start(task),
+                Ok(()) => self.tasks.start(task),
                 // The roster tells the later life soon, and the attempt is lost then.
                 Err(TaskError::OtherLife) => log::info!("job {}: worker has restarted", task.job),
                 Err(e) => log::warn!("job {}: {e}", task.job),
@@ -138,7 +138,7 @@
     }
 
     async fn renew(&mut self) {
-        let running = self.told.running(&self.shared.state.load());
+        let running = self.tasks.running(&self.shared.state.load());
         if running.is_empty() || self.renewed.elapsed() < RENEWAL {
             return;
         }
--- a/crates/daemon/src/jobs/desk.rs
+++ b/crates/daemon/src/jobs/event_queue.rs
@@ -35,7 +35,7 @@
 
 /// Takes events in and tells what became of them.
 #[derive(Debug)]
-pub(crate) struct Desk {
+pub(crate) struct EventQueue {
     send: mpsc::Sender<Entry>,
     /// Invariant: taken once, by the task that writes.
     receive: Mutex<Option<mpsc::Receiver<Entry>>>,
@@ -49,7 +49,7 @@
     done: oneshot::Sender<Result<(), Refusal>>,
 }
 
-impl Default for Desk {
+impl Default for EventQueue {
     fn default() -> Self {
         let (send, receive) = mpsc::channel(WAITING);
         Self {
@@ -60,7 +60,7 @@
     }
 }
 
-impl Desk {
+impl EventQueue {
     /// Has an event appended; its result once it was read back from the log.
     pub(crate) async fn put(&self, event: JobEvent) -> Result<(), Refusal> {
         let (done, result) = oneshot::channel();
--- a/crates/daemon/src/jobs/workers.rs
+++ b/crates/daemon/src/jobs/workers.rs
@@ -11,11 +11,11 @@
 
 /// Attempts that workers confirmed to have been told.
 #[derive(Debug, Default)]
-pub(crate) struct Told {
+pub(crate) struct StartedTasks {
     started: Set<TaskId>,
 }
 
-impl Told {
+impl StartedTasks {
     /// Notes that a worker confirmed a start.
     pub(crate) fn start(&mut self, task: TaskId) {
         self.started.insert(task);
@@ -29,7 +29,7 @@
 
     /// Orders for attempts that no worker confirmed to this entry.
     ///
-    /// Told again after a change of planners: a worker that knows the attempt does nothing.
+    /// StartedTasks again after a change of planners: a worker that knows the attempt does nothing.
     pub(crate) fn orders(&self, state: &State) -> Vec<TaskOrder> {
         let jobs = state.jobs().iter().filter(|(_, job)| !job.cancel);
         let orders = jobs.filter_map(|(id, job)| {
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -1,4 +1,4 @@
-//! Gives the maintenance driver its clock, its eyes and its hands.
+//! Runs the maintenance driver: its clock, what it sees of workers, and its effects.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -25,14 +25,14 @@
 /// Drives maintenance for as long as the task lives.
 pub(crate) async fn drive(shared: Arc<Shared>) {
     let mut driver = Driver::new(shared.settings.maintenance.clone());
-    let mut eyes = Eyes::default();
+    let mut looks = WorkerLooks::default();
     loop {
         sleep(PERIOD).await;
         if shared.phase.get() != Phase::Ready {
             continue;
         }
-        eyes.refresh(&shared, &driver).await;
-        for action in step(&shared, &mut driver, &eyes) {
+        looks.refresh(&shared, &driver).await;
+        for action in step(&shared, &mut driver, &looks) {
             // A slow answer holds up no other action; every one may be late or repeated.
             tokio::spawn(act(shared.clone(), action));
         }
@@ -41,16 +41,16 @@
 
 /// What worker control last said, refreshed a few instances at a time.
 #[derive(Debug, Default)]
-struct Eyes {
-    looks: Map<InstanceId, Look>,
+struct WorkerLooks {
+    seen: Map<InstanceId, Look>,
     /// Where the last refresh stopped.
     turn: usize,
 }
 
-impl Eyes {
+impl WorkerLooks {
     async fn refresh(&mut self, shared: &Shared, driver: &Driver) {
         let watched = driver.watched(&shared.state.load());
-        self.looks.retain(|id, _| watched.contains(id));
+        self.seen.retain(|id, _| watched.contains(id));
         let most = (LOOKS / (rank(shared) as usize + 1)).max(1);
         let start = self.turn.checked_rem(watched.len()).unwrap_or(0);
         let (before, after) = watched.split_at(start);
@@ -58,20 +58,20 @@
         self.turn = start + asked.len();
         match shared.platform.states(&asked).await {
             Ok(states) => {
-                self.looks.retain(|id, _| !asked.contains(id));
+                self.seen.retain(|id, _| !asked.contains(id));
                 let looks = states.iter().map(|s| (s.id.clone(), look(s)));
-                self.looks.extend(looks);
+                self.seen.extend(looks);
             }
             Err(e) => {
                 // What was seen before may have changed since.
-                self.looks.clear();
+                self.seen.clear();
                 log::debug!("{e}");
             }
         }
     }
 }
 
-fn step(shared: &Shared, driver: &mut Driver, eyes: &Eyes) -> Vec<Action> {
+fn step(shared: &Shared, driver: &mut Driver, looks: &WorkerLooks) -> Vec<Action> {
     let state = shared.state.load();
     let sightings = shared.sightings.load();
     let seen = sightings.instances.iter().map(|s| {
@@ -87,7 +87,7 @@
         state: &state,
         age: shared.metrics.roster.age(),
         seen: &seen.collect(),
-        looks: &eyes.looks,
+        looks: &looks.seen,
     };
     let actions = driver.step(&view);
     let waits = driver.reasons(&view);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -14,7 +14,7 @@
 
 use crate::appender::Appender;
 use crate::basis::Basis;
-use crate::jobs::Desk;
+use crate::jobs::EventQueue;
 use crate::log_link::LogLink;
 use crate::metrics::Metrics;
 use crate::peer_snapshot::PeerSnapshot;
@@ -36,7 +36,7 @@
     pub(crate) sightings: ArcSwap<Sightings>,
     /// Why maintenance waits, as of its last step.
     pub(crate) waits: ArcSwap<Vec<String>>,
-    pub(crate) jobs: Desk,
+    pub(crate) jobs: EventQueue,
     /// What the log and peers gave; its state is what `state` shows.
     pub(crate) replica: Mutex<Replica>,
     pub(crate) link: LogLink,
@@ -85,7 +85,7 @@
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
             waits: ArcSwap::default(),
-            jobs: Desk::default(),
+            jobs: EventQueue::default(),
             replica: Mutex::default(),
             link: LogLink::default(),
             appender: Appender::default(),
--- a/crates/fleet/src/jobs.rs
+++ b/crates/fleet/src/jobs.rs
@@ -2,10 +2,10 @@
 
 mod job;
 mod phase;
-mod sheet;
+mod store;
 mod worker;
 
 pub use job::Job;
 pub use phase::JobPhase;
-pub use sheet::Jobs;
+pub use store::Jobs;
 pub use worker::Worker;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,16 +6,16 @@
 
 mod chaos;
 mod check;
-mod dice;
 mod fake_log;
 mod node;
+mod rng;
 mod seed;
 mod world;
 
 pub use chaos::Chaos;
 pub use check::check;
-pub use dice::Dice;
 pub use fake_log::{FakeBatch, FakeLog, FakeLogError, LogFaults};
 pub use node::{Node, Post};
+pub use rng::Rng;
 pub use seed::Seed;
 pub use world::World;
--- a/crates/testkit/src/dice.rs
+++ b/crates/testkit/src/rng.rs
@@ -2,10 +2,10 @@
 
 /// Draws numbers from a seed, the same ones on every machine (splitmix64).
 #[derive(Debug, Clone)]
-pub struct Dice(u64);
+pub struct Rng(u64);
 
-impl Dice {
-    /// Dice that draw what `seed` says.
+impl Rng {
+    /// Rng that draw what `seed` says.
     pub fn new(seed: u64) -> Self {
         Self(seed)
     }
