--- /dev/null
+++ b/crates/cell/src/batch.rs
@@ -0,0 +1,35 @@
+//! Records for the journal, appended together.
+
+use cactuswheel_work::{JobId, JobState, TaskId, WorkerId};
+
+/// Numbers a batch within one ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark(pub(crate) u64);
+
+/// Records for the journal. One batch is under way at a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Its number.
+    pub mark: Mark,
+    /// Each job's state, whole and encoded; `None` forgets the job.
+    pub records: Vec<(JobId, Option<Vec<u8>>)>,
+}
+
+/// What holds once a batch is in the journal.
+#[derive(Debug, Default)]
+pub(crate) struct Consequences {
+    /// Runs that may be ordered.
+    pub(crate) starts: Vec<PlannedStart>,
+    /// States that may be shown.
+    pub(crate) states: Vec<(JobId, JobState)>,
+    /// Ends that may be acknowledged: worker, its life, highest number.
+    pub(crate) ends: Vec<(WorkerId, u64, u64)>,
+}
+
+/// A run that waits for the journal.
+#[derive(Debug, Clone)]
+pub(crate) struct PlannedStart {
+    pub(crate) task: TaskId,
+    pub(crate) run: u32,
+    pub(crate) worker: WorkerId,
+}
--- /dev/null
+++ b/crates/cell/src/cell.rs
@@ -0,0 +1,392 @@
+//! The cell itself: its state, what it is told and what it asks for.
+
+use std::collections::hash_map::Entry;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{
+    FleetConfig, JobId, JobState, QueueName, StepId, Submission, WorkerEntry, WorkerId,
+};
+
+use crate::advice::Tickets;
+use crate::batch::{Batch, Consequences, Mark, PlannedStart};
+use crate::bounds::Bounds;
+use crate::copy::Phase;
+use crate::job::Job;
+use crate::journal::{JobRecord, encode};
+use crate::output::Output;
+use crate::pass::held;
+use crate::run_state::Turn;
+use crate::usage::Usage;
+use crate::worker::{Looking, Worker};
+
+/// Bits of a fencing token below the owner's epoch. Within one ownership a worker's token rises
+/// each time that an order to it has no answer.
+const FENCE_BITS: u32 = 20;
+
+/// Largest batch, in bytes, well below what the store takes in one call.
+const MAX_BATCH: usize = 512 << 10;
+
+/// How long a job is remembered beyond the time for which its state can be asked for.
+const KEPT_LONGER: Duration = Duration::from_secs(30);
+
+/// Time after which a look at an idle worker is repeated when nothing else is known.
+pub(crate) const RETRY_LOOK: Duration = Duration::from_millis(200);
+
+/// The jobs assigned to one owner, the workers of their services and what runs where.
+#[derive(Debug)]
+pub struct Cell {
+    pub(crate) bounds: Bounds,
+    epoch: u64,
+    pub(crate) config: Arc<FleetConfig>,
+    pub(crate) jobs: Map<JobId, Job>,
+    pub(crate) workers: Map<WorkerId, Worker>,
+    pub(crate) usage: Usage,
+    pub(crate) tickets: Map<StepId, Tickets>,
+    /// Jobs whose cancelling came before themselves.
+    cancelled: Set<JobId>,
+    /// Jobs whose state the journal does not hold yet.
+    pub(crate) dirty: Set<JobId>,
+    /// Runs that wait for the journal.
+    pub(crate) planned: Vec<PlannedStart>,
+    /// The batch under way, and what holds once it is in the journal.
+    flying: Option<(Mark, Consequences)>,
+    next_mark: u64,
+    pub(crate) out: Vec<Output>,
+    /// Something changed that may let a task start.
+    pub(crate) stirred: bool,
+    pub(crate) now: Time,
+}
+
+impl Cell {
+    /// An empty cell, owned under `epoch`.
+    pub fn new(bounds: Bounds, epoch: u64, config: Arc<FleetConfig>) -> Self {
+        Self {
+            bounds,
+            epoch,
+            config,
+            jobs: Map::default(),
+            workers: Map::default(),
+            usage: Usage::default(),
+            tickets: Map::default(),
+            cancelled: Set::default(),
+            dirty: Set::default(),
+            planned: Vec::new(),
+            flying: None,
+            next_mark: 1,
+            out: Vec::new(),
+            stirred: true,
+            now: Time::default(),
+        }
+    }
+
+    /// Takes over a job that the journal knows; its submission has to be there already.
+    ///
+    /// Everything that the record says to run may run or not; looks under the new owner's
+    /// fencing token tell.
+    pub fn restore(&mut self, now: Time, id: JobId, record: JobRecord) {
+        self.now = now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            log::warn!(job:% = id; "journal knows a job that was never submitted");
+            return;
+        };
+        record.apply(job, now);
+        let copies: Vec<_> = job.copies().map(|(t, c)| (t, c.clone())).collect();
+        for (task, copy) in copies {
+            let Some(step) = self.jobs[&id].step(task).cloned() else {
+                continue;
+            };
+            let worker = self.worker_mut(&copy.worker);
+            worker.hold(task, held(copy.run, &step));
+            let team = self.jobs[&id].sub.team.clone();
+            self.usage.add(team.as_ref(), step.room);
+        }
+        if !self.jobs[&id].is_open() {
+            self.stop_all(id);
+        }
+        self.stirred = true;
+    }
+
+    /// A job was accepted; `waited` is how long ago. A repeat has no effect.
+    pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
+        self.now = now;
+        let id = sub.job;
+        let Entry::Vacant(slot) = self.jobs.entry(id) else {
+            return;
+        };
+        let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
+        let mut job = Job::new(Arc::new(sub), arrived);
+        if job.sub.times == 0 {
+            job.turns.push(Turn::new(0, &job.sub.steps));
+        }
+        slot.insert(job);
+        if self.cancelled.remove(&id) {
+            self.cancel(now, id);
+        }
+        self.stirred = true;
+    }
+
+    /// A job's caller cancelled it.
+    pub fn cancel(&mut self, now: Time, id: JobId) {
+        self.now = now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.cancelled.insert(id);
+            return;
+        };
+        if job.is_open() {
+            let waited = now.since(job.arrived).as_millis() as u64;
+            log::info!(job:% = id, waited_ms = waited; "cancelled");
+            self.finish(id, JobState::Cancelled);
+        }
+    }
+
+    /// A newer configuration is in force.
+    pub fn configure(&mut self, now: Time, config: Arc<FleetConfig>) {
+        self.now = now;
+        if config.version < self.config.version {
+            return;
+        }
+        self.config = config;
+        self.stirred = true;
+    }
+
+    /// The platform lists a worker.
+    pub fn list(&mut self, now: Time, entry: WorkerEntry) {
+        self.now = now;
+        let id = entry.id.clone();
+        let fence = self.first_fence();
+        let worker = self.workers.entry(id.clone());
+        let worker = worker.or_insert_with(|| Worker::new(id.clone(), fence, now));
+        let reborn = entry.born > worker.born && worker.born != 0;
+        let changed = worker.entry.as_ref().is_none_or(|before| {
+            before.presence != entry.presence || before.addr != entry.addr || reborn
+        });
+        if changed {
+            log::info!(
+                worker:% = id, service:% = entry.service, presence:? = entry.presence,
+                born = entry.born, known_born = worker.born;
+                "worker listed"
+            );
+            self.stirred = true;
+            if !matches!(worker.looking, Looking::Flying(_)) {
+                worker.looking = Looking::Due(now);
+            }
+        }
+        let draining = entry.presence == cactuswheel_work::Presence::Draining;
+        worker.addr = Some(entry.addr);
+        worker.entry = Some(entry);
+        if changed && draining {
+            self.leave(&id);
+        }
+    }
+
+    /// The platform lists a worker no more.
+    pub fn unlist(&mut self, now: Time, id: &WorkerId) {
+        self.now = now;
+        if let Some(worker) = self.workers.get_mut(id) {
+            let runs = worker.held.len() as u64;
+            log::info!(worker:% = id, runs = runs; "worker no longer listed");
+            worker.entry = None;
+        }
+    }
+
+    /// Workers that are known to be listed.
+    pub fn listed(&self) -> impl Iterator<Item = &WorkerId> {
+        let listed = self.workers.values().filter(|w| w.entry.is_some());
+        listed.map(|w| &w.id)
+    }
+
+    /// The batch is in the journal.
+    pub fn appended(&mut self, now: Time, mark: Mark) {
+        self.now = now;
+        let Some((_, done)) = self.flying.take_if(|(m, _)| *m == mark) else {
+            return;
+        };
+        for (id, state) in done.states {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.shown = Some(state);
+            }
+        }
+        for (id, born, number) in done.ends {
+            self.acknowledge(&id, born, number);
+        }
+        for start in done.starts {
+            self.order(start);
+        }
+    }
+
+    /// The state of a job that callers see; `None` if there is no such job.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        self.jobs.get(&id).map(Job::visible)
+    }
+
+    /// A job as it was accepted.
+    pub fn submission(&self, id: JobId) -> Option<&Arc<Submission>> {
+        self.jobs.get(&id).map(|j| &j.sub)
+    }
+
+    /// Number of a queue's jobs of which no task has started.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let jobs = self.jobs.values();
+        let waiting = jobs.filter(|j| j.sub.queue == *queue && j.visible() == JobState::Queued);
+        waiting.count() as u64
+    }
+
+    /// What is to be done now; `wall` is in milliseconds since 1970.
+    pub fn poll(&mut self, now: Time, wall: u64) -> Vec<Output> {
+        self.now = now;
+        self.begin_turns(wall);
+        self.expire();
+        self.forget();
+        if self.flying.is_none() {
+            if self.stirred {
+                self.stirred = false;
+                self.schedule();
+            }
+            self.write();
+        }
+        self.look_around();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When it has to be polled at the latest, if nothing happens.
+    pub fn wake(&self) -> Time {
+        let due = self.workers.values().filter_map(|w| match w.looking {
+            Looking::Due(at) => Some(at),
+            Looking::Flying(_) => None,
+        });
+        let soon = self.now.after(Duration::from_millis(100));
+        due.chain([soon]).min().unwrap_or(soon)
+    }
+
+    pub(crate) fn first_fence(&self) -> u64 {
+        self.epoch << FENCE_BITS
+    }
+
+    pub(crate) fn worker_mut(&mut self, id: &WorkerId) -> &mut Worker {
+        let (fence, now) = (self.first_fence(), self.now);
+        let worker = self.workers.entry(id.clone());
+        worker.or_insert_with(|| Worker::new(id.clone(), fence, now))
+    }
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped.
+    pub(crate) fn finish(&mut self, id: JobId, state: JobState) {
+        let now = self.now;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.state = state;
+            job.ended = Some(now);
+        }
+        self.dirty.insert(id);
+        self.stirred = true;
+        self.stop_all(id);
+    }
+
+    /// Stops every run of a job.
+    pub(crate) fn stop_all(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let copies: Vec<_> = job
+            .copies()
+            .map(|(t, c)| (t, c.run, c.worker.clone(), c.phase))
+            .collect();
+        for (task, run, worker, phase) in copies {
+            match phase {
+                Phase::Planned => self.release(task, run, &worker),
+                _ => self.stop(task, run, &worker),
+            }
+        }
+    }
+
+    /// Occurrences that are due begin.
+    fn begin_turns(&mut self, wall: u64) {
+        for job in self.jobs.values_mut() {
+            if job.sub.times == 0 || !job.is_open() {
+                continue;
+            }
+            let next = job.turns.len() as u32;
+            let due = job.sub.begin + u64::from(next) * job.sub.interval.get();
+            if next < job.sub.turns() && wall >= due {
+                job.turns.push(Turn::new(next, &job.sub.steps));
+                self.stirred = true;
+            }
+        }
+    }
+
+    /// Runs on workers that are silent for longer than any lease are gone.
+    fn expire(&mut self) {
+        let lease = self.bounds.lease;
+        let now = self.now;
+        let gone: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|w| w.missed > 0 || w.entry.is_none())
+            .filter(|w| w.held.is_empty() || w.has_expired(lease, now))
+            .map(|w| w.id.clone())
+            .collect();
+        for id in gone {
+            self.lose_all(&id, "lease expired");
+            if self.workers[&id].entry.is_none() {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    /// Final jobs are forgotten once nobody may ask for them.
+    fn forget(&mut self) {
+        let kept = self.bounds.kept.duration() + KEPT_LONGER;
+        let now = self.now;
+        let old: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.ended.is_some_and(|t| now.since(t) > kept))
+            .filter(|(_, j)| j.copies().next().is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.tickets.retain(|step, _| step.job != id);
+            self.dirty.insert(id);
+        }
+    }
+
+    /// Puts what changed into a batch.
+    fn write(&mut self) {
+        if self.dirty.is_empty() {
+            // Ends of runs that no job knows change nothing; they need no journal.
+            for worker in self.workers.values_mut() {
+                worker.noted = worker.seen;
+            }
+            return;
+        }
+        let mut records = Vec::new();
+        let mut done = Consequences::default();
+        let mut size = 0;
+        for id in std::mem::take(&mut self.dirty) {
+            if size >= MAX_BATCH {
+                self.dirty.insert(id);
+                continue;
+            }
+            let record = self.jobs.get(&id).map(|j| encode(&JobRecord::new(j)));
+            size += record.as_ref().map_or(0, Vec::len);
+            if let Some(job) = self.jobs.get(&id).filter(|j| j.state.is_final()) {
+                done.states.push((id, job.state));
+            }
+            records.push((id, record));
+        }
+        let left = &self.dirty;
+        let planned = std::mem::take(&mut self.planned).into_iter();
+        let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
+        self.planned = later;
+        done.starts = now;
+        if self.dirty.is_empty() {
+            let fresh = self.workers.values().filter(|w| w.seen > w.noted);
+            done.ends = fresh.map(|w| (w.id.clone(), w.born, w.seen)).collect();
+        }
+        let mark = Mark(self.next_mark);
+        self.next_mark += 1;
+        self.flying = Some((mark, done));
+        self.out.push(Output::Append(Batch { mark, records }));
+    }
+}
--- /dev/null
+++ b/crates/cell/src/copy.rs
@@ -0,0 +1,72 @@
+//! One run of a task on one worker.
+
+use cactuswheel_model::Time;
+use cactuswheel_work::WorkerId;
+
+/// How far a run is, as far as its owner knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The journal has to hold it before it is ordered.
+    Planned,
+    /// Its order is on the way.
+    Ordered,
+    /// Its order has no answer, or was given by an earlier owner: it may start, now or later.
+    Unknown,
+    /// It is there.
+    Running,
+    /// It was told to stop.
+    Stopping,
+}
+
+/// One run of a task on one worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Copy {
+    pub(crate) worker: WorkerId,
+    /// The worker's life, as its start in milliseconds since 1970.
+    pub(crate) born: u64,
+    pub(crate) run: u32,
+    pub(crate) phase: Phase,
+    /// Since when it is in this phase.
+    pub(crate) since: Time,
+    /// Highest fencing token that its order may carry.
+    pub(crate) fence: u64,
+    /// Whether it was ever seen there: if so, no order can start it again.
+    pub(crate) sure: bool,
+    /// When the run was seen to start.
+    pub(crate) started: Time,
+    /// Share of its work that was done at the last look.
+    pub(crate) percent: u32,
+    /// When that share last rose.
+    pub(crate) moved: Time,
+    /// Tail latency, or processor in use, at the last look.
+    pub(crate) gauge: u64,
+    /// Since when it is over its target without a break; zero if it is not.
+    pub(crate) over: Option<Time>,
+    /// Share at which it was last told to work.
+    pub(crate) pace: u32,
+}
+
+impl Copy {
+    pub(crate) fn new(worker: WorkerId, born: u64, run: u32, phase: Phase, now: Time) -> Self {
+        Self {
+            worker,
+            born,
+            run,
+            phase,
+            since: now,
+            fence: 0,
+            sure: false,
+            started: now,
+            percent: 0,
+            moved: now,
+            gauge: 0,
+            over: None,
+            pace: 100,
+        }
+    }
+
+    pub(crate) fn enter(&mut self, phase: Phase, now: Time) {
+        self.phase = phase;
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/cell/src/ends.rs
@@ -0,0 +1,267 @@
+//! Ends of runs, and runs that are gone without one.
+
+use cactuswheel_work::{End, How, JobState, TaskId, WorkerId};
+
+use crate::cell::Cell;
+use crate::copy::{Copy, Phase};
+use crate::job::Job;
+
+impl Cell {
+    /// A worker lists an end.
+    pub(crate) fn take_end(&mut self, id: &WorkerId, end: &End) {
+        let (task, run) = (end.task, end.run);
+        let Some(phase) = self.copy_mut(task, run, id).map(|c| c.phase) else {
+            // An earlier owner took it in, or the run was never ours.
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
+            return;
+        };
+        job.started = true;
+        let Some(step) = job.step(task).cloned() else {
+            return;
+        };
+        let open = job.is_open();
+        if let Some(state) = job.task_mut(task) {
+            state.started = true;
+            if step.resumable && !end.checkpoint.is_empty() {
+                state.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+        let how = end.how;
+        if open && how != How::Done && !(how == How::Stopped && phase == Phase::Stopping) {
+            log::info!(
+                task:% = task, run = run, worker:% = id, how:? = how, number = end.number;
+                "run ended"
+            );
+        }
+        self.release(task, run, id);
+        match how {
+            How::Done => self.task_done(id, task, step.gang),
+            How::Failed => self.task_failed(id, task, step.gang, step.lasting),
+            How::Stopped | How::Expired | How::Broken | How::Alone => {}
+        }
+    }
+
+    fn task_done(&mut self, id: &WorkerId, task: TaskId, gang: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.done();
+        }
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
+            return;
+        };
+        let Some(step) = job.step_run_mut(task) else {
+            return;
+        };
+        let index = task.index as usize;
+        for (i, state) in step.tasks.iter_mut().enumerate() {
+            // One member's end stands for the whole gang.
+            if (i == index || gang) && !state.done {
+                state.done = true;
+                step.done += 1;
+            }
+        }
+        let others = step.tasks[index].copies.iter();
+        let others: Vec<_> = others.map(|c| (c.run, c.worker.clone())).collect();
+        let complete = job.is_open() && job.is_done();
+        self.dirty.insert(task.job());
+        self.stirred = true;
+        for (run, worker) in others {
+            self.stop(task, run, &worker);
+        }
+        if complete {
+            self.complete(task);
+        }
+    }
+
+    fn complete(&mut self, task: TaskId) {
+        let now = self.now;
+        if let Some(job) = self.jobs.get(&task.job()) {
+            let took = now.since(job.arrived).as_millis() as u64;
+            log::info!(
+                job:% = task.job(), queue:% = job.sub.queue, took_ms = took,
+                chain_ms = job.chain(), objective_ms = self.objective(job);
+                "job complete"
+            );
+        }
+        self.finish(task.job(), JobState::Complete);
+    }
+
+    fn task_failed(&mut self, id: &WorkerId, task: TaskId, gang: bool, lasting: bool) {
+        let now = self.now;
+        if !lasting
+            && let Some(worker) = self.workers.get_mut(id)
+            && worker.health.failed(task.job(), now)
+        {
+            log::warn!(worker:% = id, job:% = task.job(); "worker gets no work: it fails it");
+        }
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
+            return;
+        };
+        let queue = self.config.queues.get(&job.sub.queue);
+        let attempts = queue.map_or(1, |q| q.attempts);
+        let Some(step) = job.step_run_mut(task) else {
+            return;
+        };
+        let state = &mut step.tasks[task.index as usize];
+        state.failed_on = Some(id.clone());
+        let fails = match gang {
+            true => &mut step.fails,
+            false => &mut state.fails,
+        };
+        *fails += 1;
+        let spent = !lasting && *fails >= attempts;
+        let open = job.is_open();
+        self.dirty.insert(task.job());
+        self.stirred = true;
+        if spent && open {
+            let waited = self.jobs[&task.job()].arrived;
+            let took = now.since(waited).as_millis() as u64;
+            log::warn!(
+                job:% = task.job(), task:% = task, worker:% = id, attempts = attempts,
+                took_ms = took;
+                "job failed"
+            );
+            self.finish(task.job(), JobState::Failed);
+        }
+    }
+
+    /// A run is over or never was: its room, its team's quota and its task are free again.
+    pub(crate) fn release(&mut self, task: TaskId, run: u32, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.drop_run(task, run);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
+            return;
+        };
+        let team = job.sub.team.clone();
+        let step = job.step(task).cloned();
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        let before = state.copies.len();
+        state.copies.retain(|c| c.run != run || c.worker != *id);
+        if state.copies.len() == before {
+            return;
+        }
+        if let Some(step) = &step {
+            self.usage.remove(team.as_ref(), step.room);
+        }
+        self.planned.retain(|p| p.task != task || p.run != run);
+        self.dirty.insert(task.job());
+        self.stirred = true;
+        if step.is_some_and(|s| s.gang) {
+            self.stop_gang(task, run);
+        }
+    }
+
+    /// Stops what is left of a gang that has lost a member: alone it cannot work.
+    fn stop_gang(&mut self, task: TaskId, run: u32) {
+        let Some(job) = self.jobs.get(&task.job()) else {
+            return;
+        };
+        let Some(step) = job.step_run(task) else {
+            return;
+        };
+        if step.is_done() {
+            return;
+        }
+        let tasks = step.tasks.iter().enumerate();
+        let left: Vec<_> = tasks
+            .flat_map(|(i, t)| t.copies.iter().map(move |c| (i, c)))
+            .filter(|(_, c)| c.run == run && c.phase != Phase::Stopping)
+            .map(|(i, c)| (i, c.worker.clone(), c.phase))
+            .collect();
+        for (index, worker, phase) in left {
+            let member = TaskId {
+                index: index as u32,
+                ..task
+            };
+            match phase {
+                Phase::Planned => self.release(member, run, &worker),
+                _ => self.stop(member, run, &worker),
+            }
+        }
+    }
+
+    /// Tells a worker to stop a run; its room stays taken until the run is listed as ended.
+    pub(crate) fn stop(&mut self, task: TaskId, run: u32, id: &WorkerId) {
+        let now = self.now;
+        let Some(copy) = self.copy_mut(task, run, id) else {
+            return;
+        };
+        if copy.phase == Phase::Stopping {
+            return;
+        }
+        copy.enter(Phase::Stopping, now);
+        self.send_stop(id, task, run);
+    }
+
+    /// Everything on a worker is gone.
+    pub(crate) fn lose_all(&mut self, id: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        for (task, run) in runs {
+            log::info!(task:% = task, run = run, worker:% = id, why:% = why; "run lost");
+            self.release(task, run, id);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.drop_run(task, run);
+            }
+        }
+    }
+
+    /// Everything on a worker that belongs to a life before `born` is gone.
+    pub(crate) fn lose_older(&mut self, id: &WorkerId, born: u64) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let held: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        for (task, run) in held {
+            let older = self.copy_mut(task, run, id).is_none_or(|c| c.born != born);
+            if older {
+                log::info!(task:% = task, run = run, worker:% = id, born = born; "run lost");
+                self.release(task, run, id);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.drop_run(task, run);
+                }
+            }
+        }
+    }
+
+    /// Lasting runs leave a worker that leaves.
+    pub(crate) fn leave(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let lasting = worker.held.iter().filter(|(_, h)| h.lasting);
+        let lasting: Vec<(TaskId, u32)> = lasting.map(|(t, h)| (*t, h.run)).collect();
+        for (task, run) in lasting {
+            log::info!(task:% = task, run = run, worker:% = id; "run leaves a leaving worker");
+            self.stop(task, run, id);
+        }
+    }
+
+    /// The journal reflects a worker's ends up to `number`.
+    pub(crate) fn acknowledge(&mut self, id: &WorkerId, born: u64, number: u64) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.born == born
+        {
+            worker.noted = worker.noted.max(number);
+        }
+    }
+
+    pub(crate) fn copy_mut(&mut self, task: TaskId, run: u32, id: &WorkerId) -> Option<&mut Copy> {
+        let job = self.jobs.get_mut(&task.job())?;
+        let copies = &mut job.task_mut(task)?.copies;
+        copies.iter_mut().find(|c| c.run == run && c.worker == *id)
+    }
+
+    /// A job's objective in milliseconds, by the caller's estimates.
+    pub(crate) fn objective(&self, job: &Job) -> u64 {
+        let queue = self.config.queues.get(&job.sub.queue);
+        let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
+        (job.chain() as f64 * stretch) as u64 + allowance
+    }
+}
--- /dev/null
+++ b/crates/cell/src/health.rs
@@ -0,0 +1,70 @@
+//! Whether a worker does what it is told, judged by outcomes.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::JobId;
+
+/// Failures in a row, of different jobs, after which a worker gets no work.
+///
+/// Three in a hundred jobs of the customers fail wherever they run, each with all its tasks, so
+/// failures of one job say nothing of a worker; of two jobs in a row with nothing done between
+/// them, on one of some fifty workers, they nearly always do.
+const SUSPECT_JOBS: usize = 2;
+
+/// First time without work; doubles each time. The customers' sick workers recover in seconds.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Longest time without work.
+const MAX_PAUSE: Duration = Duration::from_secs(12);
+
+/// A worker's record.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    /// Jobs that failed here since the last success, each once.
+    failed: Vec<JobId>,
+    /// Pauses in a row.
+    pauses: u32,
+    /// No work until then.
+    until: Option<Time>,
+}
+
+impl Health {
+    /// A run was done.
+    pub(crate) fn done(&mut self) {
+        *self = Self::default();
+    }
+
+    /// A run of `job` failed, or stood still. True if the worker is paused for it.
+    pub(crate) fn failed(&mut self, job: JobId, now: Time) -> bool {
+        if !self.failed.contains(&job) {
+            self.failed.push(job);
+        }
+        // After a pause one failure is enough: the worker was given the benefit of the doubt.
+        if self.failed.len() < SUSPECT_JOBS && self.pauses == 0 {
+            return false;
+        }
+        let fresh = self.until.is_none_or(|t| t <= now);
+        if fresh {
+            self.pause(now);
+        }
+        fresh
+    }
+
+    /// Gives the worker no work for a while.
+    pub(crate) fn pause(&mut self, now: Time) {
+        let pause = PAUSE.saturating_mul(1 << self.pauses.min(4)).min(MAX_PAUSE);
+        self.until = Some(now.after(pause));
+        self.pauses += 1;
+    }
+
+    /// Whether the worker may get work.
+    pub(crate) fn is_trusted(&self, now: Time) -> bool {
+        self.until.is_none_or(|t| t <= now)
+    }
+
+    /// Whether the worker was paused and has done nothing since: it gets one task at a time.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.pauses > 0
+    }
+}
--- /dev/null
+++ b/crates/cell/src/job.rs
@@ -0,0 +1,128 @@
+//! A job in its cell.
+
+use std::sync::Arc;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::{JobState, Step, Submission, TaskId};
+
+use crate::run_state::{StepRun, Task, Turn};
+
+/// A job in its cell.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) sub: Arc<Submission>,
+    /// Where it stands, queued and running not told apart.
+    pub(crate) state: JobState,
+    /// The final state that the journal holds, if any: what may be shown.
+    pub(crate) shown: Option<JobState>,
+    /// Occurrences that were due, in order.
+    pub(crate) turns: Vec<Turn>,
+    /// When its caller handed it in.
+    pub(crate) arrived: Time,
+    /// When it reached its final state.
+    pub(crate) ended: Option<Time>,
+    /// Longest chain of work from each step on, in milliseconds by the caller's estimates.
+    pub(crate) tails: Vec<u64>,
+    /// Whether any task was ever seen to start.
+    pub(crate) started: bool,
+}
+
+impl Job {
+    pub(crate) fn new(sub: Arc<Submission>, arrived: Time) -> Self {
+        let tails = tails(&sub.steps);
+        Self {
+            sub,
+            state: JobState::Queued,
+            shown: None,
+            turns: Vec::new(),
+            arrived,
+            ended: None,
+            tails,
+            started: false,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        !self.state.is_final()
+    }
+
+    /// Longest chain of work of an occurrence.
+    pub(crate) fn chain(&self) -> u64 {
+        self.tails.iter().copied().max().unwrap_or_default()
+    }
+
+    /// Whether every occurrence was due and is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.turns.len() == self.sub.turns() as usize && self.turns.iter().all(Turn::is_done)
+    }
+
+    /// The state that callers see.
+    pub(crate) fn visible(&self) -> JobState {
+        if let Some(shown) = self.shown {
+            return shown;
+        }
+        match self.started {
+            true => JobState::Running,
+            false => JobState::Queued,
+        }
+    }
+
+    pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
+        self.sub.steps.get(id.step.step as usize)
+    }
+
+    pub(crate) fn step_run(&self, id: TaskId) -> Option<&StepRun> {
+        let turn = self.turns.iter().find(|t| t.number == id.step.turn)?;
+        turn.steps.get(id.step.step as usize)
+    }
+
+    pub(crate) fn step_run_mut(&mut self, id: TaskId) -> Option<&mut StepRun> {
+        let mut turns = self.turns.iter_mut();
+        let turn = turns.find(|t| t.number == id.step.turn)?;
+        turn.steps.get_mut(id.step.step as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let step = self.step_run_mut(id)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// Tasks with a run somewhere, with the run's worker.
+    pub(crate) fn copies(&self) -> impl Iterator<Item = (TaskId, &crate::copy::Copy)> {
+        let job = self.sub.job;
+        self.turns.iter().flat_map(move |turn| {
+            turn.steps.iter().enumerate().flat_map(move |(s, step)| {
+                let tasks = step.tasks.iter().enumerate();
+                tasks.flat_map(move |(i, task)| {
+                    let id = task_id(job, turn.number, s, i);
+                    task.copies.iter().map(move |c| (id, c))
+                })
+            })
+        })
+    }
+}
+
+pub(crate) fn task_id(job: cactuswheel_work::JobId, turn: u32, step: usize, index: usize) -> TaskId {
+    let step = cactuswheel_work::StepId {
+        job,
+        turn,
+        step: step as u32,
+    };
+    TaskId {
+        step,
+        index: index as u32,
+    }
+}
+
+fn tails(steps: &[Step]) -> Vec<u64> {
+    let mut tails: Vec<u64> = steps.iter().map(|s| s.estimate.get()).collect();
+    // A step waits for lower ones only, so going down sees every successor first.
+    for later in (0..steps.len()).rev() {
+        for &earlier in &steps[later].after {
+            let earlier = earlier as usize;
+            let through = steps[earlier].estimate.get() + tails[later];
+            tails[earlier] = tails[earlier].max(through);
+        }
+    }
+    tails
+}
--- /dev/null
+++ b/crates/cell/src/lib.rs
@@ -0,0 +1,39 @@
+//! The scheduler of one cell: the jobs that were assigned to it, the workers of its services and
+//! what runs where.
+//!
+//! A pure machine. Whoever owns the cell tells it what happened ([`Cell::submit`],
+//! [`Cell::looked`], ...) and carries out what [`Cell::poll`] asks for. It has no clock, socket
+//! or random source; a takeover builds it anew from the journal with [`Cell::restore`].
+//!
+//! What it promises, however late or lost the answers to orders are:
+//! - a run is journaled before its order goes out, and an end before it is acknowledged;
+//! - a run whose order has no answer keeps its room, its team's quota and its task until the
+//!   worker's own lists, read under a newer fencing token, settle it;
+//! - a task has one run at a time, unless its step is speculative.
+
+mod advice;
+mod batch;
+mod bounds;
+mod cell;
+mod copy;
+mod ends;
+mod health;
+mod job;
+mod journal;
+mod looks;
+mod output;
+mod pass;
+mod place;
+mod rank;
+mod run_state;
+mod starts;
+mod usage;
+mod view;
+mod worker;
+
+pub use batch::{Batch, Mark};
+pub use bounds::Bounds;
+pub use cell::Cell;
+pub use journal::{BadRecord, JobRecord, decode, encode};
+pub use output::Output;
+pub use view::{JobView, TaskView, WorkerView};
--- /dev/null
+++ b/crates/cell/src/looks.rs
@@ -0,0 +1,262 @@
+//! Looks at workers: what they list decides what is believed of every run there.
+
+use std::time::Duration;
+
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{HoldOrder, Look, LookError, Running, StopOrder, TaskId, WorkerId};
+
+use crate::cell::{Cell, RETRY_LOOK};
+use crate::copy::Phase;
+use crate::output::Output;
+use crate::worker::Looking;
+
+/// Longest time that a look waits for an end. Leases are renewed as often, and what stands
+/// still shows as late.
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The same for a worker with nothing on it.
+const IDLE_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Longest pause between looks at a worker that does not answer.
+const MAX_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Rows of ends after which a list may be cut.
+const FULL_LIST: usize = 500;
+
+/// Time after which an order to stop is repeated if the run is still listed.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+
+impl Cell {
+    /// Looks at every worker that is due.
+    pub(crate) fn look_around(&mut self) {
+        let (now, lease) = (self.now, self.bounds.lease);
+        for worker in self.workers.values_mut() {
+            let Looking::Due(at) = worker.looking else {
+                continue;
+            };
+            // One that is listed no more may live; what runs there ends as it says.
+            let wanted = worker.entry.is_some() || !worker.held.is_empty();
+            let Some(addr) = worker.addr.filter(|_| wanted) else {
+                continue;
+            };
+            // An end is acknowledged once the journal reflects it; until then the answer would
+            // list it again.
+            if at > now || worker.seen != worker.noted {
+                continue;
+            }
+            let wait = match (worker.fence_settled(), worker.held.is_empty()) {
+                (false, _) => Duration::ZERO,
+                (true, true) => IDLE_WAIT,
+                (true, false) => LOOK_WAIT,
+            };
+            let order = HoldOrder {
+                expiry: worker.renew(lease, now),
+                fence: worker.fence,
+                seen: worker.noted,
+                wait,
+            };
+            worker.look += 1;
+            worker.looking = Looking::Flying(now);
+            self.out.push(Output::Look {
+                worker: worker.id.clone(),
+                addr,
+                look: worker.look,
+                order,
+            });
+        }
+    }
+
+    /// A worker answered a look, or did not.
+    pub fn looked(&mut self, now: Time, id: &WorkerId, look: u64, answer: Result<Look, LookError>) {
+        self.now = now;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.look != look {
+            return;
+        }
+        let Looking::Flying(sent) = worker.looking else {
+            return;
+        };
+        match answer {
+            Ok(seen) => self.take_look(id, sent, seen),
+            Err(error) => self.miss_look(id, &error),
+        }
+    }
+
+    fn miss_look(&mut self, id: &WorkerId, error: &LookError) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.missed == 0 {
+            let runs = worker.held.len() as u64;
+            log::warn!(worker:% = id, runs = runs, error:% = error; "worker lost");
+        }
+        worker.missed += 1;
+        let pause = RETRY_LOOK.saturating_mul(1 << worker.missed.min(4));
+        worker.looking = Looking::Due(now.after(pause.min(MAX_RETRY)));
+        match error {
+            LookError::Fence => self.out.push(Output::Deposed {
+                task: None,
+                worker: id.clone(),
+            }),
+            LookError::OtherLife => {
+                worker.entry = None;
+                self.lose_all(id, "another life at its address");
+            }
+            LookError::Refused(_) | LookError::NotSent | LookError::Unknown(_) => {}
+        }
+    }
+
+    fn take_look(&mut self, id: &WorkerId, sent: Time, look: Look) {
+        let (now, lease) = (self.now, self.bounds.lease);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.missed > 0 {
+            log::info!(worker:% = id, missed = worker.missed, born = look.born; "worker regained");
+        }
+        if worker.missed > 0 || worker.born == 0 {
+            self.stirred = true;
+        }
+        worker.missed = 0;
+        if look.born != worker.born {
+            worker.begin_life(look.born);
+            self.lose_older(id, look.born);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.fix_clock(look.clock, lease, now);
+        worker.looking = Looking::Due(now);
+        let fence = worker.settle_fence();
+        let seen = worker.seen;
+        for end in look.ended.iter().filter(|e| e.number > seen) {
+            self.take_end(id, end);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            let last = look.ended.iter().map(|e| e.number).max();
+            worker.seen = worker.seen.max(last.unwrap_or_default());
+        }
+        self.take_running(id, &look.running);
+        if look.ended.len() < FULL_LIST {
+            self.settle_absent(id, sent, fence, &look);
+        }
+    }
+
+    /// Runs that are there.
+    fn take_running(&mut self, id: &WorkerId, running: &[Running]) {
+        let now = self.now;
+        let mut unwanted = Vec::new();
+        let mut overdue = Vec::new();
+        for row in running {
+            let copy = self.jobs.get_mut(&row.task.job()).and_then(|job| {
+                job.started = true;
+                job.task_mut(row.task)
+            });
+            let copy = copy.and_then(|task| {
+                let mut copies = task.copies.iter_mut();
+                let copy = copies.find(|c| c.worker == *id && c.run == row.run);
+                if copy.is_some() {
+                    task.started = true;
+                    if !row.checkpoint.is_empty() {
+                        task.checkpoint.clone_from(&row.checkpoint);
+                    }
+                }
+                copy
+            });
+            let Some(copy) = copy else {
+                unwanted.push((row.task, row.run));
+                continue;
+            };
+            copy.sure = true;
+            match copy.phase {
+                Phase::Planned | Phase::Ordered | Phase::Unknown => {
+                    copy.enter(Phase::Running, now);
+                    copy.started = now;
+                    copy.moved = now;
+                }
+                Phase::Stopping if now.since(copy.since) >= STOP_AGAIN => {
+                    copy.since = now;
+                    overdue.push((row.task, row.run));
+                }
+                Phase::Running | Phase::Stopping => {}
+            }
+            if row.percent > copy.percent {
+                copy.moved = now;
+            }
+            copy.percent = row.percent;
+            copy.gauge = row.gauge;
+        }
+        for (task, run) in overdue {
+            self.send_stop(id, task, run);
+        }
+        for (task, run) in unwanted {
+            log::warn!(task:% = task, run = run, worker:% = id; "unwanted run is stopped");
+            self.send_stop(id, task, run);
+        }
+    }
+
+    /// Runs that should be there and are not.
+    fn settle_absent(&mut self, id: &WorkerId, sent: Time, fence: u64, look: &Look) {
+        let listed: Map<TaskId, u32> = look.running.iter().map(|r| (r.task, r.run)).collect();
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let absent = worker.held.iter().map(|(t, h)| (*t, h.run));
+        let absent = absent.filter(|(t, run)| listed.get(t) != Some(run));
+        let absent: Vec<(TaskId, u32)> = absent.collect();
+        let mut doubtful = false;
+        for (task, run) in absent {
+            let Some(copy) = self.copy_mut(task, run, id) else {
+                // The job is gone: nothing else will ever release the room.
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.drop_run(task, run);
+                }
+                continue;
+            };
+            let gone = match copy.phase {
+                Phase::Planned | Phase::Ordered => false,
+                // Older orders do nothing any more, so it will not start either.
+                Phase::Unknown => copy.fence < fence,
+                Phase::Running => copy.since < sent,
+                Phase::Stopping if copy.sure => copy.since < sent,
+                Phase::Stopping => {
+                    doubtful |= copy.since < sent;
+                    copy.fence < fence
+                }
+            };
+            if gone {
+                let phase = format!("{:?}", copy.phase);
+                log::info!(
+                    task:% = task, run = run, worker:% = id, phase:% = phase, fence = fence;
+                    "run is not there"
+                );
+                self.release(task, run, id);
+            }
+        }
+        if doubtful {
+            self.doubt(id, "stopped before it was seen");
+        }
+    }
+
+    /// Orders a worker to stop a run that may or may not be known.
+    pub(crate) fn send_stop(&mut self, id: &WorkerId, task: TaskId, run: u32) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let Some(addr) = worker.addr else {
+            return;
+        };
+        self.out.push(Output::Stop {
+            worker: id.clone(),
+            addr,
+            order: StopOrder {
+                task,
+                run,
+                fence: worker.fence,
+            },
+        });
+    }
+}
--- /dev/null
+++ b/crates/cell/src/rank.rs
@@ -0,0 +1,75 @@
+//! Which job goes first.
+//!
+//! Answers a pool that is asked for several times what it holds, for some seconds, by jobs with
+//! an objective of their own: a job that can still meet its objective goes before one that
+//! cannot, among the former the one that has to start soonest.
+
+use cactuswheel_model::Time;
+use cactuswheel_work::Queue;
+
+use crate::job::Job;
+
+/// Multiple of its objective after which a job is worth nothing to its caller any more.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Order of jobs; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    class: Class,
+    priority: u32,
+    /// Time by which it has to start, or since when it waits.
+    at: Time,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// Runs until it is cancelled: it earns as long as it is at work.
+    Lasting,
+    /// Can meet its objective.
+    Timely,
+    /// Can be done while it is of some use.
+    Late,
+    /// Is of no use any more, but was accepted.
+    Overdue,
+}
+
+/// The rank of a job at `now`.
+pub(crate) fn rank(job: &Job, queue: Option<&Queue>, now: Time) -> Rank {
+    let priority = queue.map_or(u32::MAX, |q| q.priority);
+    if job.sub.lasting() {
+        return Rank {
+            class: Class::Lasting,
+            priority,
+            at: job.arrived,
+        };
+    }
+    let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
+    let objective = job.chain() as f64 * stretch + allowance as f64;
+    let left = remaining(job) as f64;
+    let waited = now.since(job.arrived).as_millis() as f64;
+    let slack = objective - left - waited;
+    if slack >= 0.0 {
+        let at = Time::new(now.get() + slack as u64);
+        return Rank {
+            class: Class::Timely,
+            priority,
+            at,
+        };
+    }
+    let class = match waited + left <= objective * LATE_FACTOR {
+        true => Class::Late,
+        false => Class::Overdue,
+    };
+    Rank {
+        class,
+        priority,
+        at: job.arrived,
+    }
+}
+
+/// Longest chain of work that is left, by the caller's estimates.
+fn remaining(job: &Job) -> u64 {
+    let steps = job.turns.iter().flat_map(|t| t.steps.iter().enumerate());
+    let open = steps.filter(|(_, s)| !s.is_done());
+    open.map(|(i, _)| job.tails[i]).max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cell/src/starts.rs
@@ -0,0 +1,172 @@
+//! Orders to start, and what becomes of them.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::{StartOrder, StartOutcome, StartRefusal, TaskId, WorkerId};
+
+use crate::batch::PlannedStart;
+use crate::cell::Cell;
+use crate::copy::Phase;
+use crate::output::Output;
+use crate::worker::Looking;
+
+/// Time for which a worker that said it has no room gets nothing more.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+impl Cell {
+    /// Orders a run that the journal holds by now.
+    pub(crate) fn order(&mut self, start: PlannedStart) {
+        let (now, lease) = (self.now, self.bounds.lease);
+        let PlannedStart { task, run, worker } = start;
+        let Some(copy) = self.copy_mut(task, run, &worker) else {
+            return;
+        };
+        if copy.phase != Phase::Planned {
+            return;
+        }
+        let born = copy.born;
+        let place = self.workers.get_mut(&worker);
+        let place = place.filter(|w| w.born == born && !w.is_draining());
+        let Some((place, entry)) = place.and_then(|w| Some((w.entry.clone()?, w))).map(|(e, w)| (w, e))
+        else {
+            // It was never ordered, so it never starts.
+            self.release(task, run, &worker);
+            return;
+        };
+        let fence = place.fence;
+        let Some(expiry) = place.renew(lease, now) else {
+            self.release(task, run, &worker);
+            return;
+        };
+        let ticket = self.ticket(task.step, &worker);
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
+            return;
+        };
+        let spec = job.sub.spec.clone();
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        let checkpoint = state.checkpoint.clone();
+        if let Some(copy) = self.copy_mut(task, run, &worker) {
+            copy.enter(Phase::Ordered, now);
+            copy.fence = fence;
+        }
+        self.out.push(Output::Start {
+            worker,
+            addr: entry.addr,
+            order: StartOrder {
+                task,
+                run,
+                spec,
+                expiry,
+                fence,
+                checkpoint,
+                ticket,
+            },
+        });
+    }
+
+    /// What became of an order to start.
+    pub fn started(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        task: TaskId,
+        run: u32,
+        outcome: StartOutcome,
+    ) {
+        self.now = now;
+        let Some(copy) = self.copy_mut(task, run, id) else {
+            return;
+        };
+        let phase = copy.phase;
+        match outcome {
+            StartOutcome::Started => {
+                copy.sure = true;
+                if phase == Phase::Ordered {
+                    copy.enter(Phase::Running, now);
+                    copy.started = now;
+                    copy.moved = now;
+                }
+                if let Some(job) = self.jobs.get_mut(&task.job()) {
+                    job.started = true;
+                }
+            }
+            StartOutcome::NotSent => {
+                self.look_soon(id);
+                self.release_unstarted(task, run, id, phase);
+            }
+            StartOutcome::Refused(refusal) => self.refused(task, run, id, phase, refusal),
+            StartOutcome::Unknown => {
+                if phase == Phase::Ordered {
+                    copy.enter(Phase::Unknown, now);
+                }
+                log::warn!(task:% = task, run = run, worker:% = id; "start order without an answer");
+                self.doubt(id, "no answer");
+            }
+        }
+    }
+
+    fn refused(
+        &mut self,
+        task: TaskId,
+        run: u32,
+        id: &WorkerId,
+        phase: Phase,
+        refusal: StartRefusal,
+    ) {
+        let now = self.now;
+        log::info!(task:% = task, run = run, worker:% = id, refusal:? = refusal; "start refused");
+        match refusal {
+            StartRefusal::Room => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.full_until = now.after(FULL_PAUSE);
+                }
+            }
+            StartRefusal::Ticket => self.forget_ticket(task.step, id),
+            StartRefusal::Unhealthy => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.health.pause(now);
+                }
+            }
+            StartRefusal::Fence | StartRefusal::Late | StartRefusal::OtherLife => {
+                self.look_soon(id);
+            }
+            StartRefusal::Old | StartRefusal::Malformed => {}
+        }
+        self.release_unstarted(task, run, id, phase);
+    }
+
+    /// A run that surely was not started by its order. One that a look has shown stays.
+    fn release_unstarted(&mut self, task: TaskId, run: u32, id: &WorkerId, phase: Phase) {
+        if matches!(phase, Phase::Ordered | Phase::Stopping) {
+            self.release(task, run, id);
+        }
+    }
+
+    /// An order went wrong: a look under a new fencing token settles what is there.
+    ///
+    /// Failure: an order without an answer may be carried out seconds later, after its task was
+    /// started elsewhere; the caller's work runs twice. A worker does nothing for a token below
+    /// the highest it has seen, so once it has answered a look under the new one, an older order
+    /// that has not started its run never will.
+    pub(crate) fn doubt(&mut self, id: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.raise_fence();
+        worker.looking = Looking::Due(self.now);
+        log::info!(worker:% = id, why:% = why, fence = worker.fence; "worker in doubt");
+    }
+
+    /// Something does not fit what is believed of a worker: it gets nothing until a look has
+    /// told more.
+    fn look_soon(&mut self, id: &WorkerId) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.looking = Looking::Due(now);
+            worker.full_until = worker.full_until.max(now.after(FULL_PAUSE));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/worker.rs
@@ -0,0 +1,210 @@
+//! A worker as its cell knows it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_model::{Map, Millis, Time};
+use cactuswheel_work::{Presence, Room, TaskId, WorkerEntry, WorkerId};
+
+use crate::health::Health;
+
+/// How much slower than true time a worker's clock may go: it runs at least at this share.
+const SLOWEST_CLOCK: f64 = 0.98;
+
+/// Margin on every bound of a lease, for the way of an answer.
+const LEASE_SLACK: u64 = 100;
+
+/// For how long an owner that has lost the store goes on renewing leases. Outages of the store
+/// last up to nine seconds at the customers; work should outlive them.
+pub(crate) const RENEW_WITHOUT_STORE: Duration = Duration::from_secs(12);
+
+/// Time without an answer after which a worker gets no new work.
+const QUIET_LIMIT: Duration = Duration::from_millis(3_200);
+
+/// When the worker's clock showed what.
+#[derive(Debug, Clone, Copy)]
+struct ClockFix {
+    clock: u64,
+    /// When the answer that told it came.
+    at: Time,
+}
+
+/// The next look at a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Looking {
+    /// Not before this time.
+    Due(Time),
+    /// Under way since then.
+    Flying(Time),
+}
+
+/// What a run takes up.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub(crate) run: u32,
+    pub(crate) room: Room,
+    pub(crate) lasting: bool,
+    pub(crate) serves: bool,
+    pub(crate) filler: bool,
+}
+
+/// A worker as its cell knows it.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    /// Its entry in the platform's list, while it is there.
+    pub(crate) entry: Option<WorkerEntry>,
+    /// Where it is, or was when it was listed.
+    pub(crate) addr: Option<SocketAddr>,
+    /// Its life, as its start in milliseconds since 1970; 0 until it was looked at.
+    pub(crate) born: u64,
+    /// Fencing token of the next order.
+    pub(crate) fence: u64,
+    /// Highest token under which a look was answered.
+    settled: u64,
+    fix: Option<ClockFix>,
+    /// Latest expiry of a lease that any order may have set, on the worker's clock.
+    expiry: u64,
+    /// Since when this owner knows it.
+    since: Time,
+    /// Highest end that was taken in.
+    pub(crate) seen: u64,
+    /// Highest end that the journal reflects: it may be acknowledged.
+    pub(crate) noted: u64,
+    /// Runs that are, or may be, there.
+    pub(crate) held: Map<TaskId, Held>,
+    /// What they take up.
+    pub(crate) used: Room,
+    pub(crate) looking: Looking,
+    /// Number of the newest look; answers to older ones are not taken.
+    pub(crate) look: u64,
+    /// Looks without an answer in a row.
+    pub(crate) missed: u32,
+    pub(crate) health: Health,
+    /// Gets no new work: its instance is wanted elsewhere.
+    pub(crate) closing: bool,
+    /// No new work until then: it said that it had no room.
+    pub(crate) full_until: Time,
+}
+
+impl Worker {
+    pub(crate) fn new(id: WorkerId, fence: u64, now: Time) -> Self {
+        Self {
+            id,
+            entry: None,
+            addr: None,
+            born: 0,
+            fence,
+            settled: 0,
+            fix: None,
+            expiry: 0,
+            since: now,
+            seen: 0,
+            noted: 0,
+            held: Map::default(),
+            used: Room::default(),
+            looking: Looking::Due(now),
+            look: 0,
+            missed: 0,
+            health: Health::default(),
+            closing: false,
+            full_until: Time::default(),
+        }
+    }
+
+    /// Whether it may get new work.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        let listed = self.entry.as_ref();
+        listed.is_some_and(|e| e.presence == Presence::Ready)
+            && !self.closing
+            && self.missed == 0
+            && self.fence_settled()
+            && self.born != 0
+            && self.full_until <= now
+            && self.health.is_trusted(now)
+            && self.fix.is_some_and(|f| now.since(f.at) < QUIET_LIMIT)
+    }
+
+    /// Room that is left.
+    pub(crate) fn free(&self) -> Room {
+        let all = self.entry.as_ref().map(|e| e.room).unwrap_or_default();
+        all - self.used
+    }
+
+    /// Whether it leaves.
+    pub(crate) fn is_draining(&self) -> bool {
+        let listed = self.entry.as_ref();
+        listed.is_some_and(|e| e.presence == Presence::Draining)
+    }
+
+    /// Orders under earlier tokens do nothing once a look under the new one was answered.
+    pub(crate) fn raise_fence(&mut self) {
+        self.fence += 1;
+    }
+
+    /// Whether the worker has answered a look under the newest token.
+    pub(crate) fn fence_settled(&self) -> bool {
+        self.settled == self.fence
+    }
+
+    /// A look under the newest token was answered; gives the token.
+    pub(crate) fn settle_fence(&mut self) -> u64 {
+        self.settled = self.fence;
+        self.fence
+    }
+
+    pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
+        self.used += held.room;
+        if let Some(before) = self.held.insert(task, held) {
+            self.used -= before.room;
+        }
+    }
+
+    pub(crate) fn drop_run(&mut self, task: TaskId, run: u32) {
+        if self.held.get(&task).is_some_and(|h| h.run == run) {
+            let held = self.held.remove(&task);
+            self.used -= held.map(|h| h.room).unwrap_or_default();
+        }
+    }
+
+    /// Takes over what the worker's clock shows at `now`.
+    pub(crate) fn fix_clock(&mut self, clock: u64, lease: Millis, now: Time) {
+        if self.fix.is_none() {
+            // An earlier owner may have renewed the lease until our fencing token came.
+            self.expiry = self.expiry.max(clock + lease.get());
+        }
+        self.fix = Some(ClockFix { clock, at: now });
+    }
+
+    /// A new life began: nothing of the old one counts.
+    pub(crate) fn begin_life(&mut self, born: u64) {
+        self.born = born;
+        self.fix = None;
+        self.expiry = 0;
+        self.seen = 0;
+        self.noted = 0;
+        self.health = Health::default();
+    }
+
+    /// Expiry of a lease that is renewed at `now`, on the worker's clock.
+    pub(crate) fn renew(&mut self, lease: Millis, now: Time) -> Option<u64> {
+        let fix = self.fix?;
+        let there = fix.clock + now.since(fix.at).as_millis() as u64;
+        let expiry = there + lease.get();
+        self.expiry = self.expiry.max(expiry);
+        Some(expiry)
+    }
+
+    /// Whether every lease there has surely expired, if nothing more was heard.
+    pub(crate) fn has_expired(&self, lease: Millis, now: Time) -> bool {
+        let Some(fix) = self.fix else {
+            // An earlier owner that is cut off with the worker goes on renewing for a while.
+            let longest = RENEW_WITHOUT_STORE.as_millis() as f64
+                + lease.get() as f64 / SLOWEST_CLOCK
+                + LEASE_SLACK as f64;
+            return now.since(self.since).as_millis() as f64 > longest;
+        };
+        let passed = now.since(fix.at).as_millis() as f64 * SLOWEST_CLOCK;
+        fix.clock as f64 + passed > (self.expiry + LEASE_SLACK) as f64
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,8 +6,24 @@
 
 use bpaf::Bpaf;
 use cactuswheel_daemon::{Limits, Node, Settings, StartError, init_log, run_embedded};
+use cactuswheel_node::{
+    NodeError, Settings as NodeSettings, init_log as init_node_log, run as run_node_until_signal,
+};
 use tokio::runtime::{Builder, Runtime};
 
+/// Threads of a node. Its instances have a quarter of one core; more threads only wake each
+/// other.
+const NODE_THREADS: u16 = 1;
+
+/// Why a program ends with an error.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Entry(#[from] StartError),
+    #[error(transparent)]
+    Node(#[from] NodeError),
+}
+
 /// Entry instance of cactuswheel
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -25,6 +41,17 @@
         )]
         host: IpAddr,
     },
+    /// Run a node on the platform
+    Node {
+        /// Schedule jobs on the platform's workers; settings are those of a node
+        #[bpaf(long("node"), req_flag(()))]
+        _node: (),
+        /// Say whether the settings are usable, without starting
+        check: bool,
+        /// Settings file, JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run an entry instance
     Entry {
         /// Say whether the settings are usable, without starting
@@ -45,19 +72,33 @@
     }
 }
 
-fn run(mode: Mode) -> Result<(), StartError> {
+fn run(mode: Mode) -> Result<(), Failure> {
     let (check, path) = match mode {
         Mode::Embedded { host, .. } => {
-            return runtime(Limits::default().threads)?.block_on(run_embedded(host));
+            let embedded = run_embedded(host);
+            return Ok(runtime(Limits::default().threads)?.block_on(embedded)?);
         }
+        Mode::Node {
+            check, settings, ..
+        } => return run_node(check, settings),
         Mode::Entry { check, settings } => (check, settings),
     };
-    let settings = Settings::load(&path)?;
+    let settings = Settings::load(&path).map_err(StartError::from)?;
+    if check {
+        println!("{}: usable", path.display());
+        return Ok(());
+    }
+    Ok(runtime(settings.limits.threads)?.block_on(serve(settings))?)
+}
+
+fn run_node(check: bool, path: PathBuf) -> Result<(), Failure> {
+    let settings = NodeSettings::load(&path).map_err(NodeError::from)?;
     if check {
         println!("{}: usable", path.display());
         return Ok(());
     }
-    runtime(settings.limits.threads)?.block_on(serve(settings))
+    init_node_log()?;
+    Ok(runtime(NODE_THREADS)?.block_on(run_node_until_signal(path, settings))?)
 }
 
 /// Every thread keeps memory of its own for what it allocates, so their number is a setting.
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -98,6 +98,11 @@
         "request head too large",
         "Send fewer or shorter headers.";
 
+    /// The path names no known queue.
+    NoQueue = 108, 404, NotRun,
+        "unknown queue",
+        "Check the host and the path.";
+
     /// The team is at its upper limit.
     TeamLimit = 201, 429, NotRun,
         "team at its upper limit",
@@ -127,6 +132,15 @@
         "entry out of contact with the fleet",
         "Send it again through another entry; operators: look at the network.";
 
+    /// The platform's store did not take the job: nothing of it runs.
+    StoreAway = 208, 503, NotRun,
+        "platform's store is away: not accepted",
+        "Come back after `Retry-After`.";
+    /// No owner of the cell answers.
+    NoOwner = 209, 503, NotRun,
+        "no owner of the job answers",
+        "Ask again after `Retry-After`; the job goes on meanwhile.";
+
     /// No connection to an upstream could be made.
     Unreachable = 301, 502, NotRun,
         "upstream unreachable",
@@ -148,6 +162,11 @@
         "upstream's answer has no length",
         "Have the upstream send `content-length` or chunks.";
 
+    /// The platform's store did not answer: the job or its cancelling may have been accepted.
+    StoreDoubt = 306, 504, Unknown,
+        "platform's store did not answer: outcome unknown",
+        "Send the same job again under the same id: a repeat has no further effect.";
+
     /// The ticket cannot be read or breaks its schema.
     BadTicket = 401, 400, NotRun,
         "malformed ticket",
@@ -256,6 +275,10 @@
     BadJob = 706, 400, NotRun,
         "malformed job",
         "Mend the job as the detail says.";
+    /// There is no such job, or it is forgotten.
+    NoJob = 707, 410, NotRun,
+        "no such job",
+        "Check the id; a job that ended is forgotten after some minutes.";
 }
 
 impl Code {
--- /dev/null
+++ b/crates/node/src/answer.rs
@@ -0,0 +1,41 @@
+//! Answers to callers.
+
+use bytes::Bytes;
+use cactuswheel_model::Code;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Least time after which a caller may come back, in seconds: the header has no smaller unit.
+const SOON_S: u64 = 1;
+
+/// A JSON body with status 200.
+pub(crate) fn found(body: Vec<u8>) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+/// A refusal or an error, with its code and what happened in particular.
+pub(crate) fn refused(code: Code, detail: &str) -> Answer {
+    let body = json!({
+        "code": code.number(),
+        "ran": code.ran().to_string(),
+        "error": code.text(),
+        "detail": detail,
+    });
+    let mut answer = found(body.to_string().into_bytes());
+    let status = StatusCode::from_u16(code.status());
+    *answer.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if matches!(code.status(), 429 | 503) {
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(SOON_S));
+    }
+    answer
+}
--- /dev/null
+++ b/crates/node/src/ask.rs
@@ -0,0 +1,77 @@
+//! Asks the cell's owner, wherever it is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_work::{JobId, QueueName};
+use tokio::time::sleep;
+
+use crate::peer::{JobAnswer, OwnerLink, QueueAnswer};
+use crate::shared::Shared;
+
+/// Time for one answer of the owner. It answers from memory, so a longer silence is a lost
+/// connection, and another one is worth the try.
+const TRY_LIMIT: Duration = Duration::from_millis(350);
+
+/// Pause before the owner is looked up again.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// What the owner says of a job; `None` if no owner answers within `patience`.
+pub(crate) async fn job(shared: &Shared, id: JobId, patience: Duration) -> Option<JobAnswer> {
+    let until = shared.clock.now().after(patience);
+    loop {
+        let answer = match shared.own.load_full() {
+            Some(own) => Some(own.job(id).await),
+            None => match link(shared).await {
+                Some(link) => link.job(id, TRY_LIMIT).await,
+                None => None,
+            },
+        };
+        match answer {
+            Some(JobAnswer::NotOwner) => {}
+            Some(known) => return Some(known),
+            None => shared.link.store(None),
+        }
+        if shared.clock.now() >= until {
+            return None;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Number of a queue's jobs that wait; `None` if no owner answers within `patience`.
+pub(crate) async fn pending(shared: &Shared, queue: &QueueName, patience: Duration) -> Option<u64> {
+    let until = shared.clock.now().after(patience);
+    loop {
+        let answer = match shared.own.load_full() {
+            Some(own) => Some(own.queue(queue.clone()).await),
+            None => match link(shared).await {
+                Some(link) => link.queue(queue.clone(), TRY_LIMIT).await,
+                None => None,
+            },
+        };
+        match answer {
+            Some(QueueAnswer::Pending(n)) => return Some(n),
+            Some(QueueAnswer::NotOwner) => {}
+            None => shared.link.store(None),
+        }
+        if shared.clock.now() >= until {
+            return None;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+async fn link(shared: &Shared) -> Option<Arc<OwnerLink>> {
+    let owner = shared.owner.load_full()?;
+    if owner.node == shared.settings.node {
+        // This node owns the cell and is still taking it over.
+        return None;
+    }
+    if let Some(link) = shared.link.load_full().filter(|l| l.addr == owner.addr) {
+        return Some(link);
+    }
+    let link = Arc::new(OwnerLink::connect(owner.addr).await?);
+    shared.link.store(Some(link.clone()));
+    Some(link)
+}
--- /dev/null
+++ b/crates/node/src/config_follower.rs
@@ -0,0 +1,147 @@
+//! Follows what the operators write.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_adapter::{CONFIG_KEY, Item, Keyed, ReadError, WAVE_PREFIX, read_config, read_wave};
+use cactuswheel_work::Wave;
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+use crate::topics::OPERATORS;
+
+/// How long a read waits for a record: the configuration is confirmed as often.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time for an answer beyond the wait. A store that is slow still answers in this time.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Follows the operators' records until the task is dropped.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut lost = false;
+    loop {
+        let failed = match start(&shared).await {
+            Ok(end) => tail(&shared, end, &mut lost).await,
+            Err(e) => e,
+        };
+        if matches!(failed, ReadError::Deleted) {
+            log::info!("operators' records were deleted: reading the newest again");
+            continue;
+        }
+        if !lost {
+            lost = true;
+            log::warn!(error:% = failed, age_ms = shared.config_age(); "configuration lost");
+        }
+        sleep(RETRY).await;
+    }
+}
+
+/// Reads the newest records; gives the offset to go on from.
+async fn start(shared: &Shared) -> Result<u64, ReadError> {
+    let mut after: Option<String> = None;
+    let mut end = None;
+    loop {
+        let sent = shared.clock.now();
+        let page = shared
+            .store
+            .newest(OPERATORS, after.as_deref(), READ_LIMIT)
+            .await?;
+        // Records that come while the pages are read lie behind the first page's end.
+        let from = *end.get_or_insert(page.end);
+        after = page.items.last().map(|i| i.key.clone());
+        for item in page.items {
+            let Item { key, value, .. } = item;
+            take(shared, &Keyed::new(key, value));
+        }
+        if !page.more {
+            shared.confirm(sent);
+            return Ok(from);
+        }
+    }
+}
+
+async fn tail(shared: &Shared, mut next: u64, lost: &mut bool) -> ReadError {
+    loop {
+        let sent = shared.clock.now();
+        let page = shared.store.read(OPERATORS, next, READ_WAIT, READ_LIMIT).await;
+        let page = match page {
+            Ok(page) => page,
+            Err(e) => return e,
+        };
+        next += page.records.len() as u64;
+        for record in &page.records {
+            match Keyed::read(record) {
+                Some(record) => take(shared, &record),
+                None => log::warn!(offset = page.from; "operators' record without a key"),
+            }
+        }
+        if next >= page.end {
+            shared.confirm(sent);
+        }
+        if std::mem::take(lost) {
+            log::info!("configuration regained");
+        }
+    }
+}
+
+fn take(shared: &Shared, record: &Keyed) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    if record.key == CONFIG_KEY {
+        take_config(shared, value);
+    } else if record.key.starts_with(WAVE_PREFIX) {
+        take_wave(shared, value);
+    }
+}
+
+/// Versions only rise in a process's life: an old record that comes late changes nothing.
+fn take_config(shared: &Shared, value: &[u8]) {
+    let config = match read_config(value) {
+        Ok(config) => config,
+        Err(e) => {
+            log::error!(error:% = e; "configuration is not taken");
+            return;
+        }
+    };
+    let known = shared.config.load().as_ref().map(|c| c.version);
+    if known.is_some_and(|v| v >= config.version) {
+        return;
+    }
+    log::info!(
+        version = config.version, before:? = known, queues = config.queues.len() as u64,
+        teams = config.teams.len() as u64;
+        "configuration in force"
+    );
+    let config = Arc::new(config);
+    shared.config.store(Some(config.clone()));
+    if let Some(own) = shared.own.load().as_ref() {
+        own.configure(config);
+    }
+}
+
+fn take_wave(shared: &Shared, value: &[u8]) {
+    let wave = match read_wave(value) {
+        Ok(wave) => wave,
+        Err(e) => {
+            log::error!(error:% = e; "wave is not taken");
+            return;
+        }
+    };
+    let known = shared.waves.load_full();
+    let mut waves: Vec<Wave> = known.map(|w| (*w).clone()).unwrap_or_default();
+    if waves.contains(&wave) {
+        return;
+    }
+    log::info!(
+        wave = wave.number, instances = wave.instances.len() as u64, cap = wave.cap,
+        within_ms = wave.within.get();
+        "wave of maintenance"
+    );
+    waves.retain(|w| w.number != wave.number);
+    waves.push(wave);
+    shared.waves.store(Some(Arc::new(waves)));
+}
--- /dev/null
+++ b/crates/node/src/hands.rs
@@ -0,0 +1,306 @@
+//! Carries out what the cell asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Keyed, Link, Orders, PolicyService, Producer};
+use cactuswheel_cell::{Batch, Output};
+use cactuswheel_model::Map;
+use cactuswheel_work::{
+    HoldOrder, PaceOrder, StartOrder, StartOutcome, StepId, StopOrder, WorkerId,
+};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
+
+use crate::owner::Event;
+use crate::shared::Shared;
+use crate::takeover::OWNER_NAME;
+use crate::topics::{INTAKE, IntakeKey, JOURNAL};
+
+/// Orders to one worker that are under way at a time. Two keep one lost answer from holding all
+/// others up; each takes a connection.
+const LANES: usize = 2;
+
+/// Time for an answer to an order. Workers answer in milliseconds; a longer silence means that
+/// the answer will not come.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time for an answer to a look, beyond its own wait.
+const LOOK_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time for an answer of the store.
+const APPEND_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// Pause before an append is repeated.
+const APPEND_RETRY: Duration = Duration::from_millis(30);
+
+/// Time for an answer of the policy service beyond what it says that it takes.
+const ADVICE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Carries out what the cell asks for, until it is dropped.
+pub(crate) struct Hands {
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    epoch: u64,
+    /// Sequence number of the next append to the journal.
+    seq: Arc<AtomicU64>,
+    workers: Map<WorkerId, Hand>,
+    policy: Option<Arc<PolicyService>>,
+    tasks: TaskTracker,
+}
+
+/// What reaches one worker.
+struct Hand {
+    addr: SocketAddr,
+    orders: Arc<Orders>,
+    lanes: Arc<Semaphore>,
+    /// Newest fencing token that any order carried; older orders are not sent any more.
+    fence: Arc<AtomicU64>,
+    look: Option<AbortHandle>,
+}
+
+impl Hands {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        events: mpsc::Sender<Event>,
+        epoch: u64,
+        tasks: TaskTracker,
+    ) -> Self {
+        let policy = shared.settings.policy.map(|a| Arc::new(PolicyService::new(a)));
+        Self {
+            shared,
+            events,
+            epoch,
+            seq: Arc::new(AtomicU64::new(1)),
+            workers: Map::default(),
+            policy,
+            tasks,
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Append(batch) => self.append(batch),
+            Output::Look {
+                worker,
+                addr,
+                look,
+                order,
+            } => self.look(worker, addr, look, order),
+            Output::Start {
+                worker,
+                addr,
+                order,
+            } => self.start(worker, addr, order),
+            Output::Stop {
+                worker,
+                addr,
+                order,
+            } => self.stop(&worker, addr, order),
+            Output::Pace {
+                worker,
+                addr,
+                order,
+            } => self.pace(&worker, addr, order),
+            Output::Ask { step, workers } => self.ask(step, workers),
+            // Its owner acts on it.
+            Output::Deposed { .. } => {}
+        }
+    }
+
+    /// A worker is listed no more: its connections go.
+    pub(crate) fn forget(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+    }
+
+    fn hand(&mut self, id: &WorkerId, addr: SocketAddr) -> &mut Hand {
+        let fresh = || Hand {
+            addr,
+            orders: Arc::new(Orders::new(id.clone(), Link::new(addr))),
+            lanes: Arc::new(Semaphore::new(LANES)),
+            fence: Arc::new(AtomicU64::new(0)),
+            look: None,
+        };
+        let hand = self.workers.entry(id.clone()).or_insert_with(fresh);
+        if hand.addr != addr {
+            *hand = fresh();
+        }
+        hand
+    }
+
+    fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
+        let events = self.events.clone();
+        let hand = self.hand(&worker, addr);
+        hand.fence.fetch_max(order.fence, Ordering::AcqRel);
+        if let Some(before) = hand.look.take() {
+            before.abort();
+        }
+        let orders = hand.orders.clone();
+        let task = tokio::spawn(async move {
+            let answer = orders.hold(&order, LOOK_LIMIT).await;
+            let _ = events.send(Event::Looked(worker, look, answer)).await;
+        });
+        hand.look = Some(task.abort_handle());
+    }
+
+    fn start(&mut self, worker: WorkerId, addr: SocketAddr, order: StartOrder) {
+        let (events, shared) = (self.events.clone(), self.shared.clone());
+        let hand = self.hand(&worker, addr);
+        let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
+        let fence = hand.fence.clone();
+        self.tasks.spawn(async move {
+            let Ok(_lane) = lanes.acquire().await else {
+                return;
+            };
+            // An order that was overtaken would be refused; not sending it says so sooner.
+            let overtaken = fence.load(Ordering::Acquire) > order.fence || events.is_closed();
+            let outcome = match overtaken {
+                true => StartOutcome::NotSent,
+                false => orders.start(&order, ORDER_LIMIT).await,
+            };
+            shared.metrics.ordered("start", outcome_name(outcome));
+            let event = Event::Started(worker, order.task, order.run, outcome);
+            let _ = events.send(event).await;
+        });
+    }
+
+    fn stop(&mut self, worker: &WorkerId, addr: SocketAddr, order: StopOrder) {
+        let shared = self.shared.clone();
+        let orders = self.hand(worker, addr).orders.clone();
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let outcome = orders.stop(&order, ORDER_LIMIT).await;
+            shared.metrics.ordered("stop", "sent");
+            log::info!(
+                task:% = order.task, run = order.run, worker:% = worker, outcome:? = outcome;
+                "stop ordered"
+            );
+        });
+    }
+
+    fn pace(&mut self, worker: &WorkerId, addr: SocketAddr, order: PaceOrder) {
+        let shared = self.shared.clone();
+        let orders = self.hand(worker, addr).orders.clone();
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let outcome = orders.pace(&order, ORDER_LIMIT).await;
+            shared.metrics.ordered("pace", "sent");
+            log::info!(
+                task:% = order.task, run = order.run, worker:% = worker,
+                percent = order.percent, outcome:? = outcome;
+                "pace ordered"
+            );
+        });
+    }
+
+    fn ask(&mut self, step: StepId, workers: Vec<WorkerId>) {
+        let events = self.events.clone();
+        let Some(policy) = self.policy.clone() else {
+            log::error!(step:% = step; "queue has a policy, and the settings name no service");
+            return;
+        };
+        self.tasks.spawn(async move {
+            let answer = policy.ask(step, &workers, ADVICE_LIMIT).await;
+            if let Err(e) = &answer {
+                log::warn!(step:% = step, workers = workers.len() as u64, error:% = e; "no advice");
+                // The service takes one call of a node at a time.
+                sleep(APPEND_RETRY).await;
+            }
+            let good = answer.ok().map(|a| a.good);
+            let _ = events.send(Event::Advised(step, good)).await;
+        });
+    }
+
+    /// Appends to the journal until it is certain.
+    ///
+    /// The same epoch and sequence number each time: the store does a repeat once, whatever
+    /// became of the tries before.
+    fn append(&mut self, batch: Batch) {
+        let (events, shared) = (self.events.clone(), self.shared.clone());
+        let seq = self.seq.clone();
+        let epoch = self.epoch;
+        let forgotten: Vec<Keyed> = batch
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_none())
+            .flat_map(|(id, _)| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)])
+            .map(|key| Keyed::dropped(key.to_string()))
+            .collect();
+        let records: Vec<Keyed> = batch
+            .records
+            .into_iter()
+            .map(|(id, value)| Keyed {
+                key: id.to_string(),
+                value: value.map(Into::into),
+            })
+            .collect();
+        self.tasks.spawn(async move {
+            let start = shared.clock.now();
+            let mut lost = false;
+            while !events.is_closed() {
+                let producer = Producer {
+                    name: OWNER_NAME.into(),
+                    epoch,
+                    seq: seq.load(Ordering::Acquire),
+                };
+                let store = &shared.store;
+                let done = store.append(JOURNAL, Some(&producer), None, &records, APPEND_LIMIT);
+                match done.await {
+                    Ok(_) => break,
+                    Err(AppendError::Fenced) => {
+                        let _ = events.send(Event::Deposed).await;
+                        return;
+                    }
+                    Err(AppendError::Sequence {
+                        expected: Some(expected),
+                    }) if expected < producer.seq => seq.store(expected, Ordering::Release),
+                    Err(e) => {
+                        shared.metrics.append_failed("journal");
+                        if !std::mem::replace(&mut lost, true) {
+                            log::warn!(error:% = e, seq = producer.seq; "journal lost");
+                        }
+                        sleep(APPEND_RETRY).await;
+                    }
+                }
+            }
+            seq.fetch_add(1, Ordering::AcqRel);
+            let took = shared.clock.now().since(start);
+            shared.metrics.journaled(took);
+            if lost {
+                log::info!(after_ms = took.as_millis() as u64; "journal regained");
+            }
+            let _ = events.send(Event::Appended(batch.mark)).await;
+            if !forgotten.is_empty() {
+                let done = shared
+                    .store
+                    .append(INTAKE, None, None, &forgotten, APPEND_LIMIT);
+                if let Err(e) = done.await {
+                    log::info!(error:% = e; "forgotten jobs stay in the intake");
+                }
+            }
+        });
+    }
+}
+
+impl Drop for Hands {
+    fn drop(&mut self) {
+        for hand in self.workers.values() {
+            if let Some(look) = &hand.look {
+                look.abort();
+            }
+        }
+    }
+}
+
+fn outcome_name(outcome: StartOutcome) -> &'static str {
+    match outcome {
+        StartOutcome::Started => "started",
+        StartOutcome::Refused(_) => "refused",
+        StartOutcome::NotSent => "not_sent",
+        StartOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/node/src/intake.rs
@@ -0,0 +1,232 @@
+//! Puts what this front accepts into the store: one append at a time, with all that waits.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Keyed, Producer, records_size};
+use cactuswheel_model::Time;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+
+use crate::shared::Shared;
+use crate::topics::INTAKE;
+
+/// Records that may wait. A front takes some dozens a second; more only pile up while the store
+/// is away, and are refused then.
+const QUEUE: usize = 1_024;
+
+/// Largest append, in bytes.
+const MAX_APPEND: usize = 512 << 10;
+
+/// Time for an answer of the store.
+const LIMIT: Duration = Duration::from_millis(900);
+
+/// Pause before an append is repeated.
+const RETRY: Duration = Duration::from_millis(25);
+
+/// Times that an append which was surely not done is tried. The store turns calls away when
+/// all nodes together are over its rate, for a moment.
+const TRIES: u32 = 3;
+
+/// Time for which an append may be in doubt before what comes after it is refused.
+const DOUBT_LIMIT: Duration = Duration::from_millis(250);
+
+/// Why a record is not known to be in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotStored {
+    /// It is not there and never will be.
+    Refused,
+    /// It may be there, now or later.
+    Doubt,
+}
+
+/// Where a record is on its way.
+#[derive(Debug, Default)]
+struct Stage(AtomicU8);
+
+const WAITING: u8 = 0;
+const TAKEN: u8 = 1;
+const LEFT: u8 = 2;
+
+struct Entry {
+    record: Keyed,
+    stage: Arc<Stage>,
+    reply: oneshot::Sender<Result<(), NotStored>>,
+}
+
+/// Puts records into the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Intake {
+    queue: mpsc::Sender<Entry>,
+    /// Since when the append under way is in doubt, in milliseconds; 0 if it is not.
+    doubt: Arc<AtomicU64>,
+    shared: Arc<Shared>,
+}
+
+impl Intake {
+    /// Starts the appending task; `life` tells this process's appends from an earlier one's.
+    pub(crate) fn start(shared: Arc<Shared>, life: u64) -> Self {
+        let (queue, entries) = mpsc::channel(QUEUE);
+        let doubt = Arc::new(AtomicU64::new(0));
+        let appender = Appender {
+            shared: shared.clone(),
+            doubt: doubt.clone(),
+            name: format!("{}-{life:x}", shared.settings.node),
+            seq: 1,
+        };
+        tokio::spawn(appender.run(entries));
+        Self {
+            queue,
+            doubt,
+            shared,
+        }
+    }
+
+    /// Stores a record; certain when it returns without an error.
+    ///
+    /// A record that waits behind an append in doubt is taken back, so that its caller hears at
+    /// once that nothing was done.
+    pub(crate) async fn store(&self, record: Keyed, limit: Duration) -> Result<(), NotStored> {
+        if self.is_stuck() {
+            return Err(NotStored::Refused);
+        }
+        let (reply, mut answer) = oneshot::channel();
+        let stage = Arc::new(Stage::default());
+        let entry = Entry {
+            record,
+            stage: stage.clone(),
+            reply,
+        };
+        if self.queue.try_send(entry).is_err() {
+            return Err(NotStored::Refused);
+        }
+        let until = self.shared.clock.now().after(limit);
+        loop {
+            if let Ok(answer) = timeout(DOUBT_LIMIT, &mut answer).await {
+                return answer.unwrap_or(Err(NotStored::Doubt));
+            }
+            let over = self.shared.clock.now() >= until;
+            if (over || self.is_stuck()) && stage.leave() {
+                return Err(NotStored::Refused);
+            }
+            if over {
+                return Err(NotStored::Doubt);
+            }
+        }
+    }
+
+    fn is_stuck(&self) -> bool {
+        let since = self.doubt.load(Ordering::Relaxed);
+        since != 0 && self.shared.clock.now().since(Time::new(since)) > DOUBT_LIMIT
+    }
+}
+
+impl Stage {
+    /// The record goes into an append; false if its caller has left.
+    fn take(&self) -> bool {
+        self.pass(TAKEN)
+    }
+
+    /// The caller leaves; false if the record is in an append already.
+    fn leave(&self) -> bool {
+        self.pass(LEFT)
+    }
+
+    fn pass(&self, to: u8) -> bool {
+        let done = self
+            .0
+            .compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire);
+        done.is_ok()
+    }
+}
+
+struct Appender {
+    shared: Arc<Shared>,
+    doubt: Arc<AtomicU64>,
+    name: String,
+    seq: u64,
+}
+
+impl Appender {
+    async fn run(mut self, mut entries: mpsc::Receiver<Entry>) {
+        while let Some(first) = entries.recv().await {
+            let mut batch = vec![first];
+            let mut size = records_size(std::slice::from_ref(&batch[0].record));
+            while size < MAX_APPEND
+                && let Ok(next) = entries.try_recv()
+            {
+                size += records_size(std::slice::from_ref(&next.record));
+                batch.push(next);
+            }
+            batch.retain(|e| e.stage.take());
+            if batch.is_empty() {
+                continue;
+            }
+            let records: Vec<Keyed> = batch.iter().map(|e| e.record.clone()).collect();
+            let outcome = self.append(&records).await;
+            for entry in batch {
+                // A caller that has left needs no answer.
+                let _ = entry.reply.send(outcome);
+            }
+        }
+    }
+
+    /// Appends until the outcome is certain.
+    async fn append(&mut self, records: &[Keyed]) -> Result<(), NotStored> {
+        let mut tries = 0;
+        loop {
+            let producer = Producer {
+                name: self.name.clone(),
+                epoch: 1,
+                seq: self.seq,
+            };
+            let store = &self.shared.store;
+            let done = store.append(INTAKE, Some(&producer), None, records, LIMIT);
+            let error = match done.await {
+                Ok(_) => {
+                    self.seq += 1;
+                    self.doubt.store(0, Ordering::Relaxed);
+                    return Ok(());
+                }
+                Err(e) => e,
+            };
+            tries += 1;
+            let in_doubt = self.doubt.load(Ordering::Relaxed) != 0;
+            self.shared.metrics.append_failed("intake");
+            match error {
+                // An earlier try may still be carried out; this refusal says nothing of it.
+                AppendError::Refused(_) if in_doubt => {}
+                AppendError::Refused(status) if tries >= TRIES => {
+                    log::warn!(records = records.len() as u64, status = status; "intake refused");
+                    return Err(NotStored::Refused);
+                }
+                AppendError::Refused(_) => {}
+                AppendError::Unknown(e) => self.enter_doubt(&e),
+                AppendError::Sequence { .. } | AppendError::Fenced | AppendError::Moved => {
+                    log::error!(error:% = error, seq = self.seq; "intake lost count");
+                    self.begin_anew();
+                    return Err(NotStored::Doubt);
+                }
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    fn enter_doubt(&self, error: &str) {
+        let now = self.shared.clock.now().get();
+        let before = self
+            .doubt
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        if before.is_ok() {
+            log::warn!(error = error, seq = self.seq; "intake in doubt");
+        }
+    }
+
+    /// Goes on under another name, whose sequence starts afresh.
+    fn begin_anew(&mut self) {
+        self.name.push('x');
+        self.seq = 1;
+        self.doubt.store(0, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/lead.rs
@@ -0,0 +1,270 @@
+//! Who owns the cell.
+//!
+//! Ownership is a record that is renewed under a condition: each write has to find the partition
+//! ending where its writer last saw it end, so of several claims one wins. It only saves work:
+//! that two owners do no harm rests on the journal's epoch and the workers' fencing tokens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Keyed, ReadError};
+use cactuswheel_cell::{decode, encode};
+use cactuswheel_model::Time;
+use cactuswheel_work::NodeName;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::peer::OwnerAt;
+use crate::shared::Shared;
+use crate::topics::OWNER;
+
+/// Time between renewals.
+const RENEW: Duration = Duration::from_millis(400);
+
+/// Time without a renewal after which the ownership may be claimed. Three renewals have to be
+/// missed; a store that takes a quarter of a second for an answer still carries them.
+const EXPIRY: Duration = Duration::from_millis(1_500);
+
+/// Claims are spread over this time, so that most of them see the first one's.
+const SPREAD: Duration = Duration::from_millis(120);
+
+/// Time for an answer of the store.
+const LIMIT: Duration = Duration::from_millis(700);
+
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(80);
+
+/// Key of the one record.
+const KEY: &str = "0";
+
+/// The record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Ownership {
+    /// Rises with each change of hands.
+    epoch: u64,
+    node: NodeName,
+    /// Tells lives of one node apart.
+    life: u64,
+    addr: SocketAddr,
+    /// Given up: whoever wants it may take it at once.
+    released: bool,
+}
+
+/// This node's part in the ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// Another node owns the cell, or none.
+    Idle,
+    /// This node owns it.
+    Owner {
+        /// The ownership's number.
+        epoch: u64,
+    },
+}
+
+/// Takes part in the ownership.
+pub(crate) struct Lead {
+    shared: Arc<Shared>,
+    life: u64,
+    role: watch::Sender<Role>,
+    /// Offset at which the partition ended when it was last seen.
+    end: u64,
+    last: Option<Ownership>,
+    /// When the last record came, or the store came back.
+    heard: Time,
+}
+
+impl Lead {
+    pub(crate) fn new(shared: Arc<Shared>, life: u64, role: watch::Sender<Role>) -> Self {
+        let heard = shared.clock.now();
+        Self {
+            shared,
+            life,
+            role,
+            end: 0,
+            last: None,
+            heard,
+        }
+    }
+
+    /// Takes part until `stop` is set; then gives the ownership up, if it is here.
+    pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        while let Err(e) = self.sync().await {
+            log::info!(error:% = e; "ownership cannot be read yet");
+            sleep(RETRY).await;
+        }
+        while !*stop.borrow() {
+            match self.is_mine() {
+                true => {
+                    let _ = timeout(RENEW, stop.wait_for(|s| *s)).await;
+                    if !*stop.borrow() {
+                        self.write(false).await;
+                    }
+                }
+                false => {
+                    tokio::select! {
+                        () = self.watch() => {}
+                        _ = stop.wait_for(|s| *s) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives the ownership up, so that another node takes it without waiting for its expiry.
+    pub(crate) async fn release(shared: &Shared, epoch: u64, life: u64) {
+        let Ok(page) = shared.store.newest(OWNER, None, LIMIT).await else {
+            return;
+        };
+        let last = page.items.iter().find_map(|i| decode::<Ownership>(&i.value).ok());
+        let mine = last.filter(|o| o.epoch == epoch && o.life == life);
+        let Some(mut record) = mine else {
+            return;
+        };
+        record.released = true;
+        let records = [Keyed::new(KEY, encode(&record))];
+        let done = shared.store.append(OWNER, None, Some(page.end), &records, LIMIT);
+        match done.await {
+            Ok(_) => log::info!(epoch = epoch; "ownership released"),
+            Err(e) => log::warn!(epoch = epoch, error:% = e; "ownership not released"),
+        }
+    }
+
+    fn is_mine(&self) -> bool {
+        let me = &self.shared.settings.node;
+        let last = self.last.as_ref();
+        last.is_some_and(|o| o.node == *me && o.life == self.life && !o.released)
+    }
+
+    /// Waits for a record, and claims the ownership when none comes.
+    async fn watch(&mut self) {
+        let now = self.shared.clock.now();
+        let released = self.last.as_ref().is_none_or(|o| o.released);
+        let left = EXPIRY.saturating_sub(now.since(self.heard));
+        if released || left.is_zero() {
+            return self.claim().await;
+        }
+        let read = self.shared.store.read(OWNER, self.end, left, LIMIT).await;
+        match read {
+            Ok(page) => {
+                for record in &page.records {
+                    self.take(record);
+                }
+                self.end = page.from + page.records.len() as u64;
+            }
+            Err(ReadError::Deleted) => self.resync().await,
+            Err(ReadError::Failed(_)) => {
+                // Failure: the store is back after an outage, every node finds the ownership
+                // long expired and claims it before its owner can renew. Time without the
+                // store does not count.
+                self.heard = self.shared.clock.now();
+                sleep(RETRY).await;
+            }
+        }
+    }
+
+    async fn claim(&mut self) {
+        let spread = rand::rng().random_range(0..=SPREAD.as_millis() as u64);
+        let read = self
+            .shared
+            .store
+            .read(OWNER, self.end, Duration::from_millis(spread), LIMIT);
+        match read.await {
+            Ok(page) if page.records.is_empty() => self.write(true).await,
+            Ok(page) => {
+                for record in &page.records {
+                    self.take(record);
+                }
+                self.end = page.from + page.records.len() as u64;
+            }
+            Err(_) => self.resync().await,
+        }
+    }
+
+    /// Claims or renews the ownership, if nobody else has written since.
+    async fn write(&mut self, claim: bool) {
+        let settings = &self.shared.settings;
+        let epoch = self.last.as_ref().map_or(0, |o| o.epoch) + u64::from(claim);
+        let record = Ownership {
+            epoch,
+            node: settings.node.clone(),
+            life: self.life,
+            addr: settings.listen.peers,
+            released: false,
+        };
+        let records = [Keyed::new(KEY, encode(&record))];
+        let store = &self.shared.store;
+        let done = store.append(OWNER, None, Some(self.end), &records, LIMIT);
+        match done.await {
+            Ok(done) => {
+                self.end = done.end;
+                self.accept(record);
+            }
+            Err(AppendError::Refused(_)) => sleep(RETRY).await,
+            // Somebody else wrote, or an earlier try of ours was done: the newest record tells.
+            Err(_) => self.resync().await,
+        }
+    }
+
+    async fn resync(&mut self) {
+        if let Err(e) = self.sync().await {
+            log::debug!(error:% = e; "ownership cannot be read");
+            self.heard = self.shared.clock.now();
+            sleep(RETRY).await;
+        }
+    }
+
+    async fn sync(&mut self) -> Result<(), ReadError> {
+        let page = self.shared.store.newest(OWNER, None, LIMIT).await?;
+        self.end = page.end;
+        for item in page.items {
+            match decode::<Ownership>(&item.value) {
+                Ok(record) => self.accept(record),
+                Err(e) => log::error!(error:% = e; "ownership record cannot be read"),
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, record: &bytes::Bytes) {
+        let value = Keyed::read(record).and_then(|r| r.value);
+        match value.map(|v| decode::<Ownership>(&v)) {
+            Some(Ok(record)) => self.accept(record),
+            other => log::error!(record:? = other; "ownership record cannot be read"),
+        }
+    }
+
+    fn accept(&mut self, record: Ownership) {
+        if self.last.as_ref().is_some_and(|o| o.epoch > record.epoch) {
+            return;
+        }
+        let news = self.last.as_ref() != Some(&record);
+        if news || record.node != self.shared.settings.node {
+            self.heard = self.shared.clock.now();
+        }
+        let changed = self.last.as_ref().map(|o| o.epoch) != Some(record.epoch);
+        if changed {
+            log::info!(owner:% = record.node, epoch = record.epoch; "owner known");
+        }
+        let at = OwnerAt {
+            node: record.node.clone(),
+            addr: record.addr,
+            epoch: record.epoch,
+        };
+        let at = (!record.released).then(|| Arc::new(at));
+        self.shared.owner.store(at);
+        self.last = Some(record);
+        let role = match (self.is_mine(), &self.last) {
+            (true, Some(o)) => Role::Owner { epoch: o.epoch },
+            _ => Role::Idle,
+        };
+        self.role.send_if_modified(|before| {
+            let changed = *before != role;
+            *before = role;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,32 @@
+//! One process of the system on the platform: sockets, clocks and tasks around the pure parts.
+//!
+//! Every node is a front for callers and follows the configuration. One of them at a time owns
+//! the cell: it schedules, and gives workers and instances their orders. Nothing is kept here;
+//! what must last goes through the platform's store.
+
+mod answer;
+mod ask;
+mod clock;
+mod config_follower;
+mod error;
+mod front;
+mod hands;
+mod intake;
+mod lead;
+mod logging;
+mod metrics;
+mod node;
+mod owner;
+mod peer;
+mod ready;
+mod roster;
+mod settings;
+mod shared;
+mod takeover;
+mod topics;
+
+pub use clock::Clock;
+pub use error::NodeError;
+pub use logging::init_log;
+pub use node::run;
+pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,82 @@
+//! Structured log lines on standard output, one JSON object each.
+
+use std::io::{Write, stdout};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::Map;
+
+use crate::NodeError;
+
+/// Lines that may wait to be written. Further ones are dropped and counted: nothing that serves
+/// a caller waits for whoever reads the log.
+const QUEUE: usize = 2_048;
+
+/// Lines that were dropped since the last one that was written.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Sends log lines to standard output.
+pub fn init_log() -> Result<(), NodeError> {
+    let (queue, lines) = sync_channel::<String>(QUEUE);
+    thread::spawn(move || {
+        while let Ok(first) = lines.recv() {
+            let mut text = first;
+            while let Ok(next) = lines.try_recv() {
+                text.push_str(&next);
+            }
+            // With standard output gone there is nobody left to tell.
+            let _ = stdout().write_all(text.as_bytes());
+        }
+    });
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("cactuswheel_node", LevelFilter::Info)
+        .level_for("cactuswheel_cell", LevelFilter::Info)
+        // It calls every late answer an error; our own lines tell which peer is silent.
+        .level_for("tarpc", LevelFilter::Off)
+        .chain(fern::Output::call(move |record| push(&queue, record)))
+        .apply()?;
+    Ok(())
+}
+
+fn push(queue: &SyncSender<String>, record: &Record<'_>) {
+    let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    if queue.try_send(line(record, dropped)).is_err() {
+        DROPPED.fetch_add(dropped + 1, Ordering::Relaxed);
+    }
+}
+
+fn line(record: &Record<'_>, dropped: u64) -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at = since.unwrap_or_default().as_millis() as u64;
+    let mut fields = Fields(Map::new());
+    fields.0.insert("at".into(), at.into());
+    fields.0.insert("level".into(), record.level().as_str().into());
+    let message = record.args().to_string();
+    fields.0.insert("message".into(), message.into());
+    // A field that cannot be shown is left out; the line itself still helps.
+    let _ = record.key_values().visit(&mut fields);
+    if dropped > 0 {
+        fields.0.insert("dropped".into(), dropped.into());
+    }
+    let mut line = serde_json::Value::Object(fields.0).to_string();
+    line.push('\n');
+    line
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(n) => n.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters and histograms, read at the metrics address.
+
+use std::time::Duration;
+
+use cactuswheel_model::Code;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+/// Upper bounds of the buckets for jobs' times, in seconds.
+const JOB_TIME: [f64; 10] = [0.25, 0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 20.0];
+
+/// What a node counts.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    latency: Histogram<f64>,
+    appends: Counter<u64>,
+    append_time: Histogram<f64>,
+    orders: Counter<u64>,
+    looks: Counter<u64>,
+    duties: Counter<u64>,
+    epoch: Gauge<u64>,
+    job_time: Histogram<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cactuswheel");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let seconds = |name: &'static str, bounds: &[f64]| {
+            let histogram = meter.f64_histogram(name);
+            histogram.with_boundaries(bounds.to_vec()).build()
+        };
+        Ok(Self {
+            answers: counter("cactuswheel_node_answers"),
+            refusals: counter("cactuswheel_node_refusals"),
+            latency: seconds("cactuswheel_node_answer_seconds", &LATENCY),
+            appends: counter("cactuswheel_node_append_failures"),
+            append_time: seconds("cactuswheel_node_journal_seconds", &LATENCY),
+            orders: counter("cactuswheel_node_orders"),
+            looks: counter("cactuswheel_node_looks"),
+            duties: counter("cactuswheel_node_instance_orders"),
+            epoch: meter.u64_gauge("cactuswheel_node_owner_epoch").build(),
+            job_time: seconds("cactuswheel_node_job_seconds", &JOB_TIME),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// All metrics as text, in the format that Prometheus reads.
+    pub(crate) fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+
+    pub(crate) fn answered(&self, status: u16, took: Duration) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[status]);
+        self.latency.record(took.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn refused(&self, code: Code) {
+        let code = KeyValue::new("code", i64::from(code.number()));
+        self.refusals.add(1, &[code]);
+    }
+
+    pub(crate) fn append_failed(&self, topic: &'static str) {
+        self.appends.add(1, &[KeyValue::new("topic", topic)]);
+    }
+
+    pub(crate) fn journaled(&self, took: Duration) {
+        self.append_time.record(took.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn ordered(&self, kind: &'static str, outcome: &'static str) {
+        let kind = KeyValue::new("kind", kind);
+        let outcome = KeyValue::new("outcome", outcome);
+        self.orders.add(1, &[kind, outcome]);
+    }
+
+    pub(crate) fn looked(&self, outcome: &'static str) {
+        self.looks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn instance_ordered(&self, outcome: &'static str) {
+        self.duties.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// 0 while this node does not own the cell.
+    pub(crate) fn owns(&self, epoch: u64) {
+        self.epoch.record(epoch, &[]);
+    }
+
+    pub(crate) fn job_ended(&self, took: Duration) {
+        self.job_time.record(took.as_secs_f64(), &[]);
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,348 @@
+//! Owns the cell while the store says so: feeds it what happens and carries out what it asks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_adapter::{Keyed, ReadError};
+use cactuswheel_cell::{Cell, Mark, Output};
+use cactuswheel_model::Time;
+use cactuswheel_work::{
+    FleetConfig, JobId, Look, LookError, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
+    WorkerId,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::hands::Hands;
+use crate::lead::Role;
+use crate::peer::{JobAnswer, QueueAnswer};
+use crate::roster;
+use crate::shared::Shared;
+use crate::takeover::{TakeoverError, take_intake, take_over};
+use crate::topics::INTAKE;
+
+/// Events that may wait; each task that sends them has one or two under way.
+const QUEUE: usize = 4_096;
+
+/// How long a read of the intake waits for a record.
+const READ_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Time for an answer beyond the wait.
+const READ_LIMIT: Duration = Duration::from_millis(900);
+
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(60);
+
+/// Pause after the cell could not be taken over.
+const TAKEOVER_RETRY: Duration = Duration::from_millis(300);
+
+/// What happens to the cell.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// Records of the intake, from a read that was sent at this time and reached the end.
+    Intake(Vec<Keyed>, Time),
+    /// Newer configuration.
+    Config(Arc<FleetConfig>),
+    /// A worker's entry.
+    Worker(WorkerEntry),
+    /// A worker is listed no more.
+    NoWorker(WorkerId),
+    /// Every worker's entry was told.
+    Listed,
+    /// A look's outcome.
+    Looked(WorkerId, u64, Result<Look, LookError>),
+    /// A start order's outcome.
+    Started(WorkerId, TaskId, u32, StartOutcome),
+    /// A batch is in the journal.
+    Appended(Mark),
+    /// A newer owner writes the journal.
+    Deposed,
+    /// The policy service's answer.
+    Advised(StepId, Option<Vec<(WorkerId, String)>>),
+    /// Somebody asks for a job.
+    Job(JobId, oneshot::Sender<JobAnswer>),
+    /// Somebody asks for a queue.
+    Queue(QueueName, oneshot::Sender<QueueAnswer>),
+}
+
+/// How other tasks reach the owner on this node.
+#[derive(Debug)]
+pub(crate) struct OwnerHandle {
+    events: mpsc::Sender<Event>,
+}
+
+impl OwnerHandle {
+    pub(crate) async fn job(&self, id: JobId) -> JobAnswer {
+        let (reply, answer) = oneshot::channel();
+        if self.events.send(Event::Job(id, reply)).await.is_err() {
+            return JobAnswer::NotOwner;
+        }
+        answer.await.unwrap_or(JobAnswer::NotOwner)
+    }
+
+    pub(crate) async fn queue(&self, name: QueueName) -> QueueAnswer {
+        let (reply, answer) = oneshot::channel();
+        if self.events.send(Event::Queue(name, reply)).await.is_err() {
+            return QueueAnswer::NotOwner;
+        }
+        answer.await.unwrap_or(QueueAnswer::NotOwner)
+    }
+
+    pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
+        if self.events.try_send(Event::Config(config)).is_err() {
+            // The owner takes the newest configuration with its next event.
+            log::warn!("owner is too busy for a configuration just now");
+        }
+    }
+}
+
+/// Owns the cell whenever `role` says so.
+pub(crate) async fn run(shared: Arc<Shared>, mut role: watch::Receiver<Role>) {
+    loop {
+        let now = *role.borrow_and_update();
+        if let Role::Owner { epoch } = now {
+            let mut changed = role.clone();
+            tokio::select! {
+                () = own(shared.clone(), epoch) => {}
+                _ = changed.wait_for(|r| *r != now) => {
+                    log::warn!(epoch = epoch; "ownership is over");
+                }
+            }
+            shared.own.store(None);
+            shared.metrics.owns(0);
+        }
+        if role.wait_for(|r| *r != now).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Owns the cell until a newer owner is met.
+async fn own(shared: Arc<Shared>, epoch: u64) {
+    let taken = loop {
+        match take_over(&shared, epoch).await {
+            Ok(taken) => break taken,
+            Err(e @ TakeoverError::Deposed) => {
+                log::warn!(epoch = epoch, error:% = e; "cell not taken over");
+                return;
+            }
+            Err(e) => {
+                log::error!(epoch = epoch, error:% = e; "cell not taken over");
+                sleep(TAKEOVER_RETRY).await;
+            }
+        }
+    };
+    shared.metrics.owns(epoch);
+    let (events, inbox) = mpsc::channel(QUEUE);
+    let tasks = tokio_util::task::TaskTracker::new();
+    let follow = tokio::spawn(follow_intake(shared.clone(), events.clone(), taken.intake));
+    let roster = tokio::spawn(roster::follow(shared.clone(), events.clone()));
+    let _followers = [AbortOnDrop(follow), AbortOnDrop(roster)];
+    let owner = Owner {
+        hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
+        cell: taken.cell,
+        confirmed: Time::default(),
+        parked: Vec::new(),
+        next: taken.intake,
+        events: events.clone(),
+        shared: shared.clone(),
+    };
+    shared.own.store(Some(Arc::new(OwnerHandle { events })));
+    owner.run(inbox).await;
+}
+
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Somebody asks for a job that is not known: it may have been accepted a moment ago.
+struct Parked {
+    id: JobId,
+    since: Time,
+    reply: oneshot::Sender<JobAnswer>,
+}
+
+struct Owner {
+    shared: Arc<Shared>,
+    cell: Cell,
+    hands: Hands,
+    /// When the read was sent up to which every accepted job is known.
+    confirmed: Time,
+    parked: Vec<Parked>,
+    /// Offset of the intake up to which everything was taken.
+    next: u64,
+    events: mpsc::Sender<Event>,
+}
+
+/// Longest time that the cell is not looked at.
+const MAX_SLEEP: Duration = Duration::from_millis(100);
+
+impl Owner {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
+        loop {
+            let now = self.shared.clock.now();
+            let sleep = self.cell.wake().since(now).min(MAX_SLEEP);
+            let first = timeout(sleep, inbox.recv()).await;
+            let mut deposed = false;
+            if let Ok(Some(event)) = first {
+                deposed |= self.take(event);
+                while let Ok(event) = inbox.try_recv() {
+                    deposed |= self.take(event);
+                }
+            }
+            let outputs = self.cell.poll(self.shared.clock.now(), self.shared.clock.wall());
+            for output in outputs {
+                if let Output::Deposed { worker, .. } = &output {
+                    log::warn!(worker:% = worker; "a worker obeys a newer owner");
+                    deposed = true;
+                    continue;
+                }
+                self.hands.carry_out(output);
+            }
+            if deposed {
+                log::warn!("ownership is over: a newer owner is at work");
+                return;
+            }
+        }
+    }
+
+    /// Takes an event; true if a newer owner is at work.
+    fn take(&mut self, event: Event) -> bool {
+        let now = self.shared.clock.now();
+        match event {
+            Event::Intake(records, sent) => self.take_records(records, sent),
+            Event::Config(config) => self.cell.configure(now, config),
+            Event::Worker(entry) => self.cell.list(now, entry),
+            Event::NoWorker(id) => {
+                self.cell.unlist(now, &id);
+                self.hands.forget(&id);
+            }
+            Event::Listed => {}
+            Event::Looked(id, look, answer) => {
+                let outcome = match &answer {
+                    Ok(_) => "ok",
+                    Err(_) => "failed",
+                };
+                self.shared.metrics.looked(outcome);
+                self.cell.looked(now, &id, look, answer);
+            }
+            Event::Started(id, task, run, outcome) => {
+                self.cell.started(now, &id, task, run, outcome);
+            }
+            Event::Appended(mark) => self.cell.appended(now, mark),
+            Event::Deposed => return true,
+            Event::Advised(step, good) => self.cell.advised(now, step, good),
+            Event::Job(id, reply) => self.answer_job(id, now, reply),
+            Event::Queue(name, reply) => {
+                let pending = self.cell.pending(&name);
+                // Whoever has stopped waiting needs no answer.
+                let _ = reply.send(QueueAnswer::Pending(pending));
+            }
+        }
+        false
+    }
+
+    fn take_records(&mut self, records: Vec<Keyed>, sent: Time) {
+        let now = self.shared.clock.now();
+        for record in records {
+            if let Some(value) = &record.value {
+                take_intake(&self.shared, &mut self.cell, now, &record.key, value);
+            }
+        }
+        self.confirmed = self.confirmed.max(sent);
+        for parked in std::mem::take(&mut self.parked) {
+            self.answer_job(parked.id, parked.since, parked.reply);
+        }
+    }
+
+    /// Says that there is no such job only when everything is known that was accepted before
+    /// the question came.
+    fn answer_job(&mut self, id: JobId, since: Time, reply: oneshot::Sender<JobAnswer>) {
+        let answer = match self.cell.state(id) {
+            Some(state) => JobAnswer::Known {
+                state,
+                team: self.cell.submission(id).and_then(|s| s.team.clone()),
+            },
+            None if self.confirmed >= since => JobAnswer::Unknown,
+            None => {
+                self.parked.push(Parked { id, since, reply });
+                let fresh = read_intake(self.shared.clone(), self.events.clone(), self.next);
+                tokio::spawn(fresh);
+                return;
+            }
+        };
+        // Whoever has stopped waiting needs no answer.
+        let _ = reply.send(answer);
+    }
+}
+
+/// Reads the intake once, to its end.
+async fn read_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, from: u64) {
+    let sent = shared.clock.now();
+    let page = shared.store.read(INTAKE, from, Duration::ZERO, READ_LIMIT);
+    let Ok(page) = page.await else {
+        // Whoever asked hears that nobody knows, after its own patience.
+        return;
+    };
+    if page.from + page.records.len() as u64 >= page.end {
+        let records = page.records.iter().filter_map(Keyed::read).collect();
+        let _ = events.send(Event::Intake(records, sent)).await;
+    }
+}
+
+/// Follows the intake until nobody takes its records any more.
+async fn follow_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, mut next: u64) {
+    let mut lost = false;
+    while !events.is_closed() {
+        let sent = shared.clock.now();
+        let page = shared.store.read(INTAKE, next, READ_WAIT, READ_LIMIT).await;
+        match page {
+            Ok(page) => {
+                if std::mem::take(&mut lost) {
+                    log::info!("intake regained");
+                }
+                next = page.from + page.records.len() as u64;
+                let records = page.records.iter().filter_map(Keyed::read).collect();
+                let whole = next >= page.end;
+                let sent = if whole { sent } else { Time::default() };
+                let _ = events.send(Event::Intake(records, sent)).await;
+            }
+            Err(ReadError::Deleted) => next = reread(&shared, &events, next).await,
+            Err(e) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!(error:% = e; "intake lost");
+                }
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// The records between were deleted: the newest of each key has all that matters.
+async fn reread(shared: &Shared, events: &mpsc::Sender<Event>, from: u64) -> u64 {
+    log::warn!(from = from; "intake records were deleted: reading the newest again");
+    let mut after: Option<String> = None;
+    let mut end = None;
+    loop {
+        let page = shared.store.newest(INTAKE, after.as_deref(), READ_LIMIT);
+        let page = match page.await {
+            Ok(page) => page,
+            Err(e) => {
+                log::info!(error:% = e; "intake cannot be read again yet");
+                return from;
+            }
+        };
+        let first = *end.get_or_insert(page.end);
+        after = page.items.last().map(|i| i.key.clone());
+        let records = page.items.into_iter().map(|i| Keyed::new(i.key, i.value));
+        let records = records.collect();
+        let _ = events.send(Event::Intake(records, Time::default())).await;
+        if !page.more {
+            return first;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,136 @@
+//! What nodes ask the cell's owner.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use tarpc::client::Config;
+use tarpc::context::{self, Context};
+use tarpc::serde_transport::{new, tcp};
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::shared::Shared;
+
+/// Largest frame, in bytes; a longer one ends the connection.
+const MAX_FRAME: usize = 64 << 10;
+
+/// Time for a connection to the owner.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Where the cell's owner is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OwnerAt {
+    pub(crate) node: NodeName,
+    pub(crate) addr: SocketAddr,
+    pub(crate) epoch: u64,
+}
+
+/// What the owner says of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum JobAnswer {
+    /// It is known.
+    Known {
+        state: JobState,
+        team: Option<TeamName>,
+    },
+    /// There is no such job: the owner knows everything that was accepted.
+    Unknown,
+    /// Whoever was asked does not own the cell, or not yet.
+    NotOwner,
+}
+
+/// What the owner says of a queue.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum QueueAnswer {
+    /// Jobs of which no task has started.
+    Pending(u64),
+    /// Whoever was asked does not own the cell, or not yet.
+    NotOwner,
+}
+
+/// Calls between nodes.
+#[tarpc::service]
+pub(crate) trait Desk {
+    async fn job(id: JobId) -> JobAnswer;
+    async fn queue(name: QueueName) -> QueueAnswer;
+}
+
+#[derive(Clone)]
+struct Server(Arc<Shared>);
+
+impl Desk for Server {
+    async fn job(self, _: Context, id: JobId) -> JobAnswer {
+        match self.0.own.load_full() {
+            Some(own) => own.job(id).await,
+            None => JobAnswer::NotOwner,
+        }
+    }
+
+    async fn queue(self, _: Context, name: QueueName) -> QueueAnswer {
+        match self.0.own.load_full() {
+            Some(own) => own.queue(name).await,
+            None => QueueAnswer::NotOwner,
+        }
+    }
+}
+
+/// Answers other nodes until the task is dropped.
+pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Small answers would otherwise wait for a delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME)
+            .new_framed(stream);
+        let channel = BaseChannel::with_defaults(new(framed, Bincode::default()));
+        let server = Server(shared.clone());
+        tokio::spawn(channel.execute(server.serve()).for_each(|answer| async {
+            tokio::spawn(answer);
+        }));
+    }
+}
+
+/// A connection to the owner.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerLink {
+    pub(crate) addr: SocketAddr,
+    client: DeskClient,
+}
+
+impl OwnerLink {
+    pub(crate) async fn connect(addr: SocketAddr) -> Option<Self> {
+        let mut connect = tcp::connect(addr, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME);
+        let transport = timeout(CONNECT_LIMIT, connect).await.ok()?.ok()?;
+        let client = DeskClient::new(Config::default(), transport).spawn();
+        Some(Self { addr, client })
+    }
+
+    pub(crate) async fn job(&self, id: JobId, limit: Duration) -> Option<JobAnswer> {
+        self.client.job(within(limit), id).await.ok()
+    }
+
+    pub(crate) async fn queue(&self, name: QueueName, limit: Duration) -> Option<QueueAnswer> {
+        self.client.queue(within(limit), name).await.ok()
+    }
+}
+
+fn within(limit: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
--- /dev/null
+++ b/crates/node/src/ready.rs
@@ -0,0 +1,54 @@
+//! Answers the balancer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cactuswheel_adapter::READY_PATH;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::front::ACCEPT_PAUSE;
+use crate::shared::Shared;
+
+/// Answers the balancer until the task is dropped.
+pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let status = status(&shared, &request);
+                async move { Ok::<_, Infallible>(bare(status)) }
+            });
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A balancer that breaks off asks again.
+            let _ = conn.await;
+        });
+    }
+}
+
+fn status(shared: &Shared, request: &Request<Incoming>) -> StatusCode {
+    if request.uri().path() != READY_PATH {
+        return StatusCode::NOT_FOUND;
+    }
+    match shared.is_fresh() && !shared.is_stopping() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn bare(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of a node, as JSON.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use cactuswheel_model::Millis;
+use cactuswheel_work::{NodeName, ZoneName};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Settings {
+    /// This node's name, unique among all nodes.
+    pub node: NodeName,
+    /// Its data centre.
+    pub zone: ZoneName,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The platform's service for instances; without it none is moved or maintained.
+    #[serde(default)]
+    pub instances: Option<SocketAddr>,
+    /// The policy service of queues that have one.
+    #[serde(default)]
+    pub policy: Option<SocketAddr>,
+    /// Times that the platform sets.
+    pub times: Times,
+}
+
+/// Where a node listens.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer, which asks whether the node takes connections.
+    pub ready: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For whoever reads metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Times that the platform sets: `_ms` in milliseconds, `_s` in seconds, fractions allowed.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Times {
+    /// After this a withdrawn key is not accepted any more, whatever happens.
+    #[serde(rename = "revoke_ms", deserialize_with = "from_millis")]
+    pub revoke: Millis,
+    /// Longest lease that a worker grants.
+    #[serde(rename = "lease_ms", deserialize_with = "from_millis")]
+    pub lease: Millis,
+    /// Longest time that a worker takes to stop a run.
+    #[serde(rename = "stop_ms", deserialize_with = "from_millis")]
+    pub stop: Millis,
+    /// Time for which a final state can be asked for.
+    #[serde(rename = "kept_s", deserialize_with = "from_seconds")]
+    pub kept: Millis,
+    /// Time from the signal to stop until the process is killed.
+    #[serde(rename = "grace_s", deserialize_with = "from_seconds")]
+    pub grace: Millis,
+    /// Time that a move of an instance takes.
+    #[serde(rename = "move_s", deserialize_with = "from_seconds")]
+    pub moving: Millis,
+    /// Time that maintenance of an instance takes.
+    #[serde(rename = "maintain_s", deserialize_with = "from_seconds")]
+    pub maintaining: Millis,
+    /// Time for which orders to an instance have to come from one node.
+    #[serde(rename = "order_ms", deserialize_with = "from_millis")]
+    pub order: Millis,
+    /// Time after which a lasting task that is not at work counts as away.
+    #[serde(rename = "away_ms", deserialize_with = "from_millis")]
+    pub away: Millis,
+    /// Time for which a serving task may be over its target because of what fills beside it.
+    #[serde(rename = "harm_ms", deserialize_with = "from_millis")]
+    pub harm: Millis,
+    /// Time from a throttle order to its effect.
+    #[serde(rename = "pace_ms", deserialize_with = "from_millis")]
+    pub pace: Millis,
+    /// Factor by which work away from its data takes longer.
+    pub remote_factor: f64,
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("error 501: {path}: {source}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+    /// It holds something else.
+    #[error("error 501: {path}: at `{place}`: {source}")]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        place: String,
+        /// What went wrong.
+        source: serde_json::Error,
+    },
+    /// A value is out of its range.
+    #[error("error 501: {path}: `{place}` {fault}")]
+    Range {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        place: &'static str,
+        /// What is wrong with it.
+        fault: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read(path).map_err(|e| SettingsError::Read {
+            path: path.into(),
+            source: e,
+        })?;
+        let mut json = serde_json::Deserializer::from_slice(&text);
+        let parsed: Result<Self, _> = serde_path_to_error::deserialize(&mut json);
+        let settings = parsed.map_err(|e| SettingsError::Parse {
+            path: path.into(),
+            place: e.path().to_string(),
+            source: e.into_inner(),
+        })?;
+        match settings.fault() {
+            Some((place, fault)) => Err(SettingsError::Range {
+                path: path.into(),
+                place,
+                fault,
+            }),
+            None => Ok(settings),
+        }
+    }
+
+    /// The first field that is out of its range, and what is wrong with it.
+    fn fault(&self) -> Option<(&'static str, &'static str)> {
+        let times = &self.times;
+        let positive = [
+            ("times.revoke_ms", times.revoke),
+            ("times.lease_ms", times.lease),
+            ("times.kept_s", times.kept),
+            ("times.grace_s", times.grace),
+        ];
+        if let Some((place, _)) = positive.iter().find(|(_, t)| t.get() == 0) {
+            return Some((place, "has to be positive"));
+        }
+        if self.node.as_str().is_empty() {
+            return Some(("node", "has to be a name"));
+        }
+        if times.remote_factor < 1.0 {
+            return Some(("times.remote_factor", "has to be 1 or more"));
+        }
+        None
+    }
+}
+
+fn from_millis<'de, D: Deserializer<'de>>(input: D) -> Result<Millis, D::Error> {
+    let ms = f64::deserialize(input)?;
+    match ms.is_finite() && ms >= 0.0 {
+        true => Ok(Millis::new(ms.round() as u64)),
+        false => Err(D::Error::custom("a time is 0 or more")),
+    }
+}
+
+fn from_seconds<'de, D: Deserializer<'de>>(input: D) -> Result<Millis, D::Error> {
+    let s = f64::deserialize(input)?;
+    match s.is_finite() && s >= 0.0 {
+        true => Ok(Millis::new((s * 1_000.0).round() as u64)),
+        false => Err(D::Error::custom("a time is 0 or more")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,83 @@
+//! What the parts of a node share. Everything on the way of a request is read without a lock.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::ArcSwapOption;
+use cactuswheel_adapter::Store;
+use cactuswheel_model::Time;
+use cactuswheel_work::{FleetConfig, Wave};
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::owner::OwnerHandle;
+use crate::peer::{OwnerAt, OwnerLink};
+use crate::settings::Settings;
+
+/// What the parts of a node share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) store: Store,
+    pub(crate) metrics: Metrics,
+    /// The newest configuration; `None` until the first was read.
+    pub(crate) config: ArcSwapOption<FleetConfig>,
+    /// Waves of maintenance that the operators ask for.
+    pub(crate) waves: ArcSwapOption<Vec<Wave>>,
+    /// When the read was sent that last confirmed the configuration.
+    confirmed: AtomicU64,
+    /// Where the cell's owner is, as far as the store has told.
+    pub(crate) owner: ArcSwapOption<OwnerAt>,
+    /// The connection to the owner.
+    pub(crate) link: ArcSwapOption<OwnerLink>,
+    /// The cell's owner, while it is this node.
+    pub(crate) own: ArcSwapOption<OwnerHandle>,
+    stopping: AtomicBool,
+}
+
+/// Part of the revocation bound after which a configuration that was not confirmed is stale:
+/// the rest covers the way from the check to the worker and the rounding of clocks.
+const FRESH_SHARE: f64 = 0.8;
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, metrics: Metrics) -> Self {
+        Self {
+            store: Store::new(settings.store),
+            settings,
+            clock: Clock,
+            metrics,
+            config: ArcSwapOption::empty(),
+            waves: ArcSwapOption::empty(),
+            confirmed: AtomicU64::new(0),
+            owner: ArcSwapOption::empty(),
+            link: ArcSwapOption::empty(),
+            own: ArcSwapOption::empty(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration was confirmed by a read that was sent at `sent`.
+    pub(crate) fn confirm(&self, sent: Time) {
+        self.confirmed.fetch_max(sent.get(), Ordering::Relaxed);
+    }
+
+    /// Age of the configuration's last confirmation, in milliseconds.
+    pub(crate) fn config_age(&self) -> u64 {
+        let confirmed = Time::new(self.confirmed.load(Ordering::Relaxed));
+        self.clock.now().since(confirmed).as_millis() as u64
+    }
+
+    /// Whether no key can have been withdrawn too long ago without this node knowing.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let bound = self.settings.times.revoke.get() as f64 * FRESH_SHARE;
+        self.config.load().is_some() && (self.config_age() as f64) < bound
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/takeover.rs
@@ -0,0 +1,157 @@
+//! Takes the cell over: shuts earlier owners out, then reads all that they have written.
+
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Item, Partition, Producer, ReadError};
+use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
+use cactuswheel_model::Time;
+use cactuswheel_work::{JobId, Submission};
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+use crate::topics::{INTAKE, IntakeKey, JOURNAL};
+
+/// Name under which every owner writes the journal: the epoch tells them apart.
+pub(crate) const OWNER_NAME: &str = "owner";
+
+/// Time for an answer of the store.
+const LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Longest time that a job's age may be worth counting; clocks of nodes may be off.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
+/// Why the cell was not taken over.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum TakeoverError {
+    /// A newer owner is there.
+    #[error("a newer owner is there")]
+    Deposed,
+    /// A record cannot be read; going on without it would run work twice.
+    #[error("journal of job {0}: {1}")]
+    Record(JobId, BadRecord),
+}
+
+/// The cell as the store knows it, and the offset from which to follow the intake.
+pub(crate) struct Taken {
+    pub(crate) cell: Cell,
+    pub(crate) intake: u64,
+}
+
+/// Takes the cell over under `epoch`.
+pub(crate) async fn take_over(shared: &Shared, epoch: u64) -> Result<Taken, TakeoverError> {
+    shut_out(shared, epoch).await?;
+    // Whatever an earlier owner has in the journal is there by now, and nothing is added.
+    let (intake, end) = newest(shared, INTAKE).await;
+    let (journal, _) = newest(shared, JOURNAL).await;
+    let config = loop {
+        match shared.config.load_full() {
+            Some(config) => break config,
+            None => sleep(RETRY).await,
+        }
+    };
+    let mut cell = Cell::new(bounds(shared), epoch, config);
+    let now = shared.clock.now();
+    // A job's cancelling may come before the job: records are in order of their keys.
+    for item in &intake {
+        take_intake(shared, &mut cell, now, &item.key, &item.value);
+    }
+    for item in &journal {
+        let Ok(id) = item.key.parse::<JobId>() else {
+            log::error!(key = item.key; "journal record of no job");
+            continue;
+        };
+        let record = decode::<JobRecord>(&item.value);
+        let record = record.map_err(|e| TakeoverError::Record(id, e))?;
+        cell.restore(now, id, record);
+    }
+    for item in &intake {
+        // What was cancelled stays cancelled, whatever an earlier owner's record says.
+        if let Some(IntakeKey::Cancelled(id)) = IntakeKey::parse(&item.key) {
+            cell.cancel(now, id);
+        }
+    }
+    log::info!(
+        epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
+        "cell taken over"
+    );
+    Ok(Taken { cell, intake: end })
+}
+
+/// Takes a record of the intake into the cell.
+pub(crate) fn take_intake(shared: &Shared, cell: &mut Cell, now: Time, key: &str, value: &[u8]) {
+    match IntakeKey::parse(key) {
+        Some(IntakeKey::Submitted(id)) => match decode::<Submission>(value) {
+            Ok(sub) => {
+                let age = shared.clock.wall().saturating_sub(sub.accepted);
+                let age = Duration::from_millis(age).min(MAX_AGE);
+                cell.submit(now, sub, age);
+            }
+            Err(e) => log::error!(job:% = id, error:% = e; "submission cannot be read"),
+        },
+        Some(IntakeKey::Cancelled(id)) => cell.cancel(now, id),
+        None => log::error!(key = key; "intake record of no job"),
+    }
+}
+
+async fn shut_out(shared: &Shared, epoch: u64) -> Result<(), TakeoverError> {
+    let producer = Producer {
+        name: OWNER_NAME.into(),
+        epoch,
+        seq: 0,
+    };
+    loop {
+        let store = &shared.store;
+        let done = store.append(JOURNAL, Some(&producer), None, &[], LIMIT);
+        match done.await {
+            Ok(_) => return Ok(()),
+            Err(AppendError::Fenced) => return Err(TakeoverError::Deposed),
+            Err(e) => {
+                shared.metrics.append_failed("journal");
+                log::info!(epoch = epoch, error:% = e; "earlier owners not shut out yet");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// The newest record of each key, and the offset at which the first page was read.
+async fn newest(shared: &Shared, of: Partition) -> (Vec<Item>, u64) {
+    loop {
+        match pages(shared, of).await {
+            Ok(read) => return read,
+            Err(e) => {
+                log::info!(topic = of.topic, error:% = e; "takeover waits for the store");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn pages(shared: &Shared, of: Partition) -> Result<(Vec<Item>, u64), ReadError> {
+    let mut items: Vec<Item> = Vec::new();
+    let mut end = None;
+    loop {
+        let after = items.last().map(|i| i.key.clone());
+        let page = shared.store.newest(of, after.as_deref(), LIMIT).await?;
+        let first = *end.get_or_insert(page.end);
+        items.extend(page.items);
+        if !page.more {
+            return Ok((items, first));
+        }
+    }
+}
+
+fn bounds(shared: &Shared) -> Bounds {
+    let times = &shared.settings.times;
+    Bounds {
+        lease: times.lease,
+        stop: times.stop,
+        kept: times.kept,
+        remote: times.remote_factor,
+        harm: times.harm,
+        pace: times.pace,
+    }
+}
--- /dev/null
+++ b/crates/node/src/topics.rs
@@ -0,0 +1,63 @@
+//! The system's own topics in the platform's store. Each partition belongs to one cell.
+
+use cactuswheel_adapter::Partition;
+use cactuswheel_work::JobId;
+
+/// What fronts accepted: submissions and cancels, by job. Nothing here is ever changed, so any
+/// front may write at any time without knowing the cell's owner.
+pub(crate) const INTAKE: Partition = Partition {
+    topic: "keyed.intake",
+    part: 0,
+};
+
+/// The owner's state of each job. Only the newest owner can write: its epoch shuts out others.
+pub(crate) const JOURNAL: Partition = Partition {
+    topic: "keyed.journal",
+    part: 0,
+};
+
+/// Who owns the cell.
+pub(crate) const OWNER: Partition = Partition {
+    topic: "keyed.owner",
+    part: 0,
+};
+
+/// The operators' records.
+pub(crate) const OPERATORS: Partition = Partition {
+    topic: cactuswheel_adapter::OPERATOR_TOPIC,
+    part: 0,
+};
+
+/// The workers' entries.
+pub(crate) const WORKERS: Partition = Partition {
+    topic: cactuswheel_adapter::WORKERS_TOPIC,
+    part: 0,
+};
+
+/// A record of the intake, by its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum IntakeKey {
+    Submitted(JobId),
+    Cancelled(JobId),
+}
+
+impl IntakeKey {
+    pub(crate) fn parse(key: &str) -> Option<Self> {
+        let (kind, id) = key.split_at_checked(1)?;
+        let id = id.parse().ok()?;
+        match kind {
+            "s" => Some(Self::Submitted(id)),
+            "c" => Some(Self::Cancelled(id)),
+            _ => None,
+        }
+    }
+}
+
+impl std::fmt::Display for IntakeKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Submitted(id) => write!(f, "s{id}"),
+            Self::Cancelled(id) => write!(f, "c{id}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/work/src/lib.rs
@@ -0,0 +1,53 @@
+//! The vocabulary of work on a platform's workers: jobs of several steps, the tasks of a step,
+//! queues, teams with caps, workers and what they say of themselves, instances and pools.
+//!
+//! Plain data only: no I/O, no clock, no decisions. The platform's names never appear here; the
+//! adapter translates them.
+
+mod advice;
+mod end;
+mod fleet_config;
+mod hold_order;
+mod instance;
+mod instance_order;
+mod job_id;
+mod job_state;
+mod look;
+mod name;
+mod pace_order;
+mod plain_outcome;
+mod queue;
+mod room;
+mod service;
+mod start_order;
+mod step;
+mod stop_order;
+mod submission;
+mod task_id;
+mod team;
+mod wave;
+mod worker;
+
+pub use advice::Advice;
+pub use end::{End, How};
+pub use fleet_config::{BodyLimits, FleetConfig};
+pub use hold_order::{HoldOrder, LookError};
+pub use instance::{Instance, InstanceState};
+pub use instance_order::{InstanceOrder, InstanceOutcome, OrderToken};
+pub use job_id::{JobId, ParseJobIdError};
+pub use job_state::JobState;
+pub use look::{Look, Running};
+pub use name::{InstanceName, NodeName, QueueName, ServiceName, TeamName, WorkerId, ZoneName};
+pub use pace_order::PaceOrder;
+pub use plain_outcome::PlainOutcome;
+pub use queue::Queue;
+pub use room::Room;
+pub use service::Service;
+pub use start_order::{StartOrder, StartOutcome, StartRefusal};
+pub use step::Step;
+pub use stop_order::StopOrder;
+pub use submission::Submission;
+pub use task_id::{ParseTaskIdError, StepId, TaskId};
+pub use team::{Cap, Team};
+pub use wave::Wave;
+pub use worker::{Presence, WorkerEntry};
--- /dev/null
+++ b/crates/work/src/plain_outcome.rs
@@ -0,0 +1,12 @@
+//! What becomes of an order.
+
+/// What became of any other order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlainOutcome {
+    /// Carried out.
+    Done,
+    /// Refused; nothing was done.
+    Refused(u16),
+    /// It may be carried out, now or later, or was never sent.
+    Unknown,
+}
--- /dev/null
+++ b/crates/work/src/room.rs
@@ -0,0 +1,77 @@
+//! Room on a worker.
+
+use std::ops::{Add, AddAssign, Mul, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// What a task takes up or a worker has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Processor, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory, in MiB.
+    pub memory: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl Room {
+    /// Whether this fits into `space`, in every kind of resource.
+    pub const fn fits(self, space: Self) -> bool {
+        self.cpu <= space.cpu && self.memory <= space.memory && self.gpu <= space.gpu
+    }
+
+    /// Whether nothing at all is asked for or left.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
+impl Add for Room {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+/// Never below nothing in any kind of resource.
+impl Sub for Room {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl Mul<u64> for Room {
+    type Output = Self;
+
+    fn mul(self, times: u64) -> Self {
+        Self {
+            cpu: self.cpu.saturating_mul(times),
+            memory: self.memory.saturating_mul(times),
+            gpu: self.gpu.saturating_mul(times),
+        }
+    }
+}
--- /dev/null
+++ b/crates/work/src/stop_order.rs
@@ -0,0 +1,14 @@
+//! Orders to stop a run.
+
+use crate::TaskId;
+
+/// Tells a worker to stop a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Fencing token.
+    pub fence: u64,
+}
