--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,20 @@
+//! Which instances serve which pool, and when each has its maintenance.
+//!
+//! A pure machine: [`Planner::plan`] takes what the cell and the platform say and gives duties.
+//! It has no clock and does no I/O; whoever carries the duties out tells it the outcomes.
+//!
+//! Answers demand that goes round between the pools of a fleet: each is asked for several times
+//! its mean for some seconds and for next to nothing in between. An instance in use earns more
+//! than ten times what it costs, so a pool grows at once and with some room to spare; one that
+//! idles costs as much in a second or two as a move, so it leaves after about that time.
+
+mod duty;
+mod fleet;
+mod planner;
+mod snapshot;
+mod trend;
+mod waves;
+
+pub use duty::Duty;
+pub use planner::{Planner, Times};
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/capacity/src/planner.rs
@@ -0,0 +1,424 @@
+//! The planner.
+
+use std::time::Duration;
+
+use cactuswheel_cell::{Load, WorkerView};
+use cactuswheel_model::{Map, Millis, Set, Time};
+use cactuswheel_work::{
+    InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName,
+};
+
+use crate::duty::Duty;
+use crate::fleet::{Member, Ordered, Standing, Unseen, members};
+use crate::snapshot::Snapshot;
+use crate::trend::Trend;
+use crate::waves::Waves;
+
+/// Age of the list of instances after which nothing is ordered: an instance may be elsewhere.
+const LIST_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Time after which an order that was never seen through is no longer waited for.
+const ORDER_LIMIT: Duration = Duration::from_secs(20);
+
+/// Pause before an order without an answer is given again.
+const REPEAT: Duration = Duration::from_millis(400);
+
+/// Times that the platform sets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Times {
+    /// Time that a move takes.
+    pub moving: Millis,
+    /// Time that maintenance takes.
+    pub maintaining: Millis,
+}
+
+/// Plans moves and maintenance of instances.
+#[derive(Debug)]
+pub struct Planner {
+    times: Times,
+    trends: Map<ServiceName, Trend>,
+    ordered: Map<InstanceName, Ordered>,
+    unseen: Unseen,
+    waves: Waves,
+    /// Pools that an instance cannot serve, by its kind.
+    unfit: Set<(String, ServiceName)>,
+}
+
+/// A pool in the course of one plan.
+#[derive(Debug, Default)]
+struct Pool<'a> {
+    /// Instances wanted now.
+    target: usize,
+    /// Instances that are kept.
+    keep: usize,
+    serving: Vec<(&'a Member<'a>, &'a WorkerView)>,
+    closing: Vec<(&'a Member<'a>, &'a WorkerView)>,
+    coming: usize,
+}
+
+impl Pool<'_> {
+    fn have(&self) -> usize {
+        self.serving.len() + self.coming
+    }
+}
+
+impl Planner {
+    /// A planner that knows nothing but which instances had their maintenance.
+    pub fn new(times: Times, maintained: Vec<(u64, InstanceName)>) -> Self {
+        let mut waves = Waves::default();
+        for (wave, instance) in maintained {
+            waves.note(wave, instance);
+        }
+        Self {
+            times,
+            trends: Map::default(),
+            ordered: Map::default(),
+            unseen: Unseen::default(),
+            waves,
+            unfit: Set::default(),
+        }
+    }
+
+    /// What became of an order.
+    pub fn ordered(&mut self, now: Time, instance: &InstanceName, outcome: InstanceOutcome) {
+        let Some(given) = self.ordered.get_mut(instance) else {
+            return;
+        };
+        given.flying = false;
+        match outcome {
+            InstanceOutcome::Done => {
+                given.certain = true;
+                given.at = now;
+            }
+            InstanceOutcome::Unknown => given.at = now,
+            InstanceOutcome::Invalid => {
+                if let InstanceOrder::Move { pool, .. } = &given.order {
+                    let kind = instance.as_str().to_owned();
+                    self.unfit.insert((kind, pool.clone()));
+                }
+                self.ordered.remove(instance);
+            }
+            InstanceOutcome::OtherWave => {
+                if let InstanceOrder::Maintain { wave, .. } = &given.order {
+                    // It is not of the wave any more, so the wave does not wait for it.
+                    let wave = *wave;
+                    self.waves.note(wave, instance.clone());
+                }
+                self.ordered.remove(instance);
+            }
+            InstanceOutcome::Fence | InstanceOutcome::Busy | InstanceOutcome::Refused(_) => {
+                self.ordered.remove(instance);
+            }
+        }
+    }
+
+    /// What is to be done now.
+    pub fn plan(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+        let now = snapshot.now;
+        if now.since(snapshot.listed) > LIST_LIMIT || snapshot.instances.is_empty() {
+            return Vec::new();
+        }
+        let mut duties = self.see_through(snapshot);
+        let all = members(snapshot, &self.ordered, &mut self.unseen);
+        let targets = self.targets(snapshot);
+        let mut pools: Map<&ServiceName, Pool<'_>> = Map::default();
+        for (service, (target, keep)) in &targets {
+            let pool = pools.entry(service).or_default();
+            (pool.target, pool.keep) = (*target, *keep);
+        }
+        let mut spare = Vec::new();
+        for member in &all {
+            let pool = pools.entry(&member.instance.pool);
+            match &member.standing {
+                Standing::Spare => spare.push(member),
+                Standing::Serving(view) => pool.or_default().serving.push((member, view)),
+                Standing::Closing(view) => pool.or_default().closing.push((member, view)),
+                Standing::Coming(to) => {
+                    if let Some(to) = targets.get_key_value(to).map(|(s, _)| s) {
+                        pools.entry(to).or_default().coming += 1;
+                    }
+                }
+                Standing::Away | Standing::Dark => {}
+            }
+        }
+        let maintaining = self.times.maintaining.duration();
+        for wave in snapshot.waves {
+            let wanted = self.waves.plan(wave, now, maintaining, &all, &self.ordered);
+            duties.extend(wanted);
+        }
+        let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
+        spare.retain(|m| !taken.contains(&m.instance.name));
+        // Those that a wave still wants stay where their maintenance is free.
+        spare.sort_by_key(|m| self.waves.wants(snapshot.waves, &m.instance.name));
+        self.grow(&mut pools, &mut spare, &mut taken, &mut duties);
+        self.shrink(&mut pools, snapshot, &mut taken, &mut duties);
+        for duty in &duties {
+            self.note(now, duty);
+        }
+        duties
+    }
+
+    /// Orders that the list shows as carried out, and those to repeat.
+    fn see_through(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+        let now = snapshot.now;
+        let mut duties = Vec::new();
+        let mut over = Vec::new();
+        for (name, given) in &mut self.ordered {
+            let listed = snapshot.instances.iter().find(|i| i.name == *name);
+            let Some(listed) = listed else {
+                over.push(name.clone());
+                continue;
+            };
+            if given.flying {
+                continue;
+            }
+            if !given.certain {
+                if now.since(given.at) >= REPEAT {
+                    given.flying = true;
+                    duties.push(Duty::Order {
+                        order: given.order.clone(),
+                        worker: given.worker.clone(),
+                    });
+                }
+                continue;
+            }
+            let settled = snapshot.listed > given.at
+                && matches!(listed.state, InstanceState::Up | InstanceState::Down);
+            if settled || now.since(given.at) > ORDER_LIMIT {
+                over.push(name.clone());
+                if let InstanceOrder::Maintain { instance, wave } = &given.order {
+                    duties.push(Duty::Maintained {
+                        wave: *wave,
+                        instance: instance.clone(),
+                    });
+                }
+            }
+        }
+        for name in over {
+            self.ordered.remove(&name);
+            self.unseen.remove(&name);
+        }
+        for duty in &duties {
+            if let Duty::Maintained { wave, instance } = duty {
+                self.waves.note(*wave, instance.clone());
+            }
+        }
+        duties
+    }
+
+    /// Instances that each pool wants now, and those that it keeps.
+    fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, (usize, usize)> {
+        let loads = snapshot.loads.iter();
+        let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
+        loads
+            .map(|(service, load)| {
+                let unit = unit(snapshot, service);
+                let trend = self.trends.entry(service.clone()).or_default();
+                let target = trend.target(snapshot.now, load, unit).max(least(load));
+                let keep = trend.lasting_target().max(target);
+                (service.clone(), (target, keep))
+            })
+            .collect()
+    }
+
+    /// Pools that are short get instances: those about to leave stay, then spare ones come, then
+    /// those that other pools have too many of.
+    fn grow(
+        &mut self,
+        pools: &mut Map<&ServiceName, Pool<'_>>,
+        spare: &mut Vec<&Member<'_>>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let mut short: Vec<(usize, ServiceName)> = pools
+            .iter()
+            .filter(|(_, p)| p.target > p.have())
+            .map(|(s, p)| (p.target - p.have(), (*s).clone()))
+            .collect();
+        short.sort_by(|a, b| b.cmp(a));
+        for (mut missing, service) in short {
+            missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
+            while missing > 0 {
+                let fit = |m: &&&Member<'_>| self.fits(m, &service);
+                let found = spare.iter().position(|m| fit(&m));
+                let member = match found {
+                    Some(at) => Some((spare.remove(at), None)),
+                    None => self.borrow(pools, &service, taken),
+                };
+                let Some((member, worker)) = member else {
+                    break;
+                };
+                taken.insert(member.instance.name.clone());
+                missing -= 1;
+                duties.push(Duty::Order {
+                    order: InstanceOrder::Move {
+                        instance: member.instance.name.clone(),
+                        pool: service.clone(),
+                    },
+                    worker,
+                });
+            }
+        }
+    }
+
+    /// Workers of a pool that were about to leave take work again.
+    fn reopen(
+        &self,
+        pool: Option<&mut Pool<'_>>,
+        most: usize,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) -> usize {
+        let Some(pool) = pool else {
+            return 0;
+        };
+        let leaving = pool.closing.iter();
+        let leaving = leaving.filter(|(m, v)| {
+            !taken.contains(&m.instance.name) && !self.waves.emptying.contains(&v.worker)
+        });
+        let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
+        for (member, view) in &chosen {
+            taken.insert(member.instance.name.clone());
+            duties.push(Duty::Reopen(view.worker.clone()));
+        }
+        chosen.len()
+    }
+
+    /// An empty instance of a pool that has more than it keeps.
+    fn borrow<'a>(
+        &self,
+        pools: &mut Map<&ServiceName, Pool<'a>>,
+        to: &ServiceName,
+        taken: &Set<InstanceName>,
+    ) -> Option<(&'a Member<'a>, Option<cactuswheel_work::WorkerId>)> {
+        for (service, pool) in pools.iter_mut() {
+            if *service == to {
+                continue;
+            }
+            let free = |m: &Member<'_>, v: &WorkerView| {
+                v.runs == 0 && !taken.contains(&m.instance.name) && self.fits(m, to)
+            };
+            let leaving = pool.closing.iter().position(|(m, v)| free(m, v));
+            if let Some(at) = leaving {
+                let (member, view) = pool.closing.remove(at);
+                return Some((member, Some(view.worker.clone())));
+            }
+            if pool.have() <= pool.target {
+                continue;
+            }
+            let idle = pool.serving.iter().position(|(m, v)| free(m, v));
+            if let Some(at) = idle {
+                let (member, view) = pool.serving.remove(at);
+                return Some((member, Some(view.worker.clone())));
+            }
+        }
+        None
+    }
+
+    /// Pools that have too many let instances go: empty ones at once, busy ones when they are
+    /// empty.
+    fn shrink(
+        &self,
+        pools: &mut Map<&ServiceName, Pool<'_>>,
+        snapshot: &Snapshot<'_>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let Some(off) = snapshot.spare.first() else {
+            return;
+        };
+        for pool in pools.values_mut() {
+            let leaving = pool.closing.iter().filter(|(_, v)| v.runs == 0);
+            for (member, view) in leaving {
+                let name = &member.instance.name;
+                if self.fits(member, off)
+                    && !self.waves.emptying.contains(&view.worker)
+                    && taken.insert(name.clone())
+                {
+                    duties.push(move_order(name, off, view));
+                }
+            }
+            let mut surplus = pool.have().saturating_sub(pool.keep);
+            let mut idle: Vec<_> = pool.serving.iter().filter(|(_, v)| v.lasting == 0).collect();
+            idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
+            for (member, view) in idle {
+                let name = &member.instance.name;
+                if surplus == 0 {
+                    break;
+                }
+                if !self.fits(member, off) || !taken.insert(name.clone()) {
+                    continue;
+                }
+                surplus -= 1;
+                duties.push(match view.runs {
+                    0 => move_order(name, off, view),
+                    _ => Duty::Close {
+                        worker: view.worker.clone(),
+                        evacuate: false,
+                    },
+                });
+            }
+        }
+    }
+
+    fn fits(&self, member: &Member<'_>, pool: &ServiceName) -> bool {
+        let name = member.instance.name.as_str().to_owned();
+        !self.unfit.contains(&(name, pool.clone()))
+    }
+
+    /// Remembers what is ordered, so that it is not ordered twice.
+    fn note(&mut self, now: Time, duty: &Duty) {
+        let Duty::Order { order, worker } = duty else {
+            return;
+        };
+        let name = match order {
+            InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. } => {
+                instance.clone()
+            }
+        };
+        if let Some(worker) = worker {
+            self.waves.emptying.remove(worker);
+        }
+        self.ordered.entry(name).or_insert_with(|| Ordered {
+            order: order.clone(),
+            at: now,
+            certain: false,
+            flying: true,
+            worker: worker.clone(),
+        });
+    }
+}
+
+fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Duty {
+    Duty::Order {
+        order: InstanceOrder::Move {
+            instance: name.clone(),
+            pool: pool.clone(),
+        },
+        worker: Some(view.worker.clone()),
+    }
+}
+
+fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
+    match duty {
+        Duty::Order {
+            order:
+                InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. },
+            ..
+        } => Some(instance.clone()),
+        _ => None,
+    }
+}
+
+/// Least number of instances of a pool that has work at all.
+fn least(load: &Load) -> usize {
+    usize::from(load.queues > 0).max(load.spread)
+}
+
+/// Size of a pool's instances; of the fleet's, where the pool has none.
+fn unit(snapshot: &Snapshot<'_>, service: &ServiceName) -> Room {
+    let mut instances = snapshot.instances.iter();
+    let own = instances.find(|i| i.pool == *service);
+    let any = own.or(snapshot.instances.first());
+    any.map(|i| i.room).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/capacity/src/snapshot.rs
@@ -0,0 +1,24 @@
+//! What a plan is made from.
+
+use cactuswheel_cell::{Load, WorkerView};
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{Instance, ServiceName, Wave, WorkerId};
+
+/// What a plan is made from, as of one moment.
+#[derive(Debug)]
+pub struct Snapshot<'a> {
+    /// The moment.
+    pub now: Time,
+    /// What each service has to do.
+    pub loads: &'a Map<ServiceName, Load>,
+    /// The workers that the cell knows.
+    pub workers: &'a Map<WorkerId, WorkerView>,
+    /// The platform's list of instances.
+    pub instances: &'a [Instance],
+    /// When the request for that list was sent.
+    pub listed: Time,
+    /// Waves that the operators ask for.
+    pub waves: &'a [Wave],
+    /// Services whose instances are off and cost nothing.
+    pub spare: &'a [ServiceName],
+}
--- /dev/null
+++ b/crates/capacity/src/trend.rs
@@ -0,0 +1,81 @@
+//! How much a pool is asked for.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use cactuswheel_cell::Load;
+use cactuswheel_model::Time;
+use cactuswheel_work::Room;
+
+/// Time over which arrivals are averaged: long enough for some dozen jobs of a busy queue, short
+/// against the seconds for which it is busy.
+const ARRIVALS: Duration = Duration::from_millis(1_000);
+
+/// Time for which the highest target counts before a pool shrinks. Keeping an instance for a
+/// second costs about what moving it costs.
+const SHRINK_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Room beyond what is asked for: tasks of up to a third of an instance leave gaps.
+const GAPS: f64 = 1.2;
+
+/// Instances beyond that while short work comes in.
+const RESERVE: f64 = 0.5;
+
+/// How much one pool is asked for, now and lately.
+#[derive(Debug, Default)]
+pub(crate) struct Trend {
+    /// Work that had arrived by then, in core-milliseconds.
+    arrived: VecDeque<(Time, u64)>,
+    /// Targets of late.
+    targets: VecDeque<(Time, usize)>,
+}
+
+impl Trend {
+    /// Takes in a load; gives the number of instances of size `unit` that answers it.
+    pub(crate) fn target(&mut self, now: Time, load: &Load, unit: Room) -> usize {
+        self.arrived.push_back((now, load.arrived));
+        while self.arrived.len() > 2 && now.since(self.arrived[1].0) >= ARRIVALS {
+            self.arrived.pop_front();
+        }
+        let asked = load.used + load.waiting;
+        let asked = units(asked, unit) * GAPS;
+        let coming = self.coming() / unit.cpu.max(1) as f64 + units(load.lasting, unit);
+        let wanted = asked.max(coming * GAPS);
+        let reserve = match load.waiting.is_empty() && self.coming() == 0.0 {
+            true => 0.0,
+            false => RESERVE,
+        };
+        let target = (wanted + reserve).ceil() as usize;
+        self.targets.push_back((now, target));
+        while self.targets.len() > 1 && now.since(self.targets[0].0) > SHRINK_AFTER {
+            self.targets.pop_front();
+        }
+        target
+    }
+
+    /// The highest target of late: a pool does not shrink below it.
+    pub(crate) fn lasting_target(&self) -> usize {
+        let targets = self.targets.iter().map(|(_, t)| *t);
+        targets.max().unwrap_or_default()
+    }
+
+    /// Processor that arriving work takes up if it goes on like this, in thousandths of a core.
+    fn coming(&self) -> f64 {
+        let (Some(first), Some(last)) = (self.arrived.front(), self.arrived.back()) else {
+            return 0.0;
+        };
+        let span = last.0.since(first.0).max(ARRIVALS).as_millis() as f64;
+        1_000.0 * last.1.saturating_sub(first.1) as f64 / span
+    }
+}
+
+/// Instances of size `unit` that hold `room`, in fractions.
+fn units(room: Room, unit: Room) -> f64 {
+    let part = |a: u64, b: u64| match b {
+        0 => 0.0,
+        _ => a as f64 / b as f64,
+    };
+    let cpu = part(room.cpu, unit.cpu);
+    let memory = part(room.memory, unit.memory);
+    cpu.max(memory).max(part(room.gpu, unit.gpu))
+}
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -1,12 +1,11 @@
 //! The cell itself: its state, what it is told and what it asks for.
 
-use std::collections::hash_map::Entry;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{
-    FleetConfig, JobId, JobState, QueueName, StepId, Submission, WorkerEntry, WorkerId,
+    FleetConfig, JobId, JobState, QueueName, ServiceName, StepId, Submission, WorkerEntry, WorkerId,
 };
 
 use crate::advice::Tickets;
@@ -19,7 +18,7 @@
 use crate::pass::held;
 use crate::run_state::Turn;
 use crate::usage::Usage;
-use crate::worker::{Looking, Worker};
+use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
 
 /// Bits of a fencing token below the owner's epoch. Within one ownership a worker's token rises
 /// each time that an order to it has no answer.
@@ -54,9 +53,13 @@
     flying: Option<(Mark, Consequences)>,
     next_mark: u64,
     pub(crate) out: Vec<Output>,
+    /// Work of short jobs that has arrived, by service, in core-milliseconds.
+    pub(crate) arrived: Map<ServiceName, u64>,
     /// Something changed that may let a task start.
     pub(crate) stirred: bool,
     pub(crate) now: Time,
+    /// Leases are renewed: the ownership was confirmed of late.
+    pub(crate) renewing: bool,
 }
 
 impl Cell {
@@ -76,8 +79,10 @@
             flying: None,
             next_mark: 1,
             out: Vec::new(),
+            arrived: Map::default(),
             stirred: true,
             now: Time::default(),
+            renewing: true,
         }
     }
 
@@ -112,15 +117,17 @@
     pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
         self.now = now;
         let id = sub.job;
-        let Entry::Vacant(slot) = self.jobs.entry(id) else {
+        if self.jobs.contains_key(&id) {
             return;
-        };
+        }
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
         let mut job = Job::new(Arc::new(sub), arrived);
         if job.sub.times == 0 {
             job.turns.push(Turn::new(0, &job.sub.steps));
         }
-        slot.insert(job);
+        log_accepted(&job);
+        self.count_arrival(&job);
+        self.jobs.insert(id, job);
         if self.cancelled.remove(&id) {
             self.cancel(now, id);
         }
@@ -233,11 +240,18 @@
         waiting.count() as u64
     }
 
+    /// The ownership was confirmed `age` ago. Past [`RENEW_WITHOUT_STORE`] leases are left to
+    /// expire: a newer owner may count on it.
+    pub fn confirmed(&mut self, age: Duration) {
+        self.renewing = age < RENEW_WITHOUT_STORE;
+    }
+
     /// What is to be done now; `wall` is in milliseconds since 1970.
     pub fn poll(&mut self, now: Time, wall: u64) -> Vec<Output> {
         self.now = now;
         self.begin_turns(wall);
         self.expire();
+        self.evacuate();
         self.forget();
         if self.flying.is_none() {
             if self.stirred {
@@ -390,3 +404,17 @@
         self.out.push(Output::Append(Batch { mark, records }));
     }
 }
+
+fn log_accepted(job: &Job) {
+    let sub = &job.sub;
+    let tasks: u32 = sub.steps.iter().map(|s| s.count).sum();
+    let first = &sub.steps[0];
+    let team = sub.team.as_ref().map_or("", |t| t.as_str());
+    log::info!(
+        job:% = sub.job, queue:% = sub.queue, team = team, tasks = tasks,
+        steps = sub.steps.len() as u64, cpu = first.room.cpu, memory = first.room.memory,
+        chain_ms = job.chain(), lasting = sub.lasting(), filler = first.filler,
+        target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
+        "job accepted"
+    );
+}
--- a/crates/cell/src/copy.rs
+++ b/crates/cell/src/copy.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether a lasting run does its work.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.phase == Phase::Running && self.percent >= 100
+    }
+
     pub(crate) fn enter(&mut self, phase: Phase, now: Time) {
         self.phase = phase;
         self.since = now;
--- /dev/null
+++ b/crates/cell/src/loads.rs
@@ -0,0 +1,178 @@
+//! What the cell tells those who decide about instances.
+
+use cactuswheel_model::Map;
+use cactuswheel_work::{Room, ServiceName, Step, TeamName, WorkerId};
+
+use crate::cell::Cell;
+use crate::job::Job;
+use crate::view::{Load, WorkerView};
+
+/// Thousandths of a core.
+const MILLI: u64 = 1_000;
+
+impl Cell {
+    /// What each service has to do.
+    pub fn loads(&self) -> Map<ServiceName, Load> {
+        let mut loads: Map<ServiceName, Load> = Map::default();
+        for queue in self.config.queues.values() {
+            loads.entry(queue.service.clone()).or_default().queues += 1;
+        }
+        for (service, arrived) in &self.arrived {
+            loads.entry(service.clone()).or_default().arrived = *arrived;
+        }
+        for worker in self.workers.values() {
+            if let Some(entry) = &worker.entry {
+                loads.entry(entry.service.clone()).or_default().used += worker.used;
+            }
+        }
+        let mut left = Map::default();
+        for job in self.jobs.values().filter(|j| j.is_open()) {
+            let load = loads.entry(self.service_of(job)).or_default();
+            self.add_waiting(job, load, &mut left);
+        }
+        loads
+    }
+
+    /// Adds what a job's tasks ask for, as far as its team's limit lets them start.
+    fn add_waiting(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
+        for turn in &job.turns {
+            for (run, step) in turn.steps.iter().zip(job.sub.steps.iter()) {
+                if run.is_done() || !turn.is_ready(step) {
+                    continue;
+                }
+                if step.lasting {
+                    load.lasting += step.reserved() * u64::from(step.count);
+                    load.spread = load.spread.max(spread(step));
+                }
+                let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
+                let free = free.min(self.startable(job, step, left));
+                load.waiting += step.reserved() * free;
+            }
+        }
+    }
+
+    /// Number of a step's tasks that the team's limit lets start.
+    fn startable(&self, job: &Job, step: &Step, left: &mut Map<TeamName, Room>) -> u64 {
+        let Some(team) = &job.sub.team else {
+            return u64::MAX;
+        };
+        let Some(cap) = self.config.teams.get(team).map(|t| t.cap.0) else {
+            return u64::MAX;
+        };
+        if cap.cpu == 0 {
+            return u64::MAX;
+        }
+        let used = self.usage.of(team);
+        let left = left.entry(team.clone()).or_insert(cap - used);
+        let tasks = left.cpu / step.room.cpu.max(1);
+        let tasks = tasks.min(u64::from(step.count));
+        *left -= step.room * tasks;
+        tasks
+    }
+
+    /// Counts the work of a job that has arrived.
+    pub(crate) fn count_arrival(&mut self, job: &Job) {
+        if job.sub.lasting() {
+            return;
+        }
+        let work = job.sub.steps.iter().map(|s| {
+            let tasks = s.room.cpu * u64::from(s.count);
+            tasks * s.estimate.get() / MILLI
+        });
+        let work: u64 = work.sum();
+        let service = self.service_of(job);
+        *self.arrived.entry(service).or_default() += work;
+    }
+
+    /// The workers that are known.
+    pub fn workers(&self) -> Map<WorkerId, WorkerView> {
+        let listed = self.workers.values();
+        let listed = listed.filter_map(|w| Some((w, w.entry.as_ref()?)));
+        let views = listed.map(|(w, entry)| {
+            let view = WorkerView {
+                worker: w.id.clone(),
+                service: entry.service.clone(),
+                open: w.is_open(self.now) || w.is_full(self.now),
+                closing: w.closing && w.answers(),
+                room: entry.room,
+                used: w.used,
+                lasting: w.held.values().filter(|h| h.lasting).count(),
+                runs: w.held.len(),
+            };
+            (w.id.clone(), view)
+        });
+        views.collect()
+    }
+
+    /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
+    pub fn close(&mut self, id: &WorkerId, evacuate: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let runs = worker.held.len() as u64;
+            log::info!(worker:% = id, runs = runs, evacuate = evacuate; "worker closed");
+            worker.closing = true;
+            worker.evacuating = evacuate;
+        }
+    }
+
+    /// Gives a worker work again.
+    pub fn reopen(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            log::info!(worker:% = id; "worker reopened");
+            worker.closing = false;
+            worker.evacuating = false;
+            self.stirred = true;
+        }
+    }
+
+    /// A worker's instance was ordered away: everything there is gone.
+    pub fn retire(&mut self, id: &WorkerId) {
+        self.lose_all(id, "instance ordered away");
+        self.workers.remove(id);
+    }
+
+    /// Lasting work leaves workers that are to be emptied, within its budget.
+    pub(crate) fn evacuate(&mut self) {
+        let leaving = self.workers.values().filter(|w| w.evacuating);
+        let mut lasting = Vec::new();
+        for worker in leaving {
+            let runs = worker.held.iter().filter(|(_, h)| h.lasting);
+            lasting.extend(runs.map(|(t, h)| (worker.id.clone(), *t, h.run)));
+        }
+        for (id, task, run) in lasting {
+            if self.may_stop(task, &id) {
+                log::info!(task:% = task, run = run, worker:% = id; "run leaves its worker");
+                self.stop(task, run, &id);
+            }
+        }
+    }
+
+    /// Whether a lasting task may be stopped: its step's budget has room, and so has a worker.
+    fn may_stop(&self, task: cactuswheel_work::TaskId, from: &WorkerId) -> bool {
+        let Some(job) = self.jobs.get(&task.job()) else {
+            return true;
+        };
+        let (Some(step), Some(run)) = (job.step(task), job.step_run(task)) else {
+            return true;
+        };
+        let mine = &run.tasks[task.index as usize];
+        let running = mine.copies.iter().all(|c| c.worker != *from || c.is_at_work());
+        let others = run.tasks.iter().enumerate();
+        let others = others.filter(|(i, _)| *i != task.index as usize);
+        let away = others.filter(|(_, t)| !t.copies.iter().any(|c| c.is_at_work()));
+        let budget = step.budget.unwrap_or(1).max(1);
+        let service = self.service_of(job);
+        let mut places = self.workers.values().filter(|w| {
+            let here = w.entry.as_ref().is_some_and(|e| e.service == service);
+            here && w.is_open(self.now) && step.reserved().fits(w.free())
+        });
+        running && (away.count() as u32) < budget && places.next().is_some()
+    }
+}
+
+/// Workers that a lasting step has to be spread over.
+fn spread(step: &Step) -> usize {
+    match step.spread {
+        0 => 1,
+        most => step.count.div_ceil(most) as usize,
+    }
+}
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -30,6 +30,7 @@
     /// Looks at every worker that is due.
     pub(crate) fn look_around(&mut self) {
         let (now, lease) = (self.now, self.bounds.lease);
+        let renewing = self.renewing;
         for worker in self.workers.values_mut() {
             let Looking::Due(at) = worker.looking else {
                 continue;
@@ -50,7 +51,7 @@
                 (true, false) => LOOK_WAIT,
             };
             let order = HoldOrder {
-                expiry: worker.renew(lease, now),
+                expiry: renewing.then(|| worker.renew(lease, now)).flatten(),
                 fence: worker.fence,
                 seen: worker.noted,
                 wait,
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -1,35 +1,6 @@
-//! What a cell shows to those who decide about instances and to operators.
+//! What a cell shows to those who decide about instances.
 
-use cactuswheel_model::Time;
-use cactuswheel_work::{JobId, JobState, QueueName, Room, ServiceName, TaskId, WorkerId};
-
-/// A job, for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct JobView {
-    /// The job.
-    pub job: JobId,
-    /// Its queue.
-    pub queue: QueueName,
-    /// Its state.
-    pub state: JobState,
-    /// Its tasks that have a run somewhere.
-    pub tasks: Vec<TaskView>,
-    /// Tasks that wait for a worker.
-    pub waiting: usize,
-}
-
-/// A run, for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TaskView {
-    /// The task.
-    pub task: TaskId,
-    /// Its worker.
-    pub worker: WorkerId,
-    /// Number of the run.
-    pub run: u32,
-    /// How far it is: `planned`, `ordered`, `unknown`, `running` or `stopping`.
-    pub phase: &'static str,
-}
+use cactuswheel_work::{Room, ServiceName, WorkerId};
 
 /// A worker, for those who decide about instances.
 #[derive(Debug, Clone, PartialEq)]
@@ -50,6 +21,21 @@
     pub lasting: usize,
     /// All runs there.
     pub runs: usize,
-    /// When the last of the short runs there should be over, by the callers' estimates.
-    pub free_at: Time,
+}
+
+/// What a service has to do.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Room that runs take up.
+    pub used: Room,
+    /// Room that tasks ask for which could start now, if there were room.
+    pub waiting: Room,
+    /// Room that lasting runs take up, or ask for.
+    pub lasting: Room,
+    /// Workers that lasting steps have to be spread over.
+    pub spread: usize,
+    /// Queues that the service serves.
+    pub queues: usize,
+    /// Work of short jobs that has arrived, in core-milliseconds; only rises.
+    pub arrived: u64,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -14,9 +14,12 @@
 /// Margin on every bound of a lease, for the way of an answer.
 const LEASE_SLACK: u64 = 100;
 
-/// For how long an owner that has lost the store goes on renewing leases. Outages of the store
-/// last up to nine seconds at the customers; work should outlive them.
-pub(crate) const RENEW_WITHOUT_STORE: Duration = Duration::from_secs(12);
+/// For how long an owner whose ownership is not confirmed goes on renewing leases.
+///
+/// With the lease itself it covers outages of the whole store of up to eight seconds, which
+/// nobody else can use to take over. Longer, and work on a worker that went silent at a change
+/// of owners would be given up for lost too late.
+pub const RENEW_WITHOUT_STORE: Duration = Duration::from_secs(4);
 
 /// Time without an answer after which a worker gets no new work.
 const QUIET_LIMIT: Duration = Duration::from_millis(3_200);
@@ -83,6 +86,8 @@
     pub(crate) health: Health,
     /// Gets no new work: its instance is wanted elsewhere.
     pub(crate) closing: bool,
+    /// Lasting work leaves it too.
+    pub(crate) evacuating: bool,
     /// No new work until then: it said that it had no room.
     pub(crate) full_until: Time,
 }
@@ -108,6 +113,7 @@
             missed: 0,
             health: Health::default(),
             closing: false,
+            evacuating: false,
             full_until: Time::default(),
         }
     }
@@ -125,6 +131,16 @@
             && self.fix.is_some_and(|f| now.since(f.at) < QUIET_LIMIT)
     }
 
+    /// Whether it takes no work for a moment only, since it said that it has no room.
+    pub(crate) fn is_full(&self, now: Time) -> bool {
+        self.full_until > now && self.answers()
+    }
+
+    /// Whether it answers, as far as is known.
+    pub(crate) fn answers(&self) -> bool {
+        self.missed == 0 && self.born != 0
+    }
+
     /// Room that is left.
     pub(crate) fn free(&self) -> Room {
         let all = self.entry.as_ref().map(|e| e.room).unwrap_or_default();
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,257 @@
+//! Instances, for the cell's owner: lists them, carries out what the planner asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_adapter::{Instances, Keyed, Partition, STATUS_TOPIC, wave_status};
+use cactuswheel_capacity::{Duty, Planner, Snapshot, Times};
+use cactuswheel_cell::Cell;
+use cactuswheel_model::Time;
+use cactuswheel_work::{
+    Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
+};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::owner::Event;
+use crate::shared::Shared;
+use crate::topics::MAINTAINED;
+
+/// Time between plans.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+
+/// Time between lists while something is on the way, and while nothing is.
+const LIST_BUSY: Duration = Duration::from_millis(300);
+const LIST_IDLE: Duration = Duration::from_millis(1_000);
+
+/// Time for an answer of the platform.
+const LIMIT: Duration = Duration::from_millis(900);
+
+/// Pause before a record is written again.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Margin on the time for which orders to an instance have to come from one node.
+const ORDER_MARGIN: Duration = Duration::from_millis(400);
+
+/// Age of the ownership's last confirmation after which no instance is ordered: another node
+/// may own the cell by then and wait for nothing longer than this.
+const LEAD_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Bits of an order's token below the owner's epoch.
+const TOKEN_BITS: u32 = 20;
+
+/// Where the waves' status is told.
+const STATUS: Partition = Partition {
+    topic: STATUS_TOPIC,
+    part: 0,
+};
+
+/// The owner's part in what instances do.
+pub(crate) struct Fleet {
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    planner: Planner,
+    service: Arc<Instances>,
+    instances: Vec<Instance>,
+    listed: Time,
+    planned: Time,
+    /// Earlier owners may give orders until then.
+    from: Time,
+    token: u64,
+}
+
+impl Fleet {
+    /// Starts listing; `maintained` is what earlier owners have seen done.
+    pub(crate) fn start(
+        shared: Arc<Shared>,
+        events: mpsc::Sender<Event>,
+        epoch: u64,
+        maintained: Vec<(u64, InstanceName)>,
+    ) -> Option<Self> {
+        let addr = shared.settings.instances?;
+        let service = Arc::new(Instances::new(addr));
+        tokio::spawn(list(shared.clone(), service.clone(), events.clone()));
+        let times = Times {
+            moving: shared.settings.times.moving,
+            maintaining: shared.settings.times.maintaining,
+        };
+        let wait = shared.settings.times.order.duration() + ORDER_MARGIN;
+        Some(Self {
+            from: shared.clock.now().after(wait),
+            planner: Planner::new(times, maintained),
+            instances: Vec::new(),
+            listed: Time::default(),
+            planned: Time::default(),
+            token: epoch << TOKEN_BITS,
+            shared,
+            events,
+            service,
+        })
+    }
+
+    pub(crate) fn listed(&mut self, instances: Vec<Instance>, sent: Time) {
+        self.instances = instances;
+        self.listed = sent;
+    }
+
+    /// What became of an order.
+    pub(crate) fn ordered(
+        &mut self,
+        cell: &mut Cell,
+        order: &InstanceOrder,
+        worker: Option<&WorkerId>,
+        outcome: InstanceOutcome,
+    ) {
+        self.planner
+            .ordered(self.shared.clock.now(), name(order), outcome);
+        let Some(worker) = worker else {
+            return;
+        };
+        match outcome {
+            InstanceOutcome::Done => cell.retire(worker),
+            InstanceOutcome::Unknown => {}
+            _ => cell.reopen(worker),
+        }
+    }
+
+    /// Plans, if it is time, and sets the plan going.
+    pub(crate) fn plan(&mut self, cell: &mut Cell) {
+        let now = self.shared.clock.now();
+        if now < self.from || now.since(self.planned) < PLAN_EVERY {
+            return;
+        }
+        self.planned = now;
+        if self.shared.lead_age() > LEAD_LIMIT {
+            return;
+        }
+        let waves = self.shared.waves.load_full().unwrap_or_default();
+        let (loads, workers) = (cell.loads(), cell.workers());
+        let spare = self.spare();
+        let snapshot = Snapshot {
+            now,
+            loads: &loads,
+            workers: &workers,
+            instances: &self.instances,
+            listed: self.listed,
+            waves: &waves,
+            spare: &spare,
+        };
+        for duty in self.planner.plan(&snapshot) {
+            self.carry_out(cell, duty);
+        }
+    }
+
+    fn spare(&self) -> Vec<ServiceName> {
+        let Some(config) = self.shared.config.load_full() else {
+            return Vec::new();
+        };
+        let spare = config.services.values().filter(|s| s.spare);
+        spare.map(|s| s.name.clone()).collect()
+    }
+
+    fn carry_out(&mut self, cell: &mut Cell, duty: Duty) {
+        match duty {
+            Duty::Order { order, worker } => {
+                // Nothing starts there between now and the order's arrival.
+                if let Some(worker) = &worker {
+                    cell.close(worker, false);
+                }
+                self.order(order, worker);
+            }
+            Duty::Close { worker, evacuate } => cell.close(&worker, evacuate),
+            Duty::Reopen(worker) => cell.reopen(&worker),
+            Duty::Maintained { wave, instance } => {
+                log::info!(wave = wave, instance:% = instance; "instance maintained");
+                let key = format!("{wave}/{instance}");
+                self.write(MAINTAINED, Keyed::new(key, vec![1]));
+            }
+            Duty::Status { wave, complete } => {
+                log::info!(wave = wave, complete = complete; "wave told of");
+                let (key, value) = wave_status(wave, complete);
+                self.write(STATUS, Keyed::new(key, value));
+            }
+        }
+    }
+
+    fn order(&mut self, order: InstanceOrder, worker: Option<WorkerId>) {
+        // Each order has a token of its own: an earlier one that is carried out late is shut
+        // out by the later, and cannot take the instance back.
+        self.token += 1;
+        let token = OrderToken {
+            holder: self.shared.settings.node.clone(),
+            fence: self.token,
+        };
+        let (shared, service) = (self.shared.clone(), self.service.clone());
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let outcome = service.order(&order, &token, LIMIT).await;
+            shared.metrics.instance_ordered(outcome_name(outcome));
+            log::info!(
+                order:? = order, token = token.fence, outcome:? = outcome;
+                "instance ordered"
+            );
+            let event = Event::Ordered(order, worker, outcome);
+            let _ = events.send(event).await;
+        });
+    }
+
+    /// Writes a record until it is there, or until nobody owns the cell here any more.
+    fn write(&self, to: Partition, record: Keyed) {
+        let (shared, events) = (self.shared.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let records = [record];
+            while !events.is_closed() {
+                let done = shared.store.append(to, None, None, &records, LIMIT);
+                match done.await {
+                    Ok(_) => return,
+                    Err(e) => log::info!(topic = to.topic, error:% = e; "record not written yet"),
+                }
+                sleep(RETRY).await;
+            }
+        });
+    }
+}
+
+/// Lists instances until nobody takes the lists any more.
+async fn list(shared: Arc<Shared>, service: Arc<Instances>, events: mpsc::Sender<Event>) {
+    let mut lost = false;
+    let mut quiet: Option<Vec<Instance>> = None;
+    while !events.is_closed() {
+        let sent = shared.clock.now();
+        match service.list(LIMIT).await {
+            Ok(instances) => {
+                if std::mem::take(&mut lost) {
+                    log::info!("list of instances regained");
+                }
+                let same = quiet.as_ref() == Some(&instances);
+                quiet = Some(instances.clone());
+                let _ = events.send(Event::Instances(instances, sent)).await;
+                sleep(if same { LIST_IDLE } else { LIST_BUSY }).await;
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!(error:% = e; "list of instances lost");
+                }
+                sleep(LIST_BUSY).await;
+            }
+        }
+    }
+}
+
+fn name(order: &InstanceOrder) -> &InstanceName {
+    match order {
+        InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. } => instance,
+    }
+}
+
+fn outcome_name(outcome: InstanceOutcome) -> &'static str {
+    match outcome {
+        InstanceOutcome::Done => "done",
+        InstanceOutcome::Fence => "fence",
+        InstanceOutcome::Busy => "busy",
+        InstanceOutcome::OtherWave => "other_wave",
+        InstanceOutcome::Invalid => "invalid",
+        InstanceOutcome::Refused(_) => "refused",
+        InstanceOutcome::Unknown => "unknown",
+    }
+}
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -197,9 +197,11 @@
         };
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
+        let sent = self.shared.clock.now();
         let done = store.append(OWNER, None, Some(self.end), &records, LIMIT);
         match done.await {
             Ok(done) => {
+                self.shared.confirm_lead(sent);
                 self.end = done.end;
                 self.accept(record);
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod config_follower;
 mod error;
+mod fleet;
 mod front;
 mod hands;
 mod intake;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,12 +7,13 @@
 use cactuswheel_cell::{Cell, Mark, Output};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
-    FleetConfig, JobId, Look, LookError, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
+    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
     WorkerId,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::fleet::Fleet;
 use crate::hands::Hands;
 use crate::lead::Role;
 use crate::peer::{JobAnswer, QueueAnswer};
@@ -57,6 +58,10 @@
     Appended(Mark),
     /// A newer owner writes the journal.
     Deposed,
+    /// The platform's list of instances, and when the request for it was sent.
+    Instances(Vec<Instance>, Time),
+    /// What became of an order to an instance, with the worker on it.
+    Ordered(InstanceOrder, Option<WorkerId>, InstanceOutcome),
     /// The policy service's answer.
     Advised(StepId, Option<Vec<(WorkerId, String)>>),
     /// Somebody asks for a job.
@@ -139,6 +144,7 @@
     let roster = tokio::spawn(roster::follow(shared.clone(), events.clone()));
     let _followers = [AbortOnDrop(follow), AbortOnDrop(roster)];
     let owner = Owner {
+        fleet: Fleet::start(shared.clone(), events.clone(), epoch, taken.maintained),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
         cell: taken.cell,
         confirmed: Time::default(),
@@ -170,6 +176,8 @@
     shared: Arc<Shared>,
     cell: Cell,
     hands: Hands,
+    /// `None` where the platform has no service for instances.
+    fleet: Option<Fleet>,
     /// When the read was sent up to which every accepted job is known.
     confirmed: Time,
     parked: Vec<Parked>,
@@ -194,6 +202,10 @@
                     deposed |= self.take(event);
                 }
             }
+            if let Some(fleet) = &mut self.fleet {
+                fleet.plan(&mut self.cell);
+            }
+            self.cell.confirmed(self.shared.lead_age());
             let outputs = self.cell.poll(self.shared.clock.now(), self.shared.clock.wall());
             for output in outputs {
                 if let Output::Deposed { worker, .. } = &output {
@@ -235,6 +247,21 @@
             }
             Event::Appended(mark) => self.cell.appended(now, mark),
             Event::Deposed => return true,
+            Event::Instances(instances, sent) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.listed(instances, sent);
+                }
+            }
+            Event::Ordered(order, worker, outcome) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.ordered(&mut self.cell, &order, worker.as_ref(), outcome);
+                }
+                if outcome == InstanceOutcome::Done
+                    && let Some(worker) = &worker
+                {
+                    self.hands.forget(worker);
+                }
+            }
             Event::Advised(step, good) => self.cell.advised(now, step, good),
             Event::Job(id, reply) => self.answer_job(id, now, reply),
             Event::Queue(name, reply) => {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share. Everything on the way of a request is read without a lock.
 
+use std::time::Duration;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
@@ -32,6 +33,8 @@
     pub(crate) link: ArcSwapOption<OwnerLink>,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
+    /// When the write was sent that last confirmed this node's ownership.
+    lead: AtomicU64,
     stopping: AtomicBool,
 }
 
@@ -52,6 +55,7 @@
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
             own: ArcSwapOption::empty(),
+            lead: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
     }
@@ -73,6 +77,17 @@
         self.config.load().is_some() && (self.config_age() as f64) < bound
     }
 
+    /// This node's ownership was confirmed by a write that was sent at `sent`.
+    pub(crate) fn confirm_lead(&self, sent: Time) {
+        self.lead.fetch_max(sent.get(), Ordering::Relaxed);
+    }
+
+    /// Age of that confirmation.
+    pub(crate) fn lead_age(&self) -> Duration {
+        let confirmed = Time::new(self.lead.load(Ordering::Relaxed));
+        self.clock.now().since(confirmed)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -4,12 +4,12 @@
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer, ReadError};
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
-use cactuswheel_model::Time;
-use cactuswheel_work::{JobId, Submission};
+use cactuswheel_model::{Millis, Time};
+use cactuswheel_work::{InstanceName, JobId, Submission};
 use tokio::time::sleep;
 
 use crate::shared::Shared;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL};
+use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
@@ -20,6 +20,10 @@
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Lease that is asked for. A takeover and two looks fit in, and work on a worker that falls
+/// silent starts again elsewhere in about this time.
+const LEASE: Millis = Millis::new(4_500);
+
 /// Longest time that a job's age may be worth counting; clocks of nodes may be off.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
@@ -38,6 +42,8 @@
 pub(crate) struct Taken {
     pub(crate) cell: Cell,
     pub(crate) intake: u64,
+    /// Instances that had their maintenance, by wave.
+    pub(crate) maintained: Vec<(u64, InstanceName)>,
 }
 
 /// Takes the cell over under `epoch`.
@@ -77,7 +83,18 @@
         epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
         "cell taken over"
     );
-    Ok(Taken { cell, intake: end })
+    let (maintained, _) = newest(shared, MAINTAINED).await;
+    let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
+    Ok(Taken {
+        cell,
+        intake: end,
+        maintained: maintained.collect(),
+    })
+}
+
+fn read_maintained(key: &str) -> Option<(u64, InstanceName)> {
+    let (wave, instance) = key.split_once('/')?;
+    Some((wave.parse().ok()?, instance.into()))
 }
 
 /// Takes a record of the intake into the cell.
@@ -147,7 +164,7 @@
 fn bounds(shared: &Shared) -> Bounds {
     let times = &shared.settings.times;
     Bounds {
-        lease: times.lease,
+        lease: times.lease.min(LEASE),
         stop: times.stop,
         kept: times.kept,
         remote: times.remote_factor,
--- a/crates/node/src/topics.rs
+++ b/crates/node/src/topics.rs
@@ -22,6 +22,12 @@
     part: 0,
 };
 
+/// Instances that had their maintenance, as `WAVE/INSTANCE`.
+pub(crate) const MAINTAINED: Partition = Partition {
+    topic: "keyed.maintained",
+    part: 0,
+};
+
 /// The operators' records.
 pub(crate) const OPERATORS: Partition = Partition {
     topic: cactuswheel_adapter::OPERATOR_TOPIC,
