--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -4,6 +4,7 @@
 use cactuswheel_work::{Room, ServiceName, Step, TeamName, WorkerId};
 
 use crate::cell::Cell;
+use crate::copy::Copy;
 use crate::job::Job;
 use crate::view::{Load, WorkerView};
 
@@ -155,10 +156,15 @@
             return true;
         };
         let mine = &run.tasks[task.index as usize];
-        let running = mine.copies.iter().all(|c| c.worker != *from || c.is_at_work());
+        // What a silent worker said last is no word on what runs there now.
+        let at_work = |c: &Copy| {
+            let worker = self.workers.get(&c.worker);
+            c.is_at_work() && worker.is_some_and(|w| w.missed == 0)
+        };
+        let running = mine.copies.iter().all(|c| c.worker != *from || at_work(c));
         let others = run.tasks.iter().enumerate();
         let others = others.filter(|(i, _)| *i != task.index as usize);
-        let away = others.filter(|(_, t)| !t.copies.iter().any(|c| c.is_at_work()));
+        let away = others.filter(|(_, t)| !t.copies.iter().any(at_work));
         let budget = step.budget.unwrap_or(1).max(1);
         let service = self.service_of(job);
         let mut places = self.workers.values().filter(|w| {
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -51,7 +51,13 @@
                 (true, false) => LOOK_WAIT,
             };
             let order = HoldOrder {
-                expiry: renewing.then(|| worker.renew(lease, now)).flatten(),
+                // Failure: each look at a silent worker moves the end of its lease, which then
+                // never comes, and what ran there is not started elsewhere. A look without a
+                // renewal finds it again just as well.
+                expiry: match renewing && worker.missed == 0 {
+                    true => worker.renew(lease, now),
+                    false => None,
+                },
                 fence: worker.fence,
                 seen: worker.noted,
                 wait,
