--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -23,6 +23,9 @@
 /// Pause before an order without an answer is given again.
 const REPEAT: Duration = Duration::from_millis(400);
 
+/// Time between lines in the log on every pool.
+const TELL_EVERY: Duration = Duration::from_millis(1_000);
+
 /// Times that the platform sets.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Times {
@@ -42,6 +45,8 @@
     waves: Waves,
     /// Pools that an instance cannot serve, by its kind.
     unfit: Set<(String, ServiceName)>,
+    /// When the pools were last told of in the log.
+    told: Time,
 }
 
 /// A pool in the course of one plan.
@@ -76,6 +81,7 @@
             unseen: Unseen::default(),
             waves,
             unfit: Set::default(),
+            told: Time::default(),
         }
     }
 
@@ -146,6 +152,7 @@
             let wanted = self.waves.plan(wave, now, maintaining, &all, &self.ordered);
             duties.extend(wanted);
         }
+        self.tell(now, &pools, spare.len());
         let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
         spare.retain(|m| !taken.contains(&m.instance.name));
         // Those that a wave still wants stay where their maintenance is free.
@@ -158,6 +165,25 @@
         duties
     }
 
+    /// Says once a second what the pools are like.
+    fn tell(&mut self, now: Time, pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
+        if now.since(self.told) < TELL_EVERY {
+            return;
+        }
+        self.told = now;
+        for (service, pool) in pools {
+            let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
+            let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
+            log::info!(
+                service:% = service, target = pool.target as u64, keep = pool.keep as u64,
+                serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
+                coming = pool.coming as u64, busy = busy as u64, used_cores = used / 1_000,
+                spare = spare as u64;
+                "pool"
+            );
+        }
+    }
+
     /// Orders that the list shows as carried out, and those to repeat.
     fn see_through(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
         let now = snapshot.now;
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -58,6 +58,8 @@
     /// Something changed that may let a task start.
     pub(crate) stirred: bool,
     pub(crate) now: Time,
+    /// How long an earlier owner may go on renewing leases after this one has taken over.
+    others: Duration,
     /// Leases are renewed: the ownership was confirmed of late.
     pub(crate) renewing: bool,
 }
@@ -82,10 +84,16 @@
             arrived: Map::default(),
             stirred: true,
             now: Time::default(),
+            others: Duration::ZERO,
             renewing: true,
         }
     }
 
+    /// An earlier owner may be at work still, and renew leases on workers that it reaches.
+    pub fn expect_others(&mut self) {
+        self.others = RENEW_WITHOUT_STORE;
+    }
+
     /// Takes over a job that the journal knows; its submission has to be there already.
     ///
     /// Everything that the record says to run may run or not; looks under the new owner's
@@ -330,13 +338,13 @@
 
     /// Runs on workers that are silent for longer than any lease are gone.
     fn expire(&mut self) {
-        let lease = self.bounds.lease;
+        let (lease, others) = (self.bounds.lease, self.others);
         let now = self.now;
         let gone: Vec<WorkerId> = self
             .workers
             .values()
             .filter(|w| w.missed > 0 || w.entry.is_none())
-            .filter(|w| w.held.is_empty() || w.has_expired(lease, now))
+            .filter(|w| w.held.is_empty() || w.has_expired(lease, others, now))
             .map(|w| w.id.clone())
             .collect();
         for id in gone {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -212,10 +212,12 @@
     }
 
     /// Whether every lease there has surely expired, if nothing more was heard.
-    pub(crate) fn has_expired(&self, lease: Millis, now: Time) -> bool {
+    ///
+    /// An earlier owner that is cut off with the worker may go on renewing for `others` after
+    /// this one has taken over.
+    pub(crate) fn has_expired(&self, lease: Millis, others: Duration, now: Time) -> bool {
         let Some(fix) = self.fix else {
-            // An earlier owner that is cut off with the worker goes on renewing for a while.
-            let longest = RENEW_WITHOUT_STORE.as_millis() as f64
+            let longest = others.as_millis() as f64
                 + lease.get() as f64 / SLOWEST_CLOCK
                 + LEASE_SLACK as f64;
             return now.since(self.since).as_millis() as f64 > longest;
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Keyed, ReadError};
-use cactuswheel_cell::{decode, encode};
+use cactuswheel_cell::{RENEW_WITHOUT_STORE, decode, encode};
 use cactuswheel_model::Time;
 use cactuswheel_work::NodeName;
 use rand::Rng;
@@ -51,6 +51,8 @@
     addr: SocketAddr,
     /// Given up: whoever wants it may take it at once.
     released: bool,
+    /// No owner before this one can be renewing leases any more.
+    settled: bool,
 }
 
 /// This node's part in the ownership.
@@ -62,6 +64,8 @@
     Owner {
         /// The ownership's number.
         epoch: u64,
+        /// No earlier owner was renewing leases any more when it was claimed.
+        alone: bool,
     },
 }
 
@@ -75,6 +79,8 @@
     last: Option<Ownership>,
     /// When the last record came, or the store came back.
     heard: Time,
+    /// When this node claimed the ownership, and whether all earlier owners had stopped by then.
+    claimed: (Time, bool),
 }
 
 impl Lead {
@@ -87,6 +93,7 @@
             end: 0,
             last: None,
             heard,
+            claimed: (heard, false),
         }
     }
 
@@ -188,12 +195,20 @@
     async fn write(&mut self, claim: bool) {
         let settings = &self.shared.settings;
         let epoch = self.last.as_ref().map_or(0, |o| o.epoch) + u64::from(claim);
+        let now = self.shared.clock.now();
+        let alone = match claim {
+            // Who gives the ownership up has stopped renewing leases before.
+            true => self.last.as_ref().is_none_or(|o| o.released && o.settled),
+            false => self.claimed.1,
+        };
+        let since = if claim { now } else { self.claimed.0 };
         let record = Ownership {
             epoch,
             node: settings.node.clone(),
             life: self.life,
             addr: settings.listen.peers,
             released: false,
+            settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
         };
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
@@ -203,6 +218,7 @@
             Ok(done) => {
                 self.shared.confirm_lead(sent);
                 self.end = done.end;
+                self.claimed = (since, alone);
                 self.accept(record);
             }
             Err(AppendError::Refused(_)) => sleep(RETRY).await,
@@ -260,7 +276,10 @@
         self.shared.owner.store(at);
         self.last = Some(record);
         let role = match (self.is_mine(), &self.last) {
-            (true, Some(o)) => Role::Owner { epoch: o.epoch },
+            (true, Some(o)) => Role::Owner {
+                epoch: o.epoch,
+                alone: self.claimed.1,
+            },
             _ => Role::Idle,
         };
         self.role.send_if_modified(|before| {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -35,6 +35,7 @@
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("cactuswheel_node", LevelFilter::Info)
+        .level_for("cactuswheel_capacity", LevelFilter::Info)
         .level_for("cactuswheel_cell", LevelFilter::Info)
         // It calls every late answer an error; our own lines tell which peer is silent.
         .level_for("tarpc", LevelFilter::Off)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -78,7 +78,7 @@
     let finish = async {
         let _ = lead.await;
         let role = *roles.borrow();
-        if let Role::Owner { epoch } = role {
+        if let Role::Owner { epoch, .. } = role {
             Lead::release(&shared, epoch, life).await;
         }
         sleep(LAG).await;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -105,10 +105,10 @@
 pub(crate) async fn run(shared: Arc<Shared>, mut role: watch::Receiver<Role>) {
     loop {
         let now = *role.borrow_and_update();
-        if let Role::Owner { epoch } = now {
+        if let Role::Owner { epoch, alone } = now {
             let mut changed = role.clone();
             tokio::select! {
-                () = own(shared.clone(), epoch) => {}
+                () = own(shared.clone(), epoch, alone) => {}
                 _ = changed.wait_for(|r| *r != now) => {
                     log::warn!(epoch = epoch; "ownership is over");
                 }
@@ -123,9 +123,9 @@
 }
 
 /// Owns the cell until a newer owner is met.
-async fn own(shared: Arc<Shared>, epoch: u64) {
+async fn own(shared: Arc<Shared>, epoch: u64, alone: bool) {
     let taken = loop {
-        match take_over(&shared, epoch).await {
+        match take_over(&shared, epoch, alone).await {
             Ok(taken) => break taken,
             Err(e @ TakeoverError::Deposed) => {
                 log::warn!(epoch = epoch, error:% = e; "cell not taken over");
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -46,8 +46,12 @@
     pub(crate) maintained: Vec<(u64, InstanceName)>,
 }
 
-/// Takes the cell over under `epoch`.
-pub(crate) async fn take_over(shared: &Shared, epoch: u64) -> Result<Taken, TakeoverError> {
+/// Takes the cell over under `epoch`; `alone` if no earlier owner renews leases any more.
+pub(crate) async fn take_over(
+    shared: &Shared,
+    epoch: u64,
+    alone: bool,
+) -> Result<Taken, TakeoverError> {
     shut_out(shared, epoch).await?;
     // Whatever an earlier owner has in the journal is there by now, and nothing is added.
     let (intake, end) = newest(shared, INTAKE).await;
@@ -59,6 +63,9 @@
         }
     };
     let mut cell = Cell::new(bounds(shared), epoch, config);
+    if !alone {
+        cell.expect_others();
+    }
     let now = shared.clock.now();
     // A job's cancelling may come before the job: records are in order of their keys.
     for item in &intake {
