--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -11,6 +11,7 @@
 mod duty;
 mod fleet;
 mod planner;
+mod share;
 mod snapshot;
 mod trend;
 mod waves;
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -10,6 +10,7 @@
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing, Unseen, members};
+use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
 use crate::waves::Waves;
@@ -128,9 +129,9 @@
         let all = members(snapshot, &self.ordered, &mut self.unseen);
         let targets = self.targets(snapshot);
         let mut pools: Map<&ServiceName, Pool<'_>> = Map::default();
-        for (service, (target, keep)) in &targets {
+        for (service, share) in &targets {
             let pool = pools.entry(service).or_default();
-            (pool.target, pool.keep) = (*target, *keep);
+            (pool.target, pool.keep) = (share.target, share.keep);
         }
         let mut spare = Vec::new();
         for member in &all {
@@ -233,18 +234,27 @@
     }
 
     /// Instances that each pool wants now, and those that it keeps.
-    fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, (usize, usize)> {
+    fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, Share> {
         let loads = snapshot.loads.iter();
         let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
-        loads
+        let mut shares: Map<ServiceName, Share> = loads
             .map(|(service, load)| {
                 let unit = unit(snapshot, service);
                 let trend = self.trends.entry(service.clone()).or_default();
                 let target = trend.target(snapshot.now, load, unit).max(least(load));
-                let keep = trend.lasting_target().max(target);
-                (service.clone(), (target, keep))
+                let share = Share {
+                    least: least(load).max(trend.for_lasting(load, unit)),
+                    target,
+                    keep: trend.lasting_target().max(target),
+                    overdue: trend.for_overdue(load, unit),
+                };
+                (service.clone(), share)
             })
-            .collect()
+            .collect();
+        let usable = snapshot.instances.iter();
+        let usable = usable.filter(|i| i.state != InstanceState::Down).count();
+        divide(&mut shares, usable);
+        shares
     }
 
     /// Pools that are short get instances: those about to leave stay, then spare ones come, then
@@ -350,14 +360,16 @@
         taken: &mut Set<InstanceName>,
         duties: &mut Vec<Duty>,
     ) {
-        let Some(off) = snapshot.spare.first() else {
+        let off = snapshot.spare.first();
+        if off.is_none() && pools.values().all(|p| p.target <= p.have()) {
             return;
-        };
+        }
         for pool in pools.values_mut() {
             let leaving = pool.closing.iter().filter(|(_, v)| v.runs == 0);
             for (member, view) in leaving {
                 let name = &member.instance.name;
-                if self.fits(member, off)
+                if let Some(off) = off
+                    && self.fits(member, off)
                     && !self.waves.emptying.contains(&view.worker)
                     && taken.insert(name.clone())
                 {
@@ -372,13 +384,13 @@
                 if surplus == 0 {
                     break;
                 }
-                if !self.fits(member, off) || !taken.insert(name.clone()) {
+                if !off.is_none_or(|off| self.fits(member, off)) || !taken.insert(name.clone()) {
                     continue;
                 }
                 surplus -= 1;
-                duties.push(match view.runs {
-                    0 => move_order(name, off, view),
-                    _ => Duty::Close {
+                duties.push(match off.filter(|_| view.runs == 0) {
+                    Some(off) => move_order(name, off, view),
+                    None => Duty::Close {
                         worker: view.worker.clone(),
                         evacuate: false,
                     },
--- /dev/null
+++ b/crates/capacity/src/share.rs
@@ -0,0 +1,47 @@
+//! Dividing a fleet that is too small for all that is asked of it.
+
+use cactuswheel_model::Map;
+use cactuswheel_work::ServiceName;
+
+/// What a pool wants, and what it gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Share {
+    /// Instances without which lasting work has no place.
+    pub(crate) least: usize,
+    /// Instances wanted now.
+    pub(crate) target: usize,
+    /// Instances that it keeps.
+    pub(crate) keep: usize,
+    /// Instances that work which is of no use any more would take.
+    pub(crate) overdue: usize,
+}
+
+/// Cuts the targets down to a fleet of `usable` instances.
+///
+/// Answers a fleet that is asked for more than it has: without a division the pool that asked
+/// first kept every instance until its backlog was gone, while the next one starved for the
+/// seconds in which its own jobs could have met their objectives. Each pool keeps what its
+/// lasting work needs; the rest goes in proportion to what each asks for beyond that. What is
+/// left over serves jobs that are of no use any more.
+pub(crate) fn divide(shares: &mut Map<ServiceName, Share>, usable: usize) {
+    let wanted: usize = shares.values().map(|s| s.target).sum();
+    if wanted <= usable {
+        let mut left = usable - wanted;
+        for share in shares.values_mut() {
+            let more = share.overdue.min(left);
+            left -= more;
+            share.target += more;
+            share.keep = share.keep.max(share.target);
+        }
+        return;
+    }
+    let least: usize = shares.values().map(|s| s.least).sum();
+    let beyond = |s: &Share| s.target.saturating_sub(s.least);
+    let asked: usize = shares.values().map(beyond).sum();
+    let left = usable.saturating_sub(least);
+    for share in shares.values_mut() {
+        let part = beyond(share) * left / asked.max(1);
+        share.target = share.target.min(share.least + part);
+        share.keep = share.target;
+    }
+}
--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -53,6 +53,16 @@
         target
     }
 
+    /// Instances that hold the lasting work.
+    pub(crate) fn for_lasting(&self, load: &Load, unit: Room) -> usize {
+        units(load.lasting, unit).ceil() as usize
+    }
+
+    /// Instances that work takes which is of no use any more.
+    pub(crate) fn for_overdue(&self, load: &Load, unit: Room) -> usize {
+        units(load.overdue, unit).ceil() as usize
+    }
+
     /// The highest target of late: a pool does not shrink below it.
     pub(crate) fn lasting_target(&self) -> usize {
         let targets = self.targets.iter().map(|(_, t)| *t);
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -6,6 +6,7 @@
 use crate::cell::Cell;
 use crate::copy::Copy;
 use crate::job::Job;
+use crate::rank::rank;
 use crate::view::{Load, WorkerView};
 
 /// Thousandths of a core.
@@ -36,6 +37,8 @@
 
     /// Adds what a job's tasks ask for, as far as its team's limit lets them start.
     fn add_waiting(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
+        let queue = self.config.queues.get(&job.sub.queue);
+        let overdue = rank(job, queue, self.now).is_overdue();
         for turn in &job.turns {
             for (run, step) in turn.steps.iter().zip(job.sub.steps.iter()) {
                 if run.is_done() || !turn.is_ready(step) {
@@ -47,7 +50,10 @@
                 }
                 let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
                 let free = free.min(self.startable(job, step, left));
-                load.waiting += step.reserved() * free;
+                match overdue {
+                    true => load.overdue += step.reserved() * free,
+                    false => load.waiting += step.reserved() * free,
+                }
             }
         }
     }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -33,6 +33,13 @@
     Overdue,
 }
 
+impl Rank {
+    /// Whether the job is of no use to its caller any more.
+    pub(crate) fn is_overdue(self) -> bool {
+        self.class == Class::Overdue
+    }
+}
+
 /// The rank of a job at `now`.
 pub(crate) fn rank(job: &Job, queue: Option<&Queue>, now: Time) -> Rank {
     let priority = queue.map_or(u32::MAX, |q| q.priority);
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -30,6 +30,8 @@
     pub used: Room,
     /// Room that tasks ask for which could start now, if there were room.
     pub waiting: Room,
+    /// The same of jobs that are of no use to their callers any more.
+    pub overdue: Room,
     /// Room that lasting runs take up, or ask for.
     pub lasting: Room,
     /// Workers that lasting steps have to be spread over.
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -33,7 +33,7 @@
 const LOOK_LIMIT: Duration = Duration::from_millis(600);
 
 /// Time for an answer of the store.
-const APPEND_LIMIT: Duration = Duration::from_millis(1_200);
+const APPEND_LIMIT: Duration = Duration::from_millis(700);
 
 /// Pause before an append is repeated.
 const APPEND_RETRY: Duration = Duration::from_millis(30);
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -149,7 +149,10 @@
     /// Waits for a record, and claims the ownership when none comes.
     async fn watch(&mut self) {
         let now = self.shared.clock.now();
-        let released = self.last.as_ref().is_none_or(|o| o.released);
+        // An earlier life of this node is gone for sure.
+        let me = &self.shared.settings.node;
+        let mut last = self.last.iter();
+        let released = last.all(|o| o.released || (o.node == *me && o.life != self.life));
         let left = EXPIRY.saturating_sub(now.since(self.heard));
         if released || left.is_zero() {
             return self.claim().await;
