--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -58,6 +58,8 @@
     /// Something changed that may let a task start.
     pub(crate) stirred: bool,
     pub(crate) now: Time,
+    /// What an earlier owner has told in the log already is taken in.
+    restoring: bool,
     /// How long an earlier owner may go on renewing leases after this one has taken over.
     others: Duration,
     /// Leases are renewed: the ownership was confirmed of late.
@@ -84,11 +86,17 @@
             arrived: Map::default(),
             stirred: true,
             now: Time::default(),
+            restoring: true,
             others: Duration::ZERO,
             renewing: true,
         }
     }
 
+    /// Everything that earlier owners left behind was taken in.
+    pub fn restored(&mut self) {
+        self.restoring = false;
+    }
+
     /// An earlier owner may be at work still, and renew leases on workers that it reaches.
     pub fn expect_others(&mut self) {
         self.others = RENEW_WITHOUT_STORE;
@@ -133,7 +141,9 @@
         if job.sub.times == 0 {
             job.turns.push(Turn::new(0, &job.sub.steps));
         }
-        log_accepted(&job);
+        if !self.restoring {
+            log_accepted(&job);
+        }
         self.count_arrival(&job);
         self.jobs.insert(id, job);
         if self.cancelled.remove(&id) {
@@ -150,8 +160,10 @@
             return;
         };
         if job.is_open() {
-            let waited = now.since(job.arrived).as_millis() as u64;
-            log::info!(job:% = id, waited_ms = waited; "cancelled");
+            if !self.restoring {
+                let waited = now.since(job.arrived).as_millis() as u64;
+                log::info!(job:% = id, waited_ms = waited; "cancelled");
+            }
             self.finish(id, JobState::Cancelled);
         }
     }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Rank {
     class: Class,
     priority: u32,
+    /// Work was begun: finishing it earns the most for what is left.
+    fresh: bool,
     /// Time by which it has to start, or since when it waits.
     at: Time,
 }
@@ -47,6 +49,7 @@
         return Rank {
             class: Class::Lasting,
             priority,
+            fresh: false,
             at: job.arrived,
         };
     }
@@ -60,6 +63,7 @@
         return Rank {
             class: Class::Timely,
             priority,
+            fresh: !job.started,
             at,
         };
     }
@@ -70,6 +74,7 @@
     Rank {
         class,
         priority,
+        fresh: !job.started,
         at: job.arrived,
     }
 }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -16,6 +16,10 @@
 /// a caller waits for whoever reads the log.
 const QUEUE: usize = 2_048;
 
+/// Most bytes that are written at a time, beside the last line: readers of pipes cut long
+/// writes.
+const MAX_WRITE: usize = 4 << 10;
+
 /// Lines that were dropped since the last one that was written.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -25,7 +29,9 @@
     thread::spawn(move || {
         while let Ok(first) = lines.recv() {
             let mut text = first;
-            while let Ok(next) = lines.try_recv() {
+            while text.len() < MAX_WRITE
+                && let Ok(next) = lines.try_recv()
+            {
                 text.push_str(&next);
             }
             // With standard output gone there is nobody left to tell.
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -86,6 +86,7 @@
             cell.cancel(now, id);
         }
     }
+    cell.restored();
     log::info!(
         epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
         "cell taken over"
