--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -13,7 +13,7 @@
 use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
-use crate::waves::Waves;
+use crate::waves::{Scene, Waves};
 
 /// Age of the list of instances after which nothing is ordered: an instance may be elsewhere.
 const LIST_LIMIT: Duration = Duration::from_millis(2_500);
@@ -148,17 +148,15 @@
                 Standing::Away | Standing::Dark => {}
             }
         }
-        let maintaining = self.times.maintaining.duration();
-        for wave in snapshot.waves {
-            let wanted = self.waves.plan(wave, now, maintaining, &all, &self.ordered);
-            duties.extend(wanted);
-        }
         self.tell(now, &pools, spare.len());
         let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
+        taken.extend(snapshot.reserved.iter().cloned());
+        self.maintain(true, snapshot, &all, &pools, &mut taken, &mut duties);
         spare.retain(|m| !taken.contains(&m.instance.name));
         // Those that a wave still wants stay where their maintenance is free.
         spare.sort_by_key(|m| self.waves.wants(snapshot.waves, &m.instance.name));
         self.grow(&mut pools, &mut spare, &mut taken, &mut duties);
+        self.maintain(false, snapshot, &all, &pools, &mut taken, &mut duties);
         self.shrink(&mut pools, snapshot, &mut taken, &mut duties);
         for duty in &duties {
             self.note(now, duty);
@@ -185,6 +183,35 @@
         }
     }
 
+    /// Waves that are pressing go before what pools want, the others after it.
+    fn maintain(
+        &mut self,
+        pressing: bool,
+        snapshot: &Snapshot<'_>,
+        all: &[Member<'_>],
+        pools: &Map<&ServiceName, Pool<'_>>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let short = pools.iter().filter(|(_, p)| p.target > p.have());
+        let short: Set<&ServiceName> = short.map(|(s, _)| *s).collect();
+        let scene = Scene {
+            now: snapshot.now,
+            maintaining: self.times.maintaining.duration(),
+            members: all,
+            ordered: &self.ordered,
+            reserved: snapshot.reserved,
+            short: &short,
+        };
+        for wave in snapshot.waves {
+            if self.waves.is_pressing(wave, &scene) == pressing {
+                let wanted = self.waves.plan(wave, &scene, pressing, taken);
+                taken.extend(wanted.iter().filter_map(ordered_instance));
+                duties.extend(wanted);
+            }
+        }
+    }
+
     /// Orders that the list shows as carried out, and those to repeat.
     fn see_through(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
         let now = snapshot.now;
--- a/crates/capacity/src/snapshot.rs
+++ b/crates/capacity/src/snapshot.rs
@@ -1,8 +1,8 @@
 //! What a plan is made from.
 
 use cactuswheel_cell::{Load, WorkerView};
-use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Instance, ServiceName, Wave, WorkerId};
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{Instance, InstanceName, ServiceName, Wave, WorkerId};
 
 /// What a plan is made from, as of one moment.
 #[derive(Debug)]
@@ -21,4 +21,6 @@
     pub waves: &'a [Wave],
     /// Services whose instances are off and cost nothing.
     pub spare: &'a [ServiceName],
+    /// Instances that an earlier owner ordered of late: they get no orders yet.
+    pub reserved: &'a Set<InstanceName>,
 }
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Set, Time};
-use cactuswheel_work::{InstanceName, InstanceOrder, Wave, WorkerId};
+use cactuswheel_work::{InstanceName, InstanceOrder, InstanceState, ServiceName, Wave, WorkerId};
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing};
@@ -19,6 +19,39 @@
 /// Instances of one wave that are emptied at a time while there is time enough.
 const GENTLE: usize = 2;
 
+/// Time between two instances' maintenance, for orders and lists to go their way.
+const TURN: Duration = Duration::from_millis(700);
+
+/// How much earlier than that a wave goes first: under load it takes longer to empty workers.
+const EARLIER: f64 = 1.6;
+
+/// What a wave is planned from.
+pub(crate) struct Scene<'a> {
+    pub(crate) now: Time,
+    /// Time that maintenance takes.
+    pub(crate) maintaining: Duration,
+    pub(crate) members: &'a [Member<'a>],
+    pub(crate) ordered: &'a Map<InstanceName, Ordered>,
+    /// Instances that an earlier owner ordered of late.
+    pub(crate) reserved: &'a Set<InstanceName>,
+    /// Pools that want more instances than they have.
+    pub(crate) short: &'a Set<&'a ServiceName>,
+}
+
+/// Instances of a wave that an earlier owner may have sent into their maintenance.
+///
+/// Failure: a new owner counts its own orders only, and with those of the earlier one too many
+/// instances of the wave are down at once.
+fn foreign(wave: &Wave, scene: &Scene<'_>) -> usize {
+    let members = scene.members.iter().map(|m| m.instance);
+    let of_wave = members.filter(|i| wave.instances.contains(&i.name));
+    let others = of_wave.filter(|i| !scene.ordered.contains_key(&i.name));
+    let down = others.filter(|i| {
+        i.state == InstanceState::Maintained || scene.reserved.contains(&i.name)
+    });
+    down.count()
+}
+
 /// How far the waves are.
 #[derive(Debug, Default)]
 pub(crate) struct Waves {
@@ -46,41 +79,38 @@
         })
     }
 
+    /// Whether a wave has so little time left that it goes before what pools want.
+    pub(crate) fn is_pressing(&mut self, wave: &Wave, scene: &Scene<'_>) -> bool {
+        let left = self.left(wave, scene).len();
+        let rounds = left.div_ceil(wave.cap.max(1) as usize) as u32;
+        let needed = (scene.maintaining + TURN) * rounds + LEAVING;
+        left > 0 && self.time(wave, scene.now) < needed.mul_f64(EARLIER)
+    }
+
     /// What a wave needs now.
     pub(crate) fn plan(
         &mut self,
         wave: &Wave,
-        now: Time,
-        maintaining: Duration,
-        members: &[Member<'_>],
-        ordered: &Map<InstanceName, Ordered>,
+        scene: &Scene<'_>,
+        pressing: bool,
+        taken: &Set<InstanceName>,
     ) -> Vec<Duty> {
-        let seen = *self.seen.entry(wave.number).or_insert(now);
-        let done = self.done.entry(wave.number).or_default();
-        let of_wave = members
-            .iter()
-            .filter(|m| wave.instances.contains(&m.instance.name));
-        let left: Vec<&Member<'_>> = of_wave
-            .filter(|m| !done.contains(&m.instance.name))
-            .collect();
-        let mut duties = Vec::new();
-        let complete = left.is_empty();
-        if self.told.get(&wave.number) != Some(&complete) {
-            self.told.insert(wave.number, complete);
-            duties.push(Duty::Status {
-                wave: wave.number,
-                complete,
-            });
-        }
-        let under_way = ordered
-            .values()
-            .filter(|o| matches!(&o.order, InstanceOrder::Maintain { wave: n, .. } if *n == wave.number))
-            .count();
+        let left = self.left(wave, scene);
+        let mut duties = self.tell(wave, left.is_empty());
+        let of_wave = |o: &&Ordered| match &o.order {
+            InstanceOrder::Maintain { wave: number, .. } => *number == wave.number,
+            InstanceOrder::Move { .. } => false,
+        };
+        let under_way = scene.ordered.values().filter(of_wave).count();
+        let under_way = under_way + foreign(wave, scene);
         let mut room = (wave.cap as usize).saturating_sub(under_way);
         for member in &left {
             if room == 0 {
                 return duties;
             }
+            if taken.contains(&member.instance.name) {
+                continue;
+            }
             let worker = match &member.standing {
                 Standing::Spare => None,
                 Standing::Serving(view) | Standing::Closing(view) if view.runs == 0 => {
@@ -95,32 +125,62 @@
             };
             duties.push(Duty::Order { order, worker });
         }
-        let passed = now.since(seen);
-        let time = wave.within.duration().saturating_sub(passed);
-        duties.extend(self.empty_some(wave, time, maintaining, &left, room));
+        let time = self.time(wave, scene.now);
+        duties.extend(self.empty_some(wave, scene, time, &left, room, pressing));
         duties
     }
 
+    /// Time until the wave has to be done.
+    fn time(&mut self, wave: &Wave, now: Time) -> Duration {
+        let seen = *self.seen.entry(wave.number).or_insert(now);
+        wave.within.duration().saturating_sub(now.since(seen))
+    }
+
+    /// Instances of a wave that did not have their maintenance.
+    fn left<'a>(&mut self, wave: &Wave, scene: &Scene<'a>) -> Vec<&'a Member<'a>> {
+        let done = self.done.entry(wave.number).or_default();
+        let members = scene.members.iter();
+        let left = members.filter(|m| {
+            let name = &m.instance.name;
+            wave.instances.contains(name) && !done.contains(name)
+        });
+        left.collect()
+    }
+
+    /// Tells the operators when a wave begins and when it is complete.
+    fn tell(&mut self, wave: &Wave, complete: bool) -> Vec<Duty> {
+        if self.told.insert(wave.number, complete) == Some(complete) {
+            return Vec::new();
+        }
+        vec![Duty::Status {
+            wave: wave.number,
+            complete,
+        }]
+    }
+
     /// Workers that get no more work, so that their instances can have their maintenance.
     fn empty_some(
         &mut self,
         wave: &Wave,
+        scene: &Scene<'_>,
         time: Duration,
-        maintaining: Duration,
         left: &[&Member<'_>],
         room: usize,
+        pressing: bool,
     ) -> Vec<Duty> {
         let emptying = left.iter().filter(|m| match &m.standing {
             Standing::Closing(view) => self.emptying.contains(&view.worker),
             _ => false,
         });
         let emptying = emptying.count();
-        let round = (LEAVING + maintaining).as_millis() as f64;
+        let round = (LEAVING + scene.maintaining).as_millis() as f64;
         let rounds = (time.as_millis() as f64 / round).max(1.0);
         let pace = (left.len() as f64 / rounds).ceil() as usize;
         let wanted = pace.max(GENTLE).min(wave.cap as usize).min(room + emptying);
-        let mut busy: Vec<_> = left
-            .iter()
+        // A pool that is short keeps its workers as long as there is time.
+        let free = |m: &Member<'_>| pressing || !scene.short.contains(&m.instance.pool);
+        let busy = left.iter().filter(|m| free(m));
+        let mut busy: Vec<_> = busy
             .filter_map(|m| match &m.standing {
                 Standing::Serving(view) => Some(*view),
                 _ => None,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,8 +5,8 @@
 
 use cactuswheel_adapter::{Instances, Keyed, Partition, STATUS_TOPIC, wave_status};
 use cactuswheel_capacity::{Duty, Planner, Snapshot, Times};
-use cactuswheel_cell::Cell;
-use cactuswheel_model::Time;
+use cactuswheel_cell::{Cell, encode};
+use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
 };
@@ -15,7 +15,7 @@
 
 use crate::owner::Event;
 use crate::shared::Shared;
-use crate::topics::MAINTAINED;
+use crate::topics::{MAINTAINED, ORDERS};
 
 /// Time between plans.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -33,6 +33,9 @@
 /// Margin on the time for which orders to an instance have to come from one node.
 const ORDER_MARGIN: Duration = Duration::from_millis(400);
 
+/// How far the clocks of two nodes may be apart, and one may jump.
+const CLOCK_ERROR: Duration = Duration::from_secs(6);
+
 /// Age of the ownership's last confirmation after which no instance is ordered: another node
 /// may own the cell by then and wait for nothing longer than this.
 const LEAD_LIMIT: Duration = Duration::from_millis(1_500);
@@ -55,8 +58,12 @@
     instances: Vec<Instance>,
     listed: Time,
     planned: Time,
-    /// Earlier owners may give orders until then.
-    from: Time,
+    /// Instances that an earlier owner ordered of late: nobody else may until then.
+    ///
+    /// Failure: two owners order one instance within seconds of each other, and it is moved
+    /// back and forth under its work. An order is on record before it is given, so what is not
+    /// on record here no earlier owner has ordered.
+    reserved: Map<InstanceName, Time>,
     token: u64,
 }
 
@@ -67,6 +74,7 @@
         events: mpsc::Sender<Event>,
         epoch: u64,
         maintained: Vec<(u64, InstanceName)>,
+        orders: Vec<(InstanceName, u64)>,
     ) -> Option<Self> {
         let addr = shared.settings.instances?;
         let service = Arc::new(Instances::new(addr));
@@ -76,8 +84,14 @@
             maintaining: shared.settings.times.maintaining,
         };
         let wait = shared.settings.times.order.duration() + ORDER_MARGIN;
+        let until = shared.clock.now().after(wait);
+        let recent = orders.into_iter().filter(|(_, at)| {
+            let age = shared.clock.wall().abs_diff(*at);
+            Duration::from_millis(age) < wait + CLOCK_ERROR
+        });
+        let reserved: Map<InstanceName, Time> = recent.map(|(name, _)| (name, until)).collect();
         Some(Self {
-            from: shared.clock.now().after(wait),
+            reserved,
             planner: Planner::new(times, maintained),
             instances: Vec::new(),
             listed: Time::default(),
@@ -117,7 +131,7 @@
     /// Plans, if it is time, and sets the plan going.
     pub(crate) fn plan(&mut self, cell: &mut Cell) {
         let now = self.shared.clock.now();
-        if now < self.from || now.since(self.planned) < PLAN_EVERY {
+        if now.since(self.planned) < PLAN_EVERY {
             return;
         }
         self.planned = now;
@@ -127,6 +141,8 @@
         let waves = self.shared.waves.load_full().unwrap_or_default();
         let (loads, workers) = (cell.loads(), cell.workers());
         let spare = self.spare();
+        self.reserved.retain(|_, until| *until > now);
+        let reserved = self.reserved.keys().cloned().collect();
         let snapshot = Snapshot {
             now,
             loads: &loads,
@@ -135,9 +151,14 @@
             listed: self.listed,
             waves: &waves,
             spare: &spare,
+            reserved: &reserved,
         };
+        let mut orders = Vec::new();
         for duty in self.planner.plan(&snapshot) {
-            self.carry_out(cell, duty);
+            self.carry_out(cell, duty, &mut orders);
+        }
+        if !orders.is_empty() {
+            self.order(orders);
         }
     }
 
@@ -149,14 +170,24 @@
         spare.map(|s| s.name.clone()).collect()
     }
 
-    fn carry_out(&mut self, cell: &mut Cell, duty: Duty) {
+    fn carry_out(&mut self, cell: &mut Cell, duty: Duty, orders: &mut Vec<Given>) {
         match duty {
             Duty::Order { order, worker } => {
                 // Nothing starts there between now and the order's arrival.
                 if let Some(worker) = &worker {
                     cell.close(worker, false);
                 }
-                self.order(order, worker);
+                // Each order has a token of its own: an earlier one that is carried out late is
+                // shut out by the later, and cannot take the instance back.
+                self.token += 1;
+                orders.push(Given {
+                    order,
+                    worker,
+                    token: OrderToken {
+                        holder: self.shared.settings.node.clone(),
+                        fence: self.token,
+                    },
+                });
             }
             Duty::Close { worker, evacuate } => cell.close(&worker, evacuate),
             Duty::Reopen(worker) => cell.reopen(&worker),
@@ -173,25 +204,34 @@
         }
     }
 
-    fn order(&mut self, order: InstanceOrder, worker: Option<WorkerId>) {
-        // Each order has a token of its own: an earlier one that is carried out late is shut
-        // out by the later, and cannot take the instance back.
-        self.token += 1;
-        let token = OrderToken {
-            holder: self.shared.settings.node.clone(),
-            fence: self.token,
-        };
+    /// Puts orders on record, then gives them.
+    fn order(&self, orders: Vec<Given>) {
         let (shared, service) = (self.shared.clone(), self.service.clone());
         let events = self.events.clone();
         tokio::spawn(async move {
-            let outcome = service.order(&order, &token, LIMIT).await;
-            shared.metrics.instance_ordered(outcome_name(outcome));
-            log::info!(
-                order:? = order, token = token.fence, outcome:? = outcome;
-                "instance ordered"
-            );
-            let event = Event::Ordered(order, worker, outcome);
-            let _ = events.send(event).await;
+            let at = encode(&shared.clock.wall());
+            let records = orders.iter().map(|g| Keyed::new(name(&g.order).as_str(), at.clone()));
+            let records: Vec<Keyed> = records.collect();
+            let done = shared.store.append(ORDERS, None, None, &records, LIMIT);
+            let recorded = done.await;
+            if let Err(e) = &recorded {
+                log::info!(error:% = e; "orders to instances not on record");
+            }
+            for given in orders {
+                let (shared, service) = (shared.clone(), service.clone());
+                let events = events.clone();
+                let recorded = recorded.is_ok();
+                tokio::spawn(async move {
+                    let outcome = give(&shared, &service, &events, &given, recorded).await;
+                    shared.metrics.instance_ordered(outcome_name(outcome));
+                    log::info!(
+                        order:? = given.order, token = given.token.fence, outcome:? = outcome;
+                        "instance ordered"
+                    );
+                    let event = Event::Ordered(given.order, given.worker, outcome);
+                    let _ = events.send(event).await;
+                });
+            }
         });
     }
 
@@ -212,6 +252,28 @@
     }
 }
 
+/// An order that is to be given.
+struct Given {
+    order: InstanceOrder,
+    worker: Option<WorkerId>,
+    token: OrderToken,
+}
+
+/// Gives an order, unless it is not on record or this node may own the cell no more.
+async fn give(
+    shared: &Shared,
+    service: &Instances,
+    events: &mpsc::Sender<Event>,
+    given: &Given,
+    recorded: bool,
+) -> InstanceOutcome {
+    let owner = !events.is_closed() && shared.lead_age() < LEAD_LIMIT;
+    match recorded && owner {
+        true => service.order(&given.order, &given.token, LIMIT).await,
+        false => InstanceOutcome::Refused(0),
+    }
+}
+
 /// Lists instances until nobody takes the lists any more.
 async fn list(shared: Arc<Shared>, service: Arc<Instances>, events: mpsc::Sender<Event>) {
     let mut lost = false;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -144,7 +144,13 @@
     let roster = tokio::spawn(roster::follow(shared.clone(), events.clone()));
     let _followers = [AbortOnDrop(follow), AbortOnDrop(roster)];
     let owner = Owner {
-        fleet: Fleet::start(shared.clone(), events.clone(), epoch, taken.maintained),
+        fleet: Fleet::start(
+            shared.clone(),
+            events.clone(),
+            epoch,
+            taken.maintained,
+            taken.orders,
+        ),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
         cell: taken.cell,
         confirmed: Time::default(),
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::shared::Shared;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED};
+use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED, ORDERS};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
@@ -44,6 +44,8 @@
     pub(crate) intake: u64,
     /// Instances that had their maintenance, by wave.
     pub(crate) maintained: Vec<(u64, InstanceName)>,
+    /// When earlier owners ordered instances, in milliseconds since 1970.
+    pub(crate) orders: Vec<(InstanceName, u64)>,
 }
 
 /// Takes the cell over under `epoch`; `alone` if no earlier owner renews leases any more.
@@ -93,7 +95,13 @@
     );
     let (maintained, _) = newest(shared, MAINTAINED).await;
     let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
+    let (orders, _) = newest(shared, ORDERS).await;
+    let orders = orders.iter().filter_map(|i| {
+        let at = decode::<u64>(&i.value).ok()?;
+        Some((InstanceName::from(i.key.as_str()), at))
+    });
     Ok(Taken {
+        orders: orders.collect(),
         cell,
         intake: end,
         maintained: maintained.collect(),
--- a/crates/node/src/topics.rs
+++ b/crates/node/src/topics.rs
@@ -28,6 +28,12 @@
     part: 0,
 };
 
+/// Who ordered an instance last, and when.
+pub(crate) const ORDERS: Partition = Partition {
+    topic: "keyed.orders",
+    part: 0,
+};
+
 /// The operators' records.
 pub(crate) const OPERATORS: Partition = Partition {
     topic: cactuswheel_adapter::OPERATOR_TOPIC,
