--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -7,9 +7,16 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::Room;
 
-/// Time over which arrivals are averaged: long enough for some dozen jobs of a busy queue, short
-/// against the seconds for which it is busy.
-const ARRIVALS: Duration = Duration::from_millis(1_000);
+/// Times over which arrivals are averaged; the highest average counts. A queue that turns busy
+/// shows within the shortest, one with few, large jobs in the longest.
+const WINDOWS: [Duration; 3] = [
+    Duration::from_millis(1_000),
+    Duration::from_millis(500),
+    Duration::from_millis(250),
+];
+
+/// Jobs that have to arrive within a window other than the longest before its average counts.
+const LEAST_JOBS: u64 = 3;
 
 /// Time for which the highest target counts before a pool shrinks. Keeping an instance for a
 /// second costs about what moving it costs.
@@ -24,8 +31,8 @@
 /// How much one pool is asked for, now and lately.
 #[derive(Debug, Default)]
 pub(crate) struct Trend {
-    /// Work that had arrived by then, in core-milliseconds.
-    arrived: VecDeque<(Time, u64)>,
+    /// Work that had arrived by then, in core-milliseconds, and the number of jobs.
+    arrived: VecDeque<(Time, u64, u64)>,
     /// Targets of late.
     targets: VecDeque<(Time, usize)>,
 }
@@ -33,8 +40,8 @@
 impl Trend {
     /// Takes in a load; gives the number of instances of size `unit` that answers it.
     pub(crate) fn target(&mut self, now: Time, load: &Load, unit: Room) -> usize {
-        self.arrived.push_back((now, load.arrived));
-        while self.arrived.len() > 2 && now.since(self.arrived[1].0) >= ARRIVALS {
+        self.arrived.push_back((now, load.arrived, load.jobs));
+        while self.arrived.len() > 2 && now.since(self.arrived[1].0) >= WINDOWS[0] {
             self.arrived.pop_front();
         }
         let asked = load.used + load.waiting;
@@ -71,10 +78,21 @@
 
     /// Processor that arriving work takes up if it goes on like this, in thousandths of a core.
     fn coming(&self) -> f64 {
-        let (Some(first), Some(last)) = (self.arrived.front(), self.arrived.back()) else {
+        let rates = WINDOWS.iter().map(|w| self.rate(*w));
+        rates.fold(0.0, f64::max)
+    }
+
+    fn rate(&self, window: Duration) -> f64 {
+        let Some(last) = self.arrived.back() else {
             return 0.0;
         };
-        let span = last.0.since(first.0).max(ARRIVALS).as_millis() as f64;
+        let mut before = self.arrived.iter().rev();
+        let first = before.find(|(at, _, _)| last.0.since(*at) >= window);
+        let first = first.or(self.arrived.front()).unwrap_or(last);
+        if window < WINDOWS[0] && last.2.saturating_sub(first.2) < LEAST_JOBS {
+            return 0.0;
+        }
+        let span = last.0.since(first.0).max(window).as_millis() as f64;
         1_000.0 * last.1.saturating_sub(first.1) as f64 / span
     }
 }
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -53,8 +53,8 @@
     flying: Option<(Mark, Consequences)>,
     next_mark: u64,
     pub(crate) out: Vec<Output>,
-    /// Work of short jobs that has arrived, by service, in core-milliseconds.
-    pub(crate) arrived: Map<ServiceName, u64>,
+    /// Work of short jobs that has arrived, by service, in core-milliseconds, and their number.
+    pub(crate) arrived: Map<ServiceName, (u64, u64)>,
     /// Something changed that may let a task start.
     pub(crate) stirred: bool,
     pub(crate) now: Time,
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -20,7 +20,8 @@
             loads.entry(queue.service.clone()).or_default().queues += 1;
         }
         for (service, arrived) in &self.arrived {
-            loads.entry(service.clone()).or_default().arrived = *arrived;
+            let load = loads.entry(service.clone()).or_default();
+            (load.arrived, load.jobs) = *arrived;
         }
         for worker in self.workers.values() {
             if let Some(entry) = &worker.entry {
@@ -88,7 +89,9 @@
         });
         let work: u64 = work.sum();
         let service = self.service_of(job);
-        *self.arrived.entry(service).or_default() += work;
+        let arrived = self.arrived.entry(service).or_default();
+        arrived.0 += work;
+        arrived.1 += 1;
     }
 
     /// The workers that are known.
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -40,4 +40,6 @@
     pub queues: usize,
     /// Work of short jobs that has arrived, in core-milliseconds; only rises.
     pub arrived: u64,
+    /// Number of these jobs.
+    pub jobs: u64,
 }
