--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -37,7 +37,11 @@
 #[derive(Debug)]
 pub struct Cell {
     pub(crate) bounds: Bounds,
-    epoch: u64,
+    /// Highest fencing token that any worker was given.
+    ///
+    /// Invariant: only rises. One for all workers: a worker that is forgotten and listed again
+    /// has seen its old token, and refuses a lower one as if a newer owner were at work.
+    pub(crate) fence: u64,
     pub(crate) config: Arc<FleetConfig>,
     pub(crate) jobs: Map<JobId, Job>,
     /// Those that are not in a final state.
@@ -73,7 +77,7 @@
     pub fn new(bounds: Bounds, epoch: u64, config: Arc<FleetConfig>) -> Self {
         Self {
             bounds,
-            epoch,
+            fence: epoch << FENCE_BITS,
             config,
             jobs: Map::default(),
             open: Set::default(),
@@ -187,7 +191,7 @@
     pub fn list(&mut self, now: Time, entry: WorkerEntry) {
         self.now = now;
         let id = entry.id.clone();
-        let fence = self.first_fence();
+        let fence = self.fence;
         let worker = self.workers.entry(id.clone());
         let worker = worker.or_insert_with(|| Worker::new(id.clone(), fence, now));
         let reborn = entry.born > worker.born && worker.born != 0;
@@ -299,12 +303,8 @@
         due.chain([soon]).min().unwrap_or(soon)
     }
 
-    pub(crate) fn first_fence(&self) -> u64 {
-        self.epoch << FENCE_BITS
-    }
-
     pub(crate) fn worker_mut(&mut self, id: &WorkerId) -> &mut Worker {
-        let (fence, now) = (self.first_fence(), self.now);
+        let (fence, now) = (self.fence, self.now);
         let worker = self.workers.entry(id.clone());
         worker.or_insert_with(|| Worker::new(id.clone(), fence, now))
     }
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -155,7 +155,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.raise_fence();
+        self.fence += 1;
+        worker.raise_fence(self.fence);
         worker.looking = Looking::Due(self.now);
         log::info!(worker:% = id, why:% = why, fence = worker.fence; "worker in doubt");
     }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -154,8 +154,8 @@
     }
 
     /// Orders under earlier tokens do nothing once a look under the new one was answered.
-    pub(crate) fn raise_fence(&mut self) {
-        self.fence += 1;
+    pub(crate) fn raise_fence(&mut self, fence: u64) {
+        self.fence = fence;
     }
 
     /// Whether the worker has answered a look under the newest token.
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -252,6 +252,7 @@
                 match done.await {
                     Ok(_) => break,
                     Err(AppendError::Fenced) => {
+                        log::warn!(epoch = epoch, seq = producer.seq; "journal shut this owner out");
                         let _ = events.send(Event::Deposed).await;
                         return;
                     }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Keyed, ReadError};
@@ -116,7 +117,8 @@
                 true => {
                     let _ = timeout(RENEW, stop.wait_for(|s| *s)).await;
                     if !*stop.borrow() {
-                        self.write(false).await;
+                        let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
+                        self.write(anew).await;
                     }
                 }
                 false => {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,6 +1,7 @@
 //! Owns the cell while the store says so: feeds it what happens and carries out what it asks.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuswheel_adapter::{Keyed, ReadError};
@@ -108,7 +109,12 @@
         if let Role::Owner { epoch, alone } = now {
             let mut changed = role.clone();
             tokio::select! {
-                () = own(shared.clone(), epoch, alone) => {}
+                () = own(shared.clone(), epoch, alone) => {
+                    // Failure: the ownership is renewed for a cell that nobody runs any more;
+                    // jobs stand still and no other node takes over. Claiming it anew under
+                    // the next number either takes the cell over again or shows who has it.
+                    shared.reclaim.store(true, Ordering::Release);
+                }
                 _ = changed.wait_for(|r| *r != now) => {
                     log::warn!(epoch = epoch; "ownership is over");
                 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -35,6 +35,8 @@
     pub(crate) own: ArcSwapOption<OwnerHandle>,
     /// When the write was sent that last confirmed this node's ownership.
     lead: AtomicU64,
+    /// The ownership has to be claimed anew: the cell was given up while it was held.
+    pub(crate) reclaim: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -56,6 +58,7 @@
             link: ArcSwapOption::empty(),
             own: ArcSwapOption::empty(),
             lead: AtomicU64::new(0),
+            reclaim: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
     }
