--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -16,7 +16,7 @@
 ];
 
 /// Jobs that have to arrive within a window other than the longest before its average counts.
-const LEAST_JOBS: u64 = 3;
+const LEAST_JOBS: u64 = 6;
 
 /// Time for which the highest target counts before a pool shrinks. Keeping an instance for a
 /// second costs about what moving it costs.
