--- a/crates/cell/src/copy.rs
+++ b/crates/cell/src/copy.rs
@@ -40,10 +40,8 @@
     pub(crate) moved: Time,
     /// Tail latency, or processor in use, at the last look.
     pub(crate) gauge: u64,
-    /// Since when it is over its target without a break; zero if it is not.
-    pub(crate) over: Option<Time>,
-    /// Share at which it was last told to work.
-    pub(crate) pace: u32,
+    /// Share at which it was last told to work; runs start at full pace.
+    pub(crate) pace: Option<u32>,
 }
 
 impl Copy {
@@ -60,8 +58,7 @@
             percent: 0,
             moved: now,
             gauge: 0,
-            over: None,
-            pace: 100,
+            pace: Some(100),
         }
     }
 
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -8,6 +8,7 @@
 use crate::cell::{Cell, RETRY_LOOK};
 use crate::copy::Phase;
 use crate::output::Output;
+use crate::progress::stands_still;
 use crate::worker::Looking;
 
 /// Longest time that a look waits for an end. Leases are renewed as often, and what stands
@@ -147,6 +148,7 @@
             worker.seen = worker.seen.max(last.unwrap_or_default());
         }
         self.take_running(id, &look.running);
+        self.pace_fillers(id);
         if look.ended.len() < FULL_LIST {
             self.settle_absent(id, sent, fence, &look);
         }
@@ -157,7 +159,10 @@
         let now = self.now;
         let mut unwanted = Vec::new();
         let mut overdue = Vec::new();
+        let mut still = Vec::new();
         for row in running {
+            let step = self.jobs.get(&row.task.job()).and_then(|j| j.step(row.task));
+            let lasting = step.is_some_and(|s| s.lasting);
             let copy = self.jobs.get_mut(&row.task.job()).and_then(|job| {
                 job.started = true;
                 job.task_mut(row.task)
@@ -190,11 +195,17 @@
                 }
                 Phase::Running | Phase::Stopping => {}
             }
-            if row.percent > copy.percent {
+            if row.percent > copy.percent || row.percent >= 100 {
                 copy.moved = now;
             }
             copy.percent = row.percent;
             copy.gauge = row.gauge;
+            if copy.phase == Phase::Running && stands_still(copy, lasting, now) {
+                still.push((row.task, row.run));
+            }
+        }
+        for (task, run) in still {
+            self.leave_sick(id, task, run);
         }
         for (task, run) in overdue {
             self.send_stop(id, task, run);
@@ -205,6 +216,19 @@
         }
     }
 
+    /// A run stands still where it is: it is stopped, and starts elsewhere.
+    fn leave_sick(&mut self, id: &WorkerId, task: TaskId, run: u32) {
+        let now = self.now;
+        log::warn!(task:% = task, run = run, worker:% = id; "run stands still: it leaves its worker");
+        if let Some(state) = self.jobs.get_mut(&task.job()).and_then(|j| j.task_mut(task)) {
+            state.failed_on = Some(id.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.pause(now);
+        }
+        self.stop(task, run, id);
+    }
+
     /// Runs that should be there and are not.
     fn settle_absent(&mut self, id: &WorkerId, sent: Time, fence: u64, look: &Look) {
         let listed: Map<TaskId, u32> = look.running.iter().map(|r| (r.task, r.run)).collect();
--- /dev/null
+++ b/crates/cell/src/progress.rs
@@ -0,0 +1,27 @@
+//! Whether a run gets on where it is.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+
+use crate::copy::Copy;
+
+/// Time without progress after which a run stands still. A worker that works shows progress of a
+/// hundredth several times within it, for runs of up to a minute.
+const STILL: Duration = Duration::from_millis(1_500);
+
+/// Time after which a lasting run that is not at work is started elsewhere. It begins to work
+/// within a second or two; away for much longer it counts against its step's budget.
+const IDLE: Duration = Duration::from_millis(3_000);
+
+/// Whether a run stands still: its worker lists it, and it makes no progress.
+///
+/// How slow a run is says nothing: callers' guesses are off by two and more, and a bound of four
+/// times the guess moved 71 sound runs in half a minute without any fault.
+pub(crate) fn stands_still(copy: &Copy, lasting: bool, now: Time) -> bool {
+    let still = now.since(copy.moved);
+    match lasting {
+        true => copy.percent < 100 && still >= IDLE,
+        false => still >= STILL,
+    }
+}
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -7,6 +7,7 @@
 use cactuswheel_work::{Presence, Room, TaskId, WorkerEntry, WorkerId};
 
 use crate::health::Health;
+use crate::pacing::Throttle;
 
 /// How much slower than true time a worker's clock may go: it runs at least at this share.
 const SLOWEST_CLOCK: f64 = 0.98;
@@ -84,6 +85,7 @@
     /// Looks without an answer in a row.
     pub(crate) missed: u32,
     pub(crate) health: Health,
+    pub(crate) throttle: Throttle,
     /// Gets no new work: its instance is wanted elsewhere.
     pub(crate) closing: bool,
     /// Lasting work leaves it too.
@@ -112,6 +114,7 @@
             look: 0,
             missed: 0,
             health: Health::default(),
+            throttle: Throttle::default(),
             closing: false,
             evacuating: false,
             full_until: Time::default(),
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -183,7 +183,7 @@
     }
 
     fn pace(&mut self, worker: &WorkerId, addr: SocketAddr, order: PaceOrder) {
-        let shared = self.shared.clone();
+        let (shared, events) = (self.shared.clone(), self.events.clone());
         let orders = self.hand(worker, addr).orders.clone();
         let worker = worker.clone();
         self.tasks.spawn(async move {
@@ -194,6 +194,7 @@
                 percent = order.percent, outcome:? = outcome;
                 "pace ordered"
             );
+            let _ = events.send(Event::Paced(worker, order, outcome)).await;
         });
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -14,9 +14,6 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
 ];
 
-/// Upper bounds of the buckets for jobs' times, in seconds.
-const JOB_TIME: [f64; 10] = [0.25, 0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 20.0];
-
 /// What a node counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -31,7 +28,6 @@
     looks: Counter<u64>,
     duties: Counter<u64>,
     epoch: Gauge<u64>,
-    job_time: Histogram<f64>,
 }
 
 impl Metrics {
@@ -59,7 +55,6 @@
             looks: counter("cactuswheel_node_looks"),
             duties: counter("cactuswheel_node_instance_orders"),
             epoch: meter.u64_gauge("cactuswheel_node_owner_epoch").build(),
-            job_time: seconds("cactuswheel_node_job_seconds", &JOB_TIME),
             registry,
             _provider: provider,
         })
@@ -107,8 +102,4 @@
     pub(crate) fn owns(&self, epoch: u64) {
         self.epoch.record(epoch, &[]);
     }
-
-    pub(crate) fn job_ended(&self, took: Duration) {
-        self.job_time.record(took.as_secs_f64(), &[]);
-    }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -8,7 +8,7 @@
 use cactuswheel_cell::{Cell, Mark, Output};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
-    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
+    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder, PlainOutcome, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
     WorkerId,
 };
 use tokio::sync::{mpsc, oneshot, watch};
@@ -55,6 +55,8 @@
     Looked(WorkerId, u64, Result<Look, LookError>),
     /// A start order's outcome.
     Started(WorkerId, TaskId, u32, StartOutcome),
+    /// A throttle order's outcome.
+    Paced(WorkerId, PaceOrder, PlainOutcome),
     /// A batch is in the journal.
     Appended(Mark),
     /// A newer owner writes the journal.
@@ -257,6 +259,7 @@
             Event::Started(id, task, run, outcome) => {
                 self.cell.started(now, &id, task, run, outcome);
             }
+            Event::Paced(id, order, outcome) => self.cell.paced(now, &id, &order, outcome),
             Event::Appended(mark) => self.cell.appended(now, mark),
             Event::Deposed => return true,
             Event::Instances(instances, sent) => {
