--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -195,6 +195,7 @@
         let worker = self.workers.entry(id.clone());
         let worker = worker.or_insert_with(|| Worker::new(id.clone(), fence, now));
         let reborn = entry.born > worker.born && worker.born != 0;
+        self.stirred |= worker.entry.as_ref() != Some(&entry);
         let changed = worker.entry.as_ref().is_none_or(|before| {
             before.presence != entry.presence || before.addr != entry.addr || reborn
         });
@@ -204,7 +205,6 @@
                 born = entry.born, known_born = worker.born;
                 "worker listed"
             );
-            self.stirred = true;
             if !matches!(worker.looking, Looking::Flying(_)) {
                 worker.looking = Looking::Due(now);
             }
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -50,7 +50,7 @@
                     load.spread = load.spread.max(spread(step));
                 }
                 let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
-                let free = free.min(self.startable(job, step, left));
+                let free = self.startable(job, step, free, left);
                 match overdue {
                     true => load.overdue += step.reserved() * free,
                     false => load.waiting += step.reserved() * free,
@@ -59,21 +59,27 @@
         }
     }
 
-    /// Number of a step's tasks that the team's limit lets start.
-    fn startable(&self, job: &Job, step: &Step, left: &mut Map<TeamName, Room>) -> u64 {
+    /// How many of a step's `free` tasks the team's limit lets start.
+    fn startable(
+        &self,
+        job: &Job,
+        step: &Step,
+        free: u64,
+        left: &mut Map<TeamName, Room>,
+    ) -> u64 {
         let Some(team) = &job.sub.team else {
-            return u64::MAX;
+            return free;
         };
         let Some(cap) = self.config.teams.get(team).map(|t| t.cap.0) else {
-            return u64::MAX;
+            return free;
         };
         if cap.cpu == 0 {
-            return u64::MAX;
+            return free;
         }
         let used = self.usage.of(team);
         let left = left.entry(team.clone()).or_insert(cap - used);
         let tasks = left.cpu / step.room.cpu.max(1);
-        let tasks = tasks.min(u64::from(step.count));
+        let tasks = tasks.min(free);
         *left -= step.room * tasks;
         tasks
     }
--- /dev/null
+++ b/crates/cell/tests/limits.rs
@@ -0,0 +1,157 @@
+//! Teams' limits, room, steps' order, gangs, timed jobs and what fills.
+
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_model::Millis;
+use cactuswheel_work::{JobId, JobState, Room};
+use world::{World, config, job, lasting, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A team's limit of fifteen tasks holds over all workers, and nothing is lost by waiting.
+#[test]
+fn team_limit() {
+    let mut world = World::new(1, 6);
+    for id in 0..6 {
+        world.submit(job(id, steps(1, 8, 700)));
+    }
+    let mut most = 0;
+    for _ in 0..80 {
+        world.run(SECOND / 20);
+        most = most.max((0..6).map(|n| world.worker(n).count()).sum());
+    }
+    assert_eq!(most, 15, "sixty cores of four each");
+    world.run(10 * SECOND);
+    assert_eq!(world.state(JobId::new(5)), Some(JobState::Complete));
+}
+
+/// A limit far below what runs stops nothing and starts nothing.
+#[test]
+fn limit_cut() {
+    let mut world = World::new(2, 2);
+    world.submit(job(1, steps(1, 4, 700)));
+    world.submit(job(2, steps(2, 4, 700)));
+    world.run(SECOND / 5);
+    let mut cut = config();
+    cut.version = 2;
+    for team in cut.teams.values_mut() {
+        team.cap.0.cpu = 1_000;
+    }
+    let now = world.now;
+    world.cell().configure(now, Arc::new(cut));
+    world.run(3 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Running), "its second step waits");
+}
+
+/// A worker that starts whatever it is told is never sent more than it holds.
+#[test]
+fn room_holds() {
+    let mut world = World::new(3, 1);
+    for id in 0..5 {
+        world.submit(job(id, steps(1, 5, 700)));
+    }
+    world.run(10 * SECOND);
+    world.assert_clean();
+    assert_eq!(world.state(JobId::new(4)), Some(JobState::Complete));
+}
+
+/// The members of a gang start together or not at all.
+#[test]
+fn whole_gang() {
+    let mut world = World::new(4, 2);
+    let mut steps = steps(1, 12, 700);
+    steps[0].gang = true;
+    world.submit(job(1, steps));
+    world.submit(job(2, world::steps(1, 6, 700)));
+    world.run(SECOND / 10);
+    let gang = |w: &mut World| {
+        let runs = (0..2).flat_map(|n| w.worker(n).runs().collect::<Vec<_>>());
+        runs.filter(|(t, _)| t.job() == JobId::new(1)).count()
+    };
+    assert!([0, 12].contains(&gang(&mut world)));
+    world.run(4 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
+}
+
+/// Occurrences start when they are due, none earlier, and may overlap.
+#[test]
+fn occurrences() {
+    let mut world = World::new(5, 1);
+    let mut sub = job(1, steps(1, 1, 700));
+    sub.begin = world.now.get() + 1_000;
+    sub.interval = Millis::new(400);
+    sub.times = 3;
+    world.submit(sub);
+    world.run(Duration::from_millis(950));
+    assert_eq!(world.worker(0).begun.len(), 0);
+    world.run(Duration::from_millis(1_000));
+    assert_eq!(world.worker(0).begun.len(), 3);
+    world.run(2 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+}
+
+/// A serving task is over its target while something fills beside it: the filler is slowed down
+/// within a second or two, and comes back when there is room.
+#[test]
+fn filler_yields() {
+    let mut world = World::new(6, 1);
+    world.worker(0).lasting = vec![1, 2];
+    world.worker(0).gauge = 50;
+    let mut serving = lasting(1, 1, 0);
+    let mut steps: Vec<_> = serving.steps.to_vec();
+    steps[0].target = Millis::new(40);
+    serving.steps = steps.into();
+    let mut filler = lasting(2, 1, 0);
+    let mut steps: Vec<_> = filler.steps.to_vec();
+    steps[0].filler = true;
+    filler.steps = steps.into();
+    world.submit(serving);
+    world.submit(filler);
+    world.run(4 * SECOND);
+    assert_eq!(world.paces.last().map(|p| p.percent), Some(0));
+    world.worker(0).gauge = 5;
+    world.run(20 * SECOND);
+    assert_eq!(world.paces.last().map(|p| p.percent), Some(100));
+}
+
+/// One worker serves a job that needs a label, and the other does not.
+#[test]
+fn label_and_rack() {
+    let mut world = World::new(7, 2);
+    let mut steps = steps(1, 2, 700);
+    steps[0].label = Some("b".into());
+    world.submit(job(1, steps));
+    world.run(SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Queued), "no worker has it");
+    let (now, mut entry) = (world.now, world.worker(1).entry());
+    entry.labels = vec!["b".into(), "r2".into()];
+    world.cell().list(now, entry);
+    world.run(2 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    assert_eq!(world.worker(0).begun.len(), 0);
+}
+
+/// What a pool is asked for is told apart: what runs, what waits, what is of no use any more.
+#[test]
+fn loads_told() {
+    let mut world = World::new(8, 1);
+    for id in 0..3 {
+        world.submit(job(id, steps(1, 5, 700)));
+    }
+    world.run(SECOND / 10);
+    let loads = world.cell().loads();
+    let load = &loads["pool"];
+    let eight = Room {
+        cpu: 32_000,
+        memory: 8_000,
+        gpu: 0,
+    };
+    assert_eq!(load.used, eight);
+    assert_eq!(load.waiting.cpu, 28_000);
+    assert_eq!(load.jobs, 3);
+}
--- /dev/null
+++ b/crates/cell/tests/owners.rs
@@ -0,0 +1,116 @@
+//! Changes of owners, and what a worker's lists mean across them.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_work::{JobId, JobState};
+use world::{World, job, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The caller sees its job stand still for ever. A worker leaves the list and comes back; the
+/// owner forgot it, gives it its first token again, and takes the refusal of a lower token than
+/// the worker has seen for a newer owner. One rising counter for all workers is enough.
+#[test]
+fn listed_again() {
+    let mut world = World::new(1, 1);
+    world.loss = 60;
+    world.submit(job(1, steps(1, 4, 700)));
+    world.run(3 * SECOND);
+    world.loss = 0;
+    world.run(8 * SECOND);
+    let (now, entry) = (world.now, world.worker(0).entry());
+    world.cell().unlist(now, &entry.id);
+    world.run(6 * SECOND);
+    let now = world.now;
+    world.cell().list(now, entry);
+    world.submit(job(2, steps(1, 2, 700)));
+    world.run(5 * SECOND);
+    world.assert_clean();
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
+}
+
+/// The caller's work runs twice. A worker is silent past its lease, its run is given up, and
+/// the next look lists it as done; passed over, the task is started again. The end counts,
+/// whoever may run the task by then.
+#[test]
+fn given_up_but_done() {
+    let mut world = World::new(2, 1);
+    world.submit(job(1, steps(1, 2, 700)));
+    world.run(SECOND / 4);
+    assert_eq!(world.worker(0).count(), 2);
+    world.worker(0).linked = false;
+    world.run(6 * SECOND);
+    world.worker(0).linked = true;
+    world.run(3 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    assert_eq!(world.worker(0).begun.len(), 2, "each task ran once");
+}
+
+/// A job is given up after two failures instead of three. An owner takes a failed end in,
+/// journals it and is gone before it is acknowledged; the next owner sees the same end listed.
+/// Failed runs are remembered by number, so that one end counts once.
+#[test]
+fn failures_count_once() {
+    let mut world = World::new(3, 1);
+    world.worker(0).failing = true;
+    world.submit(job(1, steps(1, 1, 700)));
+    world.run(Duration::from_millis(950));
+    for _ in 0..5 {
+        world.take_over();
+        world.bury_others();
+        world.run(Duration::from_millis(30));
+    }
+    world.worker(0).failing = false;
+    world.run(6 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+}
+
+/// The caller sees a finished job run again. All owners are gone right after the end was
+/// listed and before it was journaled: the worker lists it to the next owner again.
+#[test]
+fn ends_survive() {
+    let mut world = World::new(4, 2);
+    world.submit(job(1, steps(2, 3, 700)));
+    for _ in 0..10 {
+        world.run(Duration::from_millis(170));
+        world.take_over();
+        world.bury_others();
+    }
+    world.run(5 * SECOND);
+    world.assert_clean();
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+}
+
+/// A cancelled job starts again after a takeover. Its cancelling is on record before the
+/// owner's own state says so; it holds whatever the journal says.
+#[test]
+fn cancelled_stays() {
+    let mut world = World::new(5, 1);
+    world.submit(job(1, steps(1, 3, 5_000)));
+    world.worker(0).work = 5_000;
+    world.run(SECOND);
+    world.cancel(JobId::new(1));
+    world.take_over();
+    world.bury_others();
+    world.run(SECOND);
+    assert_eq!(world.worker(0).count(), 0);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Cancelled));
+}
+
+/// Nothing runs that the journal does not hold: while the store is away jobs wait, and what
+/// runs goes on.
+#[test]
+fn store_away() {
+    let mut world = World::new(6, 1);
+    world.submit(job(1, steps(1, 2, 700)));
+    world.run(SECOND / 5);
+    world.store_down = true;
+    world.submit(job(2, steps(1, 2, 700)));
+    world.run(SECOND);
+    assert_eq!(world.worker(0).begun.len(), 2, "the second job waits for the journal");
+    world.store_down = false;
+    world.run(4 * SECOND);
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
+}
--- /dev/null
+++ b/crates/cell/tests/silence.rs
@@ -0,0 +1,88 @@
+//! Workers that fall silent, stand still or fail all that they start.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_work::{JobId, JobState};
+use world::{World, job, lasting, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A lasting task stays away for good. Its worker loses power; each look at it carries a renewal,
+/// and so the lease whose end the owner waits for never ends. Looks at a silent worker renew
+/// nothing.
+#[test]
+fn lease_ends() {
+    let mut world = World::new(1, 2);
+    for number in 0..2 {
+        world.worker(number).lasting = vec![1];
+    }
+    world.submit(lasting(1, 2, 1));
+    world.run(2 * SECOND);
+    assert_eq!((world.worker(0).count(), world.worker(1).count()), (1, 1));
+    world.worker(0).up = false;
+    world.run(12 * SECOND);
+    let now = world.now;
+    world.worker(0).reborn(now);
+    let entry = world.worker(0).entry();
+    world.cell().list(now, entry);
+    world.run(2 * SECOND);
+    assert_eq!((world.worker(0).count(), world.worker(1).count()), (1, 1));
+    world.assert_clean();
+}
+
+/// Two tasks of a step are away at once, and its budget allows one. A worker is emptied while
+/// another one with a task of the same step is silent; what it said last must not count.
+#[test]
+fn budget_counts_silent() {
+    let mut world = World::new(2, 3);
+    for number in 0..3 {
+        world.worker(number).lasting = vec![1];
+    }
+    world.submit(lasting(1, 2, 1));
+    world.run(3 * SECOND);
+    let busy: Vec<usize> = (0..3).filter(|&n| world.worker(n).count() == 1).collect();
+    world.worker(busy[0]).up = false;
+    world.run(2 * SECOND);
+    let other = world.worker(busy[1]).id.clone();
+    world.cell().close(&other, true);
+    world.run(SECOND);
+    assert_eq!(world.worker(busy[1]).count(), 1, "it stays until the other is back");
+    world.run(8 * SECOND);
+    assert_eq!(world.worker(busy[1]).count(), 0, "then it leaves");
+    world.assert_clean();
+}
+
+/// A caller waits for ever on work that its worker lists and never finishes. A run without
+/// progress leaves its worker, and the worker gets nothing for a while.
+#[test]
+fn standing_still() {
+    let mut world = World::new(3, 2);
+    world.worker(0).still = true;
+    world.worker(1).still = true;
+    world.submit(job(1, steps(1, 1, 700)));
+    world.run(SECOND);
+    let sick = (0..2).find(|&n| world.worker(n).count() == 1);
+    let sick = sick.expect("the task runs somewhere");
+    world.worker(1 - sick).still = false;
+    world.run(5 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    assert_eq!(world.worker(1 - sick).begun.len(), 1, "it ran on the sound worker");
+}
+
+/// Sound jobs fail. A worker fails everything within milliseconds, has room again at once and
+/// takes the next task and the next; after failures of two jobs it gets none for a while.
+#[test]
+fn failing_worker() {
+    let mut world = World::new(4, 3);
+    world.worker(0).failing = true;
+    world.worker(0).work = 20;
+    for id in 0..8 {
+        world.submit(job(id, steps(1, 4, 700)));
+        world.run(SECOND / 2);
+    }
+    world.run(10 * SECOND);
+    let complete = (0..8).filter(|id| world.state(JobId::new(*id)) == Some(JobState::Complete));
+    assert_eq!(complete.count(), 8);
+}
