--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -38,6 +38,13 @@
     pub(crate) short: &'a Set<&'a ServiceName>,
 }
 
+impl Scene<'_> {
+    /// Whether an instance's pool wants more instances than it has.
+    fn is_short(&self, member: &Member<'_>) -> bool {
+        self.short.contains(&member.instance.pool)
+    }
+}
+
 /// Instances of a wave that an earlier owner may have sent into their maintenance.
 ///
 /// Failure: a new owner counts its own orders only, and with those of the earlier one too many
@@ -113,6 +120,7 @@
             }
             let worker = match &member.standing {
                 Standing::Spare => None,
+                Standing::Serving(_) if !pressing && scene.is_short(member) => continue,
                 Standing::Serving(view) | Standing::Closing(view) if view.runs == 0 => {
                     Some(view.worker.clone())
                 }
@@ -178,7 +186,7 @@
         let pace = (left.len() as f64 / rounds).ceil() as usize;
         let wanted = pace.max(GENTLE).min(wave.cap as usize).min(room + emptying);
         // A pool that is short keeps its workers as long as there is time.
-        let free = |m: &Member<'_>| pressing || !scene.short.contains(&m.instance.pool);
+        let free = |m: &Member<'_>| pressing || !scene.is_short(m);
         let busy = left.iter().filter(|m| free(m));
         let mut busy: Vec<_> = busy
             .filter_map(|m| match &m.standing {
--- /dev/null
+++ b/crates/capacity/tests/demand.rs
@@ -0,0 +1,101 @@
+//! Demand that goes round between pools.
+
+mod fleet;
+
+use std::time::Duration;
+
+use cactuswheel_work::InstanceOrder;
+use fleet::{Fleet, TICK};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A pool that is asked for more than it holds gets spare instances at once.
+#[test]
+fn spare_first() {
+    let mut fleet = Fleet::new(2, 4, 6);
+    fleet.ask("hot", 400);
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.count("hot"), 8, "400 cores, a fifth to spare, half an instance more");
+}
+
+/// With none spare, an idle pool lends: directly, one move each.
+#[test]
+fn idle_pool_lends() {
+    let mut fleet = Fleet::new(2, 10, 0);
+    fleet.ask("hot", 400);
+    fleet.run(4 * SECOND);
+    assert!(fleet.count("hot") >= 8, "{}", fleet.count("hot"));
+    let through = fleet.orders.iter().filter(|o| match o {
+        InstanceOrder::Move { pool, .. } => pool.as_str() == "off",
+        InstanceOrder::Maintain { .. } => false,
+    });
+    assert!(through.count() <= 9, "what hot wants does not go round by the spare pool");
+}
+
+/// An idle pool shrinks to what its lasting work needs, within about two seconds.
+#[test]
+fn idle_shrinks() {
+    let mut fleet = Fleet::new(8, 8, 0);
+    fleet.occupy("hot", 1, 1);
+    fleet.run(3 * SECOND);
+    assert_eq!((fleet.count("hot"), fleet.count("cold")), (1, 1));
+}
+
+/// A short lull moves nothing: moving an instance away and back costs more than keeping it.
+#[test]
+fn lull_moves_nothing() {
+    let mut fleet = Fleet::new(8, 1, 0);
+    fleet.ask("hot", 400);
+    fleet.run(SECOND);
+    let before = fleet.orders.len();
+    fleet.ask("hot", 0);
+    fleet.run(7 * TICK);
+    fleet.ask("hot", 400);
+    fleet.run(SECOND);
+    assert_eq!(fleet.orders.len(), before);
+}
+
+/// Two pools ask for more than there is: neither starves. Without a division the one that asked
+/// first kept all until its backlog was gone.
+#[test]
+fn divided() {
+    let mut fleet = Fleet::new(2, 2, 8);
+    fleet.ask("hot", 2_000);
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.count("hot"), 11);
+    fleet.ask("cold", 2_000);
+    fleet.run(4 * SECOND);
+    assert!(fleet.count("cold") >= 5, "{}", fleet.count("cold"));
+    assert!(fleet.count("hot") >= 5, "{}", fleet.count("hot"));
+}
+
+/// Work that is of no use to its callers any more takes what is left over, and nobody's room.
+#[test]
+fn overdue_last() {
+    let mut fleet = Fleet::new(2, 2, 4);
+    let load = fleet.loads.get_mut("hot").expect("the pool is there");
+    load.overdue.cpu = 2_000_000;
+    fleet.ask("cold", 250);
+    fleet.run(5 * SECOND);
+    assert!(fleet.count("cold") >= 5, "{}", fleet.count("cold"));
+    assert!(fleet.count("hot") >= 2, "{}", fleet.count("hot"));
+}
+
+/// A queue turns busy: it shows within a quarter of a second in what arrives, before anything
+/// waits for long.
+#[test]
+fn arrivals_foretell() {
+    let mut fleet = Fleet::new(2, 2, 8);
+    fleet.run(2 * SECOND);
+    for _ in 0..3 {
+        let load = fleet.loads.get_mut("hot").expect("the pool is there");
+        load.jobs += 4;
+        load.arrived += 4 * 33_000;
+        fleet.run(TICK);
+    }
+    let to_hot = fleet.orders.iter().filter(|o| match o {
+        InstanceOrder::Move { pool, .. } => pool.as_str() == "hot",
+        InstanceOrder::Maintain { .. } => false,
+    });
+    assert!(to_hot.count() >= 5, "four hundred thousand core-milliseconds in three tenths");
+}
--- /dev/null
+++ b/crates/capacity/tests/waves.rs
@@ -0,0 +1,97 @@
+//! Waves of maintenance.
+
+mod fleet;
+
+use std::time::Duration;
+
+use cactuswheel_capacity::Duty;
+use cactuswheel_model::Millis;
+use cactuswheel_work::{InstanceName, InstanceOrder, InstanceState, Wave};
+use fleet::{Fleet, planner};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn wave(fleet: &Fleet, cap: u32) -> Wave {
+    Wave {
+        number: 1,
+        instances: fleet.instances.iter().map(|i| i.name.clone()).collect(),
+        within: Millis::new(25_000),
+        cap,
+    }
+}
+
+/// Every instance of a wave has its maintenance once, in time, not more at once than allowed
+/// (the fleet asserts that), and none while something runs on it.
+#[test]
+fn whole_wave() {
+    let mut fleet = Fleet::new(5, 5, 4);
+    fleet.occupy("hot", 2, 2);
+    fleet.occupy("cold", 2, 2);
+    fleet.waves = vec![wave(&fleet, 3)];
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.complete, Some(false));
+    fleet.run(22 * SECOND);
+    assert_eq!(fleet.complete, Some(true));
+    let maintained = |o: &&InstanceOrder| matches!(o, InstanceOrder::Maintain { .. });
+    assert_eq!(fleet.orders.iter().filter(maintained).count(), 14);
+}
+
+/// A wave takes nothing from a pool that is short as long as there is time.
+#[test]
+fn short_pool_first() {
+    let mut fleet = Fleet::new(2, 1, 4);
+    fleet.waves = vec![wave(&fleet, 3)];
+    fleet.ask("hot", 2_000);
+    fleet.plan();
+    let taken = fleet.orders.iter().filter_map(|o| match o {
+        InstanceOrder::Maintain { instance, .. } => Some(instance.as_str()),
+        InstanceOrder::Move { .. } => None,
+    });
+    let taken: Vec<&str> = taken.collect();
+    assert_eq!(taken, ["cold-0"], "the idle pool's own, none that the short one wants");
+}
+
+/// More instances of a wave are down than allowed. A new owner does not know which of them an
+/// earlier one has sent into maintenance, and counts its own orders only. What is listed as
+/// maintained, and what was ordered of late, counts too.
+#[test]
+fn earlier_owner_counts() {
+    let mut fleet = Fleet::new(1, 1, 6);
+    fleet.waves = vec![wave(&fleet, 3)];
+    fleet.instances[2].state = InstanceState::Maintained;
+    fleet.instances[3].state = InstanceState::Maintained;
+    fleet.reserved.insert(fleet.instances[4].name.clone());
+    fleet.plan();
+    let orders = fleet.orders.iter().filter(|o| matches!(o, InstanceOrder::Maintain { .. }));
+    assert_eq!(orders.count(), 0);
+}
+
+/// An instance that an earlier owner ordered of late gets no order yet, for whatever purpose.
+#[test]
+fn reserved_waits() {
+    let mut fleet = Fleet::new(1, 1, 3);
+    for instance in &fleet.instances {
+        fleet.reserved.insert(instance.name.clone());
+    }
+    fleet.ask("hot", 500);
+    fleet.plan();
+    assert_eq!(fleet.orders, Vec::new());
+}
+
+/// What earlier owners have seen done is not done again.
+#[test]
+fn done_stays_done() {
+    let mut fleet = Fleet::new(1, 1, 2);
+    fleet.waves = vec![wave(&fleet, 4)];
+    let names = fleet.instances.iter().map(|i| (1, i.name.clone()));
+    fleet.planner = planner(names.collect::<Vec<(u64, InstanceName)>>());
+    let duties = fleet.plan();
+    let told = duties.iter().any(|d| {
+        *d == Duty::Status {
+            wave: 1,
+            complete: true,
+        }
+    });
+    assert!(told);
+    assert_eq!(fleet.orders, Vec::new());
+}
