--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -86,7 +86,10 @@
     if snapshot.spare.contains(&instance.pool) {
         return Standing::Spare;
     }
-    let worker = instance.worker.as_ref().and_then(|id| snapshot.workers.get(id));
+    let worker = instance
+        .worker
+        .as_ref()
+        .and_then(|id| snapshot.workers.get(id));
     if let Some(view) = worker.filter(|v| v.open || v.closing) {
         unseen.remove(&instance.name);
         return match view.closing {
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -404,7 +404,11 @@
                 }
             }
             let mut surplus = pool.have().saturating_sub(pool.keep);
-            let mut idle: Vec<_> = pool.serving.iter().filter(|(_, v)| v.lasting == 0).collect();
+            let mut idle: Vec<_> = pool
+                .serving
+                .iter()
+                .filter(|(_, v)| v.lasting == 0)
+                .collect();
             idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
             for (member, view) in idle {
                 let name = &member.instance.name;
@@ -467,8 +471,7 @@
 fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
     match duty {
         Duty::Order {
-            order:
-                InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. },
+            order: InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. },
             ..
         } => Some(instance.clone()),
         _ => None,
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -53,9 +53,8 @@
     let members = scene.members.iter().map(|m| m.instance);
     let of_wave = members.filter(|i| wave.instances.contains(&i.name));
     let others = of_wave.filter(|i| !scene.ordered.contains_key(&i.name));
-    let down = others.filter(|i| {
-        i.state == InstanceState::Maintained || scene.reserved.contains(&i.name)
-    });
+    let down =
+        others.filter(|i| i.state == InstanceState::Maintained || scene.reserved.contains(&i.name));
     down.count()
 }
 
--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -63,7 +63,9 @@
         if tickets.asked.is_empty() {
             let mut free: Vec<&Candidate> = candidates.iter().collect();
             free.sort_by_key(|c| std::cmp::Reverse(c.free.cpu));
-            let open = free.into_iter().filter(|c| !tickets.bad.contains(&c.worker));
+            let open = free
+                .into_iter()
+                .filter(|c| !tickets.bad.contains(&c.worker));
             tickets.asked = open.take(NAMED).map(|c| c.worker.clone()).collect();
             if !tickets.asked.is_empty() {
                 let workers = tickets.asked.clone();
@@ -85,7 +87,9 @@
         let (Some(good), Some(valid)) = (good, valid) else {
             return;
         };
-        let refused = asked.iter().filter(|a| !good.iter().any(|(id, _)| id == *a));
+        let refused = asked
+            .iter()
+            .filter(|a| !good.iter().any(|(id, _)| id == *a));
         tickets.bad.extend(refused.cloned());
         for (id, text) in good {
             let born = self.workers.get(&id).map_or(0, |w| w.born);
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -66,7 +66,11 @@
         match end.how {
             How::Done => {
                 log::info!(task:% = task, run = run, worker:% = id; "run given up was done");
-                let others: Vec<_> = state.copies.iter().map(|c| (c.run, c.worker.clone())).collect();
+                let others: Vec<_> = state
+                    .copies
+                    .iter()
+                    .map(|c| (c.run, c.worker.clone()))
+                    .collect();
                 self.task_done(id, task, step.gang);
                 for (run, worker) in others {
                     self.stop(task, run, &worker);
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -102,7 +102,12 @@
     }
 }
 
-pub(crate) fn task_id(job: cactuswheel_work::JobId, turn: u32, step: usize, index: usize) -> TaskId {
+pub(crate) fn task_id(
+    job: cactuswheel_work::JobId,
+    turn: u32,
+    step: usize,
+    index: usize,
+) -> TaskId {
     let step = cactuswheel_work::StepId {
         job,
         turn,
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -102,7 +102,11 @@
         }
         let sub = job.sub.clone();
         job.turns = self.turns.into_iter().map(|t| t.turn(&sub, now)).collect();
-        let mut tasks = job.turns.iter().flat_map(|t| &t.steps).flat_map(|s| &s.tasks);
+        let mut tasks = job
+            .turns
+            .iter()
+            .flat_map(|t| &t.steps)
+            .flat_map(|s| &s.tasks);
         job.started = tasks.any(|t| t.run > 0);
     }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -39,5 +39,5 @@
 pub use cell::Cell;
 pub use journal::{BadRecord, JobRecord, decode, encode};
 pub use output::Output;
-pub use worker::RENEW_WITHOUT_STORE;
 pub use view::{Load, WorkerView};
+pub use worker::RENEW_WITHOUT_STORE;
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -60,13 +60,7 @@
     }
 
     /// How many of a step's `free` tasks the team's limit lets start.
-    fn startable(
-        &self,
-        job: &Job,
-        step: &Step,
-        free: u64,
-        left: &mut Map<TeamName, Room>,
-    ) -> u64 {
+    fn startable(&self, job: &Job, step: &Step, free: u64, left: &mut Map<TeamName, Room>) -> u64 {
         let Some(team) = &job.sub.team else {
             return free;
         };
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -162,7 +162,10 @@
         let mut overdue = Vec::new();
         let mut still = Vec::new();
         for row in running {
-            let step = self.jobs.get(&row.task.job()).and_then(|j| j.step(row.task));
+            let step = self
+                .jobs
+                .get(&row.task.job())
+                .and_then(|j| j.step(row.task));
             let lasting = step.is_some_and(|s| s.lasting);
             let copy = self.jobs.get_mut(&row.task.job()).and_then(|job| {
                 job.started = true;
@@ -222,7 +225,11 @@
     fn leave_sick(&mut self, id: &WorkerId, task: TaskId, run: u32) {
         let now = self.now;
         log::warn!(task:% = task, run = run, worker:% = id; "run stands still: it leaves its worker");
-        if let Some(state) = self.jobs.get_mut(&task.job()).and_then(|j| j.task_mut(task)) {
+        if let Some(state) = self
+            .jobs
+            .get_mut(&task.job())
+            .and_then(|j| j.task_mut(task))
+        {
             state.failed_on = Some(id.clone());
         }
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/cell/src/output.rs
+++ b/crates/cell/src/output.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cactuswheel_work::{
-    HoldOrder, PaceOrder, StartOrder, StepId, StopOrder, TaskId, WorkerId,
-};
+use cactuswheel_work::{HoldOrder, PaceOrder, StartOrder, StepId, StopOrder, TaskId, WorkerId};
 
 use crate::Batch;
 
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -3,10 +3,10 @@
 use cactuswheel_model::Map;
 use cactuswheel_work::{JobId, ServiceName, Step, StepId, TaskId, WorkerId};
 
+use crate::advice::Permitted;
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
 use crate::copy::{Copy, Phase};
-use crate::advice::Permitted;
 use crate::job::Job;
 use crate::place::{Candidate, Wish, choose};
 use crate::rank::{Rank, rank};
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -70,5 +70,11 @@
         true => c.lasting,
         false => 0,
     };
-    (failed, far, disturbs, std::cmp::Reverse(company), c.free.cpu)
+    (
+        failed,
+        far,
+        disturbs,
+        std::cmp::Reverse(company),
+        c.free.cpu,
+    )
 }
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -48,9 +48,7 @@
 
     /// Whether every step that `step` waits for is done.
     pub(crate) fn is_ready(&self, step: &Step) -> bool {
-        step.after
-            .iter()
-            .all(|&s| self.steps[s as usize].is_done())
+        step.after.iter().all(|&s| self.steps[s as usize].is_done())
     }
 
     pub(crate) fn is_done(&self) -> bool {
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -28,7 +28,9 @@
         let born = copy.born;
         let place = self.workers.get_mut(&worker);
         let place = place.filter(|w| w.born == born && !w.is_draining());
-        let Some((place, entry)) = place.and_then(|w| Some((w.entry.clone()?, w))).map(|(e, w)| (w, e))
+        let Some((place, entry)) = place
+            .and_then(|w| Some((w.entry.clone()?, w)))
+            .map(|(e, w)| (w, e))
         else {
             // It was never ordered, so it never starts.
             self.release(task, run, &worker);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -220,9 +220,8 @@
     /// this one has taken over.
     pub(crate) fn has_expired(&self, lease: Millis, others: Duration, now: Time) -> bool {
         let Some(fix) = self.fix else {
-            let longest = others.as_millis() as f64
-                + lease.get() as f64 / SLOWEST_CLOCK
-                + LEASE_SLACK as f64;
+            let longest =
+                others.as_millis() as f64 + lease.get() as f64 / SLOWEST_CLOCK + LEASE_SLACK as f64;
             return now.since(self.since).as_millis() as f64 > longest;
         };
         let passed = now.since(fix.at).as_millis() as f64 * SLOWEST_CLOCK;
--- a/crates/local/src/ledger.rs
+++ b/crates/local/src/ledger.rs
@@ -21,10 +21,13 @@
     pub(crate) fn started(&mut self, task: &str, run: u64, worker: &str) {
         *self.starts.entry(task.to_owned()).or_default() += 1;
         if self.done.contains_key(task) {
-            let line = format!("{task} run {run} on {worker}: started after its end was acknowledged");
+            let line =
+                format!("{task} run {run} on {worker}: started after its end was acknowledged");
             self.broken.push(line);
         }
-        let before = self.running.insert(task.to_owned(), (run, worker.to_owned()));
+        let before = self
+            .running
+            .insert(task.to_owned(), (run, worker.to_owned()));
         if let Some((other, place)) = before.filter(|(_, place)| place != worker) {
             let line = format!("{task} runs twice: run {other} on {place}, run {run} on {worker}");
             self.broken.push(line);
@@ -38,7 +41,9 @@
     }
 
     pub(crate) fn acknowledged(&mut self, task: &str) {
-        self.done.entry(task.to_owned()).or_insert_with(Instant::now);
+        self.done
+            .entry(task.to_owned())
+            .or_insert_with(Instant::now);
     }
 
     /// Tasks of a job whose end as done was acknowledged.
--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -280,7 +280,9 @@
                     let told = state.told.iter().find(|(own, _)| own == addr);
                     let told = told.map_or(*addr, |(_, t)| *t).to_string();
                     let entry = worker.entry(&told, ROOM, number).to_string();
-                    state.store.put("keyed.servers", &worker.id, entry.as_bytes());
+                    state
+                        .store
+                        .put("keyed.servers", &worker.id, entry.as_bytes());
                 }
             }
             if ended || beats {
@@ -422,7 +424,10 @@
             listed(s, worker, ROOM)
         });
         let machines: Vec<Value> = machines.collect();
-        (StatusCode::OK, json!({ "machines": machines, "next_token": null }))
+        (
+            StatusCode::OK,
+            json!({ "machines": machines, "next_token": null }),
+        )
     }
 
     /// Carries an order out; gives the instance that has to start another life.
--- a/crates/local/src/store.rs
+++ b/crates/local/src/store.rs
@@ -57,7 +57,10 @@
             return refused;
         }
         if asked.number("at").is_some_and(|at| at != part.end()) {
-            return (StatusCode::PRECONDITION_FAILED, json!({ "end": part.end() }));
+            return (
+                StatusCode::PRECONDITION_FAILED,
+                json!({ "end": part.end() }),
+            );
         }
         let offset = part.end();
         for record in split(&asked.body) {
@@ -113,7 +116,10 @@
             })
             .collect();
         let more = keys.next().is_some();
-        (StatusCode::OK, json!({ "items": items, "has_more": more, "end": part.end() }))
+        (
+            StatusCode::OK,
+            json!({ "items": items, "has_more": more, "end": part.end() }),
+        )
     }
 
     /// The newest value of a key.
@@ -172,7 +178,9 @@
     }
 
     fn note(&mut self, asked: &Asked, told: &Value) {
-        let producer = asked.text("producer").and_then(|p| self.producers.get_mut(p));
+        let producer = asked
+            .text("producer")
+            .and_then(|p| self.producers.get_mut(p));
         let (Some(producer), Some(seq)) = (producer, asked.number("seq")) else {
             return;
         };
--- a/crates/local/src/worker.rs
+++ b/crates/local/src/worker.rs
@@ -84,9 +84,10 @@
                 self.end(&task, "lapsed", ledger);
             }
         }
-        let over = self.running.iter().filter(|(_, r)| {
-            r.work.is_some_and(|work| r.since.elapsed() >= work)
-        });
+        let over = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.work.is_some_and(|work| r.since.elapsed() >= work));
         let over: Vec<String> = over.map(|(t, _)| t.clone()).collect();
         for task in over {
             self.end(&task, "done", ledger);
@@ -123,7 +124,10 @@
     }
 
     fn refused(&self, reason: &str) -> Told {
-        (StatusCode::CONFLICT, json!({ "clock_ms": self.clock(), "reason": reason }))
+        (
+            StatusCode::CONFLICT,
+            json!({ "clock_ms": self.clock(), "reason": reason }),
+        )
     }
 
     fn renew(&mut self, order: &Value) {
@@ -178,8 +182,9 @@
         }
         self.renew(order);
         let seen = order["last_seen"].as_u64().unwrap_or_default();
-        let (noted, left): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.ended).into_iter().partition(|(n, ..)| *n <= seen);
+        let (noted, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|(n, ..)| *n <= seen);
         self.ended = left;
         for (number, task, _, how) in noted {
             if how == "done" && number > self.lapsed {
@@ -196,8 +201,10 @@
             .map(|(task, run)| {
                 let percent = match run.work {
                     None => 100,
-                    Some(work) => run.since.elapsed().as_millis() as u64 * 100
-                        / work.as_millis().max(1) as u64,
+                    Some(work) => {
+                        run.since.elapsed().as_millis() as u64 * 100
+                            / work.as_millis().max(1) as u64
+                    }
                 };
                 json!([task, run.run, "", percent.min(100), 0])
             })
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_adapter::{CONFIG_KEY, Item, Keyed, ReadError, WAVE_PREFIX, read_config, read_wave};
+use cactuswheel_adapter::{
+    CONFIG_KEY, Item, Keyed, ReadError, WAVE_PREFIX, read_config, read_wave,
+};
 use cactuswheel_work::Wave;
 use tokio::time::sleep;
 
@@ -66,7 +68,10 @@
 async fn tail(shared: &Shared, mut next: u64, lost: &mut bool) -> ReadError {
     loop {
         let sent = shared.clock.now();
-        let page = shared.store.read(OPERATORS, next, READ_WAIT, READ_LIMIT).await;
+        let page = shared
+            .store
+            .read(OPERATORS, next, READ_WAIT, READ_LIMIT)
+            .await;
         let page = match page {
             Ok(page) => page,
             Err(e) => return e,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -208,7 +208,9 @@
         let events = self.events.clone();
         tokio::spawn(async move {
             let at = encode(&shared.clock.wall());
-            let records = orders.iter().map(|g| Keyed::new(name(&g.order).as_str(), at.clone()));
+            let records = orders
+                .iter()
+                .map(|g| Keyed::new(name(&g.order).as_str(), at.clone()));
             let records: Vec<Keyed> = records.collect();
             let done = shared.store.append(ORDERS, None, None, &records, LIMIT);
             let recorded = done.await;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactuswheel_adapter::{
-    DEADLINE_HEADER, KEY_HEADER, Keyed, pending_body, read_job, state_body,
-};
+use cactuswheel_adapter::{DEADLINE_HEADER, KEY_HEADER, Keyed, pending_body, read_job, state_body};
 use cactuswheel_cell::encode;
 use cactuswheel_model::Code;
 use cactuswheel_work::{FleetConfig, JobId, Queue, Submission, TeamName};
@@ -369,6 +367,9 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::new(Code::BodyTooLarge, "")),
         Ok(Err(e)) => Err(Refusal::new(Code::BadRequest, e.to_string())),
-        Err(_) => Err(Refusal::new(Code::BadRequest, "the body did not come in time")),
+        Err(_) => Err(Refusal::new(
+            Code::BadRequest,
+            "the body did not come in time",
+        )),
     }
 }
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -71,7 +71,10 @@
         epoch: u64,
         tasks: TaskTracker,
     ) -> Self {
-        let policy = shared.settings.policy.map(|a| Arc::new(PolicyService::new(a)));
+        let policy = shared
+            .settings
+            .policy
+            .map(|a| Arc::new(PolicyService::new(a)));
         Self {
             shared,
             events,
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -136,14 +136,19 @@
         let Ok(page) = shared.store.newest(OWNER, None, LIMIT).await else {
             return;
         };
-        let last = page.items.iter().find_map(|i| decode::<Ownership>(&i.value).ok());
+        let last = page
+            .items
+            .iter()
+            .find_map(|i| decode::<Ownership>(&i.value).ok());
         let mine = last.filter(|o| o.epoch == epoch && o.life == life);
         let Some(mut record) = mine else {
             return;
         };
         record.released = true;
         let records = [Keyed::new(KEY, encode(&record))];
-        let done = shared.store.append(OWNER, None, Some(page.end), &records, LIMIT);
+        let done = shared
+            .store
+            .append(OWNER, None, Some(page.end), &records, LIMIT);
         match done.await {
             Ok(_) => log::info!(epoch = epoch; "ownership released"),
             Err(e) => log::warn!(epoch = epoch, error:% = e; "ownership not released"),
@@ -188,11 +193,10 @@
 
     async fn claim(&mut self) {
         let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
-            + CORE_DELAY.div_f64(self.shared.settings.cores).min(MAX_DELAY);
-        let read = self
-            .shared
-            .store
-            .read(OWNER, self.end, wait, LIMIT);
+            + CORE_DELAY
+                .div_f64(self.shared.settings.cores)
+                .min(MAX_DELAY);
+        let read = self.shared.store.read(OWNER, self.end, wait, LIMIT);
         match read.await {
             Ok(page) if page.records.is_empty() => self.write(true).await,
             Ok(page) => {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -62,7 +62,9 @@
     let at = since.unwrap_or_default().as_millis() as u64;
     let mut fields = Fields(Map::new());
     fields.0.insert("at".into(), at.into());
-    fields.0.insert("level".into(), record.level().as_str().into());
+    fields
+        .0
+        .insert("level".into(), record.level().as_str().into());
     let message = record.args().to_string();
     fields.0.insert("message".into(), message.into());
     // A field that cannot be shown is left out; the line itself still helps.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -8,8 +8,8 @@
 use cactuswheel_cell::{Cell, Mark, Output};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
-    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder, PlainOutcome, QueueName, StartOutcome, StepId, TaskId, WorkerEntry,
-    WorkerId,
+    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder,
+    PlainOutcome, QueueName, StartOutcome, StepId, TaskId, WorkerEntry, WorkerId,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
@@ -220,7 +220,9 @@
                 fleet.plan(&mut self.cell);
             }
             self.cell.confirmed(self.shared.lead_age());
-            let outputs = self.cell.poll(self.shared.clock.now(), self.shared.clock.wall());
+            let outputs = self
+                .cell
+                .poll(self.shared.clock.now(), self.shared.clock.wall());
             for output in outputs {
                 if let Output::Deposed { worker, .. } = &output {
                     log::warn!(worker:% = worker; "a worker obeys a newer owner");
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -83,7 +83,10 @@
         if events.is_closed() {
             return ReadError::Failed("nobody listens".into());
         }
-        let page = shared.store.read(WORKERS, next, READ_WAIT, READ_LIMIT).await;
+        let page = shared
+            .store
+            .read(WORKERS, next, READ_WAIT, READ_LIMIT)
+            .await;
         let page = match page {
             Ok(page) => page,
             Err(e) => return e,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -157,7 +157,7 @@
         if self.node.as_str().is_empty() {
             return Some(("node", "has to be a name"));
         }
-        if !(self.cores > 0.0) {
+        if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
         if times.remote_factor < 1.0 {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of a node share. Everything on the way of a request is read without a lock.
 
-use std::time::Duration;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use cactuswheel_adapter::Store;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -51,7 +51,9 @@
         let path = format!("{queue}{id}");
         let body = json!({ "spec": spec, "steps": steps });
         let counts = steps.as_array().into_iter().flatten();
-        let tasks = counts.map(|s| s["count"].as_u64().unwrap_or_default()).sum::<u64>();
+        let tasks = counts
+            .map(|s| s["count"].as_u64().unwrap_or_default())
+            .sum::<u64>();
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
             let call = Call::post(self.node(), &path).with_limit(LIMIT);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,10 @@
 use tokio::runtime::Runtime;
 
 fn main() -> ExitCode {
-    let numbers: Vec<u64> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let numbers: Vec<u64> = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse().ok())
+        .collect();
     let [first, count, seconds, rest @ ..] = &numbers[..] else {
         eprintln!("usage: soak FIRST_SEED COUNT SECONDS [NODES]");
         return ExitCode::FAILURE;
@@ -18,7 +21,11 @@
     for seed in *first..first + count {
         let report = runtime.block_on(soak(seed, nodes, Duration::from_secs(*seconds)));
         let broken = report.broken.len();
-        println!("seed {seed}: {} jobs, {} faults, {broken} broken", report.jobs, report.faults.len());
+        println!(
+            "seed {seed}: {} jobs, {} faults, {broken} broken",
+            report.jobs,
+            report.faults.len()
+        );
         if broken == 0 {
             continue;
         }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -61,11 +61,16 @@
     }
     // Ends are acknowledged a moment after a job is shown as complete.
     sleep(Duration::from_secs(1)).await;
-    report.broken.extend(world.platform.ledger(|l| l.broken.clone()));
+    report
+        .broken
+        .extend(world.platform.ledger(|l| l.broken.clone()));
     for job in &accepted {
         let starts = world.platform.ledger(|l| l.starts_of(&job.id));
         if (starts as usize) < job.tasks {
-            report.broken.push(format!("{}: {starts} starts, {} tasks", job.path, job.tasks));
+            report.broken.push(format!(
+                "{}: {starts} starts, {} tasks",
+                job.path, job.tasks
+            ));
         }
     }
     for node in &mut world.nodes {
@@ -123,7 +128,9 @@
         }
         4 | 5 => {
             let pause = Duration::from_millis(100 + rng.below(1_500));
-            world.platform.crash(place + rng.below(5) as usize, pause, rng.chance(50));
+            world
+                .platform
+                .crash(place + rng.below(5) as usize, pause, rng.chance(50));
             "worker crash"
         }
         6 => {
--- a/crates/work/src/job_id.rs
+++ b/crates/work/src/job_id.rs
@@ -9,9 +9,7 @@
 const DIGITS: usize = 16;
 
 /// Identifier that the caller chose: 16 lower-case hexadecimal digits.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct JobId(u64);
 
--- a/crates/work/src/task_id.rs
+++ b/crates/work/src/task_id.rs
@@ -8,9 +8,7 @@
 use crate::JobId;
 
 /// One step of one occurrence of a job.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StepId {
     /// The job.
     pub job: JobId,
@@ -21,9 +19,7 @@
 }
 
 /// One task of a step.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
     /// The step.
     pub step: StepId,
