--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -25,6 +25,8 @@
     pub(crate) tails: Vec<u64>,
     /// Whether any task was ever seen to start.
     pub(crate) started: bool,
+    /// Whether this owner has planned a run of it.
+    pub(crate) begun: bool,
 }
 
 impl Job {
@@ -39,6 +41,7 @@
             ended: None,
             tails,
             started: false,
+            begun: false,
         }
     }
 
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -221,6 +221,14 @@
         let Some(job) = self.jobs.get_mut(&id.job()) else {
             return;
         };
+        if !std::mem::replace(&mut job.begun, true) {
+            let waited = now.since(job.arrived).as_millis() as u64;
+            log::info!(
+                job:% = id.job(), queue:% = job.sub.queue, waited_ms = waited,
+                worker:% = worker, version = self.config.version;
+                "job begins"
+            );
+        }
         let team = job.sub.team.clone();
         let Some(task) = job.task_mut(id) else {
             return;
