--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -10,7 +10,9 @@
 
 mod duty;
 mod fleet;
+mod moves;
 mod planner;
+mod pool;
 mod share;
 mod snapshot;
 mod trend;
--- /dev/null
+++ b/crates/capacity/src/moves.rs
@@ -0,0 +1,174 @@
+//! Moves of instances: pools that are short grow, those with too many shrink.
+
+use cactuswheel_cell::WorkerView;
+use cactuswheel_model::{Map, Set};
+use cactuswheel_work::{InstanceName, InstanceOrder, ServiceName, WorkerId};
+
+use crate::duty::Duty;
+use crate::fleet::Member;
+use crate::planner::Planner;
+use crate::pool::Pool;
+use crate::snapshot::Snapshot;
+
+impl Planner {
+    /// Pools that are short get instances: those about to leave stay, then spare ones come, then
+    /// those that other pools have too many of.
+    pub(super) fn grow(
+        &mut self,
+        pools: &mut Map<&ServiceName, Pool<'_>>,
+        spare: &mut Vec<&Member<'_>>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let mut short: Vec<(usize, ServiceName)> = pools
+            .iter()
+            .filter(|(_, p)| p.target > p.have())
+            .map(|(s, p)| (p.target - p.have(), (*s).clone()))
+            .collect();
+        short.sort_by(|a, b| b.cmp(a));
+        for (mut missing, service) in short {
+            missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
+            while missing > 0 {
+                let fit = |m: &&&Member<'_>| self.fits(m, &service);
+                let found = spare.iter().position(|m| fit(&m));
+                let member = match found {
+                    Some(at) => Some((spare.remove(at), None)),
+                    None => self.borrow(pools, &service, taken),
+                };
+                let Some((member, worker)) = member else {
+                    break;
+                };
+                taken.insert(member.instance.name.clone());
+                missing -= 1;
+                duties.push(Duty::Order {
+                    order: InstanceOrder::Move {
+                        instance: member.instance.name.clone(),
+                        pool: service.clone(),
+                    },
+                    worker,
+                });
+            }
+        }
+    }
+
+    /// Workers of a pool that were about to leave take work again.
+    fn reopen(
+        &self,
+        pool: Option<&mut Pool<'_>>,
+        most: usize,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) -> usize {
+        let Some(pool) = pool else {
+            return 0;
+        };
+        let leaving = pool.closing.iter();
+        let leaving = leaving.filter(|(m, v)| {
+            !taken.contains(&m.instance.name) && !self.waves.emptying.contains(&v.worker)
+        });
+        let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
+        for (member, view) in &chosen {
+            taken.insert(member.instance.name.clone());
+            duties.push(Duty::Reopen(view.worker.clone()));
+        }
+        chosen.len()
+    }
+
+    /// An empty instance of a pool that has more than it keeps.
+    fn borrow<'a>(
+        &self,
+        pools: &mut Map<&ServiceName, Pool<'a>>,
+        to: &ServiceName,
+        taken: &Set<InstanceName>,
+    ) -> Option<(&'a Member<'a>, Option<WorkerId>)> {
+        for (service, pool) in pools.iter_mut() {
+            if *service == to {
+                continue;
+            }
+            let free = |m: &Member<'_>, v: &WorkerView| {
+                v.runs == 0 && !taken.contains(&m.instance.name) && self.fits(m, to)
+            };
+            let leaving = pool.closing.iter().position(|(m, v)| free(m, v));
+            if let Some(at) = leaving {
+                let (member, view) = pool.closing.remove(at);
+                return Some((member, Some(view.worker.clone())));
+            }
+            if pool.have() <= pool.target {
+                continue;
+            }
+            let idle = pool.serving.iter().position(|(m, v)| free(m, v));
+            if let Some(at) = idle {
+                let (member, view) = pool.serving.remove(at);
+                return Some((member, Some(view.worker.clone())));
+            }
+        }
+        None
+    }
+
+    /// Pools that have too many let instances go: empty ones at once, busy ones when they are
+    /// empty.
+    pub(super) fn shrink(
+        &self,
+        pools: &mut Map<&ServiceName, Pool<'_>>,
+        snapshot: &Snapshot<'_>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let off = snapshot.spare.first();
+        if off.is_none() && pools.values().all(|p| p.target <= p.have()) {
+            return;
+        }
+        for pool in pools.values_mut() {
+            let leaving = pool.closing.iter().filter(|(_, v)| v.runs == 0);
+            for (member, view) in leaving {
+                let name = &member.instance.name;
+                if let Some(off) = off
+                    && self.fits(member, off)
+                    && !self.waves.emptying.contains(&view.worker)
+                    && taken.insert(name.clone())
+                {
+                    duties.push(move_order(name, off, view));
+                }
+            }
+            let mut surplus = pool.have().saturating_sub(pool.keep);
+            let mut idle: Vec<_> = pool
+                .serving
+                .iter()
+                .filter(|(_, v)| v.lasting == 0)
+                .collect();
+            idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
+            for (member, view) in idle {
+                let name = &member.instance.name;
+                if surplus == 0 {
+                    break;
+                }
+                if !off.is_none_or(|off| self.fits(member, off)) || !taken.insert(name.clone()) {
+                    continue;
+                }
+                surplus -= 1;
+                duties.push(match off.filter(|_| view.runs == 0) {
+                    Some(off) => move_order(name, off, view),
+                    None => Duty::Close {
+                        worker: view.worker.clone(),
+                        evacuate: false,
+                    },
+                });
+            }
+        }
+    }
+
+    pub(super) fn fits(&self, member: &Member<'_>, pool: &ServiceName) -> bool {
+        let name = member.instance.name.as_str().to_owned();
+        !self.unfit.contains(&(name, pool.clone()))
+    }
+}
+
+fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Duty {
+    Duty::Order {
+        order: InstanceOrder::Move {
+            instance: name.clone(),
+            pool: pool.clone(),
+        },
+        worker: Some(view.worker.clone()),
+    }
+}
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_cell::{Load, WorkerView};
+use cactuswheel_cell::Load;
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
     InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName,
@@ -10,6 +10,7 @@
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing, Unseen, members};
+use crate::pool::Pool;
 use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
@@ -43,31 +44,13 @@
     trends: Map<ServiceName, Trend>,
     ordered: Map<InstanceName, Ordered>,
     unseen: Unseen,
-    waves: Waves,
+    pub(crate) waves: Waves,
     /// Pools that an instance cannot serve, by its kind.
-    unfit: Set<(String, ServiceName)>,
+    pub(crate) unfit: Set<(String, ServiceName)>,
     /// When the pools were last told of in the log.
     told: Time,
 }
 
-/// A pool in the course of one plan.
-#[derive(Debug, Default)]
-struct Pool<'a> {
-    /// Instances wanted now.
-    target: usize,
-    /// Instances that are kept.
-    keep: usize,
-    serving: Vec<(&'a Member<'a>, &'a WorkerView)>,
-    closing: Vec<(&'a Member<'a>, &'a WorkerView)>,
-    coming: usize,
-}
-
-impl Pool<'_> {
-    fn have(&self) -> usize {
-        self.serving.len() + self.coming
-    }
-}
-
 impl Planner {
     /// A planner that knows nothing but which instances had their maintenance.
     pub fn new(times: Times, maintained: Vec<(u64, InstanceName)>) -> Self {
@@ -284,157 +267,6 @@
         shares
     }
 
-    /// Pools that are short get instances: those about to leave stay, then spare ones come, then
-    /// those that other pools have too many of.
-    fn grow(
-        &mut self,
-        pools: &mut Map<&ServiceName, Pool<'_>>,
-        spare: &mut Vec<&Member<'_>>,
-        taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
-    ) {
-        let mut short: Vec<(usize, ServiceName)> = pools
-            .iter()
-            .filter(|(_, p)| p.target > p.have())
-            .map(|(s, p)| (p.target - p.have(), (*s).clone()))
-            .collect();
-        short.sort_by(|a, b| b.cmp(a));
-        for (mut missing, service) in short {
-            missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
-            while missing > 0 {
-                let fit = |m: &&&Member<'_>| self.fits(m, &service);
-                let found = spare.iter().position(|m| fit(&m));
-                let member = match found {
-                    Some(at) => Some((spare.remove(at), None)),
-                    None => self.borrow(pools, &service, taken),
-                };
-                let Some((member, worker)) = member else {
-                    break;
-                };
-                taken.insert(member.instance.name.clone());
-                missing -= 1;
-                duties.push(Duty::Order {
-                    order: InstanceOrder::Move {
-                        instance: member.instance.name.clone(),
-                        pool: service.clone(),
-                    },
-                    worker,
-                });
-            }
-        }
-    }
-
-    /// Workers of a pool that were about to leave take work again.
-    fn reopen(
-        &self,
-        pool: Option<&mut Pool<'_>>,
-        most: usize,
-        taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
-    ) -> usize {
-        let Some(pool) = pool else {
-            return 0;
-        };
-        let leaving = pool.closing.iter();
-        let leaving = leaving.filter(|(m, v)| {
-            !taken.contains(&m.instance.name) && !self.waves.emptying.contains(&v.worker)
-        });
-        let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
-        for (member, view) in &chosen {
-            taken.insert(member.instance.name.clone());
-            duties.push(Duty::Reopen(view.worker.clone()));
-        }
-        chosen.len()
-    }
-
-    /// An empty instance of a pool that has more than it keeps.
-    fn borrow<'a>(
-        &self,
-        pools: &mut Map<&ServiceName, Pool<'a>>,
-        to: &ServiceName,
-        taken: &Set<InstanceName>,
-    ) -> Option<(&'a Member<'a>, Option<cactuswheel_work::WorkerId>)> {
-        for (service, pool) in pools.iter_mut() {
-            if *service == to {
-                continue;
-            }
-            let free = |m: &Member<'_>, v: &WorkerView| {
-                v.runs == 0 && !taken.contains(&m.instance.name) && self.fits(m, to)
-            };
-            let leaving = pool.closing.iter().position(|(m, v)| free(m, v));
-            if let Some(at) = leaving {
-                let (member, view) = pool.closing.remove(at);
-                return Some((member, Some(view.worker.clone())));
-            }
-            if pool.have() <= pool.target {
-                continue;
-            }
-            let idle = pool.serving.iter().position(|(m, v)| free(m, v));
-            if let Some(at) = idle {
-                let (member, view) = pool.serving.remove(at);
-                return Some((member, Some(view.worker.clone())));
-            }
-        }
-        None
-    }
-
-    /// Pools that have too many let instances go: empty ones at once, busy ones when they are
-    /// empty.
-    fn shrink(
-        &self,
-        pools: &mut Map<&ServiceName, Pool<'_>>,
-        snapshot: &Snapshot<'_>,
-        taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
-    ) {
-        let off = snapshot.spare.first();
-        if off.is_none() && pools.values().all(|p| p.target <= p.have()) {
-            return;
-        }
-        for pool in pools.values_mut() {
-            let leaving = pool.closing.iter().filter(|(_, v)| v.runs == 0);
-            for (member, view) in leaving {
-                let name = &member.instance.name;
-                if let Some(off) = off
-                    && self.fits(member, off)
-                    && !self.waves.emptying.contains(&view.worker)
-                    && taken.insert(name.clone())
-                {
-                    duties.push(move_order(name, off, view));
-                }
-            }
-            let mut surplus = pool.have().saturating_sub(pool.keep);
-            let mut idle: Vec<_> = pool
-                .serving
-                .iter()
-                .filter(|(_, v)| v.lasting == 0)
-                .collect();
-            idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
-            for (member, view) in idle {
-                let name = &member.instance.name;
-                if surplus == 0 {
-                    break;
-                }
-                if !off.is_none_or(|off| self.fits(member, off)) || !taken.insert(name.clone()) {
-                    continue;
-                }
-                surplus -= 1;
-                duties.push(match off.filter(|_| view.runs == 0) {
-                    Some(off) => move_order(name, off, view),
-                    None => Duty::Close {
-                        worker: view.worker.clone(),
-                        evacuate: false,
-                    },
-                });
-            }
-        }
-    }
-
-    fn fits(&self, member: &Member<'_>, pool: &ServiceName) -> bool {
-        let name = member.instance.name.as_str().to_owned();
-        !self.unfit.contains(&(name, pool.clone()))
-    }
-
     /// Remembers what is ordered, so that it is not ordered twice.
     fn note(&mut self, now: Time, duty: &Duty) {
         let Duty::Order { order, worker } = duty else {
@@ -458,16 +290,6 @@
     }
 }
 
-fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Duty {
-    Duty::Order {
-        order: InstanceOrder::Move {
-            instance: name.clone(),
-            pool: pool.clone(),
-        },
-        worker: Some(view.worker.clone()),
-    }
-}
-
 fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
     match duty {
         Duty::Order {
--- /dev/null
+++ b/crates/cell/src/accept.rs
@@ -0,0 +1,97 @@
+//! Jobs that come in, from callers and from an earlier owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::{JobId, JobState, Submission};
+
+use crate::cell::Cell;
+use crate::job::Job;
+use crate::journal::JobRecord;
+use crate::pass::held;
+use crate::run_state::Turn;
+
+impl Cell {
+    /// Takes over a job that the journal knows; its submission has to be there already.
+    ///
+    /// Everything that the record says to run may run or not; looks under the new owner's
+    /// fencing token tell.
+    pub fn restore(&mut self, now: Time, id: JobId, record: JobRecord) {
+        self.now = now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            log::warn!(job:% = id; "journal knows a job that was never submitted");
+            return;
+        };
+        record.apply(job, now);
+        let copies: Vec<_> = job.copies().map(|(t, c)| (t, c.clone())).collect();
+        for (task, copy) in copies {
+            let Some(step) = self.jobs[&id].step(task).cloned() else {
+                continue;
+            };
+            let worker = self.worker_mut(&copy.worker);
+            worker.hold(task, held(copy.run, &step));
+            let team = self.jobs[&id].sub.team.clone();
+            self.usage.add(team.as_ref(), step.room);
+        }
+        if !self.jobs[&id].is_open() {
+            self.open.remove(&id);
+            self.stop_all(id);
+        }
+        self.stirred = true;
+    }
+
+    /// A job was accepted; `waited` is how long ago. A repeat has no effect.
+    pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
+        self.now = now;
+        let id = sub.job;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
+        let mut job = Job::new(Arc::new(sub), arrived);
+        if job.sub.times == 0 {
+            job.turns.push(Turn::new(0, &job.sub.steps));
+        }
+        if !self.restoring {
+            log_accepted(&job);
+        }
+        self.count_arrival(&job);
+        self.jobs.insert(id, job);
+        self.open.insert(id);
+        if self.cancelled.remove(&id) {
+            self.cancel(now, id);
+        }
+        self.stirred = true;
+    }
+
+    /// A job's caller cancelled it.
+    pub fn cancel(&mut self, now: Time, id: JobId) {
+        self.now = now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.cancelled.insert(id);
+            return;
+        };
+        if job.is_open() {
+            if !self.restoring {
+                let waited = now.since(job.arrived).as_millis() as u64;
+                log::info!(job:% = id, waited_ms = waited; "cancelled");
+            }
+            self.finish(id, JobState::Cancelled);
+        }
+    }
+}
+
+fn log_accepted(job: &Job) {
+    let sub = &job.sub;
+    let tasks: u32 = sub.steps.iter().map(|s| s.count).sum();
+    let first = &sub.steps[0];
+    let team = sub.team.as_ref().map_or("", |t| t.as_str());
+    log::info!(
+        job:% = sub.job, queue:% = sub.queue, team = team, tasks = tasks,
+        steps = sub.steps.len() as u64, cpu = first.room.cpu, memory = first.room.memory,
+        chain_ms = job.chain(), lasting = sub.lasting(), filler = first.filler,
+        target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
+        "job accepted"
+    );
+}
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -9,13 +9,11 @@
 };
 
 use crate::advice::Tickets;
-use crate::batch::{Batch, Consequences, Mark, PlannedStart};
+use crate::batch::{Consequences, Mark, PlannedStart};
 use crate::bounds::Bounds;
 use crate::copy::Phase;
 use crate::job::Job;
-use crate::journal::{JobRecord, encode};
 use crate::output::Output;
-use crate::pass::held;
 use crate::run_state::Turn;
 use crate::usage::Usage;
 use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
@@ -24,9 +22,6 @@
 /// each time that an order to it has no answer.
 const FENCE_BITS: u32 = 20;
 
-/// Largest batch, in bytes, well below what the store takes in one call.
-const MAX_BATCH: usize = 512 << 10;
-
 /// How long a job is remembered beyond the time for which its state can be asked for.
 const KEPT_LONGER: Duration = Duration::from_secs(30);
 
@@ -50,14 +45,14 @@
     pub(crate) usage: Usage,
     pub(crate) tickets: Map<StepId, Tickets>,
     /// Jobs whose cancelling came before themselves.
-    cancelled: Set<JobId>,
+    pub(crate) cancelled: Set<JobId>,
     /// Jobs whose state the journal does not hold yet.
     pub(crate) dirty: Set<JobId>,
     /// Runs that wait for the journal.
     pub(crate) planned: Vec<PlannedStart>,
     /// The batch under way, and what holds once it is in the journal.
-    flying: Option<(Mark, Consequences)>,
-    next_mark: u64,
+    pub(crate) flying: Option<(Mark, Consequences)>,
+    pub(crate) next_mark: u64,
     pub(crate) out: Vec<Output>,
     /// Work of short jobs that has arrived, by service, in core-milliseconds, and their number.
     pub(crate) arrived: Map<ServiceName, (u64, u64)>,
@@ -65,7 +60,7 @@
     pub(crate) stirred: bool,
     pub(crate) now: Time,
     /// What an earlier owner has told in the log already is taken in.
-    restoring: bool,
+    pub(crate) restoring: bool,
     /// How long an earlier owner may go on renewing leases after this one has taken over.
     others: Duration,
     /// Leases are renewed: the ownership was confirmed of late.
@@ -109,74 +104,6 @@
         self.others = RENEW_WITHOUT_STORE;
     }
 
-    /// Takes over a job that the journal knows; its submission has to be there already.
-    ///
-    /// Everything that the record says to run may run or not; looks under the new owner's
-    /// fencing token tell.
-    pub fn restore(&mut self, now: Time, id: JobId, record: JobRecord) {
-        self.now = now;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            log::warn!(job:% = id; "journal knows a job that was never submitted");
-            return;
-        };
-        record.apply(job, now);
-        let copies: Vec<_> = job.copies().map(|(t, c)| (t, c.clone())).collect();
-        for (task, copy) in copies {
-            let Some(step) = self.jobs[&id].step(task).cloned() else {
-                continue;
-            };
-            let worker = self.worker_mut(&copy.worker);
-            worker.hold(task, held(copy.run, &step));
-            let team = self.jobs[&id].sub.team.clone();
-            self.usage.add(team.as_ref(), step.room);
-        }
-        if !self.jobs[&id].is_open() {
-            self.open.remove(&id);
-            self.stop_all(id);
-        }
-        self.stirred = true;
-    }
-
-    /// A job was accepted; `waited` is how long ago. A repeat has no effect.
-    pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
-        self.now = now;
-        let id = sub.job;
-        if self.jobs.contains_key(&id) {
-            return;
-        }
-        let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
-        let mut job = Job::new(Arc::new(sub), arrived);
-        if job.sub.times == 0 {
-            job.turns.push(Turn::new(0, &job.sub.steps));
-        }
-        if !self.restoring {
-            log_accepted(&job);
-        }
-        self.count_arrival(&job);
-        self.jobs.insert(id, job);
-        self.open.insert(id);
-        if self.cancelled.remove(&id) {
-            self.cancel(now, id);
-        }
-        self.stirred = true;
-    }
-
-    /// A job's caller cancelled it.
-    pub fn cancel(&mut self, now: Time, id: JobId) {
-        self.now = now;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            self.cancelled.insert(id);
-            return;
-        };
-        if job.is_open() {
-            if !self.restoring {
-                let waited = now.since(job.arrived).as_millis() as u64;
-                log::info!(job:% = id, waited_ms = waited; "cancelled");
-            }
-            self.finish(id, JobState::Cancelled);
-        }
-    }
-
     /// A newer configuration is in force.
     pub fn configure(&mut self, now: Time, config: Arc<FleetConfig>) {
         self.now = now;
@@ -233,25 +160,6 @@
         listed.map(|w| &w.id)
     }
 
-    /// The batch is in the journal.
-    pub fn appended(&mut self, now: Time, mark: Mark) {
-        self.now = now;
-        let Some((_, done)) = self.flying.take_if(|(m, _)| *m == mark) else {
-            return;
-        };
-        for (id, state) in done.states {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.shown = Some(state);
-            }
-        }
-        for (id, born, number) in done.ends {
-            self.acknowledge(&id, born, number);
-        }
-        for start in done.starts {
-            self.order(start);
-        }
-    }
-
     /// The state of a job that callers see; `None` if there is no such job.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         self.jobs.get(&id).map(Job::visible)
@@ -391,57 +299,4 @@
             self.dirty.insert(id);
         }
     }
-
-    /// Puts what changed into a batch.
-    fn write(&mut self) {
-        if self.dirty.is_empty() {
-            // Ends of runs that no job knows change nothing; they need no journal.
-            for worker in self.workers.values_mut() {
-                worker.noted = worker.seen;
-            }
-            return;
-        }
-        let mut records = Vec::new();
-        let mut done = Consequences::default();
-        let mut size = 0;
-        for id in std::mem::take(&mut self.dirty) {
-            if size >= MAX_BATCH {
-                self.dirty.insert(id);
-                continue;
-            }
-            let record = self.jobs.get(&id).map(|j| encode(&JobRecord::new(j)));
-            size += record.as_ref().map_or(0, Vec::len);
-            if let Some(job) = self.jobs.get(&id).filter(|j| j.state.is_final()) {
-                done.states.push((id, job.state));
-            }
-            records.push((id, record));
-        }
-        let left = &self.dirty;
-        let planned = std::mem::take(&mut self.planned).into_iter();
-        let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
-        self.planned = later;
-        done.starts = now;
-        if self.dirty.is_empty() {
-            let fresh = self.workers.values().filter(|w| w.seen > w.noted);
-            done.ends = fresh.map(|w| (w.id.clone(), w.born, w.seen)).collect();
-        }
-        let mark = Mark(self.next_mark);
-        self.next_mark += 1;
-        self.flying = Some((mark, done));
-        self.out.push(Output::Append(Batch { mark, records }));
-    }
-}
-
-fn log_accepted(job: &Job) {
-    let sub = &job.sub;
-    let tasks: u32 = sub.steps.iter().map(|s| s.count).sum();
-    let first = &sub.steps[0];
-    let team = sub.team.as_ref().map_or("", |t| t.as_str());
-    log::info!(
-        job:% = sub.job, queue:% = sub.queue, team = team, tasks = tasks,
-        steps = sub.steps.len() as u64, cpu = first.room.cpu, memory = first.room.memory,
-        chain_ms = job.chain(), lasting = sub.lasting(), filler = first.filler,
-        target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
-        "job accepted"
-    );
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,10 +11,12 @@
 //!   worker's own lists, read under a newer fencing token, settle it;
 //! - a task has one run at a time, unless its step is speculative.
 
+mod accept;
 mod advice;
 mod batch;
 mod bounds;
 mod cell;
+mod commit;
 mod copy;
 mod ends;
 mod health;
@@ -29,6 +31,7 @@
 mod progress;
 mod rank;
 mod run_state;
+mod running;
 mod starts;
 mod usage;
 mod view;
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{HoldOrder, Look, LookError, Running, StopOrder, TaskId, WorkerId};
+use cactuswheel_work::{HoldOrder, Look, LookError, StopOrder, TaskId, WorkerId};
 
 use crate::cell::{Cell, RETRY_LOOK};
 use crate::copy::Phase;
 use crate::output::Output;
-use crate::progress::stands_still;
 use crate::worker::Looking;
 
 /// Longest time that a look waits for an end. Leases are renewed as often, and what stands
@@ -24,9 +23,6 @@
 /// Rows of ends after which a list may be cut.
 const FULL_LIST: usize = 500;
 
-/// Time after which an order to stop is repeated if the run is still listed.
-const STOP_AGAIN: Duration = Duration::from_millis(400);
-
 impl Cell {
     /// Looks at every worker that is due.
     pub(crate) fn look_around(&mut self) {
@@ -155,89 +151,6 @@
         }
     }
 
-    /// Runs that are there.
-    fn take_running(&mut self, id: &WorkerId, running: &[Running]) {
-        let now = self.now;
-        let mut unwanted = Vec::new();
-        let mut overdue = Vec::new();
-        let mut still = Vec::new();
-        for row in running {
-            let step = self
-                .jobs
-                .get(&row.task.job())
-                .and_then(|j| j.step(row.task));
-            let lasting = step.is_some_and(|s| s.lasting);
-            let copy = self.jobs.get_mut(&row.task.job()).and_then(|job| {
-                job.started = true;
-                job.task_mut(row.task)
-            });
-            let copy = copy.and_then(|task| {
-                let mut copies = task.copies.iter_mut();
-                let copy = copies.find(|c| c.worker == *id && c.run == row.run);
-                if copy.is_some() {
-                    task.started = true;
-                    if !row.checkpoint.is_empty() {
-                        task.checkpoint.clone_from(&row.checkpoint);
-                    }
-                }
-                copy
-            });
-            let Some(copy) = copy else {
-                unwanted.push((row.task, row.run));
-                continue;
-            };
-            copy.sure = true;
-            copy.listed = true;
-            match copy.phase {
-                Phase::Planned | Phase::Ordered | Phase::Unknown => {
-                    copy.enter(Phase::Running, now);
-                    copy.started = now;
-                    copy.moved = now;
-                }
-                Phase::Stopping if now.since(copy.since) >= STOP_AGAIN => {
-                    copy.since = now;
-                    overdue.push((row.task, row.run));
-                }
-                Phase::Running | Phase::Stopping => {}
-            }
-            if row.percent > copy.percent || row.percent >= 100 {
-                copy.moved = now;
-            }
-            copy.percent = row.percent;
-            copy.gauge = row.gauge;
-            if copy.phase == Phase::Running && stands_still(copy, lasting, now) {
-                still.push((row.task, row.run));
-            }
-        }
-        for (task, run) in still {
-            self.leave_sick(id, task, run);
-        }
-        for (task, run) in overdue {
-            self.send_stop(id, task, run);
-        }
-        for (task, run) in unwanted {
-            log::warn!(task:% = task, run = run, worker:% = id; "unwanted run is stopped");
-            self.send_stop(id, task, run);
-        }
-    }
-
-    /// A run stands still where it is: it is stopped, and starts elsewhere.
-    fn leave_sick(&mut self, id: &WorkerId, task: TaskId, run: u32) {
-        let now = self.now;
-        log::warn!(task:% = task, run = run, worker:% = id; "run stands still: it leaves its worker");
-        if let Some(state) = self
-            .jobs
-            .get_mut(&task.job())
-            .and_then(|j| j.task_mut(task))
-        {
-            state.failed_on = Some(id.clone());
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.health.pause(now);
-        }
-        self.stop(task, run, id);
-    }
-
     /// Runs that should be there and are not.
     fn settle_absent(&mut self, id: &WorkerId, sent: Time, fence: u64, look: &Look) {
         let listed: Map<TaskId, u32> = look.running.iter().map(|r| (r.task, r.run)).collect();
--- /dev/null
+++ b/crates/cell/src/running.rs
@@ -0,0 +1,102 @@
+//! Runs that a worker lists as being there.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::{Running, TaskId, WorkerId};
+
+use crate::cell::Cell;
+use crate::copy::{Copy, Phase};
+use crate::progress::stands_still;
+
+/// Time after which an order to stop is repeated if the run is still listed.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+
+/// What a listed run asks for.
+enum Need {
+    /// Nobody wants it there.
+    Unwanted,
+    /// It was told to stop, some time ago.
+    StopAgain,
+    /// It makes no progress.
+    Leave,
+}
+
+impl Cell {
+    /// Runs that are there.
+    pub(crate) fn take_running(&mut self, id: &WorkerId, running: &[Running]) {
+        for row in running {
+            let (task, run) = (row.task, row.run);
+            match self.take_row(id, row) {
+                None => {}
+                Some(Need::Leave) => self.leave_sick(id, task, run),
+                Some(Need::StopAgain) => self.send_stop(id, task, run),
+                Some(Need::Unwanted) => {
+                    log::warn!(task:% = task, run = run, worker:% = id; "unwanted run is stopped");
+                    self.send_stop(id, task, run);
+                }
+            }
+        }
+    }
+
+    fn take_row(&mut self, id: &WorkerId, row: &Running) -> Option<Need> {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&row.task.job()) else {
+            return Some(Need::Unwanted);
+        };
+        job.started = true;
+        let lasting = job.step(row.task).is_some_and(|s| s.lasting);
+        let Some(task) = job.task_mut(row.task) else {
+            return Some(Need::Unwanted);
+        };
+        let mut copies = task.copies.iter_mut();
+        let copy = copies.find(|c| c.worker == *id && c.run == row.run);
+        let Some(copy) = copy else {
+            return Some(Need::Unwanted);
+        };
+        task.started = true;
+        if !row.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&row.checkpoint);
+        }
+        see(copy, row, now);
+        if copy.phase == Phase::Stopping && now.since(copy.since) >= STOP_AGAIN {
+            copy.since = now;
+            return Some(Need::StopAgain);
+        }
+        let still = copy.phase == Phase::Running && stands_still(copy, lasting, now);
+        still.then_some(Need::Leave)
+    }
+
+    /// A run stands still where it is: it is stopped, and starts elsewhere.
+    fn leave_sick(&mut self, id: &WorkerId, task: TaskId, run: u32) {
+        let now = self.now;
+        log::warn!(task:% = task, run = run, worker:% = id; "run stands still: it leaves its worker");
+        if let Some(state) = self
+            .jobs
+            .get_mut(&task.job())
+            .and_then(|j| j.task_mut(task))
+        {
+            state.failed_on = Some(id.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.pause(now);
+        }
+        self.stop(task, run, id);
+    }
+}
+
+/// Notes what a row says of a run.
+fn see(copy: &mut Copy, row: &Running, now: Time) {
+    copy.sure = true;
+    copy.listed = true;
+    if matches!(copy.phase, Phase::Planned | Phase::Ordered | Phase::Unknown) {
+        copy.enter(Phase::Running, now);
+        copy.started = now;
+        copy.moved = now;
+    }
+    if row.percent > copy.percent || row.percent >= 100 {
+        copy.moved = now;
+    }
+    copy.percent = row.percent;
+    copy.gauge = row.gauge;
+}
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cactuswheel_adapter::{AppendError, Keyed, Link, Orders, PolicyService, Producer};
+use cactuswheel_adapter::{Link, Orders, PolicyService};
 use cactuswheel_cell::{Batch, Output};
 use cactuswheel_model::Map;
 use cactuswheel_work::{
@@ -16,11 +16,10 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
+use crate::journal_writer::JournalWriter;
 use crate::lead::EXPIRY;
 use crate::owner::Event;
 use crate::shared::Shared;
-use crate::takeover::OWNER_NAME;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL};
 
 /// Orders to one worker that are under way at a time. Two keep one lost answer from holding all
 /// others up; each takes a connection.
@@ -33,11 +32,8 @@
 /// Time for an answer to a look, beyond its own wait.
 const LOOK_LIMIT: Duration = Duration::from_millis(600);
 
-/// Time for an answer of the store.
-const APPEND_LIMIT: Duration = Duration::from_millis(700);
-
-/// Pause before an append is repeated.
-const APPEND_RETRY: Duration = Duration::from_millis(30);
+/// Pause after the policy service gave no answer: it takes one call of a node at a time.
+const ADVICE_PAUSE: Duration = Duration::from_millis(30);
 
 /// Time for an answer of the policy service beyond what it says that it takes.
 const ADVICE_LIMIT: Duration = Duration::from_millis(2_000);
@@ -46,9 +42,7 @@
 pub(crate) struct Hands {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
-    epoch: u64,
-    /// Sequence number of the next append to the journal.
-    seq: Arc<AtomicU64>,
+    journal: JournalWriter,
     workers: Map<WorkerId, Hand>,
     policy: Option<Arc<PolicyService>>,
     tasks: TaskTracker,
@@ -76,10 +70,9 @@
             .policy
             .map(|a| Arc::new(PolicyService::new(a)));
         Self {
+            journal: JournalWriter::new(shared.clone(), events.clone(), epoch),
             shared,
             events,
-            epoch,
-            seq: Arc::new(AtomicU64::new(1)),
             workers: Map::default(),
             policy,
             tasks,
@@ -216,83 +209,16 @@
             let answer = policy.ask(step, &workers, ADVICE_LIMIT).await;
             if let Err(e) = &answer {
                 log::warn!(step:% = step, workers = workers.len() as u64, error:% = e; "no advice");
-                // The service takes one call of a node at a time.
-                sleep(APPEND_RETRY).await;
+                sleep(ADVICE_PAUSE).await;
             }
             let good = answer.ok().map(|a| a.good);
             let _ = events.send(Event::Advised(step, good)).await;
         });
     }
 
-    /// Appends to the journal until it is certain.
-    ///
-    /// The same epoch and sequence number each time: the store does a repeat once, whatever
-    /// became of the tries before.
     fn append(&mut self, batch: Batch) {
-        let (events, shared) = (self.events.clone(), self.shared.clone());
-        let seq = self.seq.clone();
-        let epoch = self.epoch;
-        let forgotten: Vec<Keyed> = batch
-            .records
-            .iter()
-            .filter(|(_, record)| record.is_none())
-            .flat_map(|(id, _)| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)])
-            .map(|key| Keyed::dropped(key.to_string()))
-            .collect();
-        let records: Vec<Keyed> = batch
-            .records
-            .into_iter()
-            .map(|(id, value)| Keyed {
-                key: id.to_string(),
-                value: value.map(Into::into),
-            })
-            .collect();
-        self.tasks.spawn(async move {
-            let start = shared.clock.now();
-            let mut lost = false;
-            while !events.is_closed() {
-                let producer = Producer {
-                    name: OWNER_NAME.into(),
-                    epoch,
-                    seq: seq.load(Ordering::Acquire),
-                };
-                let store = &shared.store;
-                let done = store.append(JOURNAL, Some(&producer), None, &records, APPEND_LIMIT);
-                match done.await {
-                    Ok(_) => break,
-                    Err(AppendError::Fenced) => {
-                        log::warn!(epoch = epoch, seq = producer.seq; "journal shut this owner out");
-                        let _ = events.send(Event::Deposed).await;
-                        return;
-                    }
-                    Err(AppendError::Sequence {
-                        expected: Some(expected),
-                    }) if expected < producer.seq => seq.store(expected, Ordering::Release),
-                    Err(e) => {
-                        shared.metrics.append_failed("journal");
-                        if !std::mem::replace(&mut lost, true) {
-                            log::warn!(error:% = e, seq = producer.seq; "journal lost");
-                        }
-                        sleep(APPEND_RETRY).await;
-                    }
-                }
-            }
-            seq.fetch_add(1, Ordering::AcqRel);
-            let took = shared.clock.now().since(start);
-            shared.metrics.journaled(took);
-            if lost {
-                log::info!(after_ms = took.as_millis() as u64; "journal regained");
-            }
-            let _ = events.send(Event::Appended(batch.mark)).await;
-            if !forgotten.is_empty() {
-                let done = shared
-                    .store
-                    .append(INTAKE, None, None, &forgotten, APPEND_LIMIT);
-                if let Err(e) = done.await {
-                    log::info!(error:% = e; "forgotten jobs stay in the intake");
-                }
-            }
-        });
+        let writer = self.journal.clone();
+        self.tasks.spawn(async move { writer.append(batch).await });
     }
 }
 
--- /dev/null
+++ b/crates/node/src/journal_writer.rs
@@ -0,0 +1,129 @@
+//! Writes the owner's journal.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Keyed, Producer};
+use cactuswheel_cell::Batch;
+use cactuswheel_work::JobId;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::owner::Event;
+use crate::shared::Shared;
+use crate::takeover::OWNER_NAME;
+use crate::topics::{INTAKE, IntakeKey, JOURNAL};
+
+/// Time for an answer of the store.
+const LIMIT: Duration = Duration::from_millis(700);
+
+/// Pause before an append is repeated.
+const RETRY: Duration = Duration::from_millis(30);
+
+/// Writes the journal under one ownership; copies share its place in it.
+#[derive(Debug, Clone)]
+pub(crate) struct JournalWriter {
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    epoch: u64,
+    /// Sequence number of the next append.
+    seq: Arc<AtomicU64>,
+}
+
+/// A newer owner writes the journal.
+struct ShutOut;
+
+impl JournalWriter {
+    pub(crate) fn new(shared: Arc<Shared>, events: mpsc::Sender<Event>, epoch: u64) -> Self {
+        Self {
+            shared,
+            events,
+            epoch,
+            seq: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    /// Appends a batch until it is certain, and says so.
+    pub(crate) async fn append(self, batch: Batch) {
+        let start = self.shared.clock.now();
+        let forgotten: Vec<JobId> = batch
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        let records = batch.records.into_iter().map(|(id, value)| Keyed {
+            key: id.to_string(),
+            value: value.map(Into::into),
+        });
+        let records: Vec<Keyed> = records.collect();
+        // With the owner gone there is nobody to tell.
+        if let Err(ShutOut) = self.write(&records).await {
+            let _ = self.events.send(Event::Deposed).await;
+            return;
+        }
+        self.shared
+            .metrics
+            .journaled(self.shared.clock.now().since(start));
+        let _ = self.events.send(Event::Appended(batch.mark)).await;
+        self.forget(&forgotten).await;
+    }
+
+    /// The same epoch and sequence number each time: the store does a repeat once, whatever
+    /// became of the tries before.
+    async fn write(&self, records: &[Keyed]) -> Result<(), ShutOut> {
+        let mut lost = false;
+        while !self.events.is_closed() {
+            let producer = Producer {
+                name: OWNER_NAME.into(),
+                epoch: self.epoch,
+                seq: self.seq.load(Ordering::Acquire),
+            };
+            let store = &self.shared.store;
+            let done = store.append(JOURNAL, Some(&producer), None, records, LIMIT);
+            match done.await {
+                Ok(_) => {
+                    self.seq.fetch_add(1, Ordering::AcqRel);
+                    if lost {
+                        log::info!(seq = producer.seq; "journal regained");
+                    }
+                    return Ok(());
+                }
+                Err(AppendError::Fenced) => {
+                    log::warn!(epoch = self.epoch, seq = producer.seq; "journal shut this owner out");
+                    return Err(ShutOut);
+                }
+                Err(AppendError::Sequence {
+                    expected: Some(expected),
+                }) if expected < producer.seq => self.seq.store(expected, Ordering::Release),
+                Err(e) => {
+                    self.shared.metrics.append_failed("journal");
+                    if !std::mem::replace(&mut lost, true) {
+                        log::warn!(error:% = e, seq = producer.seq; "journal lost");
+                    }
+                    sleep(RETRY).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops what the intake holds of jobs that nobody may ask for any more.
+    async fn forget(&self, jobs: &[JobId]) {
+        if jobs.is_empty() {
+            return;
+        }
+        let keys = jobs
+            .iter()
+            .flat_map(|id| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)]);
+        let records: Vec<Keyed> = keys.map(|k| Keyed::dropped(k.to_string())).collect();
+        let done = self
+            .shared
+            .store
+            .append(INTAKE, None, None, &records, LIMIT);
+        if let Err(e) = done.await {
+            log::info!(error:% = e; "forgotten jobs stay in the intake");
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod front;
 mod hands;
 mod intake;
+mod journal_writer;
 mod lead;
 mod logging;
 mod metrics;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -74,22 +74,17 @@
     log::info!(busy = front.busy.load(Ordering::Acquire) as u64; "node stops");
     shared.stop();
     let _ = halt.send(true);
-    let grace = shared.settings.times.grace.duration();
     let finish = async {
         let _ = lead.await;
-        let role = *roles.borrow();
-        if let Role::Owner { epoch, .. } = role {
+        if let Role::Owner { epoch, .. } = *roles.borrow() {
             Lead::release(&shared, epoch, life).await;
         }
         sleep(LAG).await;
         stop.cancel();
         let _ = server.await;
-        open.close();
-        open.wait().await;
-        while front.busy.load(Ordering::Acquire) > 0 {
-            sleep(LOOK).await;
-        }
+        answer_all(&front, &open).await;
     };
+    let grace = shared.settings.times.grace.duration();
     let whole = timeout(grace.saturating_sub(LAST_MOMENT), finish).await;
     log::info!(
         whole = whole.is_ok(), busy = front.busy.load(Ordering::Acquire) as u64;
@@ -100,6 +95,15 @@
     Ok(())
 }
 
+/// Waits until every request has its answer and every caller's connection is closed.
+async fn answer_all(front: &Front, open: &TaskTracker) {
+    open.close();
+    open.wait().await;
+    while front.busy.load(Ordering::Acquire) > 0 {
+        sleep(LOOK).await;
+    }
+}
+
 async fn serve_metrics(listener: TcpListener, shared: Arc<Shared>) {
     cactuswheel_http::serve(listener, move |_| {
         let answer = match shared.metrics.text() {
