--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -94,7 +94,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.missed == 0 {
+        // An empty worker that is closed goes away with its instance: nothing is lost.
+        if worker.missed == 0 && !(worker.closing && worker.held.is_empty()) {
             let runs = worker.held.len() as u64;
             log::warn!(worker:% = id, runs = runs, error:% = error; "worker lost");
         }
