--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -42,5 +42,5 @@
 pub use cell::Cell;
 pub use journal::{BadRecord, JobRecord, decode, encode};
 pub use output::Output;
-pub use view::{Load, WorkerView};
+pub use view::{JobView, Load, RunView, WorkerView};
 pub use worker::RENEW_WITHOUT_STORE;
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -1,13 +1,13 @@
 //! What the cell tells those who decide about instances.
 
 use cactuswheel_model::Map;
-use cactuswheel_work::{Room, ServiceName, Step, TeamName, WorkerId};
+use cactuswheel_work::{JobId, JobState, QueueName, Room, ServiceName, Step, TeamName, WorkerId};
 
 use crate::cell::Cell;
 use crate::copy::Copy;
 use crate::job::Job;
 use crate::rank::rank;
-use crate::view::{Load, WorkerView};
+use crate::view::{JobView, Load, RunView, WorkerView};
 
 /// Thousandths of a core.
 const MILLI: u64 = 1_000;
@@ -114,6 +114,40 @@
         views.collect()
     }
 
+    /// A job, for operators; `None` if there is no such job.
+    pub fn job(&self, id: JobId) -> Option<JobView> {
+        let job = self.jobs.get(&id)?;
+        let steps = job.turns.iter().flat_map(|t| &t.steps);
+        let tasks: Vec<_> = steps.flat_map(|s| &s.tasks).collect();
+        let runs = job.copies().map(|(task, copy)| RunView {
+            task,
+            worker: copy.worker.clone(),
+            run: copy.run,
+            phase: format!("{:?}", copy.phase).to_lowercase(),
+            percent: copy.percent,
+        });
+        Some(JobView {
+            queue: job.sub.queue.clone(),
+            state: job.visible(),
+            age: self.now.since(job.arrived),
+            done: tasks.iter().filter(|t| t.done).count(),
+            waiting: tasks.iter().filter(|t| t.is_free()).count(),
+            runs: runs.collect(),
+        })
+    }
+
+    /// Jobs that are in no final state, by queue: all of them, and those of which no task has
+    /// started.
+    pub fn queues(&self) -> Map<QueueName, (u64, u64)> {
+        let mut found: Map<QueueName, (u64, u64)> = Map::default();
+        for job in self.open.iter().filter_map(|id| self.jobs.get(id)) {
+            let count = found.entry(job.sub.queue.clone()).or_default();
+            count.0 += 1;
+            count.1 += u64::from(job.visible() == JobState::Queued);
+        }
+        found
+    }
+
     /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
     pub fn close(&mut self, id: &WorkerId, evacuate: bool) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -1,6 +1,8 @@
-//! What a cell shows to those who decide about instances.
+//! What a cell shows to those who decide about instances and to operators.
 
-use cactuswheel_work::{Room, ServiceName, WorkerId};
+use std::time::Duration;
+
+use cactuswheel_work::{JobState, QueueName, Room, ServiceName, TaskId, WorkerId};
 
 /// A worker, for those who decide about instances.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +25,38 @@
     pub runs: usize,
 }
 
+/// A run, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunView {
+    /// The task.
+    pub task: TaskId,
+    /// Its worker.
+    pub worker: WorkerId,
+    /// Number of the run.
+    pub run: u32,
+    /// How far it is: planned, ordered, unknown, running or stopping.
+    pub phase: String,
+    /// Share of its work that is done, in percent.
+    pub percent: u32,
+}
+
+/// A job, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobView {
+    /// Its queue.
+    pub queue: QueueName,
+    /// Its state, as callers see it.
+    pub state: JobState,
+    /// How long ago it was handed in.
+    pub age: Duration,
+    /// Tasks that are done.
+    pub done: usize,
+    /// Tasks that wait for a worker, or for an earlier step.
+    pub waiting: usize,
+    /// Runs that are, or may be, somewhere.
+    pub runs: Vec<RunView>,
+}
+
 /// What a service has to do.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/cell/tests/silence.rs
+++ b/crates/cell/tests/silence.rs
@@ -93,4 +93,6 @@
     world.run(10 * SECOND);
     let complete = (0..8).filter(|id| world.state(JobId::new(*id)) == Some(JobState::Complete));
     assert_eq!(complete.count(), 8);
+    let tried = world.worker(0).begun.len();
+    assert!(tried <= 10, "the sick worker was tried {tried} times");
 }
--- /dev/null
+++ b/crates/cli/src/cell.rs
@@ -0,0 +1,61 @@
+//! The cell of nodes on the users' platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_http::{Call, CallError};
+use cactuswheel_model::Code;
+use serde_json::Value;
+
+use crate::{CliError, Output, table};
+
+/// Time for a node to answer.
+const LIMIT: Duration = Duration::from_secs(3);
+
+const NODE: &[&str] = &["node", "ready", "config", "config_age_ms", "owner", "epoch"];
+const QUEUES: &[&str] = &["queue", "open", "waiting"];
+const POOLS: &[&str] = &["pool", "workers", "runs", "used_cores", "waiting_cores"];
+const JOB: &[&str] = &["job", "queue", "state", "age_ms", "done", "waiting"];
+const RUNS: &[&str] = &["task", "run", "worker", "phase", "percent"];
+
+/// Shows what a node tells of the cell, or of one job.
+pub(crate) async fn show(node: SocketAddr, job: Option<String>) -> Result<Output, CliError> {
+    let Some(job) = job else {
+        let told = ask(node, "/cell").await?;
+        let mut text = table(NODE, std::slice::from_ref(&told));
+        part(&mut text, "Its queues:", QUEUES, &told["cell"]["queues"]);
+        part(&mut text, "Its pools:", POOLS, &told["cell"]["pools"]);
+        return Output::new(text, &told);
+    };
+    let told = ask(node, &format!("/cell/jobs/{job}")).await?;
+    let mut text = table(JOB, std::slice::from_ref(&told));
+    part(&mut text, "Its runs:", RUNS, &told["runs"]);
+    Output::new(text, &told)
+}
+
+fn part(text: &mut String, title: &str, columns: &'static [&'static str], rows: &Value) {
+    let rows = rows.as_array().map_or(&[][..], Vec::as_slice);
+    if !rows.is_empty() {
+        text.push_str(&format!("\n{title}\n"));
+        text.push_str(&table(columns, rows));
+    }
+}
+
+async fn ask(node: SocketAddr, path: &str) -> Result<Value, CliError> {
+    let answer = Call::get(node, path).with_limit(LIMIT).send().await?;
+    let code = match answer.status.as_u16() {
+        200 => Code::Ok,
+        400 => Code::BadRequest,
+        404 => Code::NotFound,
+        _ => Code::NoOwner,
+    };
+    if code != Code::Ok {
+        return Err(CliError::Refused {
+            code: code.number(),
+            message: code.text().to_owned(),
+            detail: String::from_utf8_lossy(&answer.body).into_owned(),
+        });
+    }
+    let told = answer.json();
+    told.map_err(|e| CallError::Unknown(node, e.to_string()).into())
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: it talks to entries' admin API and to nothing else.
 
 mod audit;
+mod cell;
 mod client;
 mod date;
 mod diff;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -74,6 +74,13 @@
     /// Plans of moves between pools
     #[bpaf(command)]
     Plan(#[bpaf(external(plan_command))] PlanCommand),
+    /// The cell of nodes on the platform; `--entry` takes a node's metrics address
+    #[bpaf(command)]
+    Cell {
+        /// Tell of this job
+        #[bpaf(long, argument("ID"), optional)]
+        job: Option<String>,
+    },
     /// Where entries stand
     #[bpaf(command)]
     Status {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::{CliError, Command, KeyCommand, Options, Output, TicketCommand};
-use crate::{audit, jobs, keys, maintenance, plan, status, ticket, validate, views};
+use crate::{audit, cell, jobs, keys, maintenance, plan, status, ticket, validate, views};
 
 /// Carries a command out.
 pub async fn run(options: Options) -> Result<Output, CliError> {
@@ -14,6 +14,7 @@
         Command::Key(KeyCommand::Digest) => keys::digest(std::io::stdin()),
         Command::Key(command) => keys::run(&client()?, command).await,
         Command::Job(job) => jobs::run(job).await,
+        Command::Cell { job } => cell::show(options.entry, job).await,
         Command::Status { entries } => status::show(&client()?, &entries).await,
         Command::Maintenance(command) => maintenance::run(&client()?, command).await,
         Command::Plan(command) => plan::run(&client()?, command).await,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod shared;
 mod takeover;
 mod topics;
+mod view;
 
 pub use clock::Clock;
 pub use error::NodeError;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,8 +5,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use cactuswheel_http::text;
-use hyper::StatusCode;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -20,7 +18,7 @@
 use crate::lead::{Lead, Role};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use crate::{NodeError, Settings, config_follower, owner, peer, ready};
+use crate::{NodeError, Settings, config_follower, owner, peer, ready, view};
 
 /// Time from the signal to stop until no more connections are taken: the balancer looks once a
 /// second and believes the second refusal.
@@ -105,12 +103,8 @@
 }
 
 async fn serve_metrics(listener: TcpListener, shared: Arc<Shared>) {
-    cactuswheel_http::serve(listener, move |_| {
-        let answer = match shared.metrics.text() {
-            Ok(body) => text(StatusCode::OK, body),
-            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-        };
-        async move { answer }
+    cactuswheel_http::serve(listener, move |request| {
+        view::answer(shared.clone(), request.uri().path().to_owned())
     })
     .await;
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,6 +11,7 @@
     FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder,
     PlainOutcome, QueueName, StartOutcome, StepId, TaskId, WorkerEntry, WorkerId,
 };
+use serde_json::Value;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
@@ -22,6 +23,7 @@
 use crate::shared::Shared;
 use crate::takeover::{TakeoverError, take_intake, take_over};
 use crate::topics::INTAKE;
+use crate::view::{cell_view, job_view};
 
 /// Events that may wait; each task that sends them has one or two under way.
 const QUEUE: usize = 4_096;
@@ -69,6 +71,10 @@
     Advised(StepId, Option<Vec<(WorkerId, String)>>),
     /// Somebody asks for a job.
     Job(JobId, oneshot::Sender<JobAnswer>),
+    /// An operator asks for the cell.
+    View(oneshot::Sender<Value>),
+    /// An operator asks for a job.
+    Story(JobId, oneshot::Sender<Option<Value>>),
     /// Somebody asks for a queue.
     Queue(QueueName, oneshot::Sender<QueueAnswer>),
 }
@@ -96,6 +102,20 @@
         answer.await.unwrap_or(QueueAnswer::NotOwner)
     }
 
+    /// The cell, for operators; `None` if the owner is gone.
+    pub(crate) async fn view(&self) -> Option<Value> {
+        let (reply, answer) = oneshot::channel();
+        self.events.send(Event::View(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// One job, for operators; `None` if there is none.
+    pub(crate) async fn story(&self, id: JobId) -> Option<Value> {
+        let (reply, answer) = oneshot::channel();
+        self.events.send(Event::Story(id, reply)).await.ok()?;
+        answer.await.ok()?
+    }
+
     pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
         if self.events.try_send(Event::Config(config)).is_err() {
             // The owner takes the newest configuration with its next event.
@@ -281,6 +301,9 @@
             }
             Event::Advised(step, good) => self.cell.advised(now, step, good),
             Event::Job(id, reply) => self.answer_job(id, now, reply),
+            // Whoever has stopped waiting needs no answer.
+            Event::View(reply) => drop(reply.send(cell_view(&self.cell))),
+            Event::Story(id, reply) => drop(reply.send(job_view(&self.cell, id))),
             Event::Queue(name, reply) => {
                 let pending = self.cell.pending(&name);
                 // Whoever has stopped waiting needs no answer.
