--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -31,8 +31,6 @@
 /// Times that the platform sets.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Times {
-    /// Time that a move takes.
-    pub moving: Millis,
     /// Time that maintenance takes.
     pub maintaining: Millis,
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -77,7 +77,6 @@
         let service = Arc::new(Instances::new(addr));
         tokio::spawn(list(shared.clone(), service.clone(), events.clone()));
         let times = Times {
-            moving: shared.settings.times.moving,
             maintaining: shared.settings.times.maintaining,
         };
         let wait = shared.settings.times.order.duration() + ORDER_MARGIN;
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -35,6 +35,10 @@
 /// Pause after the policy service gave no answer: it takes one call of a node at a time.
 const ADVICE_PAUSE: Duration = Duration::from_millis(30);
 
+/// Questions to the policy service at a time. It takes one of a node after the other and turns
+/// a node away that has 32 waiting; more at once only wait there instead of here.
+const QUESTIONS: usize = 4;
+
 /// Time for an answer of the policy service beyond what it says that it takes.
 const ADVICE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -45,6 +49,8 @@
     journal: JournalWriter,
     workers: Map<WorkerId, Hand>,
     policy: Option<Arc<PolicyService>>,
+    /// Questions to the policy service that are under way.
+    questions: Arc<Semaphore>,
     tasks: TaskTracker,
 }
 
@@ -75,6 +81,7 @@
             events,
             workers: Map::default(),
             policy,
+            questions: Arc::new(Semaphore::new(QUESTIONS)),
             tasks,
         }
     }
@@ -205,7 +212,11 @@
             log::error!(step:% = step; "queue has a policy, and the settings name no service");
             return;
         };
+        let questions = self.questions.clone();
         self.tasks.spawn(async move {
+            let Ok(_question) = questions.acquire().await else {
+                return;
+            };
             let answer = policy.ask(step, &workers, ADVICE_LIMIT).await;
             if let Err(e) = &answer {
                 log::warn!(step:% = step, workers = workers.len() as u64, error:% = e; "no advice");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -54,35 +54,21 @@
     /// Longest lease that a worker grants.
     #[serde(rename = "lease_ms", deserialize_with = "from_millis")]
     pub lease: Millis,
-    /// Longest time that a worker takes to stop a run.
-    #[serde(rename = "stop_ms", deserialize_with = "from_millis")]
-    pub stop: Millis,
     /// Time for which a final state can be asked for.
     #[serde(rename = "kept_s", deserialize_with = "from_seconds")]
     pub kept: Millis,
     /// Time from the signal to stop until the process is killed.
     #[serde(rename = "grace_s", deserialize_with = "from_seconds")]
     pub grace: Millis,
-    /// Time that a move of an instance takes.
-    #[serde(rename = "move_s", deserialize_with = "from_seconds")]
-    pub moving: Millis,
     /// Time that maintenance of an instance takes.
     #[serde(rename = "maintain_s", deserialize_with = "from_seconds")]
     pub maintaining: Millis,
     /// Time for which orders to an instance have to come from one node.
     #[serde(rename = "order_ms", deserialize_with = "from_millis")]
     pub order: Millis,
-    /// Time after which a lasting task that is not at work counts as away.
-    #[serde(rename = "away_ms", deserialize_with = "from_millis")]
-    pub away: Millis,
-    /// Time for which a serving task may be over its target because of what fills beside it.
-    #[serde(rename = "harm_ms", deserialize_with = "from_millis")]
-    pub harm: Millis,
     /// Time from a throttle order to its effect.
     #[serde(rename = "pace_ms", deserialize_with = "from_millis")]
     pub pace: Millis,
-    /// Factor by which work away from its data takes longer.
-    pub remote_factor: f64,
 }
 
 /// Why settings cannot be used.
@@ -160,9 +146,6 @@
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
-        if times.remote_factor < 1.0 {
-            return Some(("times.remote_factor", "has to be 1 or more"));
-        }
         None
     }
 }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -181,10 +181,7 @@
     let times = &shared.settings.times;
     Bounds {
         lease: times.lease.min(LEASE),
-        stop: times.stop,
         kept: times.kept,
-        remote: times.remote_factor,
-        harm: times.harm,
         pace: times.pace,
     }
 }
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -36,9 +36,8 @@
             "listen": { "callers": at(0), "ready": at(1), "peers": at(2), "metrics": at(3) },
             "store": store, "instances": cloud,
             "times": {
-                "revoke_ms": 5000, "lease_ms": 6000, "stop_ms": 200, "kept_s": 120, "grace_s": 6,
-                "move_s": 0.4, "maintain_s": 0.4, "order_ms": 1000, "away_ms": 4500,
-                "harm_ms": 4000, "pace_ms": 100, "remote_factor": 1.5,
+                "revoke_ms": 5000, "lease_ms": 6000, "kept_s": 120, "grace_s": 6,
+                "maintain_s": 0.4, "order_ms": 1000, "pace_ms": 100,
             },
         });
         let file = format!("cactuswheel-{}-{name}-{host}.json", std::process::id());
