--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -5,9 +5,8 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use cactuswheel_model::Time;
-use log::kv::{Error, Key, Value, VisitSource};
+use cactuswheel_node::record_fields;
 use log::{LevelFilter, Record};
-use serde_json::Map;
 
 use crate::StartError;
 use crate::repeats::Repeats;
@@ -53,34 +52,10 @@
 
 /// One line, `at` milliseconds after 1970; the record's own fields follow the common ones.
 pub fn line(record: &Record<'_>, at: u64, repeated: u64) -> String {
-    let mut fields = Fields(Map::new());
-    // A field that cannot be shown is left out; the line itself still helps.
-    let _ = record.key_values().visit(&mut fields);
-    let Fields(mut fields) = fields;
+    let mut fields = record_fields(record, at);
+    fields.insert("from".into(), record.target().into());
     if repeated > 0 {
         fields.insert("repeated".into(), repeated.into());
     }
-    let common = [
-        ("at", at.into()),
-        ("level", record.level().as_str().into()),
-        ("from", record.target().into()),
-        ("message", record.args().to_string().into()),
-    ];
-    for (name, value) in common {
-        fields.insert(name.into(), value);
-    }
     serde_json::Value::Object(fields).to_string()
 }
-
-struct Fields(Map<String, serde_json::Value>);
-
-impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match value.to_u64() {
-            Some(n) => n.into(),
-            None => value.to_string().into(),
-        };
-        self.0.insert(key.to_string(), value);
-        Ok(())
-    }
-}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -8,8 +8,10 @@
 mod ledger;
 mod platform;
 mod query;
+mod state;
 mod store;
 mod worker;
 
 pub use ledger::Ledger;
-pub use platform::{Faults, Platform, Pool};
+pub use platform::{Platform, Pool};
+pub use state::Faults;
--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use cactuswheel_http::{Reply, json as reply, serve};
-use cactuswheel_work::Room;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -13,9 +12,10 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::instances::{Stock, listed};
+use crate::instances::Stock;
 use crate::ledger::Ledger;
 use crate::query::Asked;
+use crate::state::{Faults, ROOM, State};
 use crate::store::{Store, Told};
 use crate::worker::Worker;
 
@@ -28,13 +28,6 @@
 /// Time that a move or maintenance takes.
 const AWAY: Duration = Duration::from_millis(400);
 
-/// What a worker has.
-const ROOM: Room = Room {
-    cpu: 16_000,
-    memory: 32_768,
-    gpu: 0,
-};
-
 /// A pool of the platform.
 #[derive(Debug, Clone)]
 pub struct Pool {
@@ -46,29 +39,6 @@
     pub spare: bool,
 }
 
-/// Faults that a test switches.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct Faults {
-    /// The store answers 503 and does nothing.
-    pub store_down: bool,
-    /// In percent: writes that are done and not answered.
-    pub lost_writes: u32,
-    /// In percent: orders to workers that are carried out and not answered.
-    pub lost_orders: u32,
-}
-
-struct State {
-    store: Store,
-    workers: Vec<(Worker, SocketAddr)>,
-    stock: Vec<Stock>,
-    ledger: Ledger,
-    faults: Faults,
-    rng: u64,
-    lives: u64,
-    /// Address that is told for a worker in place of its own, such as a proxy's.
-    told: Vec<(SocketAddr, SocketAddr)>,
-}
-
 struct Inner {
     state: Mutex<State>,
     changed: Notify,
@@ -398,76 +368,6 @@
     }
 }
 
-impl State {
-    fn chance(&mut self, percent: u32) -> bool {
-        self.rng ^= self.rng << 13;
-        self.rng ^= self.rng >> 7;
-        self.rng ^= self.rng << 17;
-        self.rng % 100 < u64::from(percent)
-    }
-
-    /// The worker on an instance is gone, and its entry with it; gives its name.
-    fn end_life(&mut self, place: usize) -> String {
-        let Some(number) = self.stock[place].worker.take() else {
-            return String::new();
-        };
-        let (worker, _) = &mut self.workers[number];
-        worker.die(&mut self.ledger);
-        let id = worker.id.clone();
-        self.store.put("keyed.servers", &id, &[]);
-        id
-    }
-
-    fn list(&self) -> Told {
-        let machines = self.stock.iter().map(|s| {
-            let worker = s.worker.map(|n| self.workers[n].0.id.as_str());
-            listed(s, worker, ROOM)
-        });
-        let machines: Vec<Value> = machines.collect();
-        (
-            StatusCode::OK,
-            json!({ "machines": machines, "next_token": null }),
-        )
-    }
-
-    /// Carries an order out; gives the instance that has to start another life.
-    fn order(&mut self, path: &str, order: &Value, fence: u64) -> (Told, Option<usize>) {
-        let refused = |reason: &str| ((StatusCode::CONFLICT, json!({ "reason": reason })), None);
-        let name = order["machine"].as_str().unwrap_or_default();
-        let Some(place) = self.stock.iter().position(|s| s.name == name) else {
-            return ((StatusCode::BAD_REQUEST, json!({})), None);
-        };
-        let stock = &mut self.stock[place];
-        if fence < stock.fence {
-            return refused("fence");
-        }
-        stock.fence = fence;
-        let wave = order["wave"].as_u64();
-        let done = match path {
-            "/v1/machine-move" => Some(stock.pool.as_str()) == order["pool"].as_str(),
-            _ => wave.is_some_and(|w| stock.maintained.contains(&w)),
-        };
-        if done {
-            return ((StatusCode::OK, json!({})), None);
-        }
-        if stock.state != "up" {
-            return refused("busy");
-        }
-        match wave {
-            Some(wave) => {
-                stock.maintained.push(wave);
-                stock.state = "upkeep";
-            }
-            None => {
-                stock.pool = order["pool"].as_str().unwrap_or_default().to_owned();
-                stock.state = "moving";
-            }
-        }
-        self.end_life(place);
-        ((StatusCode::OK, json!({})), Some(place))
-    }
-}
-
 fn answer((status, body): Told) -> Reply {
     reply(status, &body)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod front;
 mod hands;
 mod intake;
+mod intake_follower;
 mod journal_writer;
 mod lead;
 mod logging;
@@ -30,6 +31,6 @@
 
 pub use clock::Clock;
 pub use error::NodeError;
-pub use logging::init_log;
+pub use logging::{init_log, record_fields};
 pub use node::run;
 pub use settings::{Settings, SettingsError};
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -59,24 +59,28 @@
 
 fn line(record: &Record<'_>, dropped: u64) -> String {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let at = since.unwrap_or_default().as_millis() as u64;
-    let mut fields = Fields(Map::new());
-    fields.0.insert("at".into(), at.into());
-    fields
-        .0
-        .insert("level".into(), record.level().as_str().into());
-    let message = record.args().to_string();
-    fields.0.insert("message".into(), message.into());
-    // A field that cannot be shown is left out; the line itself still helps.
-    let _ = record.key_values().visit(&mut fields);
+    let mut fields = record_fields(record, since.unwrap_or_default().as_millis() as u64);
     if dropped > 0 {
-        fields.0.insert("dropped".into(), dropped.into());
+        fields.insert("dropped".into(), dropped.into());
     }
-    let mut line = serde_json::Value::Object(fields.0).to_string();
+    let mut line = serde_json::Value::Object(fields).to_string();
     line.push('\n');
     line
 }
 
+/// A record's own fields, and over them its time `at` in milliseconds since 1970, its level and
+/// its message.
+pub fn record_fields(record: &Record<'_>, at: u64) -> Map<String, serde_json::Value> {
+    let mut fields = Fields(Map::new());
+    // A field that cannot be shown is left out; the line itself still helps.
+    let _ = record.key_values().visit(&mut fields);
+    let Fields(mut fields) = fields;
+    fields.insert("at".into(), at.into());
+    fields.insert("level".into(), record.level().as_str().into());
+    fields.insert("message".into(), record.args().to_string().into());
+    fields
+}
+
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cactuswheel_adapter::{Keyed, ReadError};
+use cactuswheel_adapter::Keyed;
 use cactuswheel_cell::{Cell, Mark, Output};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
@@ -17,26 +17,17 @@
 
 use crate::fleet::Fleet;
 use crate::hands::Hands;
+use crate::intake_follower::{follow_intake, read_intake};
 use crate::lead::Role;
 use crate::peer::{JobAnswer, QueueAnswer};
 use crate::roster;
 use crate::shared::Shared;
 use crate::takeover::{TakeoverError, take_intake, take_over};
-use crate::topics::INTAKE;
 use crate::view::{cell_view, job_view};
 
 /// Events that may wait; each task that sends them has one or two under way.
 const QUEUE: usize = 4_096;
 
-/// How long a read of the intake waits for a record.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
-
-/// Time for an answer beyond the wait.
-const READ_LIMIT: Duration = Duration::from_millis(900);
-
-/// Pause after a read that failed.
-const RETRY: Duration = Duration::from_millis(60);
-
 /// Pause after the cell could not be taken over.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(300);
 
@@ -346,70 +337,3 @@
         let _ = reply.send(answer);
     }
 }
-
-/// Reads the intake once, to its end.
-async fn read_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, from: u64) {
-    let sent = shared.clock.now();
-    let page = shared.store.read(INTAKE, from, Duration::ZERO, READ_LIMIT);
-    let Ok(page) = page.await else {
-        // Whoever asked hears that nobody knows, after its own patience.
-        return;
-    };
-    if page.from + page.records.len() as u64 >= page.end {
-        let records = page.records.iter().filter_map(Keyed::read).collect();
-        let _ = events.send(Event::Intake(records, sent)).await;
-    }
-}
-
-/// Follows the intake until nobody takes its records any more.
-async fn follow_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, mut next: u64) {
-    let mut lost = false;
-    while !events.is_closed() {
-        let sent = shared.clock.now();
-        let page = shared.store.read(INTAKE, next, READ_WAIT, READ_LIMIT).await;
-        match page {
-            Ok(page) => {
-                if std::mem::take(&mut lost) {
-                    log::info!("intake regained");
-                }
-                next = page.from + page.records.len() as u64;
-                let records = page.records.iter().filter_map(Keyed::read).collect();
-                let whole = next >= page.end;
-                let sent = if whole { sent } else { Time::default() };
-                let _ = events.send(Event::Intake(records, sent)).await;
-            }
-            Err(ReadError::Deleted) => next = reread(&shared, &events, next).await,
-            Err(e) => {
-                if !std::mem::replace(&mut lost, true) {
-                    log::warn!(error:% = e; "intake lost");
-                }
-                sleep(RETRY).await;
-            }
-        }
-    }
-}
-
-/// The records between were deleted: the newest of each key has all that matters.
-async fn reread(shared: &Shared, events: &mpsc::Sender<Event>, from: u64) -> u64 {
-    log::warn!(from = from; "intake records were deleted: reading the newest again");
-    let mut after: Option<String> = None;
-    let mut end = None;
-    loop {
-        let page = shared.store.newest(INTAKE, after.as_deref(), READ_LIMIT);
-        let page = match page.await {
-            Ok(page) => page,
-            Err(e) => {
-                log::info!(error:% = e; "intake cannot be read again yet");
-                return from;
-            }
-        };
-        let first = *end.get_or_insert(page.end);
-        after = page.items.last().map(|i| i.key.clone());
-        let records = page.items.into_iter().map(|i| Keyed::new(i.key, i.value));
-        let records = records.collect();
-        let _ = events.send(Event::Intake(records, Time::default())).await;
-        if !page.more {
-            return first;
-        }
-    }
-}
