--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -66,6 +66,7 @@
             world.proxies.push(proxy);
         }
         world.wait_ready().await;
+        world.wait_owner().await;
         world
     }
 
@@ -119,6 +120,16 @@
         }
     }
 
+    /// Waits until a node owns the cell: a node is ready once it has the configuration, which may
+    /// be before anybody has taken the cell over.
+    async fn wait_owner(&self) {
+        let start = Instant::now();
+        while self.owner().is_none() {
+            assert!(start.elapsed() < START, "no node has taken the cell over");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// The node that owns the cell, as its log tells, if one is running that has taken it over
     /// last.
     pub fn owner(&self) -> Option<usize> {
