--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -7,6 +7,7 @@
 use cactuswheel_work::{JobId, JobState, Submission};
 
 use crate::cell::Cell;
+use crate::finished::{Finished, Kept};
 use crate::job::Job;
 use crate::journal::JobRecord;
 use crate::pass::held;
@@ -19,6 +20,10 @@
     /// fencing token tell.
     pub fn restore(&mut self, now: Time, id: JobId, record: JobRecord) {
         self.now = now;
+        let record = match record {
+            JobRecord::Finished(job) => return self.restore_finished(id, job),
+            JobRecord::Open(record) => record,
+        };
         let Some(job) = self.jobs.get_mut(&id) else {
             log::warn!(job:% = id; "journal knows a job that was never submitted");
             return;
@@ -41,11 +46,22 @@
         self.stirred = true;
     }
 
+    /// Its submission may be there or not: dropping it is left to chance.
+    fn restore_finished(&mut self, id: JobId, job: Finished) {
+        if self.jobs.remove(&id).is_some() {
+            self.unneeded.push(id);
+        }
+        self.open.remove(&id);
+        self.cancelled.remove(&id);
+        let ended = self.now;
+        self.finished.insert(id, Kept { job, ended });
+    }
+
     /// A job was accepted; `waited` is how long ago. A repeat has no effect.
     pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
         self.now = now;
         let id = sub.job;
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.finished.contains_key(&id) {
             return;
         }
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
@@ -68,6 +84,9 @@
     /// A job's caller cancelled it.
     pub fn cancel(&mut self, now: Time, id: JobId) {
         self.now = now;
+        if self.finished.contains_key(&id) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             self.cancelled.insert(id);
             return;
--- a/crates/cell/src/batch.rs
+++ b/crates/cell/src/batch.rs
@@ -2,6 +2,8 @@
 
 use cactuswheel_work::{JobId, JobState, TaskId, WorkerId};
 
+use crate::finished::Finished;
+
 /// Numbers a batch within one ownership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Mark(pub(crate) u64);
@@ -22,6 +24,8 @@
     pub(crate) starts: Vec<PlannedStart>,
     /// States that may be shown.
     pub(crate) states: Vec<(JobId, JobState)>,
+    /// Jobs of which nothing is left to do.
+    pub(crate) finished: Vec<(JobId, Finished)>,
     /// Ends that may be acknowledged: worker, its life, highest number.
     pub(crate) ends: Vec<(WorkerId, u64, u64)>,
 }
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -5,13 +5,14 @@
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{
-    FleetConfig, JobId, JobState, QueueName, ServiceName, StepId, Submission, WorkerEntry, WorkerId,
+    FleetConfig, JobId, JobState, QueueName, ServiceName, StepId, TeamName, WorkerEntry, WorkerId,
 };
 
 use crate::advice::Tickets;
 use crate::batch::{Consequences, Mark, PlannedStart};
 use crate::bounds::Bounds;
 use crate::copy::Phase;
+use crate::finished::Kept;
 use crate::job::Job;
 use crate::output::Output;
 use crate::run_state::Turn;
@@ -41,6 +42,13 @@
     pub(crate) jobs: Map<JobId, Job>,
     /// Those that are not in a final state.
     pub(crate) open: Set<JobId>,
+    /// Jobs of which nothing is left to do, by the journal.
+    ///
+    /// Invariant: none of them is in `jobs`.
+    pub(crate) finished: Map<JobId, Kept>,
+    /// Finished jobs whose submission is still in the intake.
+    pub(crate) unneeded: Vec<JobId>,
+    pub(crate) last_drop: Time,
     pub(crate) workers: Map<WorkerId, Worker>,
     pub(crate) usage: Usage,
     pub(crate) tickets: Map<StepId, Tickets>,
@@ -76,6 +84,9 @@
             config,
             jobs: Map::default(),
             open: Set::default(),
+            finished: Map::default(),
+            unneeded: Vec::new(),
+            last_drop: Time::default(),
             workers: Map::default(),
             usage: Usage::default(),
             tickets: Map::default(),
@@ -162,12 +173,16 @@
 
     /// The state of a job that callers see; `None` if there is no such job.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        self.jobs.get(&id).map(Job::visible)
+        let kept = self.finished.get(&id).map(|k| k.job.state);
+        kept.or_else(|| self.jobs.get(&id).map(Job::visible))
     }
 
-    /// A job as it was accepted.
-    pub fn submission(&self, id: JobId) -> Option<&Arc<Submission>> {
-        self.jobs.get(&id).map(|j| &j.sub)
+    /// The team that a job belongs to; `None` if there is no such job, or no team.
+    pub fn team(&self, id: JobId) -> Option<&TeamName> {
+        match self.finished.get(&id) {
+            Some(kept) => kept.job.team.as_ref(),
+            None => self.jobs.get(&id)?.sub.team.as_ref(),
+        }
     }
 
     /// Number of a queue's jobs of which no task has started.
@@ -197,6 +212,7 @@
             }
             self.write();
         }
+        self.drop_submissions();
         self.look_around();
         std::mem::take(&mut self.out)
     }
@@ -282,20 +298,15 @@
         }
     }
 
-    /// Final jobs are forgotten once nobody may ask for them.
+    /// Finished jobs are forgotten once nobody may ask for them.
     fn forget(&mut self) {
         let kept = self.bounds.kept.duration() + KEPT_LONGER;
         let now = self.now;
-        let old: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.ended.is_some_and(|t| now.since(t) > kept))
-            .filter(|(_, j)| j.copies().next().is_none())
-            .map(|(id, _)| *id)
-            .collect();
+        let old = self.finished.iter();
+        let old = old.filter(|(_, k)| now.since(k.ended) > kept);
+        let old: Vec<JobId> = old.map(|(id, _)| *id).collect();
         for id in old {
-            self.jobs.remove(&id);
-            self.tickets.retain(|step, _| step.job != id);
+            self.finished.remove(&id);
             self.dirty.insert(id);
         }
     }
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -1,15 +1,23 @@
 //! What goes into the journal, and what holds once it is there.
 
+use std::time::Duration;
+
 use cactuswheel_model::Time;
+use cactuswheel_work::JobId;
 
 use crate::batch::{Batch, Consequences, Mark};
 use crate::cell::Cell;
+use crate::finished::{Finished, Kept};
 use crate::journal::{JobRecord, encode};
 use crate::output::Output;
 
 /// Largest batch, in bytes, well below what the store takes in one call.
 const MAX_BATCH: usize = 512 << 10;
 
+/// Time between two requests to drop submissions. A takeover in between reads a second's worth of
+/// them, some dozens.
+const DROP_EVERY: Duration = Duration::from_millis(1_000);
+
 impl Cell {
     /// The batch is in the journal.
     pub fn appended(&mut self, now: Time, mark: Mark) {
@@ -22,6 +30,9 @@
                 job.shown = Some(state);
             }
         }
+        for (id, finished) in done.finished {
+            self.keep(id, finished);
+        }
         for (id, born, number) in done.ends {
             self.acknowledge(&id, born, number);
         }
@@ -30,6 +41,30 @@
         }
     }
 
+    /// The journal holds a job's last record: only that is kept of it.
+    ///
+    /// Failure: finished jobs stay in the intake with all that they ran, a new owner reads them
+    /// all before it starts anything, and on a narrow link that takes seconds. The journal's
+    /// record says all that callers may still ask, so the submission can go.
+    fn keep(&mut self, id: JobId, job: Finished) {
+        let ended = self.jobs.remove(&id).and_then(|j| j.ended);
+        let ended = ended.unwrap_or(self.now);
+        self.finished.insert(id, Kept { job, ended });
+        self.tickets.retain(|step, _| step.job != id);
+        self.unneeded.push(id);
+    }
+
+    /// Asks to drop the submissions of finished jobs, many at a time.
+    pub(crate) fn drop_submissions(&mut self) {
+        let due = self.now.since(self.last_drop) >= DROP_EVERY;
+        if self.unneeded.is_empty() || !due {
+            return;
+        }
+        self.last_drop = self.now;
+        let jobs = std::mem::take(&mut self.unneeded);
+        self.out.push(Output::DropSubmissions(jobs));
+    }
+
     /// Puts what changed into a batch.
     pub(crate) fn write(&mut self) {
         if self.dirty.is_empty() {
@@ -47,11 +82,19 @@
                 self.dirty.insert(id);
                 continue;
             }
-            let record = self.jobs.get(&id).map(|j| encode(&JobRecord::new(j)));
-            size += record.as_ref().map_or(0, Vec::len);
+            if self.finished.contains_key(&id) {
+                // Its record is the last one already.
+                continue;
+            }
+            let record = self.jobs.get(&id).map(JobRecord::new);
             if let Some(job) = self.jobs.get(&id).filter(|j| j.state.is_final()) {
                 done.states.push((id, job.state));
             }
+            if let Some(JobRecord::Finished(job)) = &record {
+                done.finished.push((id, job.clone()));
+            }
+            let record = record.map(|r| encode(&r));
+            size += record.as_ref().map_or(0, Vec::len);
             records.push((id, record));
         }
         let left = &self.dirty;
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -5,6 +5,7 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{JobState, Step, Submission, TaskId};
 
+use crate::finished::Finished;
 use crate::run_state::{StepRun, Task, Turn};
 
 /// A job in its cell.
@@ -45,6 +46,16 @@
         }
     }
 
+    /// What is kept of it once it is in a final state and no run of it is left.
+    pub(crate) fn finished(&self) -> Option<Finished> {
+        let over = self.state.is_final() && self.copies().next().is_none();
+        over.then(|| Finished {
+            state: self.state,
+            team: self.sub.team.clone(),
+            queue: self.sub.queue.clone(),
+        })
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         !self.state.is_final()
     }
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -7,11 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::copy::{Copy, Phase};
+use crate::finished::Finished;
 use crate::job::Job;
 use crate::run_state::{StepRun, Task, Turn};
 
 /// First byte of every record. A reader refuses a version that it does not know.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Largest record that is read, in bytes: a declared length is not to be trusted.
 const MAX_RECORD: u64 = 1 << 20;
@@ -29,7 +30,17 @@
 
 /// What a job's owner has to know to go on with it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JobRecord {
+pub enum JobRecord {
+    /// Something is left to do, or a run may still be somewhere. The job's submission is needed
+    /// to read it.
+    Open(OpenRecord),
+    /// Nothing is left to do. It stands by itself: the submission is dropped.
+    Finished(Finished),
+}
+
+/// Where a job stands of which something is left to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRecord {
     state: JobState,
     turns: Vec<TurnRecord>,
 }
@@ -85,6 +96,15 @@
 
 impl JobRecord {
     pub(crate) fn new(job: &Job) -> Self {
+        match job.finished() {
+            Some(finished) => Self::Finished(finished),
+            None => Self::Open(OpenRecord::new(job)),
+        }
+    }
+}
+
+impl OpenRecord {
+    fn new(job: &Job) -> Self {
         Self {
             state: job.state,
             turns: job.turns.iter().map(TurnRecord::new).collect(),
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -5,6 +5,7 @@
 
 use crate::cell::Cell;
 use crate::copy::Copy;
+use crate::finished::Kept;
 use crate::job::Job;
 use crate::rank::rank;
 use crate::view::{JobView, Load, RunView, WorkerView};
@@ -116,6 +117,9 @@
 
     /// A job, for operators; `None` if there is no such job.
     pub fn job(&self, id: JobId) -> Option<JobView> {
+        if let Some(kept) = self.finished.get(&id) {
+            return Some(self.finished_view(kept));
+        }
         let job = self.jobs.get(&id)?;
         let steps = job.turns.iter().flat_map(|t| &t.steps);
         let tasks: Vec<_> = steps.flat_map(|s| &s.tasks).collect();
@@ -136,6 +140,17 @@
         })
     }
 
+    fn finished_view(&self, kept: &Kept) -> JobView {
+        JobView {
+            queue: kept.job.queue.clone(),
+            state: kept.job.state,
+            age: self.now.since(kept.ended),
+            done: 0,
+            waiting: 0,
+            runs: Vec::new(),
+        }
+    }
+
     /// Jobs that are in no final state, by queue: all of them, and those of which no task has
     /// started.
     pub fn queues(&self) -> Map<QueueName, (u64, u64)> {
--- a/crates/cell/src/output.rs
+++ b/crates/cell/src/output.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use cactuswheel_work::{HoldOrder, PaceOrder, StartOrder, StepId, StopOrder, TaskId, WorkerId};
+use cactuswheel_work::{
+    HoldOrder, JobId, PaceOrder, StartOrder, StepId, StopOrder, TaskId, WorkerId,
+};
 
 use crate::Batch;
 
@@ -11,6 +13,9 @@
 pub enum Output {
     /// Append to the journal; repeat until it is certain. Answer: [`crate::Cell::appended`].
     Append(Batch),
+    /// Drop what callers handed in for these jobs: the journal says all that is still asked of
+    /// them. Nothing depends on it.
+    DropSubmissions(Vec<JobId>),
     /// Renew a worker's lease and look at it, in place of any earlier look that is under way.
     /// Answer: [`crate::Cell::looked`].
     Look {
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -47,9 +47,9 @@
     pub queue: QueueName,
     /// Its state, as callers see it.
     pub state: JobState,
-    /// How long ago it was handed in.
+    /// How long ago it was handed in; of a finished job, how long ago it ended.
     pub age: Duration,
-    /// Tasks that are done.
+    /// Tasks that are done; not known of a finished job.
     pub done: usize,
     /// Tasks that wait for a worker, or for an earlier step.
     pub waiting: usize,
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Records that the journal holds.
+    pub fn journaled(&self) -> usize {
+        self.journal.len()
+    }
+
     pub fn state(&mut self, id: JobId) -> Option<JobState> {
         self.cell().state(id)
     }
@@ -202,6 +207,10 @@
             .after(Duration::from_millis(5 + self.rng.below(20)));
         match output {
             Output::Append(batch) => self.append(owner, batch),
+            Output::DropSubmissions(jobs) => {
+                self.subs.retain(|s| !jobs.contains(&s.job));
+                self.cancels.retain(|c| !jobs.contains(c));
+            }
             Output::Look {
                 worker,
                 addr,
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -9,7 +9,7 @@
 use cactuswheel_cell::{Batch, Output};
 use cactuswheel_model::Map;
 use cactuswheel_work::{
-    HoldOrder, PaceOrder, StartOrder, StartOutcome, StepId, StopOrder, WorkerId,
+    HoldOrder, JobId, PaceOrder, StartOrder, StartOutcome, StepId, StopOrder, WorkerId,
 };
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::AbortHandle;
@@ -89,6 +89,7 @@
     pub(crate) fn carry_out(&mut self, output: Output) {
         match output {
             Output::Append(batch) => self.append(batch),
+            Output::DropSubmissions(jobs) => self.drop_submissions(jobs),
             Output::Look {
                 worker,
                 addr,
@@ -116,6 +117,11 @@
         }
     }
 
+    fn drop_submissions(&mut self, jobs: Vec<JobId>) {
+        let journal = self.journal.clone();
+        self.tasks.spawn(async move { journal.forget(&jobs).await });
+    }
+
     /// A worker is listed no more: its connections go.
     pub(crate) fn forget(&mut self, id: &WorkerId) {
         self.workers.remove(id);
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -109,8 +109,8 @@
         Ok(())
     }
 
-    /// Drops what the intake holds of jobs that nobody may ask for any more.
-    async fn forget(&self, jobs: &[JobId]) {
+    /// Drops what the intake holds of jobs that need it no more. One that stays does no harm.
+    pub(crate) async fn forget(&self, jobs: &[JobId]) {
         if jobs.is_empty() {
             return;
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -323,7 +323,7 @@
         let answer = match self.cell.state(id) {
             Some(state) => JobAnswer::Known {
                 state,
-                team: self.cell.submission(id).and_then(|s| s.team.clone()),
+                team: self.cell.team(id).cloned(),
             },
             None if self.confirmed >= since => JobAnswer::Unknown,
             None => {
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -56,8 +56,8 @@
 ) -> Result<Taken, TakeoverError> {
     shut_out(shared, epoch).await?;
     // Whatever an earlier owner has in the journal is there by now, and nothing is added.
-    let (intake, end) = newest(shared, INTAKE).await;
-    let (journal, _) = newest(shared, JOURNAL).await;
+    let ((intake, end), (journal, _)) =
+        tokio::join!(newest(shared, INTAKE), newest(shared, JOURNAL));
     let config = loop {
         match shared.config.load_full() {
             Some(config) => break config,
