--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -22,12 +22,13 @@
 use crate::shared::Shared;
 use crate::topics::OWNER;
 
-/// Time between renewals.
-const RENEW: Duration = Duration::from_millis(400);
+/// Time between renewals, from sending to sending.
+const RENEW: Duration = Duration::from_millis(300);
 
 /// Time without a renewal after which the ownership may be claimed. Three renewals have to be
-/// missed; a store that takes a quarter of a second for an answer still carries them.
-pub(crate) const EXPIRY: Duration = Duration::from_millis(1_500);
+/// missed, or one answer lost and another renewal with it; a store that takes half a second for
+/// an answer still carries them.
+pub(crate) const EXPIRY: Duration = Duration::from_millis(1_100);
 
 /// Claims are spread over this time, so that most of them see the first one's.
 const SPREAD: Duration = Duration::from_millis(40);
@@ -40,8 +41,19 @@
 /// Longest such wait.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for an answer of the store.
-const LIMIT: Duration = Duration::from_millis(700);
+/// Time for an answer of the store. With one answer lost the next renewal still comes in time.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Times as much processor as the owner that a node has to have to take the ownership from it.
+///
+/// Failure: while the larger nodes are restarted in turn a small one owns the cell, and keeps it;
+/// starts wait for its processor for the rest of the day. A change of owners takes a few tenths
+/// of a second, so it has to be worth it.
+const STRONGER: f64 = 2.0;
+
+/// Time for which a node watches a weaker owner before it takes the ownership from it. Nodes that
+/// start together settle who is first within it.
+const WATCHED: Duration = Duration::from_millis(1_000);
 
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(80);
@@ -50,7 +62,7 @@
 const KEY: &str = "0";
 
 /// The record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Ownership {
     /// Rises with each change of hands.
     epoch: u64,
@@ -58,6 +70,8 @@
     /// Tells lives of one node apart.
     life: u64,
     addr: SocketAddr,
+    /// Processor of the node, in cores.
+    cores: f64,
     /// Given up: whoever wants it may take it at once.
     released: bool,
     /// No owner before this one can be renewing leases any more.
@@ -88,8 +102,12 @@
     last: Option<Ownership>,
     /// When the last record came, or the store came back.
     heard: Time,
+    /// When the record's owner was first heard of.
+    since: Time,
     /// When this node claimed the ownership, and whether all earlier owners had stopped by then.
     claimed: (Time, bool),
+    /// When this node's last record was sent.
+    sent: Time,
 }
 
 impl Lead {
@@ -102,7 +120,9 @@
             end: 0,
             last: None,
             heard,
+            since: heard,
             claimed: (heard, false),
+            sent: heard,
         }
     }
 
@@ -115,7 +135,9 @@
         while !*stop.borrow() {
             match self.is_mine() {
                 true => {
-                    let _ = timeout(RENEW, stop.wait_for(|s| *s)).await;
+                    let passed = self.shared.clock.now().since(self.sent);
+                    let left = RENEW.saturating_sub(passed);
+                    let _ = timeout(left, stop.wait_for(|s| *s)).await;
                     if !*stop.borrow() {
                         let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
                         self.write(anew).await;
@@ -169,7 +191,7 @@
         let mut last = self.last.iter();
         let released = last.all(|o| o.released || (o.node == *me && o.life != self.life));
         let left = EXPIRY.saturating_sub(now.since(self.heard));
-        if released || left.is_zero() {
+        if released || left.is_zero() || self.outranks(now) {
             return self.claim().await;
         }
         let read = self.shared.store.read(OWNER, self.end, left, LIMIT).await;
@@ -191,6 +213,15 @@
         }
     }
 
+    /// Whether the owner has so much less processor than this node that a change pays.
+    fn outranks(&self, now: Time) -> bool {
+        let cores = self.shared.settings.cores;
+        let weaker = |o: &Ownership| o.cores * STRONGER <= cores;
+        self.last.as_ref().is_some_and(weaker)
+            && now.since(self.since) >= WATCHED
+            && self.shared.is_fresh()
+    }
+
     async fn claim(&mut self) {
         let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
             + CORE_DELAY
@@ -225,12 +256,14 @@
             node: settings.node.clone(),
             life: self.life,
             addr: settings.listen.peers,
+            cores: settings.cores,
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
         };
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
         let sent = self.shared.clock.now();
+        self.sent = sent;
         let done = store.append(OWNER, None, Some(self.end), &records, LIMIT);
         match done.await {
             Ok(done) => {
@@ -283,6 +316,7 @@
         }
         let changed = self.last.as_ref().map(|o| o.epoch) != Some(record.epoch);
         if changed {
+            self.since = self.shared.clock.now();
             log::info!(owner:% = record.node, epoch = record.epoch; "owner known");
         }
         let at = OwnerAt {
