--- a/crates/capacity/src/duty.rs
+++ b/crates/capacity/src/duty.rs
@@ -21,6 +21,11 @@
     },
     /// Give a worker work again.
     Reopen(WorkerId),
+    /// Remember that a wave was first seen now: its time counts from here, whoever plans it.
+    Began {
+        /// The wave.
+        wave: u64,
+    },
     /// Remember that an instance had its maintenance.
     Maintained {
         /// The wave.
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -19,5 +19,5 @@
 mod waves;
 
 pub use duty::Duty;
-pub use planner::{Planner, Times};
+pub use planner::{Past, Planner, Times};
 pub use snapshot::Snapshot;
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -35,6 +35,18 @@
     pub maintaining: Millis,
 }
 
+/// What earlier planners have had remembered.
+#[derive(Debug, Default)]
+pub struct Past {
+    /// Instances that had their maintenance, by wave.
+    pub maintained: Vec<(u64, InstanceName)>,
+    /// When each wave was first seen.
+    ///
+    /// Failure: the time of a wave counts anew from each change of owners, nothing presses, and
+    /// the operators' deadline passes with instances left.
+    pub begun: Vec<(u64, Time)>,
+}
+
 /// Plans moves and maintenance of instances.
 #[derive(Debug)]
 pub struct Planner {
@@ -50,12 +62,15 @@
 }
 
 impl Planner {
-    /// A planner that knows nothing but which instances had their maintenance.
-    pub fn new(times: Times, maintained: Vec<(u64, InstanceName)>) -> Self {
+    /// A planner that knows nothing but what earlier ones have had remembered.
+    pub fn new(times: Times, past: Past) -> Self {
         let mut waves = Waves::default();
-        for (wave, instance) in maintained {
+        for (wave, instance) in past.maintained {
             waves.note(wave, instance);
         }
+        for (wave, at) in past.begun {
+            waves.begin(wave, at);
+        }
         Self {
             times,
             trends: Map::default(),
@@ -107,6 +122,7 @@
             return Vec::new();
         }
         let mut duties = self.see_through(snapshot);
+        duties.extend(self.waves.begin_all(snapshot));
         let all = members(snapshot, &self.ordered, &mut self.unseen);
         let targets = self.targets(snapshot);
         let mut pools: Map<&ServiceName, Pool<'_>> = Map::default();
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -11,6 +11,7 @@
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing};
+use crate::snapshot::Snapshot;
 
 /// Time from closing a worker to the end of its instance's maintenance, beside the maintenance
 /// itself: short work ends, and lasting work starts elsewhere, one task after the other.
@@ -77,6 +78,21 @@
         self.done.entry(wave).or_default().insert(instance);
     }
 
+    /// A wave was first seen at `at`; false if it is known already.
+    pub(crate) fn begin(&mut self, wave: u64, at: Time) -> bool {
+        match self.seen.contains_key(&wave) {
+            true => false,
+            false => self.seen.insert(wave, at).is_none(),
+        }
+    }
+
+    /// The time of waves that were not seen before begins.
+    pub(crate) fn begin_all(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+        let numbers = snapshot.waves.iter().map(|w| w.number);
+        let fresh = numbers.filter(|n| self.begin(*n, snapshot.now));
+        fresh.map(|wave| Duty::Began { wave }).collect()
+    }
+
     /// Whether a wave still wants this instance.
     pub(crate) fn wants(&self, waves: &[Wave], instance: &InstanceName) -> bool {
         waves.iter().any(|w| {
@@ -138,8 +154,8 @@
     }
 
     /// Time until the wave has to be done.
-    fn time(&mut self, wave: &Wave, now: Time) -> Duration {
-        let seen = *self.seen.entry(wave.number).or_insert(now);
+    fn time(&self, wave: &Wave, now: Time) -> Duration {
+        let seen = self.seen.get(&wave.number).copied().unwrap_or(now);
         wave.within.duration().saturating_sub(now.since(seen))
     }
 
--- a/crates/capacity/tests/waves.rs
+++ b/crates/capacity/tests/waves.rs
@@ -102,3 +102,24 @@
     assert!(told);
     assert_eq!(fleet.orders, Vec::new());
 }
+
+/// The operators' deadline passes with instances left. Owners change in the middle of a wave, and
+/// each counts the wave's time from when it first saw it; a pool that is short keeps its
+/// instances, since nothing seems to press. The first sight of a wave is remembered.
+#[test]
+fn time_goes_on() {
+    let mut fleet = Fleet::new(4, 1, 1);
+    let mut asked = wave(&fleet, 3);
+    asked.within = Millis::new(24_000);
+    asked.instances.retain(|i| i.as_str() != "off-0");
+    fleet.waves = vec![asked];
+    // The pool wants one more than there is to have.
+    let mut instances = fleet.instances.iter_mut();
+    let off = instances.find(|i| i.name.as_str() == "off-0");
+    off.expect("it is listed").state = InstanceState::Moving;
+    fleet.ask("hot", 2_000);
+    fleet.run(9 * SECOND);
+    fleet.change_owner();
+    fleet.run(9 * SECOND);
+    assert_eq!(fleet.complete, Some(true));
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{Instances, Keyed, Partition, STATUS_TOPIC, wave_status};
-use cactuswheel_capacity::{Duty, Planner, Snapshot, Times};
+use cactuswheel_capacity::{Duty, Past, Planner, Snapshot, Times};
 use cactuswheel_cell::{Cell, encode};
 use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{
@@ -16,7 +16,7 @@
 use crate::lead::EXPIRY;
 use crate::owner::Event;
 use crate::shared::Shared;
-use crate::topics::{MAINTAINED, ORDERS};
+use crate::topics::{MAINTAINED, ORDERS, WAVES};
 
 /// Time between plans.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -65,12 +65,12 @@
 }
 
 impl Fleet {
-    /// Starts listing; `maintained` is what earlier owners have seen done.
+    /// Starts listing; `past` is what earlier owners have seen.
     pub(crate) fn start(
         shared: Arc<Shared>,
         events: mpsc::Sender<Event>,
         epoch: u64,
-        maintained: Vec<(u64, InstanceName)>,
+        past: Past,
         orders: Vec<(InstanceName, u64)>,
     ) -> Option<Self> {
         let addr = shared.settings.instances?;
@@ -88,7 +88,7 @@
         let reserved: Map<InstanceName, Time> = recent.map(|(name, _)| (name, until)).collect();
         Some(Self {
             reserved,
-            planner: Planner::new(times, maintained),
+            planner: Planner::new(times, past),
             instances: Vec::new(),
             listed: Time::default(),
             planned: Time::default(),
@@ -188,6 +188,10 @@
             }
             Duty::Close { worker, evacuate } => cell.close(&worker, evacuate),
             Duty::Reopen(worker) => cell.reopen(&worker),
+            Duty::Began { wave } => {
+                let at = encode(&self.shared.clock.wall());
+                self.write(WAVES, Keyed::new(wave.to_string(), at));
+            }
             Duty::Maintained { wave, instance } => {
                 log::info!(wave = wave, instance:% = instance; "instance maintained");
                 let key = format!("{wave}/{instance}");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -167,7 +167,7 @@
             shared.clone(),
             events.clone(),
             epoch,
-            taken.maintained,
+            taken.past,
             taken.orders,
         ),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer, ReadError};
+use cactuswheel_capacity::Past;
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
 use tokio::time::sleep;
 
 use crate::shared::Shared;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED, ORDERS};
+use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
@@ -42,8 +43,8 @@
 pub(crate) struct Taken {
     pub(crate) cell: Cell,
     pub(crate) intake: u64,
-    /// Instances that had their maintenance, by wave.
-    pub(crate) maintained: Vec<(u64, InstanceName)>,
+    /// What planners of earlier owners have had remembered.
+    pub(crate) past: Past,
     /// When earlier owners ordered instances, in milliseconds since 1970.
     pub(crate) orders: Vec<(InstanceName, u64)>,
 }
@@ -93,9 +94,16 @@
         epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
         "cell taken over"
     );
-    let (maintained, _) = newest(shared, MAINTAINED).await;
+    let ((maintained, _), (begun, _), (orders, _)) = tokio::join!(
+        newest(shared, MAINTAINED),
+        newest(shared, WAVES),
+        newest(shared, ORDERS)
+    );
     let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
-    let (orders, _) = newest(shared, ORDERS).await;
+    let past = Past {
+        maintained: maintained.collect(),
+        begun: begun.iter().filter_map(|i| read_begun(shared, i)).collect(),
+    };
     let orders = orders.iter().filter_map(|i| {
         let at = decode::<u64>(&i.value).ok()?;
         Some((InstanceName::from(i.key.as_str()), at))
@@ -104,7 +112,7 @@
         orders: orders.collect(),
         cell,
         intake: end,
-        maintained: maintained.collect(),
+        past,
     })
 }
 
@@ -113,6 +121,14 @@
     Some((wave.parse().ok()?, instance.into()))
 }
 
+fn read_begun(shared: &Shared, item: &Item) -> Option<(u64, Time)> {
+    let wave = item.key.parse().ok()?;
+    let at = decode::<u64>(&item.value).ok()?;
+    let age = shared.clock.wall().saturating_sub(at);
+    let now = shared.clock.now().get();
+    Some((wave, Time::new(now.saturating_sub(age))))
+}
+
 /// Takes a record of the intake into the cell.
 pub(crate) fn take_intake(shared: &Shared, cell: &mut Cell, now: Time, key: &str, value: &[u8]) {
     match IntakeKey::parse(key) {
--- a/crates/node/src/topics.rs
+++ b/crates/node/src/topics.rs
@@ -28,6 +28,12 @@
     part: 0,
 };
 
+/// When each wave of maintenance was first seen, in milliseconds since 1970, by its number.
+pub(crate) const WAVES: Partition = Partition {
+    topic: "keyed.waves",
+    part: 0,
+};
+
 /// Who ordered an instance last, and when.
 pub(crate) const ORDERS: Partition = Partition {
     topic: "keyed.orders",
