--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -14,9 +14,9 @@
 /// Largest batch, in bytes, well below what the store takes in one call.
 const MAX_BATCH: usize = 512 << 10;
 
-/// Time between two requests to drop submissions. A takeover in between reads a second's worth of
-/// them, some dozens.
-const DROP_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two requests to drop submissions. A takeover in between reads those of two
+/// seconds, some hundred; each request takes an append for each partition of the intake.
+const DROP_EVERY: Duration = Duration::from_millis(2_000);
 
 impl Cell {
     /// The batch is in the journal.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactuswheel_adapter::{DEADLINE_HEADER, KEY_HEADER, Keyed, pending_body, read_job, state_body};
+use cactuswheel_adapter::{DEADLINE_HEADER, KEY_HEADER, pending_body, read_job, state_body};
 use cactuswheel_cell::encode;
 use cactuswheel_model::Code;
 use cactuswheel_work::{FleetConfig, JobId, Queue, Submission, TeamName};
@@ -265,8 +265,11 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.time.saturating_sub(spent + WAY_BACK);
-        let key = IntakeKey::Submitted(id).to_string();
-        match self.intake.store(Keyed::new(key, record), left).await {
+        match self
+            .intake
+            .store(IntakeKey::Submitted(id), record, left)
+            .await
+        {
             Ok(()) => Ok(found(Vec::new())),
             Err(e) => Err(self.not_stored(id, "submit", e)),
         }
@@ -305,9 +308,13 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.time.saturating_sub(spent + WAY_BACK);
-        let key = IntakeKey::Cancelled(id).to_string();
         // A record without a value would drop its key.
-        match self.intake.store(Keyed::new(key, vec![1]), left).await {
+        let record = vec![1];
+        match self
+            .intake
+            .store(IntakeKey::Cancelled(id), record, left)
+            .await
+        {
             Ok(()) => Ok(found(Vec::new())),
             Err(e) => Err(self.not_stored(id, "cancel", e)),
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
-use cactuswheel_adapter::{AppendError, Keyed, Producer, records_size};
+use cactuswheel_adapter::{AppendError, Keyed, Partition, Producer, records_size};
 use cactuswheel_model::Time;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
 use crate::shared::Shared;
-use crate::topics::INTAKE;
+use crate::topics::{IntakeKey, intake, part_of};
 
 /// Records that may wait. A front takes some dozens a second; more only pile up while the store
 /// is away, and are refused then.
@@ -56,8 +56,15 @@
 }
 
 /// Puts records into the store.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Intake {
+    /// One for each partition.
+    lanes: Vec<Lane>,
+}
+
+/// What goes into one partition.
+#[derive(Debug)]
+struct Lane {
     queue: mpsc::Sender<Entry>,
     /// Since when the append under way is in doubt, in milliseconds; 0 if it is not.
     doubt: Arc<AtomicU64>,
@@ -65,12 +72,35 @@
 }
 
 impl Intake {
-    /// Starts the appending task; `life` tells this process's appends from an earlier one's.
-    pub(crate) fn start(shared: Arc<Shared>, life: u64) -> Self {
+    /// Starts the appending tasks; `life` tells this process's appends from an earlier one's.
+    pub(crate) fn start(shared: &Arc<Shared>, life: u64) -> Self {
+        let parts = 0..shared.settings.parts;
+        let lanes = parts.map(|part| Lane::start(shared.clone(), life, part));
+        Self {
+            lanes: lanes.collect(),
+        }
+    }
+
+    /// Stores a record of a job; certain when it returns without an error.
+    pub(crate) async fn store(
+        &self,
+        key: IntakeKey,
+        value: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(), NotStored> {
+        let part = part_of(key.job(), self.lanes.len() as u32);
+        let record = Keyed::new(key.to_string(), value);
+        self.lanes[part as usize].store(record, limit).await
+    }
+}
+
+impl Lane {
+    fn start(shared: Arc<Shared>, life: u64, part: u32) -> Self {
         let (queue, entries) = mpsc::channel(QUEUE);
         let doubt = Arc::new(AtomicU64::new(0));
         let appender = Appender {
             shared: shared.clone(),
+            part: intake(part),
             doubt: doubt.clone(),
             name: format!("{}-{life:x}", shared.settings.node),
             seq: 1,
@@ -83,11 +113,9 @@
         }
     }
 
-    /// Stores a record; certain when it returns without an error.
-    ///
     /// A record that waits behind an append in doubt is taken back, so that its caller hears at
     /// once that nothing was done.
-    pub(crate) async fn store(&self, record: Keyed, limit: Duration) -> Result<(), NotStored> {
+    async fn store(&self, record: Keyed, limit: Duration) -> Result<(), NotStored> {
         if self.is_stuck() {
             return Err(NotStored::Refused);
         }
@@ -143,6 +171,7 @@
 
 struct Appender {
     shared: Arc<Shared>,
+    part: Partition,
     doubt: Arc<AtomicU64>,
     name: String,
     seq: u64,
@@ -182,7 +211,7 @@
                 seq: self.seq,
             };
             let store = &self.shared.store;
-            let done = store.append(INTAKE, Some(&producer), None, records, LIMIT);
+            let done = store.append(self.part, Some(&producer), None, records, LIMIT);
             let error = match done.await {
                 Ok(_) => {
                     self.seq += 1;
--- a/crates/node/src/intake_follower.rs
+++ b/crates/node/src/intake_follower.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_adapter::{Keyed, ReadError};
+use cactuswheel_adapter::{Keyed, Page, ReadError};
 use cactuswheel_model::Time;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::owner::Event;
 use crate::shared::Shared;
-use crate::topics::INTAKE;
+use crate::topics::intake;
 
 /// How long a read of the intake waits for a record.
 const READ_WAIT: Duration = Duration::from_millis(2_000);
@@ -21,41 +21,73 @@
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(60);
 
-/// Reads the intake once, to its end.
-pub(crate) async fn read_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, from: u64) {
+/// What a read of one partition of the intake has brought.
+#[derive(Debug)]
+pub(crate) struct Intaken {
+    pub(crate) part: u32,
+    pub(crate) records: Vec<Keyed>,
+    /// Offset up to which every record was read.
+    pub(crate) next: u64,
+    /// When the read was sent, if it reached the partition's end.
+    pub(crate) whole: Option<Time>,
+}
+
+impl Intaken {
+    fn new(part: u32, page: &Page, sent: Time) -> Self {
+        let next = page.from + page.records.len() as u64;
+        Self {
+            part,
+            records: page.records.iter().filter_map(Keyed::read).collect(),
+            next,
+            whole: (next >= page.end).then_some(sent),
+        }
+    }
+}
+
+/// Reads a partition of the intake once, from `from` on.
+pub(crate) async fn read_intake(
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    part: u32,
+    from: u64,
+) {
     let sent = shared.clock.now();
-    let page = shared.store.read(INTAKE, from, Duration::ZERO, READ_LIMIT);
+    let page = shared
+        .store
+        .read(intake(part), from, Duration::ZERO, READ_LIMIT);
     let Ok(page) = page.await else {
         // Whoever asked hears that nobody knows, after its own patience.
         return;
     };
-    if page.from + page.records.len() as u64 >= page.end {
-        let records = page.records.iter().filter_map(Keyed::read).collect();
-        let _ = events.send(Event::Intake(records, sent)).await;
-    }
+    let _ = events
+        .send(Event::Intake(Intaken::new(part, &page, sent)))
+        .await;
 }
 
-/// Follows the intake until nobody takes its records any more.
-pub(crate) async fn follow_intake(shared: Arc<Shared>, events: mpsc::Sender<Event>, mut next: u64) {
+/// Follows a partition of the intake until nobody takes its records any more.
+pub(crate) async fn follow_intake(
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    part: u32,
+    mut next: u64,
+) {
     let mut lost = false;
     while !events.is_closed() {
         let sent = shared.clock.now();
-        let page = shared.store.read(INTAKE, next, READ_WAIT, READ_LIMIT).await;
-        match page {
+        let page = shared.store.read(intake(part), next, READ_WAIT, READ_LIMIT);
+        match page.await {
             Ok(page) => {
                 if std::mem::take(&mut lost) {
-                    log::info!("intake regained");
+                    log::info!(part = part; "intake regained");
                 }
-                next = page.from + page.records.len() as u64;
-                let records = page.records.iter().filter_map(Keyed::read).collect();
-                let whole = next >= page.end;
-                let sent = if whole { sent } else { Time::default() };
-                let _ = events.send(Event::Intake(records, sent)).await;
+                let read = Intaken::new(part, &page, sent);
+                next = read.next;
+                let _ = events.send(Event::Intake(read)).await;
             }
-            Err(ReadError::Deleted) => next = reread(&shared, &events, next).await,
+            Err(ReadError::Deleted) => next = reread(&shared, &events, part, next).await,
             Err(e) => {
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!(error:% = e; "intake lost");
+                    log::warn!(part = part, error:% = e; "intake lost");
                 }
                 sleep(RETRY).await;
             }
@@ -64,12 +96,14 @@
 }
 
 /// The records between were deleted: the newest of each key has all that matters.
-async fn reread(shared: &Shared, events: &mpsc::Sender<Event>, from: u64) -> u64 {
-    log::warn!(from = from; "intake records were deleted: reading the newest again");
+async fn reread(shared: &Shared, events: &mpsc::Sender<Event>, part: u32, from: u64) -> u64 {
+    log::warn!(part = part, from = from; "intake records were deleted: reading the newest again");
     let mut after: Option<String> = None;
     let mut end = None;
     loop {
-        let page = shared.store.newest(INTAKE, after.as_deref(), READ_LIMIT);
+        let page = shared
+            .store
+            .newest(intake(part), after.as_deref(), READ_LIMIT);
         let page = match page.await {
             Ok(page) => page,
             Err(e) => {
@@ -80,8 +114,13 @@
         let first = *end.get_or_insert(page.end);
         after = page.items.last().map(|i| i.key.clone());
         let records = page.items.into_iter().map(|i| Keyed::new(i.key, i.value));
-        let records = records.collect();
-        let _ = events.send(Event::Intake(records, Time::default())).await;
+        let read = Intaken {
+            part,
+            records: records.collect(),
+            next: first,
+            whole: None,
+        };
+        let _ = events.send(Event::Intake(read)).await;
         if !page.more {
             return first;
         }
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -13,7 +13,7 @@
 use crate::owner::Event;
 use crate::shared::Shared;
 use crate::takeover::OWNER_NAME;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL};
+use crate::topics::{IntakeKey, JOURNAL, intake, part_of};
 
 /// Time for an answer of the store.
 const LIMIT: Duration = Duration::from_millis(700);
@@ -111,19 +111,23 @@
 
     /// Drops what the intake holds of jobs that need it no more. One that stays does no harm.
     pub(crate) async fn forget(&self, jobs: &[JobId]) {
-        if jobs.is_empty() {
+        let parts = self.shared.settings.parts;
+        for part in 0..parts {
+            let here = jobs.iter().filter(|id| part_of(**id, parts) == part);
+            let keys = here.flat_map(|id| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)]);
+            let records: Vec<Keyed> = keys.map(|k| Keyed::dropped(k.to_string())).collect();
+            self.drop_keys(part, &records).await;
+        }
+    }
+
+    async fn drop_keys(&self, part: u32, records: &[Keyed]) {
+        if records.is_empty() {
             return;
         }
-        let keys = jobs
-            .iter()
-            .flat_map(|id| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)]);
-        let records: Vec<Keyed> = keys.map(|k| Keyed::dropped(k.to_string())).collect();
-        let done = self
-            .shared
-            .store
-            .append(INTAKE, None, None, &records, LIMIT);
+        let store = &self.shared.store;
+        let done = store.append(intake(part), None, None, records, LIMIT);
         if let Err(e) = done.await {
-            log::info!(error:% = e; "forgotten jobs stay in the intake");
+            log::info!(part = part, error:% = e; "finished jobs stay in the intake");
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -57,7 +57,7 @@
     let lead = Lead::new(shared.clone(), life, role);
     let lead = tokio::spawn(lead.run(halted));
     let front = Arc::new(Front {
-        intake: Intake::start(shared.clone(), life),
+        intake: Intake::start(&shared, life),
         shared: shared.clone(),
         busy: AtomicUsize::new(0),
     });
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cactuswheel_adapter::Keyed;
 use cactuswheel_cell::{Cell, Mark, Output};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
@@ -17,12 +16,13 @@
 
 use crate::fleet::Fleet;
 use crate::hands::Hands;
-use crate::intake_follower::{follow_intake, read_intake};
+use crate::intake_follower::{Intaken, follow_intake, read_intake};
 use crate::lead::Role;
 use crate::peer::{JobAnswer, QueueAnswer};
 use crate::roster;
 use crate::shared::Shared;
 use crate::takeover::{TakeoverError, take_intake, take_over};
+use crate::topics::part_of;
 use crate::view::{cell_view, job_view};
 
 /// Events that may wait; each task that sends them has one or two under way.
@@ -34,8 +34,8 @@
 /// What happens to the cell.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// Records of the intake, from a read that was sent at this time and reached the end.
-    Intake(Vec<Keyed>, Time),
+    /// Records of the intake.
+    Intake(Intaken),
     /// Newer configuration.
     Config(Arc<FleetConfig>),
     /// A worker's entry.
@@ -159,9 +159,21 @@
     shared.metrics.owns(epoch);
     let (events, inbox) = mpsc::channel(QUEUE);
     let tasks = tokio_util::task::TaskTracker::new();
-    let follow = tokio::spawn(follow_intake(shared.clone(), events.clone(), taken.intake));
-    let roster = tokio::spawn(roster::follow(shared.clone(), events.clone()));
-    let _followers = [AbortOnDrop(follow), AbortOnDrop(roster)];
+    let follow = |(part, from): (usize, &u64)| {
+        let (shared, events) = (shared.clone(), events.clone());
+        AbortOnDrop(tokio::spawn(follow_intake(
+            shared,
+            events,
+            part as u32,
+            *from,
+        )))
+    };
+    let _intake: Vec<AbortOnDrop> = taken.intake.iter().enumerate().map(follow).collect();
+    let _roster = AbortOnDrop(tokio::spawn(roster::follow(shared.clone(), events.clone())));
+    let parts = taken.intake.into_iter().map(|next| Part {
+        next,
+        confirmed: Time::default(),
+    });
     let owner = Owner {
         fleet: Fleet::start(
             shared.clone(),
@@ -172,9 +184,8 @@
         ),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
         cell: taken.cell,
-        confirmed: Time::default(),
+        parts: parts.collect(),
         parked: Vec::new(),
-        next: taken.intake,
         events: events.clone(),
         shared: shared.clone(),
     };
@@ -197,17 +208,23 @@
     reply: oneshot::Sender<JobAnswer>,
 }
 
+/// How far a partition of the intake was taken in.
+struct Part {
+    /// Offset up to which everything was taken.
+    next: u64,
+    /// When the read was sent up to which every accepted job is known.
+    confirmed: Time,
+}
+
 struct Owner {
     shared: Arc<Shared>,
     cell: Cell,
     hands: Hands,
     /// `None` where the platform has no service for instances.
     fleet: Option<Fleet>,
-    /// When the read was sent up to which every accepted job is known.
-    confirmed: Time,
+    /// By partition of the intake.
+    parts: Vec<Part>,
     parked: Vec<Parked>,
-    /// Offset of the intake up to which everything was taken.
-    next: u64,
     events: mpsc::Sender<Event>,
 }
 
@@ -253,7 +270,7 @@
     fn take(&mut self, event: Event) -> bool {
         let now = self.shared.clock.now();
         match event {
-            Event::Intake(records, sent) => self.take_records(records, sent),
+            Event::Intake(read) => self.take_records(read),
             Event::Config(config) => self.cell.configure(now, config),
             Event::Worker(entry) => self.cell.list(now, entry),
             Event::NoWorker(id) => {
@@ -304,14 +321,16 @@
         false
     }
 
-    fn take_records(&mut self, records: Vec<Keyed>, sent: Time) {
+    fn take_records(&mut self, read: Intaken) {
         let now = self.shared.clock.now();
-        for record in records {
+        for record in read.records {
             if let Some(value) = &record.value {
                 take_intake(&self.shared, &mut self.cell, now, &record.key, value);
             }
         }
-        self.confirmed = self.confirmed.max(sent);
+        let part = &mut self.parts[read.part as usize];
+        part.next = part.next.max(read.next);
+        part.confirmed = part.confirmed.max(read.whole.unwrap_or_default());
         for parked in std::mem::take(&mut self.parked) {
             self.answer_job(parked.id, parked.since, parked.reply);
         }
@@ -320,16 +339,18 @@
     /// Says that there is no such job only when everything is known that was accepted before
     /// the question came.
     fn answer_job(&mut self, id: JobId, since: Time, reply: oneshot::Sender<JobAnswer>) {
+        let number = part_of(id, self.shared.settings.parts);
+        let part = &self.parts[number as usize];
         let answer = match self.cell.state(id) {
             Some(state) => JobAnswer::Known {
                 state,
                 team: self.cell.team(id).cloned(),
             },
-            None if self.confirmed >= since => JobAnswer::Unknown,
+            None if part.confirmed >= since => JobAnswer::Unknown,
             None => {
+                let (shared, events) = (self.shared.clone(), self.events.clone());
+                tokio::spawn(read_intake(shared, events, number, part.next));
                 self.parked.push(Parked { id, since, reply });
-                let fresh = read_intake(self.shared.clone(), self.events.clone(), self.next);
-                tokio::spawn(fresh);
                 return;
             }
         };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,9 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 
+/// Most partitions of a topic. Each is followed by a read of its own, and a takeover reads all.
+const MAX_PARTS: u32 = 64;
+
 /// Settings of a node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Settings {
@@ -22,6 +25,9 @@
     pub listen: Listen,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Partitions that a topic of the store has; the same on all nodes.
+    #[serde(default = "one_part")]
+    pub parts: u32,
     /// The platform's service for instances; without it none is moved or maintained.
     #[serde(default)]
     pub instances: Option<SocketAddr>,
@@ -143,6 +149,9 @@
         if self.node.as_str().is_empty() {
             return Some(("node", "has to be a name"));
         }
+        if !(1..=MAX_PARTS).contains(&self.parts) {
+            return Some(("parts", "has to be from 1 to 64"));
+        }
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
@@ -150,6 +159,10 @@
     }
 }
 
+fn one_part() -> u32 {
+    1
+}
+
 fn one_core() -> f64 {
     1.0
 }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -7,10 +7,11 @@
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
+use futures::future::join_all;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
-use crate::topics::{INTAKE, IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES};
+use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES, intake};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
@@ -39,10 +40,10 @@
     Record(JobId, BadRecord),
 }
 
-/// The cell as the store knows it, and the offset from which to follow the intake.
+/// The cell as the store knows it, and the offsets from which to follow the intake.
 pub(crate) struct Taken {
     pub(crate) cell: Cell,
-    pub(crate) intake: u64,
+    pub(crate) intake: Vec<u64>,
     /// What planners of earlier owners have had remembered.
     pub(crate) past: Past,
     /// When earlier owners ordered instances, in milliseconds since 1970.
@@ -57,8 +58,10 @@
 ) -> Result<Taken, TakeoverError> {
     shut_out(shared, epoch).await?;
     // Whatever an earlier owner has in the journal is there by now, and nothing is added.
-    let ((intake, end), (journal, _)) =
-        tokio::join!(newest(shared, INTAKE), newest(shared, JOURNAL));
+    let parts = (0..shared.settings.parts).map(|part| newest(shared, intake(part)));
+    let (read, (journal, _)) = tokio::join!(join_all(parts), newest(shared, JOURNAL));
+    let (intake, ends): (Vec<Vec<Item>>, Vec<u64>) = read.into_iter().unzip();
+    let intake: Vec<Item> = intake.into_iter().flatten().collect();
     let config = loop {
         match shared.config.load_full() {
             Some(config) => break config,
@@ -111,7 +114,7 @@
     Ok(Taken {
         orders: orders.collect(),
         cell,
-        intake: end,
+        intake: ends,
         past,
     })
 }
--- a/crates/node/src/topics.rs
+++ b/crates/node/src/topics.rs
@@ -3,12 +3,23 @@
 use cactuswheel_adapter::Partition;
 use cactuswheel_work::JobId;
 
-/// What fronts accepted: submissions and cancels, by job. Nothing here is ever changed, so any
-/// front may write at any time without knowing the cell's owner.
-pub(crate) const INTAKE: Partition = Partition {
-    topic: "keyed.intake",
-    part: 0,
-};
+/// A partition of what fronts accepted: submissions and cancels, by job. Nothing here is ever
+/// changed, so any front may write at any time without knowing the cell's owner.
+pub(crate) const fn intake(part: u32) -> Partition {
+    Partition {
+        topic: "keyed.intake",
+        part,
+    }
+}
+
+/// Number of the intake's partition that a job's records are in, of `parts`.
+///
+/// Failure: the store takes one append of a partition at a time. While it is slow, appends of
+/// all fronts to one partition wait for each other for longer than callers do; spread by job
+/// they do not meet, and a job's cancel still follows the job.
+pub(crate) fn part_of(id: JobId, parts: u32) -> u32 {
+    (id.get() % u64::from(parts)) as u32
+}
 
 /// The owner's state of each job. Only the newest owner can write: its epoch shuts out others.
 pub(crate) const JOURNAL: Partition = Partition {
@@ -60,6 +71,12 @@
 }
 
 impl IntakeKey {
+    pub(crate) fn job(self) -> JobId {
+        match self {
+            Self::Submitted(id) | Self::Cancelled(id) => id,
+        }
+    }
+
     pub(crate) fn parse(key: &str) -> Option<Self> {
         let (kind, id) = key.split_at_checked(1)?;
         let id = id.parse().ok()?;
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -34,7 +34,7 @@
         let settings = json!({
             "node": name, "zone": "local",
             "listen": { "callers": at(0), "ready": at(1), "peers": at(2), "metrics": at(3) },
-            "store": store, "instances": cloud,
+            "store": store, "parts": 3, "instances": cloud,
             "times": {
                 "revoke_ms": 5000, "lease_ms": 6000, "kept_s": 120, "grace_s": 6,
                 "maintain_s": 0.4, "order_ms": 1000, "pace_ms": 100,
