--- /dev/null
+++ b/crates/node/src/appending.rs
@@ -0,0 +1,87 @@
+//! Appends to the store until the outcome is certain.
+
+use std::time::Duration;
+
+use cactuswheel_adapter::{AppendError, Appended, Keyed, Partition, Producer};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::{sleep, timeout};
+
+use crate::shared::Shared;
+
+/// Longest time for one answer. Whoever waits for it has given up long before.
+const LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Tries under way at a time.
+const SIDE_BY_SIDE: usize = 3;
+
+/// Pause before an append is tried again that was turned away.
+const RETRY: Duration = Duration::from_millis(25);
+
+/// Times that an append which was surely not done is tried. The store turns calls away when
+/// all nodes together are over its rate, for a moment.
+const TRIES: u32 = 3;
+
+/// Appends records under a producer's sequence number until it is certain what became of them.
+///
+/// Failure: an answer is lost, or its connection has gone silent, and everything behind it waits
+/// for a time limit that has to suit a store that is slow by a factor of a hundred. The store
+/// does a repeat once, so another try goes out beside the first on a new connection as soon as
+/// an answer is later than answers usually are; whichever answers first decides.
+///
+/// [`AppendError::Refused`] means that no try was or will be carried out; never gives
+/// [`AppendError::Unknown`].
+pub(crate) async fn append(
+    shared: &Shared,
+    what: &'static str,
+    to: Partition,
+    producer: &Producer,
+    records: &[Keyed],
+) -> Result<Appended, AppendError> {
+    let attempt = || async {
+        let sent = shared.clock.now();
+        let store = &shared.store;
+        let done = store.append(to, Some(producer), None, records, LIMIT).await;
+        (shared.clock.now().since(sent), done)
+    };
+    let mut flying = FuturesUnordered::new();
+    let mut refused = 0;
+    // A try may be carried out that nobody waits for any more.
+    let mut doubt = false;
+    loop {
+        if flying.is_empty() {
+            flying.push(attempt());
+        }
+        let Ok(next) = timeout(shared.patience.limit(), flying.next()).await else {
+            shared.metrics.append_failed(what);
+            shared.patience.overdue();
+            if flying.len() < SIDE_BY_SIDE {
+                shared.store.suspect();
+                flying.push(attempt());
+            }
+            continue;
+        };
+        let Some((took, outcome)) = next else {
+            continue;
+        };
+        match outcome {
+            Ok(done) => {
+                shared.patience.answered(took);
+                return Ok(done);
+            }
+            Err(AppendError::Refused(status)) => {
+                refused += 1;
+                let last = flying.is_empty();
+                if last && !doubt && refused >= TRIES {
+                    return Err(AppendError::Refused(status));
+                }
+            }
+            Err(AppendError::Unknown(_)) => doubt = true,
+            Err(certain) => return Err(certain),
+        }
+        shared.metrics.append_failed(what);
+        if flying.is_empty() {
+            sleep(RETRY).await;
+        }
+    }
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -7,8 +7,9 @@
 use cactuswheel_adapter::{AppendError, Keyed, Partition, Producer, records_size};
 use cactuswheel_model::Time;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
+use crate::appending::append;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, intake, part_of};
 
@@ -19,15 +20,9 @@
 /// Largest append, in bytes.
 const MAX_APPEND: usize = 512 << 10;
 
-/// Time for an answer of the store.
-const LIMIT: Duration = Duration::from_millis(900);
-
-/// Pause before an append is repeated.
-const RETRY: Duration = Duration::from_millis(25);
-
-/// Times that an append which was surely not done is tried. The store turns calls away when
-/// all nodes together are over its rate, for a moment.
-const TRIES: u32 = 3;
+/// Time without an answer to an append after which it is in doubt: a store that is slow by a
+/// factor of a hundred answers before.
+const DOUBT_AFTER: Duration = Duration::from_millis(1_100);
 
 /// Time for which an append may be in doubt before what comes after it is refused.
 const DOUBT_LIMIT: Duration = Duration::from_millis(250);
@@ -203,59 +198,49 @@
 
     /// Appends until the outcome is certain.
     async fn append(&mut self, records: &[Keyed]) -> Result<(), NotStored> {
-        let mut tries = 0;
-        loop {
-            let producer = Producer {
-                name: self.name.clone(),
-                epoch: 1,
-                seq: self.seq,
-            };
-            let store = &self.shared.store;
-            let done = store.append(self.part, Some(&producer), None, records, LIMIT);
-            let error = match done.await {
-                Ok(_) => {
-                    self.seq += 1;
-                    self.doubt.store(0, Ordering::Relaxed);
-                    return Ok(());
-                }
-                Err(e) => e,
-            };
-            tries += 1;
-            let in_doubt = self.doubt.load(Ordering::Relaxed) != 0;
-            self.shared.metrics.append_failed("intake");
-            match error {
-                // An earlier try may still be carried out; this refusal says nothing of it.
-                AppendError::Refused(_) if in_doubt => {}
-                AppendError::Refused(status) if tries >= TRIES => {
-                    log::warn!(records = records.len() as u64, status = status; "intake refused");
-                    return Err(NotStored::Refused);
-                }
-                AppendError::Refused(_) => {}
-                AppendError::Unknown(e) => self.enter_doubt(&e),
-                AppendError::Sequence { .. } | AppendError::Fenced | AppendError::Moved => {
-                    log::error!(error:% = error, seq = self.seq; "intake lost count");
-                    self.begin_anew();
-                    return Err(NotStored::Doubt);
+        let producer = Producer {
+            name: self.name.clone(),
+            epoch: 1,
+            seq: self.seq,
+        };
+        let outcome = {
+            let append = append(&self.shared, "intake", self.part, &producer, records);
+            tokio::pin!(append);
+            match timeout(DOUBT_AFTER, append.as_mut()).await {
+                Ok(outcome) => outcome,
+                Err(_) => {
+                    self.enter_doubt();
+                    append.await
                 }
             }
-            sleep(RETRY).await;
+        };
+        self.doubt.store(0, Ordering::Relaxed);
+        match outcome {
+            Ok(_) => {
+                self.seq += 1;
+                Ok(())
+            }
+            Err(AppendError::Refused(status)) => {
+                log::warn!(records = records.len() as u64, status = status; "intake refused");
+                Err(NotStored::Refused)
+            }
+            Err(error) => {
+                log::error!(error:% = error, seq = self.seq; "intake lost count");
+                self.begin_anew();
+                Err(NotStored::Doubt)
+            }
         }
     }
 
-    fn enter_doubt(&self, error: &str) {
+    fn enter_doubt(&self) {
         let now = self.shared.clock.now().get();
-        let before = self
-            .doubt
-            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
-        if before.is_ok() {
-            log::warn!(error = error, seq = self.seq; "intake in doubt");
-        }
+        self.doubt.store(now, Ordering::Relaxed);
+        log::warn!(part = self.part.part, seq = self.seq; "intake in doubt");
     }
 
     /// Goes on under another name, whose sequence starts afresh.
     fn begin_anew(&mut self) {
         self.name.push('x');
         self.seq = 1;
-        self.doubt.store(0, Ordering::Relaxed);
     }
 }
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -4,20 +4,24 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cactuswheel_adapter::{AppendError, Keyed, Producer};
+use cactuswheel_adapter::{AppendError, Appended, Keyed, Producer};
 use cactuswheel_cell::Batch;
 use cactuswheel_work::JobId;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::appending::append;
 use crate::owner::Event;
 use crate::shared::Shared;
 use crate::takeover::OWNER_NAME;
 use crate::topics::{IntakeKey, JOURNAL, intake, part_of};
 
-/// Time for an answer of the store.
+/// Time for an answer when something is dropped.
 const LIMIT: Duration = Duration::from_millis(700);
 
+/// Time without an answer after which the journal counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(700);
+
 /// Pause before an append is repeated.
 const RETRY: Duration = Duration::from_millis(30);
 
@@ -80,9 +84,11 @@
                 epoch: self.epoch,
                 seq: self.seq.load(Ordering::Acquire),
             };
-            let store = &self.shared.store;
-            let done = store.append(JOURNAL, Some(&producer), None, records, LIMIT);
-            match done.await {
+            let Some(done) = self.try_write(&producer, records, &mut lost).await else {
+                // Nobody owns the cell here any more.
+                return Ok(());
+            };
+            match done {
                 Ok(_) => {
                     self.seq.fetch_add(1, Ordering::AcqRel);
                     if lost {
@@ -98,7 +104,6 @@
                     expected: Some(expected),
                 }) if expected < producer.seq => self.seq.store(expected, Ordering::Release),
                 Err(e) => {
-                    self.shared.metrics.append_failed("journal");
                     if !std::mem::replace(&mut lost, true) {
                         log::warn!(error:% = e, seq = producer.seq; "journal lost");
                     }
@@ -109,6 +114,27 @@
         Ok(())
     }
 
+    /// `None` if the cell's owner is gone before the outcome is certain.
+    async fn try_write(
+        &self,
+        producer: &Producer,
+        records: &[Keyed],
+        lost: &mut bool,
+    ) -> Option<Result<Appended, AppendError>> {
+        let append = append(&self.shared, "journal", JOURNAL, producer, records);
+        tokio::pin!(append);
+        if let Ok(done) = timeout(LOST_AFTER, append.as_mut()).await {
+            return Some(done);
+        }
+        if !std::mem::replace(lost, true) {
+            log::warn!(seq = producer.seq; "journal lost");
+        }
+        tokio::select! {
+            done = append => Some(done),
+            () = self.events.closed() => None,
+        }
+    }
+
     /// Drops what the intake holds of jobs that need it no more. One that stays does no harm.
     pub(crate) async fn forget(&self, jobs: &[JobId]) {
         let parts = self.shared.settings.parts;
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -41,9 +41,13 @@
 /// Longest such wait.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for an answer of the store. With one answer lost the next renewal still comes in time.
+/// Longest time for an answer of the store. With one answer lost the next renewal still comes in
+/// time.
 const LIMIT: Duration = Duration::from_millis(600);
 
+/// Shortest such time.
+const LEAST_LIMIT: Duration = Duration::from_millis(300);
+
 /// Times as much processor as the owner that a node has to have to take the ownership from it.
 ///
 /// Failure: while the larger nodes are restarted in turn a small one owns the cell, and keeps it;
@@ -264,7 +268,8 @@
         let store = &self.shared.store;
         let sent = self.shared.clock.now();
         self.sent = sent;
-        let done = store.append(OWNER, None, Some(self.end), &records, LIMIT);
+        let limit = self.shared.patience.limit().clamp(LEAST_LIMIT, LIMIT);
+        let done = store.append(OWNER, None, Some(self.end), &records, limit);
         match done.await {
             Ok(done) => {
                 self.shared.confirm_lead(sent);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! what must last goes through the platform's store.
 
 mod answer;
+mod appending;
 mod ask;
 mod clock;
 mod config_follower;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 use cactuswheel_adapter::Store;
 use cactuswheel_model::Time;
+use cactuswheel_patience::Patience;
 use cactuswheel_work::{FleetConfig, Wave};
 
 use crate::clock::Clock;
@@ -20,6 +21,8 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) store: Store,
+    /// How long the store's answers to appends take.
+    pub(crate) patience: Patience,
     pub(crate) metrics: Metrics,
     /// The newest configuration; `None` until the first was read.
     pub(crate) config: ArcSwapOption<FleetConfig>,
@@ -44,10 +47,19 @@
 /// the rest covers the way from the check to the worker and the rounding of clocks.
 const FRESH_SHARE: f64 = 0.8;
 
+/// Shortest wait for the answer to an append before it is tried again beside. An append takes
+/// some ten milliseconds; a node that has used its processor up stands still for a tenth of a
+/// second.
+const LEAST_PATIENCE: Duration = Duration::from_millis(200);
+
+/// Longest such wait, for a store that takes most of a second.
+const MOST_PATIENCE: Duration = Duration::from_millis(2_000);
+
 impl Shared {
     pub(crate) fn new(settings: Settings, metrics: Metrics) -> Self {
         Self {
             store: Store::new(settings.store),
+            patience: Patience::new(LEAST_PATIENCE, MOST_PATIENCE),
             settings,
             clock: Clock,
             metrics,
