--- a/crates/node/src/intake_follower.rs
+++ b/crates/node/src/intake_follower.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// Reads a partition of the intake once, from `from` on.
+/// Reads a partition of the intake once, from `from` on, for the sake of a question.
 pub(crate) async fn read_intake(
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
@@ -55,13 +55,18 @@
     let page = shared
         .store
         .read(intake(part), from, Duration::ZERO, READ_LIMIT);
-    let Ok(page) = page.await else {
-        // Whoever asked hears that nobody knows, after its own patience.
-        return;
-    };
-    let _ = events
-        .send(Event::Intake(Intaken::new(part, &page, sent)))
-        .await;
+    match page.await {
+        Ok(page) => {
+            let read = Event::Intake(Intaken::new(part, &page, sent));
+            let _ = events.send(read).await;
+        }
+        // Whoever asks on hears that nobody knows, after its own patience.
+        Err(e) => {
+            log::info!(part = part, error:% = e; "intake not read for a question");
+            sleep(RETRY).await;
+        }
+    }
+    let _ = events.send(Event::IntakeRead(part)).await;
 }
 
 /// Follows a partition of the intake until nobody takes its records any more.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cactuswheel_cell::{Cell, Mark, Output};
+use cactuswheel_cell::{Cell, Known, Mark, Output, Reads};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
     FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder,
@@ -36,6 +36,8 @@
 pub(crate) enum Event {
     /// Records of the intake.
     Intake(Intaken),
+    /// A read of a partition of the intake for the sake of a question is over.
+    IntakeRead(u32),
     /// Newer configuration.
     Config(Arc<FleetConfig>),
     /// A worker's entry.
@@ -170,10 +172,6 @@
     };
     let _intake: Vec<AbortOnDrop> = taken.intake.iter().enumerate().map(follow).collect();
     let _roster = AbortOnDrop(tokio::spawn(roster::follow(shared.clone(), events.clone())));
-    let parts = taken.intake.into_iter().map(|next| Part {
-        next,
-        confirmed: Time::default(),
-    });
     let owner = Owner {
         fleet: Fleet::start(
             shared.clone(),
@@ -184,7 +182,7 @@
         ),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
         cell: taken.cell,
-        parts: parts.collect(),
+        reads: Reads::new(taken.intake),
         parked: Vec::new(),
         events: events.clone(),
         shared: shared.clone(),
@@ -208,22 +206,13 @@
     reply: oneshot::Sender<JobAnswer>,
 }
 
-/// How far a partition of the intake was taken in.
-struct Part {
-    /// Offset up to which everything was taken.
-    next: u64,
-    /// When the read was sent up to which every accepted job is known.
-    confirmed: Time,
-}
-
 struct Owner {
     shared: Arc<Shared>,
     cell: Cell,
     hands: Hands,
     /// `None` where the platform has no service for instances.
     fleet: Option<Fleet>,
-    /// By partition of the intake.
-    parts: Vec<Part>,
+    reads: Reads,
     parked: Vec<Parked>,
     events: mpsc::Sender<Event>,
 }
@@ -271,6 +260,10 @@
         let now = self.shared.clock.now();
         match event {
             Event::Intake(read) => self.take_records(read),
+            Event::IntakeRead(part) => {
+                self.reads.over(part);
+                self.answer_parked();
+            }
             Event::Config(config) => self.cell.configure(now, config),
             Event::Worker(entry) => self.cell.list(now, entry),
             Event::NoWorker(id) => {
@@ -328,28 +321,28 @@
                 take_intake(&self.shared, &mut self.cell, now, &record.key, value);
             }
         }
-        let part = &mut self.parts[read.part as usize];
-        part.next = part.next.max(read.next);
-        part.confirmed = part.confirmed.max(read.whole.unwrap_or_default());
+        self.reads.taken(read.part, read.next, read.whole);
+        self.answer_parked();
+    }
+
+    fn answer_parked(&mut self) {
         for parked in std::mem::take(&mut self.parked) {
-            self.answer_job(parked.id, parked.since, parked.reply);
+            if !parked.reply.is_closed() {
+                self.answer_job(parked.id, parked.since, parked.reply);
+            }
         }
     }
 
     /// Says that there is no such job only when everything is known that was accepted before
     /// the question came.
     fn answer_job(&mut self, id: JobId, since: Time, reply: oneshot::Sender<JobAnswer>) {
-        let number = part_of(id, self.shared.settings.parts);
-        let part = &self.parts[number as usize];
         let answer = match self.cell.state(id) {
             Some(state) => JobAnswer::Known {
                 state,
                 team: self.cell.team(id).cloned(),
             },
-            None if part.confirmed >= since => JobAnswer::Unknown,
+            None if self.is_up_to_date(id, since) => JobAnswer::Unknown,
             None => {
-                let (shared, events) = (self.shared.clone(), self.events.clone());
-                tokio::spawn(read_intake(shared, events, number, part.next));
                 self.parked.push(Parked { id, since, reply });
                 return;
             }
@@ -357,4 +350,19 @@
         // Whoever has stopped waiting needs no answer.
         let _ = reply.send(answer);
     }
+
+    /// Whether every job of this one's partition is known that was accepted before `since`; sees
+    /// to it that it will be.
+    fn is_up_to_date(&mut self, id: JobId, since: Time) -> bool {
+        let part = part_of(id, self.shared.settings.parts);
+        match self.reads.ask(part, since) {
+            Known::Yes => true,
+            Known::Wait => false,
+            Known::ReadFrom(from) => {
+                let (shared, events) = (self.shared.clone(), self.events.clone());
+                tokio::spawn(read_intake(shared, events, part, from));
+                false
+            }
+        }
+    }
 }
