--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -111,6 +111,7 @@
         &self,
         pools: &mut Map<&ServiceName, Pool<'_>>,
         snapshot: &Snapshot<'_>,
+        idle: Idle,
         taken: &mut Set<InstanceName>,
         duties: &mut Vec<Duty>,
     ) {
@@ -118,42 +119,75 @@
         if off.is_none() && pools.values().all(|p| p.target <= p.have()) {
             return;
         }
-        for pool in pools.values_mut() {
-            let leaving = pool.closing.iter().filter(|(_, v)| v.runs == 0);
-            for (member, view) in leaving {
-                let name = &member.instance.name;
-                if let Some(off) = off
-                    && self.fits(member, off)
-                    && !self.waves.emptying.contains(&view.worker)
-                    && taken.insert(name.clone())
-                {
-                    duties.push(move_order(name, off, view));
-                }
+        let mut leaving = Leaving {
+            off,
+            room: idle.may_leave(pools),
+        };
+        for pool in pools.values() {
+            self.let_closing_go(pool, &mut leaving, taken, duties);
+            self.let_surplus_go(pool, &mut leaving, taken, duties);
+        }
+    }
+
+    /// Instances that were closed go when they are empty.
+    fn let_closing_go(
+        &self,
+        pool: &Pool<'_>,
+        leaving: &mut Leaving<'_>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let Some(off) = leaving.off else {
+            return;
+        };
+        for (member, view) in pool.closing.iter().filter(|(_, v)| v.runs == 0) {
+            let name = &member.instance.name;
+            if leaving.room > 0
+                && self.fits(member, off)
+                && !self.waves.emptying.contains(&view.worker)
+                && taken.insert(name.clone())
+            {
+                leaving.room -= 1;
+                duties.push(move_order(name, off, view));
             }
-            let mut surplus = pool.have().saturating_sub(pool.keep);
-            let mut idle: Vec<_> = pool
-                .serving
-                .iter()
-                .filter(|(_, v)| v.lasting == 0)
-                .collect();
-            idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
-            for (member, view) in idle {
-                let name = &member.instance.name;
-                if surplus == 0 {
-                    break;
-                }
-                if !off.is_none_or(|off| self.fits(member, off)) || !taken.insert(name.clone()) {
-                    continue;
-                }
-                surplus -= 1;
-                duties.push(match off.filter(|_| view.runs == 0) {
-                    Some(off) => move_order(name, off, view),
-                    None => Duty::Close {
-                        worker: view.worker.clone(),
-                        evacuate: false,
-                    },
-                });
+        }
+    }
+
+    /// A pool's instances beyond those that it keeps go; those that are busy are closed first.
+    fn let_surplus_go(
+        &self,
+        pool: &Pool<'_>,
+        leaving: &mut Leaving<'_>,
+        taken: &mut Set<InstanceName>,
+        duties: &mut Vec<Duty>,
+    ) {
+        let mut surplus = pool.have().saturating_sub(pool.keep);
+        let idle = pool.serving.iter().filter(|(_, v)| v.lasting == 0);
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
+        for (member, view) in idle {
+            let name = &member.instance.name;
+            if surplus == 0 {
+                return;
             }
+            let fits = leaving.off.is_none_or(|off| self.fits(member, off));
+            if !fits || taken.contains(name) {
+                continue;
+            }
+            let duty = match leaving.off.filter(|_| view.runs == 0) {
+                Some(_) if leaving.room == 0 => return,
+                Some(off) => {
+                    leaving.room -= 1;
+                    move_order(name, off, view)
+                }
+                None => Duty::Close {
+                    worker: view.worker.clone(),
+                    evacuate: false,
+                },
+            };
+            surplus -= 1;
+            taken.insert(name.clone());
+            duties.push(duty);
         }
     }
 
@@ -163,6 +197,39 @@
     }
 }
 
+/// Where instances go that no pool wants, and how many may set out now.
+struct Leaving<'a> {
+    off: Option<&'a ServiceName>,
+    room: usize,
+}
+
+/// Instances that no pool uses, beside those in the pools.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Idle {
+    /// They are off and can be had at once.
+    pub(super) spare: usize,
+    /// They are on their way to being off.
+    pub(super) leaving: usize,
+}
+
+/// Instances that may always be on their way to being off.
+const LEAVE_ANYWAY: usize = 8;
+
+impl Idle {
+    /// How many more may set out to be off.
+    ///
+    /// Failure: one pool's work ends as another's begins, all the instances of the first are on
+    /// their way to being off, and the second waits for them twice as long as a move takes. At
+    /// most half of what no pool uses is on its way at a time; the rest goes straight to the
+    /// pool that wants it, by one move instead of two.
+    fn may_leave(self, pools: &Map<&ServiceName, Pool<'_>>) -> usize {
+        let idle: usize = pools.values().map(Pool::idle).sum();
+        let unused = self.spare + self.leaving + idle;
+        let most = (unused / 2).max(LEAVE_ANYWAY);
+        most.saturating_sub(self.leaving)
+    }
+}
+
 fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Duty {
     Duty::Order {
         order: InstanceOrder::Move {
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -10,6 +10,7 @@
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing, Unseen, members};
+use crate::moves::Idle;
 use crate::pool::Pool;
 use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
@@ -154,13 +155,33 @@
         spare.sort_by_key(|m| self.waves.wants(snapshot.waves, &m.instance.name));
         self.grow(&mut pools, &mut spare, &mut taken, &mut duties);
         self.maintain(false, snapshot, &all, &pools, &mut taken, &mut duties);
-        self.shrink(&mut pools, snapshot, &mut taken, &mut duties);
+        let idle = Idle {
+            spare: spare.len(),
+            leaving: self.leaving(snapshot, &all),
+        };
+        self.shrink(&mut pools, snapshot, idle, &mut taken, &mut duties);
         for duty in &duties {
             self.note(now, duty);
         }
         duties
     }
 
+    /// Instances on their way to where they are off.
+    fn leaving(&self, snapshot: &Snapshot<'_>, all: &[Member<'_>]) -> usize {
+        let leaving = all.iter().filter(|m| {
+            let ordered = self.ordered.get(&m.instance.name).map(|o| &o.order);
+            match ordered {
+                Some(InstanceOrder::Move { pool, .. }) => snapshot.spare.contains(pool),
+                Some(InstanceOrder::Maintain { .. }) => false,
+                None => {
+                    m.instance.state == InstanceState::Moving
+                        && snapshot.spare.contains(&m.instance.pool)
+                }
+            }
+        });
+        leaving.count()
+    }
+
     /// Says once a second what the pools are like.
     fn tell(&mut self, now: Time, pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
         if now.since(self.told) < TELL_EVERY {
--- a/crates/capacity/src/pool.rs
+++ b/crates/capacity/src/pool.rs
@@ -17,6 +17,15 @@
 }
 
 impl Pool<'_> {
+    /// Instances with nothing on them that the pool does not want now.
+    pub(crate) fn idle(&self) -> usize {
+        let empty = |v: &WorkerView| v.runs == 0;
+        let serving = self.serving.iter().filter(|(_, v)| empty(v)).count();
+        let surplus = self.have().saturating_sub(self.target);
+        let closing = self.closing.iter().filter(|(_, v)| empty(v)).count();
+        serving.min(surplus) + closing
+    }
+
     pub(crate) fn have(&self) -> usize {
         self.serving.len() + self.coming
     }
--- a/crates/capacity/tests/demand.rs
+++ b/crates/capacity/tests/demand.rs
@@ -109,3 +109,21 @@
         "four hundred thousand core-milliseconds in three tenths"
     );
 }
+
+/// Callers wait twice as long as a move takes. One pool's work ends as another's begins, and all
+/// its instances are on their way to being off, where nobody can have them. At most half of
+/// what no pool uses is on its way at a time; the other half is lent at once.
+#[test]
+fn half_stays() {
+    let mut fleet = Fleet::new(40, 1, 0);
+    fleet.ask("hot", 2_000);
+    fleet.run(SECOND);
+    let before = fleet.orders.len();
+    fleet.ask("hot", 0);
+    fleet.run(12 * TICK);
+    let moved = fleet.orders.len() - before;
+    assert!((1..=20).contains(&moved), "{moved} of 40 leave");
+    fleet.ask("cold", 800);
+    fleet.run(16 * TICK);
+    assert!(fleet.count("cold") >= 15, "{}", fleet.count("cold"));
+}
