--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -5,7 +5,7 @@
 use cactuswheel_cell::Load;
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
-    InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName,
+    InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName, WorkerId,
 };
 
 use crate::duty::Duty;
@@ -58,6 +58,8 @@
     pub(crate) waves: Waves,
     /// Pools that an instance cannot serve, by its kind.
     pub(crate) unfit: Set<(String, ServiceName)>,
+    /// Workers on instances that are to be maintained before long.
+    due: Set<WorkerId>,
     /// When the pools were last told of in the log.
     told: Time,
 }
@@ -79,10 +81,16 @@
             unseen: Unseen::default(),
             waves,
             unfit: Set::default(),
+            due: Set::default(),
             told: Time::default(),
         }
     }
 
+    /// Workers on instances that are to be maintained before long, as of the last plan.
+    pub fn due(&self) -> &Set<WorkerId> {
+        &self.due
+    }
+
     /// What became of an order.
     pub fn ordered(&mut self, now: Time, instance: &InstanceName, outcome: InstanceOutcome) {
         let Some(given) = self.ordered.get_mut(instance) else {
@@ -146,9 +154,13 @@
                 Standing::Away | Standing::Dark => {}
             }
         }
-        self.tell(now, &pools, spare.len());
+        let tell = now.since(self.told) >= TELL_EVERY;
+        if tell {
+            self.told = now;
+            tell_pools(&pools, spare.len());
+        }
         let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
-        taken.extend(snapshot.reserved.iter().cloned());
+        taken.extend(snapshot.reserved.keys().cloned());
         self.maintain(true, snapshot, &all, &pools, &mut taken, &mut duties);
         spare.retain(|m| !taken.contains(&m.instance.name));
         // Those that a wave still wants stay where their maintenance is free.
@@ -182,25 +194,6 @@
         leaving.count()
     }
 
-    /// Says once a second what the pools are like.
-    fn tell(&mut self, now: Time, pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
-        if now.since(self.told) < TELL_EVERY {
-            return;
-        }
-        self.told = now;
-        for (service, pool) in pools {
-            let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
-            let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
-            log::info!(
-                service:% = service, target = pool.target as u64, keep = pool.keep as u64,
-                serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
-                coming = pool.coming as u64, busy = busy as u64, used_cores = used / 1_000,
-                spare = spare as u64;
-                "pool"
-            );
-        }
-    }
-
     /// Waves that are pressing go before what pools want, the others after it.
     fn maintain(
         &mut self,
@@ -221,7 +214,16 @@
             reserved: snapshot.reserved,
             short: &short,
         };
+        if pressing {
+            self.due.clear();
+        }
         for wave in snapshot.waves {
+            if pressing {
+                self.due.extend(self.waves.due(wave, &scene));
+            }
+            if pressing && self.told == snapshot.now {
+                self.waves.log(wave, &scene);
+            }
             if self.waves.is_pressing(wave, &scene) == pressing {
                 let wanted = self.waves.plan(wave, &scene, pressing, taken);
                 taken.extend(wanted.iter().filter_map(ordered_instance));
@@ -325,6 +327,21 @@
     }
 }
 
+/// Says what the pools are like.
+fn tell_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
+    for (service, pool) in pools {
+        let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
+        let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
+        log::info!(
+            service:% = service, target = pool.target as u64, keep = pool.keep as u64,
+            serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
+            coming = pool.coming as u64, busy = busy as u64, used_cores = used / 1_000,
+            spare = spare as u64;
+            "pool"
+        );
+    }
+}
+
 fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
     match duty {
         Duty::Order {
--- a/crates/capacity/src/share.rs
+++ b/crates/capacity/src/share.rs
@@ -16,6 +16,12 @@
     pub(crate) overdue: usize,
 }
 
+/// Part of the fleet, as one in so many, that a pool gets for work of no use any more.
+///
+/// Failure: an outage leaves thousands of late tasks, their pool takes every spare instance, and
+/// the next queue that turns busy finds none. What is left over in the pool does them too.
+const OVERDUE_PART: usize = 32;
+
 /// Cuts the targets down to a fleet of `usable` instances.
 ///
 /// Answers a fleet that is asked for more than it has: without a division the pool that asked
@@ -28,7 +34,7 @@
     if wanted <= usable {
         let mut left = usable - wanted;
         for share in shares.values_mut() {
-            let more = share.overdue.min(left);
+            let more = share.overdue.min(left).min(usable.div_ceil(OVERDUE_PART));
             left -= more;
             share.target += more;
             share.keep = share.keep.max(share.target);
--- a/crates/capacity/src/snapshot.rs
+++ b/crates/capacity/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! What a plan is made from.
 
 use cactuswheel_cell::{Load, WorkerView};
-use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{Instance, InstanceName, ServiceName, Wave, WorkerId};
 
 /// What a plan is made from, as of one moment.
@@ -21,6 +21,7 @@
     pub waves: &'a [Wave],
     /// Services whose instances are off and cost nothing.
     pub spare: &'a [ServiceName],
-    /// Instances that an earlier owner ordered of late: they get no orders yet.
-    pub reserved: &'a Set<InstanceName>,
+    /// Instances that an earlier owner ordered of late, with the wave if it was for one: they get
+    /// no orders yet.
+    pub reserved: &'a Map<InstanceName, Option<u64>>,
 }
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -26,6 +26,9 @@
 /// How much earlier than that a wave goes first: under load it takes longer to empty workers.
 const EARLIER: f64 = 1.6;
 
+/// Instances of a wave that a line in the log names.
+const NAMED: usize = 4;
+
 /// What a wave is planned from.
 pub(crate) struct Scene<'a> {
     pub(crate) now: Time,
@@ -33,8 +36,8 @@
     pub(crate) maintaining: Duration,
     pub(crate) members: &'a [Member<'a>],
     pub(crate) ordered: &'a Map<InstanceName, Ordered>,
-    /// Instances that an earlier owner ordered of late.
-    pub(crate) reserved: &'a Set<InstanceName>,
+    /// Instances that an earlier owner ordered of late, with the wave if it was for one.
+    pub(crate) reserved: &'a Map<InstanceName, Option<u64>>,
     /// Pools that want more instances than they have.
     pub(crate) short: &'a Set<&'a ServiceName>,
 }
@@ -51,11 +54,14 @@
 /// Failure: a new owner counts its own orders only, and with those of the earlier one too many
 /// instances of the wave are down at once.
 fn foreign(wave: &Wave, scene: &Scene<'_>) -> usize {
+    let names: Set<&InstanceName> = wave.instances.iter().collect();
     let members = scene.members.iter().map(|m| m.instance);
-    let of_wave = members.filter(|i| wave.instances.contains(&i.name));
+    let of_wave = members.filter(|i| names.contains(&i.name));
     let others = of_wave.filter(|i| !scene.ordered.contains_key(&i.name));
-    let down =
-        others.filter(|i| i.state == InstanceState::Maintained || scene.reserved.contains(&i.name));
+    let down = others.filter(|i| {
+        let ordered = scene.reserved.get(&i.name) == Some(&Some(wave.number));
+        i.state == InstanceState::Maintained || ordered
+    });
     down.count()
 }
 
@@ -162,14 +168,48 @@
     /// Instances of a wave that did not have their maintenance.
     fn left<'a>(&mut self, wave: &Wave, scene: &Scene<'a>) -> Vec<&'a Member<'a>> {
         let done = self.done.entry(wave.number).or_default();
-        let members = scene.members.iter();
-        let left = members.filter(|m| {
+        let wanted: Set<&InstanceName> = wave.instances.iter().collect();
+        let left = scene.members.iter().filter(|m| {
             let name = &m.instance.name;
-            wave.instances.contains(name) && !done.contains(name)
+            wanted.contains(name) && !done.contains(name)
         });
         left.collect()
     }
 
+    /// Workers on instances that a wave has yet to maintain.
+    pub(crate) fn due(&mut self, wave: &Wave, scene: &Scene<'_>) -> Vec<WorkerId> {
+        let left = self.left(wave, scene);
+        let workers = left.iter().filter_map(|m| match &m.standing {
+            Standing::Serving(view) | Standing::Closing(view) => Some(view.worker.clone()),
+            _ => None,
+        });
+        workers.collect()
+    }
+
+    /// Says what is left of a wave, and why it waits.
+    pub(crate) fn log(&mut self, wave: &Wave, scene: &Scene<'_>) {
+        let left = self.left(wave, scene);
+        if left.is_empty() {
+            return;
+        }
+        let count = |of: fn(&Standing<'_>) -> bool| {
+            let found = left.iter().filter(|m| of(&m.standing));
+            found.count() as u64
+        };
+        let first = left.iter().map(|m| m.instance.name.as_str());
+        let first: Vec<&str> = first.take(NAMED).collect();
+        log::info!(
+            wave = wave.number, left = left.len() as u64,
+            ms = self.time(wave, scene.now).as_millis() as u64,
+            spare = count(|s| matches!(s, Standing::Spare)),
+            serving = count(|s| matches!(s, Standing::Serving(_))),
+            closing = count(|s| matches!(s, Standing::Closing(_))),
+            coming = count(|s| matches!(s, Standing::Coming(_) | Standing::Away)),
+            dark = count(|s| matches!(s, Standing::Dark)), first:? = first;
+            "wave"
+        );
+    }
+
     /// Tells the operators when a wave begins and when it is complete.
     fn tell(&mut self, wave: &Wave, complete: bool) -> Vec<Duty> {
         if self.told.insert(wave.number, complete) == Some(complete) {
--- a/crates/capacity/tests/demand.rs
+++ b/crates/capacity/tests/demand.rs
@@ -127,3 +127,14 @@
     fleet.run(16 * TICK);
     assert!(fleet.count("cold") >= 15, "{}", fleet.count("cold"));
 }
+
+/// The next queue that turns busy finds no spare instance. An outage has left thousands of tasks
+/// that are of no use any more, and their pool takes all that is left over.
+#[test]
+fn overdue_takes_few() {
+    let mut fleet = Fleet::new(2, 2, 60);
+    let load = fleet.loads.get_mut("hot").expect("the pool is there");
+    load.overdue.cpu = 20_000_000;
+    fleet.run(4 * SECOND);
+    assert!(fleet.count("hot") <= 5, "{}", fleet.count("hot"));
+}
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -1,6 +1,6 @@
 //! What the cell tells those who decide about instances.
 
-use cactuswheel_model::Map;
+use cactuswheel_model::{Map, Set};
 use cactuswheel_work::{JobId, JobState, QueueName, Room, ServiceName, Step, TeamName, WorkerId};
 
 use crate::cell::Cell;
@@ -173,6 +173,13 @@
         }
     }
 
+    /// The instances of these workers are to be maintained before long.
+    pub fn expect_maintenance(&mut self, due: &Set<WorkerId>) {
+        for worker in self.workers.values_mut() {
+            worker.due = due.contains(&worker.id);
+        }
+    }
+
     /// Gives a worker work again.
     pub fn reopen(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -17,6 +17,13 @@
 /// The same for a worker with nothing on it.
 const IDLE_WAIT: Duration = Duration::from_millis(2_000);
 
+/// The same for a worker on which lasting work starts.
+///
+/// Failure: a task of a budgeted step moves, the next one waits until it is seen at work, and a
+/// look that waits for an end shows that up to a second late; emptying the instances of a wave
+/// takes twice as long as it has to, and the wave is late. It costs a few looks each time.
+const WAKING_WAIT: Duration = Duration::from_millis(200);
+
 /// Longest pause between looks at a worker that does not answer.
 const MAX_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +52,7 @@
             let wait = match (worker.fence_settled(), worker.held.is_empty()) {
                 (false, _) => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
+                (true, false) if worker.waking => WAKING_WAIT,
                 (true, false) => LOOK_WAIT,
             };
             let order = HoldOrder {
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -8,7 +8,7 @@
 use crate::cell::Cell;
 use crate::copy::{Copy, Phase};
 use crate::job::Job;
-use crate::place::{Candidate, Wish, choose};
+use crate::place::{Candidate, Home, Wish, choose};
 use crate::rank::{Rank, rank};
 use crate::run_state::StepRun;
 use crate::worker::Held;
@@ -82,11 +82,13 @@
             worker: w.id.clone(),
             free: w.free(),
             labels: entry.labels.clone(),
+            zone: entry.zone.clone(),
             runs: w.held.len(),
             lasting: w.held.values().filter(|h| h.lasting).count(),
             serving: w.held.values().filter(|h| h.serves).count(),
             fillers: w.held.values().filter(|h| h.filler).count(),
             trial: w.health.is_on_trial(),
+            due: w.due,
         })
         .collect()
     }
@@ -167,6 +169,7 @@
         let run = &job.turns[at.turn].steps[at.id.step as usize];
         let mut beside = beside(run);
         let mut rack = self.begun_rack(run, step);
+        let mut home = self.home(job);
         let team = job.sub.team.as_ref();
         let mut used = team.map(|t| self.usage.of(t)).unwrap_or_default();
         let cap = team.and_then(|t| self.config.teams.get(t));
@@ -181,6 +184,7 @@
                 beside: &beside,
                 avoid: run.tasks[index].failed_on.as_ref(),
                 rack: rack.as_deref(),
+                home: home.as_ref(),
                 allowed,
             };
             let Some(candidate) = choose(candidates, &wish) else {
@@ -188,6 +192,7 @@
             };
             let taken = &mut candidates[candidate];
             reserve(taken, step);
+            home.get_or_insert_with(|| Home::of(taken));
             used += step.room;
             *beside.entry(taken.worker.clone()).or_default() += 1;
             if step.tight && rack.is_none() {
@@ -202,6 +207,16 @@
         (choices, 0)
     }
 
+    /// Where a job has a run already.
+    fn home(&self, job: &Job) -> Option<Home> {
+        let (_, copy) = job.copies().next()?;
+        let entry = self.workers.get(&copy.worker)?.entry.as_ref()?;
+        Some(Home {
+            zone: entry.zone.clone(),
+            rack: entry.rack().map(str::to_owned),
+        })
+    }
+
     /// Rack that a step which should stay on one rack has begun on.
     fn begun_rack(&self, run: &StepRun, step: &Step) -> Option<String> {
         if !step.tight {
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -25,6 +25,11 @@
 impl Cell {
     /// Runs that are there.
     pub(crate) fn take_running(&mut self, id: &WorkerId, running: &[Running]) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let lasting = |r: &&Running| worker.held.get(&r.task).is_some_and(|h| h.lasting);
+            let mut lasting = running.iter().filter(lasting);
+            worker.waking = lasting.any(|r| r.percent < 100);
+        }
         for row in running {
             let (task, run) = (row.task, row.run);
             match self.take_row(id, row) {
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -90,6 +90,7 @@
                     copy.enter(Phase::Running, now);
                     copy.started = now;
                     copy.moved = now;
+                    self.watch(id, task);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job()) {
                     job.started = true;
@@ -163,6 +164,17 @@
         log::info!(worker:% = id, why:% = why, fence = worker.fence; "worker in doubt");
     }
 
+    /// A lasting run has started: looks show soon when it is at work.
+    fn watch(&mut self, id: &WorkerId, task: TaskId) {
+        let now = self.now;
+        let worker = self.workers.get_mut(id);
+        let worker = worker.filter(|w| w.held.get(&task).is_some_and(|h| h.lasting));
+        if let Some(worker) = worker {
+            worker.waking = true;
+            worker.looking = Looking::Due(now);
+        }
+    }
+
     /// Something does not fit what is believed of a worker: it gets nothing until a look has
     /// told more.
     fn look_soon(&mut self, id: &WorkerId) {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -90,6 +90,10 @@
     pub(crate) closing: bool,
     /// Lasting work leaves it too.
     pub(crate) evacuating: bool,
+    /// Its instance is to be maintained before long.
+    pub(crate) due: bool,
+    /// A lasting run there has started and is not at work yet, as far as is known.
+    pub(crate) waking: bool,
     /// No new work until then: it said that it had no room.
     pub(crate) full_until: Time,
 }
@@ -117,6 +121,8 @@
             throttle: Throttle::default(),
             closing: false,
             evacuating: false,
+            due: false,
+            waking: false,
             full_until: Time::default(),
         }
     }
--- /dev/null
+++ b/crates/cell/tests/domains.rs
@@ -0,0 +1,56 @@
+//! Failure domains: how many jobs the loss of one touches.
+
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_model::Set;
+use cactuswheel_work::JobId;
+use world::{World, config, job, lasting, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Nearly every caller waits out a lease. A data centre of four is cut off, and jobs of six tasks,
+/// each placed wherever there was room, have a task there nearly all. The tasks of a job stay in
+/// one data centre as long as it has room, whatever the order in which room came free.
+#[test]
+fn job_in_one() {
+    let mut world = World::new(1, 16);
+    for number in 0..16 {
+        world.worker(number).zone = ["a", "b", "c", "d"][number % 4];
+        let (now, entry) = (world.now, world.worker(number).entry());
+        world.cell().list(now, entry);
+    }
+    let mut free = config();
+    free.version = 2;
+    free.teams.clear();
+    let now = world.now;
+    world.cell().configure(now, Arc::new(free));
+    // Lasting work leaves room for two tasks on each worker.
+    for number in 0..16 {
+        world.worker(number).lasting = vec![1];
+    }
+    world.run(SECOND);
+    world.submit(lasting(1, 96, 6));
+    world.run(SECOND);
+    for id in 100..104 {
+        world.submit(job(id, steps(1, 6, 2_000)));
+        world.run(SECOND / 50);
+    }
+    world.run(SECOND / 10);
+    let begun: usize = (0..16).map(|n| world.worker(n).count()).sum();
+    assert_eq!(begun, 96 + 24, "everything runs");
+    let mut apart = 0;
+    for id in 100..104 {
+        let zones: Set<&str> = world
+            .workers
+            .values()
+            .filter(|w| w.runs().any(|(task, _)| task.job() == JobId::new(id)))
+            .map(|w| w.zone)
+            .collect();
+        apart += usize::from(zones.len() > 1);
+    }
+    assert!(apart == 0, "{apart} of 4 jobs are in several data centres");
+    world.assert_clean();
+}
--- /dev/null
+++ b/crates/cell/tests/evacuation.rs
@@ -0,0 +1,65 @@
+//! Lasting work that moves: where to, and how soon it is seen at work there.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_cell::Output;
+use cactuswheel_model::Set;
+use cactuswheel_work::{StartOutcome, WorkerId};
+use world::{World, lasting};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A wave is late. A budget lets one task of a step move at a time, the next waits until that one
+/// is seen at work, and a look that waits a second for an end shows it a second late. Once a
+/// lasting run has started, looks come back soon.
+#[test]
+fn seen_at_work() {
+    let mut world = World::new(1, 1);
+    world.run(SECOND);
+    world.submit(lasting(1, 1, 0));
+    let now = world.now.after(SECOND / 100);
+    let cell = world.cell();
+    for output in cell.poll(now, now.get()) {
+        if let Output::Append(batch) = output {
+            cell.appended(now, batch.mark);
+        }
+    }
+    for output in cell.poll(now, now.get()) {
+        if let Output::Start { worker, order, .. } = output {
+            let (task, run) = (order.task, order.run);
+            cell.started(now, &worker, task, run, StartOutcome::Started);
+        }
+    }
+    let outputs = cell.poll(now, now.get());
+    let waits = outputs.iter().filter_map(|o| match o {
+        Output::Look { order, .. } => Some(order.wait),
+        _ => None,
+    });
+    let waits: Vec<Duration> = waits.collect();
+    assert_eq!(waits.len(), 1, "a look goes out in place of the one before");
+    assert!(waits[0] <= SECOND / 4, "{:?}", waits[0]);
+}
+
+/// Lasting work moves twice. It leaves an instance for a wave and goes to another of the same
+/// wave, where other lasting work is, and has to leave again. An instance that is not to be
+/// maintained soon goes first, however empty it is.
+#[test]
+fn not_to_the_next_one() {
+    let mut world = World::new(2, 2);
+    for number in 0..2 {
+        world.worker(number).lasting = vec![1, 2];
+    }
+    world.run(SECOND);
+    world.submit(lasting(1, 1, 0));
+    world.run(SECOND);
+    let full = (0..2).find(|n| world.worker(*n).count() == 1);
+    let full = full.expect("it runs somewhere");
+    let due: Set<WorkerId> = [world.worker(full).id.clone()].into_iter().collect();
+    world.cell().expect_maintenance(&due);
+    world.submit(lasting(2, 1, 0));
+    world.run(SECOND);
+    assert_eq!(world.worker(full).count(), 1);
+    assert_eq!(world.worker(1 - full).count(), 1);
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -10,6 +10,7 @@
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
 };
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -46,6 +47,22 @@
     part: 0,
 };
 
+/// The last order to an instance, as it is on record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OrderRecord {
+    /// When it was given, in milliseconds since 1970.
+    pub(crate) at: u64,
+    /// The wave that it was for, if any.
+    pub(crate) wave: Option<u64>,
+}
+
+/// An instance that an earlier owner ordered of late.
+#[derive(Debug)]
+struct Reserved {
+    until: Time,
+    wave: Option<u64>,
+}
+
 /// The owner's part in what instances do.
 pub(crate) struct Fleet {
     shared: Arc<Shared>,
@@ -60,7 +77,7 @@
     /// Failure: two owners order one instance within seconds of each other, and it is moved
     /// back and forth under its work. An order is on record before it is given, so what is not
     /// on record here no earlier owner has ordered.
-    reserved: Map<InstanceName, Time>,
+    reserved: Map<InstanceName, Reserved>,
     token: u64,
 }
 
@@ -71,7 +88,7 @@
         events: mpsc::Sender<Event>,
         epoch: u64,
         past: Past,
-        orders: Vec<(InstanceName, u64)>,
+        orders: Vec<(InstanceName, OrderRecord)>,
     ) -> Option<Self> {
         let addr = shared.settings.instances?;
         let service = Arc::new(Instances::new(addr));
@@ -81,13 +98,16 @@
         };
         let wait = shared.settings.times.order.duration() + ORDER_MARGIN;
         let until = shared.clock.now().after(wait);
-        let recent = orders.into_iter().filter(|(_, at)| {
-            let age = shared.clock.wall().abs_diff(*at);
+        let recent = orders.into_iter().filter(|(_, order)| {
+            let age = shared.clock.wall().abs_diff(order.at);
             Duration::from_millis(age) < wait + CLOCK_ERROR
         });
-        let reserved: Map<InstanceName, Time> = recent.map(|(name, _)| (name, until)).collect();
+        let reserved = recent.map(|(name, OrderRecord { wave, .. })| {
+            let reserved = Reserved { until, wave };
+            (name, reserved)
+        });
         Some(Self {
-            reserved,
+            reserved: reserved.collect(),
             planner: Planner::new(times, past),
             instances: Vec::new(),
             listed: Time::default(),
@@ -138,8 +158,9 @@
         let waves = self.shared.waves.load_full().unwrap_or_default();
         let (loads, workers) = (cell.loads(), cell.workers());
         let spare = self.spare();
-        self.reserved.retain(|_, until| *until > now);
-        let reserved = self.reserved.keys().cloned().collect();
+        self.reserved.retain(|_, r| r.until > now);
+        let reserved = self.reserved.iter().map(|(name, r)| (name.clone(), r.wave));
+        let reserved = reserved.collect();
         let snapshot = Snapshot {
             now,
             loads: &loads,
@@ -154,6 +175,7 @@
         for duty in self.planner.plan(&snapshot) {
             self.carry_out(cell, duty, &mut orders);
         }
+        cell.expect_maintenance(self.planner.due());
         if !orders.is_empty() {
             self.order(orders);
         }
@@ -210,10 +232,11 @@
         let (shared, service) = (self.shared.clone(), self.service.clone());
         let events = self.events.clone();
         tokio::spawn(async move {
-            let at = encode(&shared.clock.wall());
-            let records = orders
-                .iter()
-                .map(|g| Keyed::new(name(&g.order).as_str(), at.clone()));
+            let at = shared.clock.wall();
+            let records = orders.iter().map(|g| {
+                let wave = wave(&g.order);
+                Keyed::new(name(&g.order).as_str(), encode(&OrderRecord { at, wave }))
+            });
             let records: Vec<Keyed> = records.collect();
             let done = shared.store.append(ORDERS, None, None, &records, LIMIT);
             let recorded = done.await;
@@ -309,6 +332,13 @@
     }
 }
 
+fn wave(order: &InstanceOrder) -> Option<u64> {
+    match order {
+        InstanceOrder::Maintain { wave, .. } => Some(*wave),
+        InstanceOrder::Move { .. } => None,
+    }
+}
+
 fn outcome_name(outcome: InstanceOutcome) -> &'static str {
     match outcome {
         InstanceOutcome::Done => "done",
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -10,6 +10,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
+use crate::fleet::OrderRecord;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES, intake};
 
@@ -46,8 +47,8 @@
     pub(crate) intake: Vec<u64>,
     /// What planners of earlier owners have had remembered.
     pub(crate) past: Past,
-    /// When earlier owners ordered instances, in milliseconds since 1970.
-    pub(crate) orders: Vec<(InstanceName, u64)>,
+    /// Last orders to instances.
+    pub(crate) orders: Vec<(InstanceName, OrderRecord)>,
 }
 
 /// Takes the cell over under `epoch`; `alone` if no earlier owner renews leases any more.
@@ -108,8 +109,8 @@
         begun: begun.iter().filter_map(|i| read_begun(shared, i)).collect(),
     };
     let orders = orders.iter().filter_map(|i| {
-        let at = decode::<u64>(&i.value).ok()?;
-        Some((InstanceName::from(i.key.as_str()), at))
+        let order = decode::<OrderRecord>(&i.value).ok()?;
+        Some((InstanceName::from(i.key.as_str()), order))
     });
     Ok(Taken {
         orders: orders.collect(),
