--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -11,6 +11,7 @@
 mod duty;
 mod fleet;
 mod moves;
+mod past;
 mod planner;
 mod pool;
 mod share;
@@ -19,5 +20,6 @@
 mod waves;
 
 pub use duty::Duty;
+pub use past::{LastOwner, OrderRecord, Reserved, reserved};
 pub use planner::{Past, Planner, Times};
 pub use snapshot::Snapshot;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{Instances, Keyed, Partition, STATUS_TOPIC, wave_status};
-use cactuswheel_capacity::{Duty, Past, Planner, Snapshot, Times};
+use cactuswheel_capacity::{
+    Duty, LastOwner, OrderRecord, Past, Planner, Reserved, Snapshot, Times, reserved,
+};
 use cactuswheel_cell::{Cell, encode};
 use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
 };
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -32,12 +33,10 @@
 /// Pause before a record is written again.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Margin on the time for which orders to an instance have to come from one node.
+/// Margin on the time for which orders to an instance have to come from one node, beside the time
+/// that an order may take from its record to its way.
 const ORDER_MARGIN: Duration = Duration::from_millis(400);
 
-/// How far the clocks of two nodes may be apart, and one may jump.
-const CLOCK_ERROR: Duration = Duration::from_secs(6);
-
 /// Bits of an order's token below the owner's epoch.
 const TOKEN_BITS: u32 = 20;
 
@@ -47,22 +46,6 @@
     part: 0,
 };
 
-/// The last order to an instance, as it is on record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OrderRecord {
-    /// When it was given, in milliseconds since 1970.
-    pub(crate) at: u64,
-    /// The wave that it was for, if any.
-    pub(crate) wave: Option<u64>,
-}
-
-/// An instance that an earlier owner ordered of late.
-#[derive(Debug)]
-struct Reserved {
-    until: Time,
-    wave: Option<u64>,
-}
-
 /// The owner's part in what instances do.
 pub(crate) struct Fleet {
     shared: Arc<Shared>,
@@ -89,6 +72,7 @@
         epoch: u64,
         past: Past,
         orders: Vec<(InstanceName, OrderRecord)>,
+        last: Option<LastOwner>,
     ) -> Option<Self> {
         let addr = shared.settings.instances?;
         let service = Arc::new(Instances::new(addr));
@@ -96,18 +80,14 @@
         let times = Times {
             maintaining: shared.settings.times.maintaining,
         };
-        let wait = shared.settings.times.order.duration() + ORDER_MARGIN;
-        let until = shared.clock.now().after(wait);
-        let recent = orders.into_iter().filter(|(_, order)| {
-            let age = shared.clock.wall().abs_diff(order.at);
-            Duration::from_millis(age) < wait + CLOCK_ERROR
-        });
-        let reserved = recent.map(|(name, OrderRecord { wave, .. })| {
-            let reserved = Reserved { until, wave };
-            (name, reserved)
-        });
+        let wait = shared.settings.times.order.duration() + LIMIT + ORDER_MARGIN;
+        let reserved = reserved(shared.clock.now(), wait, orders, last);
+        log::info!(
+            instances = reserved.len() as u64, dated = last.is_some();
+            "instances reserved"
+        );
         Some(Self {
-            reserved: reserved.collect(),
+            reserved,
             planner: Planner::new(times, past),
             instances: Vec::new(),
             listed: Time::default(),
@@ -232,10 +212,11 @@
         let (shared, service) = (self.shared.clone(), self.service.clone());
         let events = self.events.clone();
         tokio::spawn(async move {
-            let at = shared.clock.wall();
+            let (life, at) = (shared.life, shared.clock.now());
             let records = orders.iter().map(|g| {
                 let wave = wave(&g.order);
-                Keyed::new(name(&g.order).as_str(), encode(&OrderRecord { at, wave }))
+                let record = OrderRecord { life, at, wave };
+                Keyed::new(name(&g.order).as_str(), encode(&record))
             });
             let records: Vec<Keyed> = records.collect();
             let done = shared.store.append(ORDERS, None, None, &records, LIMIT);
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Keyed, ReadError};
+use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{RENEW_WITHOUT_STORE, decode, encode};
 use cactuswheel_model::Time;
 use cactuswheel_work::NodeName;
@@ -76,6 +77,8 @@
     addr: SocketAddr,
     /// Processor of the node, in cores.
     cores: f64,
+    /// The node's steady clock in milliseconds when the record was sent.
+    clock: u64,
     /// Given up: whoever wants it may take it at once.
     released: bool,
     /// No owner before this one can be renewing leases any more.
@@ -93,6 +96,8 @@
         epoch: u64,
         /// No earlier owner was renewing leases any more when it was claimed.
         alone: bool,
+        /// The owner before.
+        before: Option<LastOwner>,
     },
 }
 
@@ -110,6 +115,8 @@
     since: Time,
     /// When this node claimed the ownership, and whether all earlier owners had stopped by then.
     claimed: (Time, bool),
+    /// The owner before this node.
+    before: Option<LastOwner>,
     /// When this node's last record was sent.
     sent: Time,
 }
@@ -126,6 +133,7 @@
             heard,
             since: heard,
             claimed: (heard, false),
+            before: None,
             sent: heard,
         }
     }
@@ -255,12 +263,17 @@
             false => self.claimed.1,
         };
         let since = if claim { now } else { self.claimed.0 };
+        let before = match claim {
+            true => self.last_owner(),
+            false => self.before,
+        };
         let record = Ownership {
             epoch,
             node: settings.node.clone(),
             life: self.life,
             addr: settings.listen.peers,
             cores: settings.cores,
+            clock: now.get(),
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
         };
@@ -275,6 +288,7 @@
                 self.shared.confirm_lead(sent);
                 self.end = done.end;
                 self.claimed = (since, alone);
+                self.before = before;
                 self.accept(record);
             }
             Err(AppendError::Refused(_)) => sleep(RETRY).await,
@@ -283,6 +297,16 @@
         }
     }
 
+    fn last_owner(&self) -> Option<LastOwner> {
+        let last = self.last.as_ref()?;
+        Some(LastOwner {
+            life: last.life,
+            clock: Time::new(last.clock),
+            heard: self.heard,
+            since: self.since,
+        })
+    }
+
     async fn resync(&mut self) {
         if let Err(e) = self.sync().await {
             log::debug!(error:% = e; "ownership cannot be read");
@@ -336,6 +360,7 @@
             (true, Some(o)) => Role::Owner {
                 epoch: o.epoch,
                 alone: self.claimed.1,
+                before: self.before,
             },
             _ => Role::Idle,
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -40,7 +40,7 @@
     let balancer = TcpListener::bind(settings.listen.ready).await?;
     let peers = TcpListener::bind(settings.listen.peers).await?;
     let readers = TcpListener::bind(settings.listen.metrics).await?;
-    let shared = Arc::new(Shared::new(settings, Metrics::new()?));
+    let shared = Arc::new(Shared::new(settings, life, Metrics::new()?));
     log::info!(
         node:% = shared.settings.node, zone:% = shared.settings.zone, life = life,
         callers:% = shared.settings.listen.callers, version = env!("CARGO_PKG_VERSION");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{Cell, Known, Mark, Output, Reads};
 use cactuswheel_model::Time;
 use cactuswheel_work::{
@@ -121,10 +122,15 @@
 pub(crate) async fn run(shared: Arc<Shared>, mut role: watch::Receiver<Role>) {
     loop {
         let now = *role.borrow_and_update();
-        if let Role::Owner { epoch, alone } = now {
+        if let Role::Owner {
+            epoch,
+            alone,
+            before,
+        } = now
+        {
             let mut changed = role.clone();
             tokio::select! {
-                () = own(shared.clone(), epoch, alone) => {
+                () = own(shared.clone(), epoch, alone, before) => {
                     // Failure: the ownership is renewed for a cell that nobody runs any more;
                     // jobs stand still and no other node takes over. Claiming it anew under
                     // the next number either takes the cell over again or shows who has it.
@@ -144,7 +150,7 @@
 }
 
 /// Owns the cell until a newer owner is met.
-async fn own(shared: Arc<Shared>, epoch: u64, alone: bool) {
+async fn own(shared: Arc<Shared>, epoch: u64, alone: bool, before: Option<LastOwner>) {
     let taken = loop {
         match take_over(&shared, epoch, alone).await {
             Ok(taken) => break taken,
@@ -179,6 +185,7 @@
             epoch,
             taken.past,
             taken.orders,
+            before,
         ),
         hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
         cell: taken.cell,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    /// Tells this life of the node from others.
+    pub(crate) life: u64,
     pub(crate) clock: Clock,
     pub(crate) store: Store,
     /// How long the store's answers to appends take.
@@ -56,11 +58,12 @@
 const MOST_PATIENCE: Duration = Duration::from_millis(2_000);
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, metrics: Metrics) -> Self {
+    pub(crate) fn new(settings: Settings, life: u64, metrics: Metrics) -> Self {
         Self {
             store: Store::new(settings.store),
             patience: Patience::new(LEAST_PATIENCE, MOST_PATIENCE),
             settings,
+            life,
             clock: Clock,
             metrics,
             config: ArcSwapOption::empty(),
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -3,14 +3,13 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer, ReadError};
-use cactuswheel_capacity::Past;
+use cactuswheel_capacity::{OrderRecord, Past};
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use crate::fleet::OrderRecord;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES, intake};
 
