--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod share;
 mod snapshot;
+mod targets;
 mod trend;
 mod waves;
 
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -2,17 +2,15 @@
 
 use std::time::Duration;
 
-use cactuswheel_cell::Load;
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
-    InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName, WorkerId,
+    InstanceName, InstanceOrder, InstanceOutcome, InstanceState, ServiceName, WorkerId,
 };
 
 use crate::duty::Duty;
 use crate::fleet::{Member, Ordered, Standing, Unseen, members};
 use crate::moves::Idle;
-use crate::pool::Pool;
-use crate::share::{Share, divide};
+use crate::pool::{Pool, tell_pools};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
 use crate::waves::{Scene, Waves};
@@ -52,7 +50,7 @@
 #[derive(Debug)]
 pub struct Planner {
     times: Times,
-    trends: Map<ServiceName, Trend>,
+    pub(crate) trends: Map<ServiceName, Trend>,
     ordered: Map<InstanceName, Ordered>,
     unseen: Unseen,
     pub(crate) waves: Waves,
@@ -280,30 +278,6 @@
         duties
     }
 
-    /// Instances that each pool wants now, and those that it keeps.
-    fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, Share> {
-        let loads = snapshot.loads.iter();
-        let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
-        let mut shares: Map<ServiceName, Share> = loads
-            .map(|(service, load)| {
-                let unit = unit(snapshot, service);
-                let trend = self.trends.entry(service.clone()).or_default();
-                let target = trend.target(snapshot.now, load, unit).max(least(load));
-                let share = Share {
-                    least: least(load).max(trend.for_lasting(load, unit)),
-                    target,
-                    keep: trend.lasting_target().max(target),
-                    overdue: trend.for_overdue(load, unit),
-                };
-                (service.clone(), share)
-            })
-            .collect();
-        let usable = snapshot.instances.iter();
-        let usable = usable.filter(|i| i.state != InstanceState::Down).count();
-        divide(&mut shares, usable);
-        shares
-    }
-
     /// Remembers what is ordered, so that it is not ordered twice.
     fn note(&mut self, now: Time, duty: &Duty) {
         let Duty::Order { order, worker } = duty else {
@@ -327,21 +301,6 @@
     }
 }
 
-/// Says what the pools are like.
-fn tell_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
-    for (service, pool) in pools {
-        let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
-        let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
-        log::info!(
-            service:% = service, target = pool.target as u64, keep = pool.keep as u64,
-            serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
-            coming = pool.coming as u64, busy = busy as u64, used_cores = used / 1_000,
-            spare = spare as u64;
-            "pool"
-        );
-    }
-}
-
 fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
     match duty {
         Duty::Order {
@@ -351,16 +310,3 @@
         _ => None,
     }
 }
-
-/// Least number of instances of a pool that has work at all.
-fn least(load: &Load) -> usize {
-    usize::from(load.queues > 0).max(load.spread)
-}
-
-/// Size of a pool's instances; of the fleet's, where the pool has none.
-fn unit(snapshot: &Snapshot<'_>, service: &ServiceName) -> Room {
-    let mut instances = snapshot.instances.iter();
-    let own = instances.find(|i| i.pool == *service);
-    let any = own.or(snapshot.instances.first());
-    any.map(|i| i.room).unwrap_or_default()
-}
--- a/crates/capacity/src/pool.rs
+++ b/crates/capacity/src/pool.rs
@@ -1,6 +1,8 @@
 //! A pool in the course of one plan.
 
 use cactuswheel_cell::WorkerView;
+use cactuswheel_model::Map;
+use cactuswheel_work::ServiceName;
 
 use crate::fleet::Member;
 
@@ -30,3 +32,18 @@
         self.serving.len() + self.coming
     }
 }
+
+/// Says what the pools are like.
+pub(crate) fn tell_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
+    for (service, pool) in pools {
+        let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
+        let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
+        log::info!(
+            service:% = service, target = pool.target as u64, keep = pool.keep as u64,
+            serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
+            coming = pool.coming as u64, busy = busy as u64, used_cores = used / 1_000,
+            spare = spare as u64;
+            "pool"
+        );
+    }
+}
--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -69,6 +69,7 @@
         if job.sub.times == 0 {
             job.turns.push(Turn::new(0, &job.sub.steps));
         }
+        job.beyond = self.is_beyond_share(&job);
         if !self.restoring {
             log_accepted(&job);
         }
@@ -81,6 +82,17 @@
         self.stirred = true;
     }
 
+    fn is_beyond_share(&mut self, job: &Job) -> bool {
+        let Some(team) = &job.sub.team else {
+            return false;
+        };
+        let Some(weight) = self.config.teams.get(team).map(|t| t.weight) else {
+            return false;
+        };
+        let rule = &self.bounds.share;
+        !self.shares.take(rule, team, weight, job.arrived)
+    }
+
     /// A job's caller cancelled it.
     pub fn cancel(&mut self, now: Time, id: JobId) {
         self.now = now;
@@ -110,7 +122,7 @@
         job:% = sub.job, queue:% = sub.queue, team = team, tasks = tasks,
         steps = sub.steps.len() as u64, cpu = first.room.cpu, memory = first.room.memory,
         chain_ms = job.chain(), lasting = sub.lasting(), filler = first.filler,
-        target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
+        beyond_share = job.beyond, target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
         "job accepted"
     );
 }
--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -2,6 +2,8 @@
 
 use cactuswheel_model::Millis;
 
+use crate::shares::ShareRule;
+
 /// Times that the platform sets and every owner of a cell has to agree on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
@@ -11,4 +13,6 @@
     pub kept: Millis,
     /// Time from a throttle order to its effect.
     pub pace: Millis,
+    /// How a team's share is counted.
+    pub share: ShareRule,
 }
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -16,6 +16,7 @@
 use crate::job::Job;
 use crate::output::Output;
 use crate::run_state::Turn;
+use crate::shares::Shares;
 use crate::usage::Usage;
 use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
 
@@ -51,6 +52,7 @@
     pub(crate) last_drop: Time,
     pub(crate) workers: Map<WorkerId, Worker>,
     pub(crate) usage: Usage,
+    pub(crate) shares: Shares,
     pub(crate) tickets: Map<StepId, Tickets>,
     /// Jobs whose cancelling came before themselves.
     pub(crate) cancelled: Set<JobId>,
@@ -89,6 +91,7 @@
             last_drop: Time::default(),
             workers: Map::default(),
             usage: Usage::default(),
+            shares: Shares::default(),
             tickets: Map::default(),
             cancelled: Set::default(),
             dirty: Set::default(),
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -26,6 +26,8 @@
     pub(crate) tails: Vec<u64>,
     /// Whether any task was ever seen to start.
     pub(crate) started: bool,
+    /// Whether it is beyond its team's share: with the fleet full it waits for the others.
+    pub(crate) beyond: bool,
     /// Whether this owner has planned a run of it.
     pub(crate) begun: bool,
 }
@@ -42,6 +44,7 @@
             ended: None,
             tails,
             started: false,
+            beyond: false,
             begun: false,
         }
     }
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -1,10 +1,9 @@
 //! What the cell tells those who decide about instances.
 
-use cactuswheel_model::{Map, Set};
+use cactuswheel_model::Map;
 use cactuswheel_work::{JobId, JobState, QueueName, Room, ServiceName, Step, TeamName, WorkerId};
 
 use crate::cell::Cell;
-use crate::copy::Copy;
 use crate::finished::Kept;
 use crate::job::Job;
 use crate::rank::rank;
@@ -162,82 +161,6 @@
         }
         found
     }
-
-    /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
-    pub fn close(&mut self, id: &WorkerId, evacuate: bool) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            let runs = worker.held.len() as u64;
-            log::info!(worker:% = id, runs = runs, evacuate = evacuate; "worker closed");
-            worker.closing = true;
-            worker.evacuating = evacuate;
-        }
-    }
-
-    /// The instances of these workers are to be maintained before long.
-    pub fn expect_maintenance(&mut self, due: &Set<WorkerId>) {
-        for worker in self.workers.values_mut() {
-            worker.due = due.contains(&worker.id);
-        }
-    }
-
-    /// Gives a worker work again.
-    pub fn reopen(&mut self, id: &WorkerId) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            log::info!(worker:% = id; "worker reopened");
-            worker.closing = false;
-            worker.evacuating = false;
-            self.stirred = true;
-        }
-    }
-
-    /// A worker's instance was ordered away: everything there is gone.
-    pub fn retire(&mut self, id: &WorkerId) {
-        self.lose_all(id, "instance ordered away");
-        self.workers.remove(id);
-    }
-
-    /// Lasting work leaves workers that are to be emptied, within its budget.
-    pub(crate) fn evacuate(&mut self) {
-        let leaving = self.workers.values().filter(|w| w.evacuating);
-        let mut lasting = Vec::new();
-        for worker in leaving {
-            let runs = worker.held.iter().filter(|(_, h)| h.lasting);
-            lasting.extend(runs.map(|(t, h)| (worker.id.clone(), *t, h.run)));
-        }
-        for (id, task, run) in lasting {
-            if self.may_stop(task, &id) {
-                log::info!(task:% = task, run = run, worker:% = id; "run leaves its worker");
-                self.stop(task, run, &id);
-            }
-        }
-    }
-
-    /// Whether a lasting task may be stopped: its step's budget has room, and so has a worker.
-    fn may_stop(&self, task: cactuswheel_work::TaskId, from: &WorkerId) -> bool {
-        let Some(job) = self.jobs.get(&task.job()) else {
-            return true;
-        };
-        let (Some(step), Some(run)) = (job.step(task), job.step_run(task)) else {
-            return true;
-        };
-        let mine = &run.tasks[task.index as usize];
-        // What a silent worker said last is no word on what runs there now.
-        let at_work = |c: &Copy| {
-            let worker = self.workers.get(&c.worker);
-            c.is_at_work() && worker.is_some_and(|w| w.missed == 0)
-        };
-        let running = mine.copies.iter().all(|c| c.worker != *from || at_work(c));
-        let others = run.tasks.iter().enumerate();
-        let others = others.filter(|(i, _)| *i != task.index as usize);
-        let away = others.filter(|(_, t)| !t.copies.iter().any(at_work));
-        let budget = step.budget.unwrap_or(1).max(1);
-        let service = self.service_of(job);
-        let mut places = self.workers.values().filter(|w| {
-            let here = w.entry.as_ref().is_some_and(|e| e.service == service);
-            here && w.is_open(self.now) && step.reserved().fits(w.free())
-        });
-        running && (away.count() as u32) < budget && places.next().is_some()
-    }
 }
 
 /// Workers that a lasting step has to be spread over.
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -1,5 +1,7 @@
 //! Which job goes first.
 //!
+//! Jobs within their team's share go before those beyond it.
+//!
 //! Answers a pool that is asked for several times what it holds, for some seconds, by jobs with
 //! an objective of their own: a job that can still meet its objective goes before one that
 //! cannot, among the former the one that has to start soonest.
@@ -31,6 +33,10 @@
     Timely,
     /// Can be done while it is of some use.
     Late,
+    /// Is beyond its team's share, and can meet its objective.
+    TimelyBeyond,
+    /// Is beyond its team's share, and can be done while it is of some use.
+    LateBeyond,
     /// Is of no use any more, but was accepted.
     Overdue,
 }
@@ -61,15 +67,20 @@
     if slack >= 0.0 {
         let at = Time::new(now.get() + slack as u64);
         return Rank {
-            class: Class::Timely,
+            class: match job.beyond {
+                true => Class::TimelyBeyond,
+                false => Class::Timely,
+            },
             priority,
             fresh: !job.started,
             at,
         };
     }
-    let class = match waited + left <= objective * LATE_FACTOR {
-        true => Class::Late,
-        false => Class::Overdue,
+    let useful = waited + left <= objective * LATE_FACTOR;
+    let class = match (useful, job.beyond) {
+        (true, false) => Class::Late,
+        (true, true) => Class::LateBeyond,
+        (false, _) => Class::Overdue,
     };
     Rank {
         class,
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_cell::{Batch, Bounds, Cell, JobRecord, Mark, Output, decode};
+use cactuswheel_cell::{Batch, Bounds, Cell, JobRecord, Mark, Output, ShareRule, decode};
 use cactuswheel_model::{Map, Millis, Time};
 use cactuswheel_testkit::Rng;
 use cactuswheel_work::{
@@ -64,6 +64,11 @@
         lease: Millis::new(4_500),
         kept: Millis::new(120_000),
         pace: Millis::new(100),
+        share: ShareRule {
+            window: Duration::from_secs(5),
+            burst: 0.1,
+            slack: 20,
+        },
     }
 }
 
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -4,7 +4,6 @@
 //! ending where its writer last saw it end, so of several claims one wins. It only saves work:
 //! that two owners do no harm rests on the journal's epoch and the workers' fencing tokens.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,12 +12,11 @@
 use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{RENEW_WITHOUT_STORE, decode, encode};
 use cactuswheel_model::Time;
-use cactuswheel_work::NodeName;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
 use crate::shared::Shared;
 use crate::topics::OWNER;
@@ -66,25 +64,6 @@
 /// Key of the one record.
 const KEY: &str = "0";
 
-/// The record.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Ownership {
-    /// Rises with each change of hands.
-    epoch: u64,
-    node: NodeName,
-    /// Tells lives of one node apart.
-    life: u64,
-    addr: SocketAddr,
-    /// Processor of the node, in cores.
-    cores: f64,
-    /// The node's steady clock in milliseconds when the record was sent.
-    clock: u64,
-    /// Given up: whoever wants it may take it at once.
-    released: bool,
-    /// No owner before this one can be renewing leases any more.
-    settled: bool,
-}
-
 /// This node's part in the ownership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Role {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod node;
 mod owner;
+mod ownership;
 mod peer;
 mod ready;
 mod roster;
--- /dev/null
+++ b/crates/node/src/ownership.rs
@@ -0,0 +1,25 @@
+//! The record of who owns the cell.
+
+use std::net::SocketAddr;
+
+use cactuswheel_work::NodeName;
+use serde::{Deserialize, Serialize};
+
+/// Who owns the cell, as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Ownership {
+    /// Rises with each change of hands.
+    pub(crate) epoch: u64,
+    pub(crate) node: NodeName,
+    /// Tells lives of one node apart.
+    pub(crate) life: u64,
+    pub(crate) addr: SocketAddr,
+    /// Processor of the node, in cores.
+    pub(crate) cores: f64,
+    /// The node's steady clock in milliseconds when the record was sent.
+    pub(crate) clock: u64,
+    /// Given up: whoever wants it may take it at once.
+    pub(crate) released: bool,
+    /// No owner before this one can be renewing leases any more.
+    pub(crate) settled: bool,
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use cactuswheel_cell::ShareRule;
 use cactuswheel_model::Millis;
 use cactuswheel_work::{NodeName, ZoneName};
 use serde::de::Error;
@@ -34,10 +35,47 @@
     /// The policy service of queues that have one.
     #[serde(default)]
     pub policy: Option<SocketAddr>,
+    /// How a team's share is counted when the fleet is full.
+    #[serde(default)]
+    pub share: Share,
     /// Times that the platform sets.
     pub times: Times,
 }
 
+/// How a team's share is counted when the fleet is full: jobs within a window, by its weight.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Share {
+    /// The window.
+    #[serde(rename = "window_s", deserialize_with = "from_seconds")]
+    pub window: Millis,
+    /// Part of the share that may come on top of it, for bursts.
+    pub burst: f64,
+    /// Jobs that may come on top in each window, whatever the share.
+    pub slack: u32,
+}
+
+/// What the customers' platform says where it says it.
+impl Default for Share {
+    fn default() -> Self {
+        Self {
+            window: Millis::new(5_000),
+            burst: 0.1,
+            slack: 20,
+        }
+    }
+}
+
+impl Share {
+    pub(crate) fn rule(&self) -> ShareRule {
+        ShareRule {
+            window: self.window.duration(),
+            burst: self.burst,
+            slack: self.slack,
+        }
+    }
+}
+
 /// Where a node listens.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Listen {
@@ -152,6 +190,12 @@
         if !(1..=MAX_PARTS).contains(&self.parts) {
             return Some(("parts", "has to be from 1 to 64"));
         }
+        if self.share.window.get() == 0 {
+            return Some(("share.window_s", "has to be positive"));
+        }
+        if !(self.share.burst.is_finite() && self.share.burst >= 0.0) {
+            return Some(("share.burst", "has to be 0 or more"));
+        }
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -72,12 +72,33 @@
     if !alone {
         cell.expect_others();
     }
+    rebuild(shared, &mut cell, &intake, &journal)?;
+    log::info!(
+        epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
+        "cell taken over"
+    );
+    let (past, orders) = instances(shared).await;
+    Ok(Taken {
+        cell,
+        intake: ends,
+        past,
+        orders,
+    })
+}
+
+/// Puts what earlier owners left behind into a fresh cell.
+fn rebuild(
+    shared: &Shared,
+    cell: &mut Cell,
+    intake: &[Item],
+    journal: &[Item],
+) -> Result<(), TakeoverError> {
     let now = shared.clock.now();
     // A job's cancelling may come before the job: records are in order of their keys.
-    for item in &intake {
-        take_intake(shared, &mut cell, now, &item.key, &item.value);
+    for item in intake {
+        take_intake(shared, cell, now, &item.key, &item.value);
     }
-    for item in &journal {
+    for item in journal {
         let Ok(id) = item.key.parse::<JobId>() else {
             log::error!(key = item.key; "journal record of no job");
             continue;
@@ -86,17 +107,18 @@
         let record = record.map_err(|e| TakeoverError::Record(id, e))?;
         cell.restore(now, id, record);
     }
-    for item in &intake {
+    for item in intake {
         // What was cancelled stays cancelled, whatever an earlier owner's record says.
         if let Some(IntakeKey::Cancelled(id)) = IntakeKey::parse(&item.key) {
             cell.cancel(now, id);
         }
     }
     cell.restored();
-    log::info!(
-        epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
-        "cell taken over"
-    );
+    Ok(())
+}
+
+/// What earlier owners have had remembered of instances: maintenance, and their last orders.
+async fn instances(shared: &Shared) -> (Past, Vec<(InstanceName, OrderRecord)>) {
     let ((maintained, _), (begun, _), (orders, _)) = tokio::join!(
         newest(shared, MAINTAINED),
         newest(shared, WAVES),
@@ -111,12 +133,7 @@
         let order = decode::<OrderRecord>(&i.value).ok()?;
         Some((InstanceName::from(i.key.as_str()), order))
     });
-    Ok(Taken {
-        orders: orders.collect(),
-        cell,
-        intake: ends,
-        past,
-    })
+    (past, orders.collect())
 }
 
 fn read_maintained(key: &str) -> Option<(u64, InstanceName)> {
@@ -202,5 +219,6 @@
         lease: times.lease.min(LEASE),
         kept: times.kept,
         pace: times.pace,
+        share: shared.settings.share.rule(),
     }
 }
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -25,6 +25,7 @@
 mod submission;
 mod task_id;
 mod team;
+mod team_weight;
 mod wave;
 mod worker;
 
@@ -49,5 +50,6 @@
 pub use submission::Submission;
 pub use task_id::{ParseTaskIdError, StepId, TaskId};
 pub use team::{Cap, Team};
+pub use team_weight::{ParseTeamWeightError, TeamWeight};
 pub use wave::Wave;
 pub use worker::{Presence, WorkerEntry};
--- a/crates/work/src/team.rs
+++ b/crates/work/src/team.rs
@@ -1,6 +1,6 @@
 //! A team: a customer's workspace.
 
-use crate::{Room, TeamName};
+use crate::{Room, TeamName, TeamWeight};
 
 /// Most that a team may have running over all workers; 0 in a field for no limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -12,7 +12,7 @@
     /// Its name.
     pub name: TeamName,
     /// Its share when the fleet is full.
-    pub weight: f64,
+    pub weight: TeamWeight,
     /// Its upper limit.
     pub cap: Cap,
 }
--- /dev/null
+++ b/crates/work/src/team_weight.rs
@@ -0,0 +1,45 @@
+//! A team's share when the fleet is full.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// A team's share when the fleet is full, as jobs a second; shares of teams compare by it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TeamWeight(f64);
+
+/// A text that is no weight.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("a weight is a number from 0 on")]
+pub struct ParseTeamWeightError;
+
+impl TeamWeight {
+    /// A weight; what is no number from 0 on counts as 0.
+    pub fn new(weight: f64) -> Self {
+        Self(if weight.is_finite() {
+            weight.max(0.0)
+        } else {
+            0.0
+        })
+    }
+
+    /// Jobs a second.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for TeamWeight {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for TeamWeight {
+    type Err = ParseTeamWeightError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let weight: f64 = s.parse().map_err(|_| ParseTeamWeightError)?;
+        let valid = weight.is_finite() && weight >= 0.0;
+        valid.then_some(Self(weight)).ok_or(ParseTeamWeightError)
+    }
+}
