--- a/crates/node/src/appending.rs
+++ b/crates/node/src/appending.rs
@@ -29,6 +29,8 @@
 /// does a repeat once, so another try goes out beside the first on a new connection as soon as
 /// an answer is later than answers usually are; whichever answers first decides.
 ///
+/// `in_doubt` is called when a try has failed that may have been carried out.
+///
 /// [`AppendError::Refused`] means that no try was or will be carried out; never gives
 /// [`AppendError::Unknown`].
 pub(crate) async fn append(
@@ -37,6 +39,7 @@
     to: Partition,
     producer: &Producer,
     records: &[Keyed],
+    in_doubt: impl Fn(),
 ) -> Result<Appended, AppendError> {
     let attempt = || async {
         let sent = shared.clock.now();
@@ -76,7 +79,10 @@
                     return Err(AppendError::Refused(status));
                 }
             }
-            Err(AppendError::Unknown(_)) => doubt = true,
+            Err(AppendError::Unknown(_)) => {
+                doubt = true;
+                in_doubt();
+            }
             Err(certain) => return Err(certain),
         }
         shared.metrics.append_failed(what);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -20,10 +20,16 @@
 /// Largest append, in bytes.
 const MAX_APPEND: usize = 512 << 10;
 
-/// Time without an answer to an append after which it is in doubt: a store that is slow by a
+/// Longest time without an answer after which an append is in doubt: a store that is slow by a
 /// factor of a hundred answers before.
 const DOUBT_AFTER: Duration = Duration::from_millis(1_100);
 
+/// Times the usual limit for an answer after which an append is in doubt all the same.
+///
+/// Failure: the store is away, and what comes in waits a second to hear that. Of a store that
+/// answers in milliseconds three limits without an answer say enough.
+const DOUBT_LIMITS: u32 = 3;
+
 /// Time for which an append may be in doubt before what comes after it is refused.
 const DOUBT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -204,9 +210,18 @@
             seq: self.seq,
         };
         let outcome = {
-            let append = append(&self.shared, "intake", self.part, &producer, records);
+            let in_doubt = || self.enter_doubt();
+            let append = append(
+                &self.shared,
+                "intake",
+                self.part,
+                &producer,
+                records,
+                in_doubt,
+            );
             tokio::pin!(append);
-            match timeout(DOUBT_AFTER, append.as_mut()).await {
+            let patience = self.shared.patience.limit() * DOUBT_LIMITS;
+            match timeout(patience.min(DOUBT_AFTER), append.as_mut()).await {
                 Ok(outcome) => outcome,
                 Err(_) => {
                     self.enter_doubt();
@@ -234,7 +249,12 @@
 
     fn enter_doubt(&self) {
         let now = self.shared.clock.now().get();
-        self.doubt.store(now, Ordering::Relaxed);
+        let before = self
+            .doubt
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        if before.is_err() {
+            return;
+        }
         log::warn!(part = self.part.part, seq = self.seq; "intake in doubt");
     }
 
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -121,7 +121,7 @@
         records: &[Keyed],
         lost: &mut bool,
     ) -> Option<Result<Appended, AppendError>> {
-        let append = append(&self.shared, "journal", JOURNAL, producer, records);
+        let append = append(&self.shared, "journal", JOURNAL, producer, records, || {});
         tokio::pin!(append);
         if let Ok(done) = timeout(LOST_AFTER, append.as_mut()).await {
             return Some(done);
