--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of a node: what is left out, and what is refused.
+
+use std::path::PathBuf;
+
+use cactuswheel_node::Settings;
+use serde_json::{Value, json};
+
+/// Settings with nothing but what has to be there.
+fn least() -> Value {
+    json!({
+        "node": "n1", "zone": "a",
+        "listen": {
+            "callers": "127.0.0.1:1", "ready": "127.0.0.1:2",
+            "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4",
+        },
+        "store": "127.0.0.1:5",
+        "times": {
+            "revoke_ms": 5000, "lease_ms": 6000, "kept_s": 120, "grace_s": 6,
+            "maintain_s": 2, "order_ms": 3000, "pace_ms": 100,
+        },
+    })
+}
+
+fn load(name: &str, settings: &Value) -> Result<Settings, String> {
+    let file = format!("cactuswheel-settings-{}-{name}.json", std::process::id());
+    let path: PathBuf = std::env::temp_dir().join(file);
+    std::fs::write(&path, settings.to_string()).expect("the file can be written");
+    let loaded = Settings::load(&path).map_err(|e| e.to_string());
+    std::fs::remove_file(&path).expect("the file is there");
+    loaded
+}
+
+#[test]
+fn left_out() {
+    let settings = load("least", &least()).expect("nothing is missing");
+    assert_eq!(settings.parts, 1);
+    assert_eq!(settings.cores, 1.0);
+    assert_eq!(settings.share.window.get(), 5_000);
+    assert_eq!((settings.share.burst, settings.share.slack), (0.1, 20));
+}
+
+/// A bad value is refused by number and place, whatever else stands in the file.
+#[test]
+fn out_of_range() {
+    let cases = [
+        ("parts", json!(0), "`parts` has to be from 1 to 64"),
+        ("parts", json!(65), "`parts` has to be from 1 to 64"),
+        ("parts", json!(-1), "at `parts`"),
+        ("cores", json!(0.0), "`cores` has to be positive"),
+        (
+            "share",
+            json!({ "window_s": 0 }),
+            "`share.window_s` has to be positive",
+        ),
+        (
+            "share",
+            json!({ "burst": -0.1 }),
+            "`share.burst` has to be 0 or more",
+        ),
+        ("share", json!({ "slack": "many" }), "at `share.slack`"),
+    ];
+    for (number, (field, value, expected)) in cases.into_iter().enumerate() {
+        let mut settings = least();
+        settings[field] = value;
+        let error = load(&format!("bad{number}"), &settings).expect_err(expected);
+        assert!(error.starts_with("error 501"), "{error}");
+        assert!(error.contains(expected), "{error}");
+    }
+}
