--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use crate::claim::{Claim, Claims};
 use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
 use crate::shared::Shared;
@@ -92,10 +93,7 @@
     heard: Time,
     /// When the record's owner was first heard of.
     since: Time,
-    /// When this node claimed the ownership, and whether all earlier owners had stopped by then.
-    claimed: (Time, bool),
-    /// The owner before this node.
-    before: Option<LastOwner>,
+    claims: Claims,
     /// When this node's last record was sent.
     sent: Time,
 }
@@ -111,8 +109,7 @@
             last: None,
             heard,
             since: heard,
-            claimed: (heard, false),
-            before: None,
+            claims: Claims::default(),
             sent: heard,
         }
     }
@@ -236,16 +233,19 @@
         let settings = &self.shared.settings;
         let epoch = self.last.as_ref().map_or(0, |o| o.epoch) + u64::from(claim);
         let now = self.shared.clock.now();
-        let alone = match claim {
+        if claim {
             // Who gives the ownership up has stopped renewing leases before.
-            true => self.last.as_ref().is_none_or(|o| o.released && o.settled),
-            false => self.claimed.1,
-        };
-        let since = if claim { now } else { self.claimed.0 };
-        let before = match claim {
-            true => self.last_owner(),
-            false => self.before,
-        };
+            let alone = self.last.as_ref().is_none_or(|o| o.released && o.settled);
+            self.claims.send(Claim {
+                epoch,
+                at: now,
+                alone,
+                before: self.last_owner(),
+            });
+        }
+        let claimed = self.claims.won(epoch);
+        let alone = claimed.is_some_and(|c| c.alone);
+        let since = claimed.map_or(now, |c| c.at);
         let record = Ownership {
             epoch,
             node: settings.node.clone(),
@@ -266,8 +266,6 @@
             Ok(done) => {
                 self.shared.confirm_lead(sent);
                 self.end = done.end;
-                self.claimed = (since, alone);
-                self.before = before;
                 self.accept(record);
             }
             Err(AppendError::Refused(_)) => sleep(RETRY).await,
@@ -336,11 +334,14 @@
         self.shared.owner.store(at);
         self.last = Some(record);
         let role = match (self.is_mine(), &self.last) {
-            (true, Some(o)) => Role::Owner {
-                epoch: o.epoch,
-                alone: self.claimed.1,
-                before: self.before,
-            },
+            (true, Some(o)) => {
+                let claimed = self.claims.won(o.epoch);
+                Role::Owner {
+                    epoch: o.epoch,
+                    alone: claimed.is_some_and(|c| c.alone),
+                    before: claimed.and_then(|c| c.before),
+                }
+            }
             _ => Role::Idle,
         };
         self.role.send_if_modified(|before| {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod appending;
 mod ask;
+mod claim;
 mod clock;
 mod config_follower;
 mod error;
@@ -31,6 +32,7 @@
 mod topics;
 mod view;
 
+pub use claim::{Claim, Claims};
 pub use clock::Clock;
 pub use error::NodeError;
 pub use logging::{init_log, record_fields};
