--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -2,10 +2,13 @@
 //! maintenance.
 
 use cactuswheel_model::Set;
-use cactuswheel_work::{TaskId, WorkerId};
+use cactuswheel_work::{Step, TaskId, WorkerId};
 
 use crate::cell::Cell;
 use crate::copy::Copy;
+use crate::job::Job;
+use crate::pass::beside;
+use crate::run_state::StepRun;
 
 impl Cell {
     /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
@@ -76,11 +79,26 @@
         let others = others.filter(|(i, _)| *i != task.index as usize);
         let away = others.filter(|(_, t)| !t.copies.iter().any(at_work));
         let budget = step.budget.unwrap_or(1).max(1);
+        running && (away.count() as u32) < budget && self.has_place(job, step, run)
+    }
+
+    /// Whether a worker could take one more task of a step now.
+    ///
+    /// Failure: a task leaves while every other worker has as many of its step as its spread
+    /// allows, or lacks its label, and it is away until an instance comes. One that could take
+    /// it has room, the label, and fewer than that.
+    fn has_place(&self, job: &Job, step: &Step, run: &StepRun) -> bool {
         let service = self.service_of(job);
-        let mut places = self.workers.values().filter(|w| {
-            let here = w.entry.as_ref().is_some_and(|e| e.service == service);
-            here && w.is_open(self.now) && step.reserved().fits(w.free())
-        });
-        running && (away.count() as u32) < budget && places.next().is_some()
+        let beside = beside(run);
+        let mut open = self.workers.values().filter(|w| w.is_open(self.now));
+        open.any(|w| {
+            let Some(entry) = w.entry.as_ref().filter(|e| e.service == service) else {
+                return false;
+            };
+            let tasks = beside.get(&w.id).copied().unwrap_or_default();
+            let labelled = step.label.as_ref().is_none_or(|l| entry.labels.contains(l));
+            let apart = step.spread == 0 || tasks < step.spread;
+            labelled && apart && step.reserved().fits(w.free())
+        })
     }
 }
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -292,7 +292,8 @@
     }
 }
 
-fn beside(run: &StepRun) -> Map<WorkerId, u32> {
+/// Runs of a step on each worker.
+pub(crate) fn beside(run: &StepRun) -> Map<WorkerId, u32> {
     let mut found: Map<WorkerId, u32> = Map::default();
     for copy in run.tasks.iter().flat_map(|t| &t.copies) {
         *found.entry(copy.worker.clone()).or_default() += 1;
--- a/crates/cell/tests/evacuation.rs
+++ b/crates/cell/tests/evacuation.rs
@@ -63,3 +63,28 @@
     assert_eq!(world.worker(full).count(), 1);
     assert_eq!(world.worker(1 - full).count(), 1);
 }
+
+/// Lasting work is away for ten seconds though its pool has room. A worker is emptied, and the
+/// only other open one has as many tasks of the step as its spread allows: the task that was
+/// stopped has nowhere to go. It leaves once a worker may take it.
+#[test]
+fn no_place_no_leave() {
+    let mut world = World::new(3, 3);
+    for number in 0..3 {
+        world.worker(number).lasting = vec![1];
+    }
+    let spare = world.worker(2).id.clone();
+    world.run(SECOND);
+    world.cell().close(&spare, false);
+    world.submit(lasting(1, 2, 1));
+    world.run(3 * SECOND);
+    assert_eq!((world.worker(0).count(), world.worker(1).count()), (1, 1));
+    let emptied = world.worker(0).id.clone();
+    world.cell().close(&emptied, true);
+    world.run(3 * SECOND);
+    assert_eq!(world.worker(0).count(), 1, "nobody else may take it");
+    world.cell().reopen(&spare);
+    world.run(3 * SECOND);
+    assert_eq!((world.worker(0).count(), world.worker(2).count()), (0, 1));
+    world.assert_clean();
+}
