--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -27,6 +27,9 @@
     /// Time from an order to a worker that takes work.
     #[serde(rename = "arrival_ms", deserialize_with = "from_millis")]
     pub arrival: Millis,
+    /// Time after that over which what is asked for is averaged.
+    #[serde(rename = "smooth_ms", deserialize_with = "from_millis")]
+    pub smooth: Millis,
     /// Time ahead for which a pool keeps what it will need.
     #[serde(rename = "keep_ms", deserialize_with = "from_millis")]
     pub keep: Millis,
@@ -52,6 +55,7 @@
         let policy = PoolPolicy::default();
         Self {
             arrival: policy.arrival.into(),
+            smooth: policy.smooth.into(),
             keep: policy.keep.into(),
             hold: policy.hold.into(),
             gaps: policy.gaps,
@@ -68,6 +72,7 @@
     pub(crate) fn policy(&self) -> PoolPolicy {
         PoolPolicy {
             arrival: self.arrival.duration(),
+            smooth: self.smooth.duration(),
             keep: self.keep.duration(),
             hold: self.hold.duration(),
             gaps: self.gaps,
@@ -84,6 +89,7 @@
         let times = [
             ("policies.pools.arrival_ms", self.arrival),
             ("policies.pools.keep_ms", self.keep),
+            ("policies.pools.smooth_ms", self.smooth),
             ("policies.pools.hold_ms", self.hold),
         ];
         if let Some((place, _)) = times.iter().find(|(_, t)| t.get() > MAX_AHEAD) {
