--- a/crates/capacity/src/past.rs
+++ b/crates/capacity/src/past.rs
@@ -72,14 +72,19 @@
     orders: Vec<(InstanceName, OrderRecord)>,
     last: Option<LastOwner>,
 ) -> Map<InstanceName, Reserved> {
-    let recent = orders.into_iter().filter_map(|(name, order)| {
+    let mut kept: Map<InstanceName, Reserved> = Map::default();
+    for (name, order) in orders {
         let age = last.map_or(Duration::ZERO, |l| l.age(now, &order));
         let left = wait.saturating_sub(age);
-        let reserved = Reserved {
-            until: now.after(left),
-            wave: order.wave,
-        };
-        (!left.is_zero()).then_some((name, reserved))
-    });
-    recent.collect()
+        if left.is_zero() {
+            continue;
+        }
+        let until = now.after(left);
+        let wave = order.wave;
+        // Orders of several owners may be on record; the newest counts.
+        if kept.get(&name).is_none_or(|k| k.until < until) {
+            kept.insert(name, Reserved { until, wave });
+        }
+    }
+    kept
 }
--- a/crates/capacity/tests/owners.rs
+++ b/crates/capacity/tests/owners.rs
@@ -58,3 +58,14 @@
     assert_eq!(until(6, 1, Some(young)), Some(50_000 + 4_000));
     assert_eq!(until(7, 899_000, None), Some(50_000 + 4_000));
 }
+
+/// Two owners order one instance within seconds. Its orders by two of them are on record, and the
+/// older one is read last. The newer one counts.
+#[test]
+fn newest_of_two() {
+    let mut orders = order(7, 899_000);
+    orders.extend(order(7, 898_000));
+    let found = reserved(NOW, WAIT, orders, Some(last()));
+    let until = found[&InstanceName::from("one")].until;
+    assert_eq!(until.get(), 50_000 + 1_900);
+}
--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -263,7 +263,9 @@
 
     async fn answer_store(self, request: Request<Incoming>) -> Reply {
         let asked = Asked::read(request).await;
-        if self.lock().faults.store_down {
+        let faults = self.lock().faults;
+        let part = asked.number("part");
+        if faults.store_down || (part.is_some() && part == faults.part_down) {
             return reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         match asked.path.as_str() {
--- a/crates/local/src/state.rs
+++ b/crates/local/src/state.rs
@@ -23,6 +23,8 @@
 pub struct Faults {
     /// The store answers 503 and does nothing.
     pub store_down: bool,
+    /// One partition of every topic answers 503 and does nothing.
+    pub part_down: Option<u64>,
     /// In percent: writes that are done and not answered.
     pub lost_writes: u32,
     /// In percent: orders to workers that are carried out and not answered.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -18,7 +18,7 @@
 use crate::lead::EXPIRY;
 use crate::owner::Event;
 use crate::shared::Shared;
-use crate::topics::{MAINTAINED, ORDERS, WAVES};
+use crate::topics::{MAINTAINED, WAVES};
 
 /// Time between plans.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -61,6 +61,8 @@
     /// back and forth under its work. An order is on record before it is given, so what is not
     /// on record here no earlier owner has ordered.
     reserved: Map<InstanceName, Reserved>,
+    /// Until then no instance may be ordered.
+    barred: Time,
     token: u64,
 }
 
@@ -71,7 +73,7 @@
         events: mpsc::Sender<Event>,
         epoch: u64,
         past: Past,
-        orders: Vec<(InstanceName, OrderRecord)>,
+        orders: Option<Vec<(InstanceName, OrderRecord)>>,
         last: Option<LastOwner>,
     ) -> Option<Self> {
         let addr = shared.settings.instances?;
@@ -82,13 +84,17 @@
         };
         let policy = shared.settings.policies.pools.policy();
         let wait = shared.settings.times.order.duration() + LIMIT + ORDER_MARGIN;
-        let reserved = reserved(shared.clock.now(), wait, orders, last);
+        let now = shared.clock.now();
+        // Nobody knows what was ordered of late: anything may have been.
+        let barred = orders.is_none().then(|| now.after(wait));
+        let reserved = reserved(now, wait, orders.unwrap_or_default(), last);
         log::info!(
-            instances = reserved.len() as u64, dated = last.is_some();
+            instances = reserved.len() as u64, dated = last.is_some(), known = barred.is_none();
             "instances reserved"
         );
         Some(Self {
             reserved,
+            barred: barred.unwrap_or_default(),
             planner: Planner::new(times, past).with_policy(policy),
             instances: Vec::new(),
             listed: Time::default(),
@@ -133,7 +139,7 @@
         }
         self.planned = now;
         // Another node may own the cell by then.
-        if self.shared.lead_age() >= EXPIRY {
+        if self.shared.lead_age() >= EXPIRY || now < self.barred {
             return;
         }
         let waves = self.shared.waves.load_full().unwrap_or_default();
@@ -220,8 +226,7 @@
                 Keyed::new(name(&g.order).as_str(), encode(&record))
             });
             let records: Vec<Keyed> = records.collect();
-            let done = shared.store.append(ORDERS, None, None, &records, LIMIT);
-            let recorded = done.await;
+            let recorded = shared.orders.write(&shared.store, &records).await;
             if let Err(e) = &recorded {
                 log::info!(error:% = e; "orders to instances not on record");
             }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::order_log::OrderLog;
 use crate::owner::OwnerHandle;
 use crate::peer::{OwnerAt, OwnerLink};
 use crate::settings::Settings;
@@ -23,6 +24,8 @@
     pub(crate) life: u64,
     pub(crate) clock: Clock,
     pub(crate) store: Store,
+    /// The record of orders to instances.
+    pub(crate) orders: OrderLog,
     /// How long the store's answers to appends take.
     pub(crate) patience: Patience,
     pub(crate) metrics: Metrics,
@@ -61,6 +64,7 @@
     pub(crate) fn new(settings: Settings, life: u64, metrics: Metrics) -> Self {
         Self {
             store: Store::new(settings.store),
+            orders: OrderLog::new(settings.parts),
             patience: Patience::new(LEAST_PATIENCE, MOST_PATIENCE),
             settings,
             life,
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::shared::Shared;
-use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, ORDERS, WAVES, intake};
+use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
@@ -46,8 +46,8 @@
     pub(crate) intake: Vec<u64>,
     /// What planners of earlier owners have had remembered.
     pub(crate) past: Past,
-    /// Last orders to instances.
-    pub(crate) orders: Vec<(InstanceName, OrderRecord)>,
+    /// Last orders to instances; `None` if they cannot be read.
+    pub(crate) orders: Option<Vec<(InstanceName, OrderRecord)>>,
 }
 
 /// Takes the cell over under `epoch`; `alone` if no earlier owner renews leases any more.
@@ -118,22 +118,29 @@
 }
 
 /// What earlier owners have had remembered of instances: maintenance, and their last orders.
-async fn instances(shared: &Shared) -> (Past, Vec<(InstanceName, OrderRecord)>) {
-    let ((maintained, _), (begun, _), (orders, _)) = tokio::join!(
+async fn instances(shared: &Shared) -> (Past, Option<Vec<(InstanceName, OrderRecord)>>) {
+    let ((maintained, _), (begun, _), orders) = tokio::join!(
         newest(shared, MAINTAINED),
         newest(shared, WAVES),
-        newest(shared, ORDERS)
+        shared.orders.read(&shared.store)
     );
     let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
     let past = Past {
         maintained: maintained.collect(),
         begun: begun.iter().filter_map(|i| read_begun(shared, i)).collect(),
     };
-    let orders = orders.iter().filter_map(|i| {
-        let order = decode::<OrderRecord>(&i.value).ok()?;
-        Some((InstanceName::from(i.key.as_str()), order))
-    });
-    (past, orders.collect())
+    let orders = orders.map(|items| items.iter().filter_map(read_order).collect());
+    (past, orders)
+}
+
+fn read_order(item: &Item) -> Option<(InstanceName, OrderRecord)> {
+    match decode::<OrderRecord>(&item.value) {
+        Ok(order) => Some((InstanceName::from(item.key.as_str()), order)),
+        Err(e) => {
+            log::error!(instance = item.key, error:% = e; "record of an order cannot be read");
+            None
+        }
+    }
 }
 
 fn read_maintained(key: &str) -> Option<(u64, InstanceName)> {
--- a/crates/node/src/topics.rs
+++ b/crates/node/src/topics.rs
@@ -45,11 +45,13 @@
     part: 0,
 };
 
-/// Who ordered an instance last, and when.
-pub(crate) const ORDERS: Partition = Partition {
-    topic: "keyed.orders",
-    part: 0,
-};
+/// A partition of who ordered an instance last, and when. Any partition may hold any instance.
+pub(crate) const fn orders(part: u32) -> Partition {
+    Partition {
+        topic: "keyed.orders",
+        part,
+    }
+}
 
 /// The operators' records.
 pub(crate) const OPERATORS: Partition = Partition {
