--- a/crates/capacity/src/policy.rs
+++ b/crates/capacity/src/policy.rs
@@ -8,8 +8,6 @@
 pub struct PoolPolicy {
     /// Time from an order to a worker that takes work: a pool grows for what is asked then.
     pub arrival: Duration,
-    /// Time after that over which what is asked for is averaged: work waits that long at most.
-    pub smooth: Duration,
     /// Time ahead for which a pool keeps what it will need. An instance costs as much in two and
     /// a half seconds as the two moves there and back.
     pub keep: Duration,
@@ -34,12 +32,11 @@
     fn default() -> Self {
         Self {
             arrival: Duration::from_millis(1_750),
-            smooth: Duration::from_millis(1_000),
             keep: Duration::from_millis(1_500),
             hold: Duration::from_millis(1_000),
             gaps: 1.1,
             reserve: 0.0,
-            doubt: 2.0,
+            doubt: 3.0,
             lend: true,
             leaving: 0.5,
             overdue: 1.0 / 32.0,
--- a/crates/capacity/src/rate.rs
+++ b/crates/capacity/src/rate.rs
@@ -48,12 +48,6 @@
         rate.unwrap_or_default()
     }
 
-    /// Whether any job has come in within the longest window.
-    pub(crate) fn is_busy(&self) -> bool {
-        let ends = self.seen.front().zip(self.seen.back());
-        ends.is_some_and(|(first, last)| last.1 > first.1)
-    }
-
     /// Seconds that a window covers, and the jobs that have arrived in them.
     fn within(&self, now: Time, jobs: u64, window: Duration) -> (f64, f64) {
         let mut before = self.seen.iter().rev();
--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -53,8 +53,7 @@
         let reserve = if busy { policy.reserve } else { 0.0 };
         let instances = |asked: f64| (asked * policy.gaps + reserve).ceil() as usize;
         let arrival = slot(policy.arrival);
-        let later = &asked[arrival..=slot(policy.arrival + self.smooth(load, policy))];
-        let target = instances(later.iter().sum::<f64>() / later.len() as f64);
+        let target = instances(asked[arrival]);
         let kept = asked[..=slot(policy.keep)].iter().copied();
         let kept = instances(kept.fold(0.0, f64::max));
         self.kept.push_back((now, kept.max(target)));
@@ -68,16 +67,6 @@
         }
     }
 
-    /// Time over which what is asked for is averaged: what jobs may wait beyond the arrival of
-    /// an instance, as far as those that come in now may.
-    fn smooth(&self, load: &Load, policy: &PoolPolicy) -> Duration {
-        let busy = load.arrivals.iter();
-        let busy = busy.filter(|(q, _)| self.rates.get(*q).is_some_and(Rate::is_busy));
-        let slack = busy.map(|(_, a)| Duration::from_millis(a.slack)).min();
-        let beyond = slack.unwrap_or_default().saturating_sub(policy.arrival);
-        beyond.min(policy.smooth)
-    }
-
     /// Instances, in fractions, that are asked for in each slot from now on.
     fn asked(
         &mut self,
--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -83,7 +83,7 @@
     }
 
     fn is_beyond_share(&mut self, job: &Job) -> bool {
-        let Some(team) = &job.sub.team else {
+        let Some(team) = job.sub.team.as_ref().filter(|_| self.policy.shares) else {
             return false;
         };
         let Some(weight) = self.config.teams.get(team).map(|t| t.weight) else {
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -16,6 +16,7 @@
 use crate::job::Job;
 use crate::learned::Learned;
 use crate::output::Output;
+use crate::policy::WorkPolicy;
 use crate::run_state::Turn;
 use crate::shares::Shares;
 use crate::usage::Usage;
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub struct Cell {
     pub(crate) bounds: Bounds,
+    pub(crate) policy: WorkPolicy,
     /// Highest fencing token that any worker was given.
     ///
     /// Invariant: only rises. One for all workers: a worker that is forgotten and listed again
@@ -83,6 +85,7 @@
     pub fn new(bounds: Bounds, epoch: u64, config: Arc<FleetConfig>) -> Self {
         Self {
             bounds,
+            policy: WorkPolicy::default(),
             fence: epoch << FENCE_BITS,
             config,
             jobs: Map::default(),
@@ -109,6 +112,11 @@
         }
     }
 
+    /// The same with other switches of how it decides.
+    pub fn with_policy(self, policy: WorkPolicy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Everything that earlier owners left behind was taken in.
     pub fn restored(&mut self) {
         self.restoring = false;
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -50,6 +50,9 @@
 
     /// Learns from a task that is done how long its queue's tasks take.
     fn learn_run(&mut self, task: TaskId, step: &Step, started: Time) {
+        if !self.policy.learn {
+            return;
+        }
         let took = self.now.since(started);
         let Some(job) = self.jobs.get_mut(&task.job()) else {
             return;
@@ -151,6 +154,7 @@
         let now = self.now;
         let (gang, lasting) = (step.gang, step.lasting);
         if !lasting
+            && self.policy.health
             && let Some(worker) = self.workers.get_mut(id)
             && worker.health.failed(task.job(), now)
         {
--- a/crates/cell/src/learned.rs
+++ b/crates/cell/src/learned.rs
@@ -23,8 +23,6 @@
     pub jobs: u64,
     /// What a job asks for from its arrival on, on average.
     pub course: Ahead,
-    /// How long a job may wait and still meet its objective, on average, in milliseconds.
-    pub slack: u64,
 }
 
 /// What was learnt of a queue's jobs.
@@ -41,13 +39,12 @@
 }
 
 impl Learned {
-    /// A job has arrived that asks for this from now on, and may wait for `slack` milliseconds.
-    pub(crate) fn arrive(&mut self, course: &Ahead, slack: u64) {
+    /// A job has arrived that asks for this from now on.
+    pub(crate) fn arrive(&mut self, course: &Ahead) {
         let arrivals = &mut self.arrivals;
         arrivals.jobs += 1;
         let count = arrivals.jobs.min(MEAN_OVER);
         arrivals.course.average(course, count);
-        arrivals.slack = (arrivals.slack * (count - 1) + slack) / count;
     }
 
     /// A task is done.
--- a/crates/cell/src/outlook.rs
+++ b/crates/cell/src/outlook.rs
@@ -31,24 +31,13 @@
         if job.sub.lasting() || self.now.since(job.arrived) > RECENT {
             return;
         }
-        let slack = self.slack(job);
         let learned = self.learned.entry(job.sub.queue.clone()).or_default();
         let mut course = Ahead::default();
         for turn in &job.turns {
             let mut outlook = Outlook::new(&mut course, learned);
             outlook.add_turn(job, turn, |_, free| free);
         }
-        learned.arrive(&course, slack);
-    }
-
-    /// How long, in milliseconds, a job that comes in may wait and still meet its objective.
-    fn slack(&self, job: &Job) -> u64 {
-        let learned = self.learned.get(&job.sub.queue);
-        let longer = learned.map_or(1.0, Learned::stretch);
-        let queue = self.config.queues.get(&job.sub.queue);
-        let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
-        let spare = job.chain() as f64 * longer * (stretch - 1.0).max(0.0);
-        spare as u64 + allowance
+        learned.arrive(&course);
     }
 
     /// Adds what an open short job asks for now and later; what waits only as far as its team's
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -60,7 +60,11 @@
         let queue = self.config.queues.get(&job.sub.queue);
         let learned = self.learned.get(&job.sub.queue);
         let longer = learned.map_or(1.0, Learned::stretch);
-        rank(job, queue, longer, self.now)
+        let rank = rank(job, queue, longer, self.now);
+        match self.policy.begun {
+            true => rank,
+            false => rank.without_begun(),
+        }
     }
 
     /// Jobs with a task that should run and has no run, by service.
@@ -191,8 +195,9 @@
                 beside: &beside,
                 avoid: run.tasks[index].failed_on.as_ref(),
                 rack: rack.as_deref(),
-                home: home.as_ref(),
+                home: home.as_ref().filter(|_| self.policy.home),
                 allowed,
+                pack: self.policy.pack,
             };
             let Some(candidate) = choose(candidates, &wish) else {
                 return (choices, 1);
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -83,6 +83,8 @@
     pub(crate) home: Option<&'a Home>,
     /// Workers that the queue's policy allows; `None` if it has none.
     pub(crate) allowed: Option<&'a [WorkerId]>,
+    /// Whether the fullest worker goes first, or the emptiest.
+    pub(crate) pack: bool,
 }
 
 /// Index of the best candidate, if any can take the task.
@@ -129,6 +131,10 @@
     };
     // Lasting work is better apart: its step's budget bears the loss of a few tasks.
     let home = wish.home.filter(|_| !step.lasting);
+    let left = match wish.pack {
+        true => c.free.cpu,
+        false => u64::MAX - c.free.cpu,
+    };
     let distance = home.map_or(Distance::Rack, |h| h.distance(c));
     (
         failed,
@@ -137,6 +143,6 @@
         moves_again,
         std::cmp::Reverse(company),
         distance,
-        c.free.cpu,
+        left,
     )
 }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -42,6 +42,14 @@
 }
 
 impl Rank {
+    /// The same, whether the job has begun or not.
+    pub(crate) fn without_begun(self) -> Self {
+        Self {
+            fresh: false,
+            ..self
+        }
+    }
+
     /// Whether the job is of no use to its caller any more.
     pub(crate) fn is_overdue(self) -> bool {
         self.class == Class::Overdue
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -68,7 +68,9 @@
             copy.since = now;
             return Some(Need::StopAgain);
         }
-        let still = copy.phase == Phase::Running && stands_still(copy, lasting, now);
+        let still = self.policy.progress
+            && copy.phase == Phase::Running
+            && stands_still(copy, lasting, now);
         still.then_some(Need::Leave)
     }
 
--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -1,6 +1,7 @@
 //! Figures and switches of the node's decisions.
 
 use cactuswheel_capacity::PoolPolicy;
+use cactuswheel_cell::WorkPolicy;
 use cactuswheel_model::Millis;
 use serde::Deserialize;
 
@@ -18,6 +19,57 @@
 pub struct Policies {
     /// How pools grow and shrink.
     pub pools: Pools,
+    /// How jobs are ordered and placed.
+    pub work: Work,
+}
+
+/// How jobs are ordered and placed; [`WorkPolicy`] says what each switch does.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Work {
+    /// Short work goes to the fullest worker that has room.
+    pub pack: bool,
+    /// A job's tasks stay in one data centre and rack.
+    pub home: bool,
+    /// Jobs that have begun go first.
+    pub begun: bool,
+    /// Jobs beyond their team's share wait while the fleet is full.
+    pub shares: bool,
+    /// Runs that make no progress start elsewhere.
+    pub progress: bool,
+    /// Workers that fail what they start get no work for a while.
+    pub health: bool,
+    /// Run times are learnt.
+    pub learn: bool,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        let policy = WorkPolicy::default();
+        Self {
+            pack: policy.pack,
+            home: policy.home,
+            begun: policy.begun,
+            shares: policy.shares,
+            progress: policy.progress,
+            health: policy.health,
+            learn: policy.learn,
+        }
+    }
+}
+
+impl Work {
+    pub(crate) fn policy(&self) -> WorkPolicy {
+        WorkPolicy {
+            pack: self.pack,
+            home: self.home,
+            begun: self.begun,
+            shares: self.shares,
+            progress: self.progress,
+            health: self.health,
+            learn: self.learn,
+        }
+    }
 }
 
 /// How pools grow and shrink; [`PoolPolicy`] says what each figure does.
@@ -27,9 +79,6 @@
     /// Time from an order to a worker that takes work.
     #[serde(rename = "arrival_ms", deserialize_with = "from_millis")]
     pub arrival: Millis,
-    /// Time after that over which what is asked for is averaged.
-    #[serde(rename = "smooth_ms", deserialize_with = "from_millis")]
-    pub smooth: Millis,
     /// Time ahead for which a pool keeps what it will need.
     #[serde(rename = "keep_ms", deserialize_with = "from_millis")]
     pub keep: Millis,
@@ -55,7 +104,6 @@
         let policy = PoolPolicy::default();
         Self {
             arrival: policy.arrival.into(),
-            smooth: policy.smooth.into(),
             keep: policy.keep.into(),
             hold: policy.hold.into(),
             gaps: policy.gaps,
@@ -72,7 +120,6 @@
     pub(crate) fn policy(&self) -> PoolPolicy {
         PoolPolicy {
             arrival: self.arrival.duration(),
-            smooth: self.smooth.duration(),
             keep: self.keep.duration(),
             hold: self.hold.duration(),
             gaps: self.gaps,
@@ -89,7 +136,6 @@
         let times = [
             ("policies.pools.arrival_ms", self.arrival),
             ("policies.pools.keep_ms", self.keep),
-            ("policies.pools.smooth_ms", self.smooth),
             ("policies.pools.hold_ms", self.hold),
         ];
         if let Some((place, _)) = times.iter().find(|(_, t)| t.get() > MAX_AHEAD) {
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -68,7 +68,8 @@
             None => sleep(RETRY).await,
         }
     };
-    let mut cell = Cell::new(bounds(shared), epoch, config);
+    let policy = shared.settings.policies.work.policy();
+    let mut cell = Cell::new(bounds(shared), epoch, config).with_policy(policy);
     if !alone {
         cell.expect_others();
     }
