--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -12,7 +12,7 @@
 
 impl Planner {
     /// Pools that are short get instances: those about to leave stay, then spare ones come, then
-    /// those that other pools have too many of, at once if they are empty.
+    /// those that other pools have too many of.
     ///
     /// Failure: lasting work has no place for ten seconds, because a pool that lacks two
     /// instances for it comes after one that lacks twenty for a surge. Pools that lack a place
@@ -29,7 +29,6 @@
             .map(|(s, p)| (p.lacks(), p.target - p.have(), (*s).clone()))
             .collect();
         short.sort_by(|a, b| b.cmp(a));
-        let mut lacking = 0;
         for (_, mut missing, service) in short {
             missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
             while missing > 0 {
@@ -52,55 +51,7 @@
                     worker,
                 });
             }
-            lacking += missing;
         }
-        if self.policy.lend {
-            self.make_free(lacking, pools, taken, duties);
-        }
-    }
-
-    /// Busy instances that other pools lack get no more work, so that they are lent once empty.
-    ///
-    /// A pool keeps what it will need within seconds, or is about to be rid of a burst; another
-    /// one lacks instances now. Those beyond what the first will need when an instance could
-    /// be back are emptied on purpose, the least busy ones first.
-    fn make_free(
-        &self,
-        lacking: usize,
-        pools: &mut Map<&ServiceName, Pool<'_>>,
-        taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
-    ) {
-        let closing = pools.values().flat_map(|p| &p.closing);
-        let closing = closing.filter(|(_, v)| !self.waves.emptying.contains(&v.worker));
-        let wanted = lacking.saturating_sub(closing.count());
-        let mut busy = Vec::new();
-        for pool in pools.values() {
-            let beyond = pool.have().saturating_sub(pool.target);
-            let mut own: Vec<_> = pool.serving.iter().collect();
-            own.retain(|(m, v)| v.lasting == 0 && !taken.contains(&m.instance.name));
-            own.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
-            busy.extend(own.into_iter().take(beyond));
-        }
-        busy.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
-        let chosen: Set<InstanceName> = busy
-            .iter()
-            .take(wanted)
-            .map(|(m, _)| m.instance.name.clone())
-            .collect();
-        for pool in pools.values_mut() {
-            let own = pool.serving.iter();
-            let own = own.filter(|(m, _)| chosen.contains(&m.instance.name));
-            let own: Vec<_> = own.copied().collect();
-            pool.serving
-                .retain(|(m, _)| !chosen.contains(&m.instance.name));
-            duties.extend(own.iter().map(|(_, v)| Duty::Close {
-                worker: v.worker.clone(),
-                evacuate: false,
-            }));
-            pool.closing.extend(own);
-        }
-        taken.extend(chosen);
     }
 
     /// Workers of a pool that were about to leave take work again.
--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -1,10 +1,9 @@
 //! How much a pool is asked for.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use cactuswheel_cell::{Load, SLOT_MS, SLOTS};
-use cactuswheel_model::{Map, Time};
+use cactuswheel_model::{Map, Millis, Time};
 use cactuswheel_work::{QueueName, Room};
 
 use crate::policy::PoolPolicy;
@@ -20,8 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Trend {
     rates: Map<QueueName, Rate>,
-    /// What had to be kept, of late.
-    kept: VecDeque<(Time, usize)>,
+    /// Targets of late.
+    targets: VecDeque<(Time, usize)>,
 }
 
 /// Instances that a pool needs.
@@ -29,7 +28,7 @@
 pub(crate) struct Need {
     /// When those that are ordered now arrive.
     pub(crate) target: usize,
-    /// At some time before it pays to send them away and have them back.
+    /// Before it pays to send one away: the highest target of late.
     pub(crate) keep: usize,
 }
 
@@ -54,13 +53,11 @@
         let instances = |asked: f64| (asked * policy.gaps + reserve).ceil() as usize;
         let arrival = slot(policy.arrival);
         let target = instances(asked[arrival]);
-        let kept = asked[..=slot(policy.keep)].iter().copied();
-        let kept = instances(kept.fold(0.0, f64::max));
-        self.kept.push_back((now, kept.max(target)));
-        while self.kept.len() > 1 && now.since(self.kept[0].0) > policy.hold {
-            self.kept.pop_front();
+        self.targets.push_back((now, target));
+        while self.targets.len() > 1 && now.since(self.targets[0].0) > policy.hold.duration() {
+            self.targets.pop_front();
         }
-        let keep = self.kept.iter().map(|(_, k)| *k).max();
+        let keep = self.targets.iter().map(|(_, t)| *t).max();
         Need {
             target,
             keep: keep.unwrap_or_default(),
@@ -129,8 +126,8 @@
     (time as f64 / SLOT_MS as f64).max(1.0)
 }
 
-fn slot(time: Duration) -> usize {
-    let slot = time.as_millis() as u64 / SLOT_MS;
+fn slot(time: Millis) -> usize {
+    let slot = time.get() / SLOT_MS;
     (slot as usize).min(SLOTS - 1)
 }
 
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -58,7 +58,7 @@
             return;
         };
         let learned = self.learned.entry(job.sub.queue.clone()).or_default();
-        learned.done(step.estimate, took);
+        learned.task_done(step.estimate, took);
         let Some(run) = job.step_run_mut(task) else {
             return;
         };
--- a/crates/cell/src/learned.rs
+++ b/crates/cell/src/learned.rs
@@ -25,17 +25,39 @@
     pub course: Ahead,
 }
 
+/// Times that were taken and what had been guessed of them, older ones counting less.
+#[derive(Debug, Clone, Copy, Default)]
+struct Guesses {
+    /// In milliseconds.
+    took: u64,
+    /// In milliseconds.
+    guessed: u64,
+}
+
+impl Guesses {
+    fn add(&mut self, guess: Millis, took: Duration) {
+        self.took += took.as_millis() as u64;
+        self.guessed += guess.get();
+        if self.guessed > FORGET_AFTER {
+            self.took /= 2;
+            self.guessed /= 2;
+        }
+    }
+
+    /// How many times as long as guessed things take.
+    fn factor(self) -> f64 {
+        (self.took + TRUST) as f64 / (self.guessed + TRUST) as f64
+    }
+}
+
 /// What was learnt of a queue's jobs.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Learned {
     pub(crate) arrivals: Arrivals,
-    /// Run times of tasks that are done, in milliseconds, older ones counting less.
-    took: u64,
-    /// What callers guessed of them.
-    guessed: u64,
-    /// Run times of the longest task of each step that is done, and what was guessed of it.
-    longest: u64,
-    longest_guessed: u64,
+    /// Run times of tasks.
+    tasks: Guesses,
+    /// Run times of the longest task of each step.
+    steps: Guesses,
 }
 
 impl Learned {
@@ -48,31 +70,13 @@
     }
 
     /// A task is done.
-    pub(crate) fn done(&mut self, guess: Millis, took: Duration) {
-        self.took += took.as_millis() as u64;
-        self.guessed += guess.get();
-        if self.guessed > FORGET_AFTER {
-            self.took /= 2;
-            self.guessed /= 2;
-        }
+    pub(crate) fn task_done(&mut self, guess: Millis, took: Duration) {
+        self.tasks.add(guess, took);
     }
 
     /// A step is done; `longest` is the run time of its longest task.
     pub(crate) fn step_done(&mut self, guess: Millis, longest: Duration) {
-        self.longest += longest.as_millis() as u64;
-        self.longest_guessed += guess.get();
-        if self.longest_guessed > FORGET_AFTER {
-            self.longest /= 2;
-            self.longest_guessed /= 2;
-        }
-    }
-
-    /// How many times as long as callers guess the longest task of a step takes.
-    ///
-    /// Tasks of one step differ, and a step is done with its longest: a job of which the guesses
-    /// say that it is late may be in time, since its objective counts what its work takes.
-    pub(crate) fn stretch(&self) -> f64 {
-        (self.longest + TRUST) as f64 / (self.longest_guessed + TRUST) as f64
+        self.steps.add(guess, longest);
     }
 
     /// Run time, in milliseconds, of a task for which callers guess this.
@@ -80,6 +84,14 @@
     /// Guesses are off by half as a rule, and by more on a queue whose callers all guess too
     /// low; what the queue's tasks took together is known within a few jobs.
     pub(crate) fn run_time(&self, guess: Millis) -> u64 {
-        guess.get() * (self.took + TRUST) / (self.guessed + TRUST)
+        (guess.get() as f64 * self.tasks.factor()) as u64
+    }
+
+    /// How many times as long as callers guess the longest task of a step takes.
+    ///
+    /// Tasks of one step differ, and a step is done with its longest: a job of which the guesses
+    /// say that it is late may be in time, since its objective counts what its work takes.
+    pub(crate) fn stretch(&self) -> f64 {
+        self.steps.factor()
     }
 }
--- a/crates/cell/src/policy.rs
+++ b/crates/cell/src/policy.rs
@@ -1,8 +1,11 @@
 //! Switches of how a cell decides.
 
-/// Switches of how a cell decides. Each can be turned off, so that what it is worth can be
-/// measured without another build.
-#[derive(Debug, Clone, PartialEq, Eq)]
+use serde::Deserialize;
+
+/// Switches of how a cell decides. Each can be turned off in the settings, so that what it is
+/// worth can be measured without another build.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct WorkPolicy {
     /// Short work goes to the fullest worker that has room.
     pub pack: bool,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -82,7 +82,7 @@
         let times = Times {
             maintaining: shared.settings.times.maintaining,
         };
-        let policy = shared.settings.policies.pools.policy();
+        let policy = shared.settings.policies.pools.clone();
         let wait = shared.settings.times.order.duration() + LIMIT + ORDER_MARGIN;
         let now = shared.clock.now();
         // Nobody knows what was ordered of late: anything may have been.
--- a/crates/node/src/order_log.rs
+++ b/crates/node/src/order_log.rs
@@ -5,6 +5,7 @@
 
 use cactuswheel_adapter::{AppendError, Item, Keyed, ReadError, Store};
 use futures::future::join_all;
+use tokio::time::sleep;
 
 use crate::topics::orders;
 
@@ -15,7 +16,10 @@
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Times that a partition is read before it counts as unreadable.
-const READ_TRIES: usize = 3;
+const READ_TRIES: usize = 5;
+
+/// Pause before it is read again.
+const RETRY: Duration = Duration::from_millis(50);
 
 /// The record of orders to instances.
 ///
@@ -75,6 +79,7 @@
             Ok(items) => return Some(items),
             Err(e) => log::info!(part = part, error:% = e; "orders cannot be read yet"),
         }
+        sleep(RETRY).await;
     }
     None
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -147,7 +147,7 @@
         /// The file.
         path: PathBuf,
         /// The field.
-        place: &'static str,
+        place: String,
         /// What is wrong with it.
         fault: &'static str,
     },
@@ -178,7 +178,14 @@
     }
 
     /// The first field that is out of its range, and what is wrong with it.
-    fn fault(&self) -> Option<(&'static str, &'static str)> {
+    fn fault(&self) -> Option<(String, &'static str)> {
+        let own = self.own_fault();
+        let own = own.map(|(place, fault)| (place.to_owned(), fault));
+        let pools = self.policies.pools.fault();
+        own.or(pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault)))
+    }
+
+    fn own_fault(&self) -> Option<(&'static str, &'static str)> {
         let times = &self.times;
         let positive = [
             ("times.revoke_ms", times.revoke),
@@ -204,7 +211,7 @@
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
-        self.policies.pools.fault()
+        None
     }
 }
 
@@ -216,7 +223,7 @@
     1.0
 }
 
-pub(crate) fn from_millis<'de, D: Deserializer<'de>>(input: D) -> Result<Millis, D::Error> {
+fn from_millis<'de, D: Deserializer<'de>>(input: D) -> Result<Millis, D::Error> {
     let ms = f64::deserialize(input)?;
     match ms.is_finite() && ms >= 0.0 {
         true => Ok(Millis::new(ms.round() as u64)),
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -68,7 +68,7 @@
             None => sleep(RETRY).await,
         }
     };
-    let policy = shared.settings.policies.work.policy();
+    let policy = shared.settings.policies.work.clone();
     let mut cell = Cell::new(bounds(shared), epoch, config).with_policy(policy);
     if !alone {
         cell.expect_others();
@@ -120,11 +120,11 @@
 
 /// What earlier owners have had remembered of instances: maintenance, and their last orders.
 async fn instances(shared: &Shared) -> (Past, Option<Vec<(InstanceName, OrderRecord)>>) {
-    let ((maintained, _), (begun, _), orders) = tokio::join!(
-        newest(shared, MAINTAINED),
-        newest(shared, WAVES),
-        shared.orders.read(&shared.store)
-    );
+    let ((maintained, _), (begun, _)) =
+        tokio::join!(newest(shared, MAINTAINED), newest(shared, WAVES));
+    // Only now: while the whole store is away each partition of the orders would count as
+    // unreadable, and no instance be moved for seconds after its return.
+    let orders = shared.orders.read(&shared.store).await;
     let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
     let past = Past {
         maintained: maintained.collect(),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -58,6 +58,41 @@
             "`share.burst` has to be 0 or more",
         ),
         ("share", json!({ "slack": "many" }), "at `share.slack`"),
+        (
+            "policies",
+            json!({ "pools": { "gaps": 0 } }),
+            "`policies.pools.gaps` has to be from 0.1 to 100",
+        ),
+        (
+            "policies",
+            json!({ "pools": { "doubt": -1 } }),
+            "`policies.pools.doubt` has to be from 0 to 100",
+        ),
+        (
+            "policies",
+            json!({ "pools": { "leaving": 1.5 } }),
+            "`policies.pools.leaving` has to be from 0 to 1",
+        ),
+        (
+            "policies",
+            json!({ "pools": { "arrival_ms": 60_001 } }),
+            "`policies.pools.arrival_ms` has to be a minute at most",
+        ),
+        (
+            "policies",
+            json!({ "pools": { "hold_ms": -5 } }),
+            "at `policies.pools.hold_ms`",
+        ),
+        (
+            "policies",
+            json!({ "work": { "pack": "yes" } }),
+            "at `policies.work.pack`",
+        ),
+        (
+            "policies",
+            json!({ "work": { "packs": true } }),
+            "unknown field `packs`",
+        ),
     ];
     for (number, (field, value, expected)) in cases.into_iter().enumerate() {
         let mut settings = least();
@@ -67,3 +102,15 @@
         assert!(error.contains(expected), "{error}");
     }
 }
+
+/// One figure of a policy is set, and the others keep their defaults.
+#[test]
+fn one_figure() {
+    let mut settings = least();
+    settings["policies"] = json!({ "pools": { "gaps": 1.5 }, "work": { "home": false } });
+    let settings = load("figure", &settings).expect("it is usable");
+    let policies = settings.policies;
+    assert_eq!(policies.pools.gaps, 1.5);
+    assert_eq!(policies.pools.hold.get(), 1_000);
+    assert!(!policies.work.home && policies.work.pack);
+}
