--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -195,8 +195,8 @@
     }
 
     pub(super) fn fits(&self, member: &Member<'_>, pool: &ServiceName) -> bool {
-        let name = member.instance.name.as_str().to_owned();
-        !self.unfit.contains(&(name, pool.clone()))
+        let unfit = self.unfit.get(pool);
+        unfit.is_none_or(|u| !u.contains(&member.instance.name))
     }
 }
 
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -14,7 +14,7 @@
 use crate::pool::{Pool, tell_pools};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
-use crate::waves::{Scene, Waves};
+use crate::waves::{Scene, WaveMembers, Waves};
 
 /// Age of the list of instances after which nothing is ordered: an instance may be elsewhere.
 const LIST_LIMIT: Duration = Duration::from_millis(2_500);
@@ -56,8 +56,8 @@
     ordered: Map<InstanceName, Ordered>,
     unseen: Unseen,
     pub(crate) waves: Waves,
-    /// Pools that an instance cannot serve, by its kind.
-    pub(crate) unfit: Set<(String, ServiceName)>,
+    /// Instances that cannot serve a pool.
+    pub(crate) unfit: Map<ServiceName, Set<InstanceName>>,
     /// Workers on instances that are to be maintained before long.
     due: Set<WorkerId>,
     /// When the pools were last told of in the log.
@@ -81,7 +81,7 @@
             ordered: Map::default(),
             unseen: Unseen::default(),
             waves,
-            unfit: Set::default(),
+            unfit: Map::default(),
             due: Set::default(),
             told: Time::default(),
         }
@@ -111,8 +111,8 @@
             InstanceOutcome::Unknown => given.at = now,
             InstanceOutcome::Invalid => {
                 if let InstanceOrder::Move { pool, .. } = &given.order {
-                    let kind = instance.as_str().to_owned();
-                    self.unfit.insert((kind, pool.clone()));
+                    let unfit = self.unfit.entry(pool.clone()).or_default();
+                    unfit.insert(instance.clone());
                 }
                 self.ordered.remove(instance);
             }
@@ -139,6 +139,7 @@
         let mut duties = self.see_through(snapshot);
         duties.extend(self.waves.begin_all(snapshot));
         let all = members(snapshot, &self.ordered, &mut self.unseen);
+        let waves = self.waves.members(snapshot.waves, &all);
         let targets = self.targets(snapshot);
         let mut pools: Map<&ServiceName, Pool<'_>> = Map::default();
         for (service, share) in &targets {
@@ -168,12 +169,14 @@
         }
         let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
         taken.extend(snapshot.reserved.keys().cloned());
-        self.maintain(true, snapshot, &all, &pools, &mut taken, &mut duties);
+        self.maintain(true, snapshot, &waves, &pools, &mut taken, &mut duties);
         spare.retain(|m| !taken.contains(&m.instance.name));
         // Those that a wave still wants stay where their maintenance is free.
-        spare.sort_by_key(|m| self.waves.wants(snapshot.waves, &m.instance.name));
+        let left = waves.iter().flat_map(|w| &w.left);
+        let wanted: Set<&InstanceName> = left.map(|m| &m.instance.name).collect();
+        spare.sort_by_cached_key(|m| wanted.contains(&m.instance.name));
         self.grow(&mut pools, &mut spare, &mut taken, &mut duties);
-        self.maintain(false, snapshot, &all, &pools, &mut taken, &mut duties);
+        self.maintain(false, snapshot, &waves, &pools, &mut taken, &mut duties);
         let idle = Idle {
             spare: spare.len(),
             leaving: self.leaving(snapshot, &all),
@@ -206,7 +209,7 @@
         &mut self,
         pressing: bool,
         snapshot: &Snapshot<'_>,
-        all: &[Member<'_>],
+        waves: &[WaveMembers<'_>],
         pools: &Map<&ServiceName, Pool<'_>>,
         taken: &mut Set<InstanceName>,
         duties: &mut Vec<Duty>,
@@ -216,7 +219,6 @@
         let scene = Scene {
             now: snapshot.now,
             maintaining: self.times.maintaining.duration(),
-            members: all,
             ordered: &self.ordered,
             reserved: snapshot.reserved,
             short: &short,
@@ -224,12 +226,12 @@
         if pressing {
             self.due.clear();
         }
-        for wave in snapshot.waves {
+        for wave in waves {
             if pressing {
-                self.due.extend(self.waves.due(wave, &scene));
+                self.due.extend(Waves::due(wave));
             }
             if pressing && self.told == snapshot.now {
-                self.waves.log(wave, &scene);
+                self.waves.log(wave, snapshot.now);
             }
             if self.waves.is_pressing(wave, &scene) == pressing {
                 let wanted = self.waves.plan(wave, &scene, pressing, taken);
@@ -244,9 +246,16 @@
         let now = snapshot.now;
         let mut duties = Vec::new();
         let mut over = Vec::new();
+        let listed: Map<&InstanceName, InstanceState> = match self.ordered.is_empty() {
+            true => Map::default(),
+            false => snapshot
+                .instances
+                .iter()
+                .map(|i| (&i.name, i.state))
+                .collect(),
+        };
         for (name, given) in &mut self.ordered {
-            let listed = snapshot.instances.iter().find(|i| i.name == *name);
-            let Some(listed) = listed else {
+            let Some(state) = listed.get(name) else {
                 over.push(name.clone());
                 continue;
             };
@@ -264,7 +273,7 @@
                 continue;
             }
             let settled = snapshot.listed > given.at
-                && matches!(listed.state, InstanceState::Up | InstanceState::Down);
+                && matches!(state, InstanceState::Up | InstanceState::Down);
             if settled || now.since(given.at) > ORDER_LIMIT {
                 over.push(name.clone());
                 if let InstanceOrder::Maintain { instance, wave } = &given.order {
--- a/crates/capacity/src/targets.rs
+++ b/crates/capacity/src/targets.rs
@@ -11,13 +11,16 @@
 impl Planner {
     /// Instances that each pool wants now, and those that it keeps.
     pub(crate) fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, Share> {
+        let open = open_workers(snapshot);
+        let units = units(snapshot);
+        let any = snapshot.instances.first().map(|i| i.room);
         let loads = snapshot.loads.iter();
         let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
         let mut shares: Map<ServiceName, Share> = loads
             .map(|(service, load)| {
-                let unit = unit(snapshot, service);
+                let unit = units.get(service).copied().or(any).unwrap_or_default();
                 let trend = self.trends.entry(service.clone()).or_default();
-                let serving = serving(snapshot, service);
+                let serving = open.get(service).copied().unwrap_or_default();
                 let need = trend.need(snapshot.now, load, unit, serving, &self.policy);
                 let target = need.target.max(least(load));
                 let share = Share {
@@ -41,17 +44,20 @@
     usize::from(load.queues > 0).max(load.spread)
 }
 
-/// Workers of a service that take work.
-fn serving(snapshot: &Snapshot<'_>, service: &ServiceName) -> usize {
-    let workers = snapshot.workers.values();
-    let serving = workers.filter(|w| w.service == *service && w.open && !w.closing);
-    serving.count()
+/// Workers of each service that take work.
+fn open_workers<'a>(snapshot: &'a Snapshot<'_>) -> Map<&'a ServiceName, usize> {
+    let mut found: Map<&ServiceName, usize> = Map::default();
+    for worker in snapshot.workers.values().filter(|w| w.open && !w.closing) {
+        *found.entry(&worker.service).or_default() += 1;
+    }
+    found
 }
 
-/// Size of a pool's instances; of the fleet's, where the pool has none.
-fn unit(snapshot: &Snapshot<'_>, service: &ServiceName) -> Room {
-    let mut instances = snapshot.instances.iter();
-    let own = instances.find(|i| i.pool == *service);
-    let any = own.or(snapshot.instances.first());
-    any.map(|i| i.room).unwrap_or_default()
+/// Size of each pool's instances.
+fn units<'a>(snapshot: &'a Snapshot<'_>) -> Map<&'a ServiceName, Room> {
+    let mut found: Map<&ServiceName, Room> = Map::default();
+    for instance in snapshot.instances {
+        found.entry(&instance.pool).or_insert(instance.room);
+    }
+    found
 }
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -34,7 +34,6 @@
     pub(crate) now: Time,
     /// Time that maintenance takes.
     pub(crate) maintaining: Duration,
-    pub(crate) members: &'a [Member<'a>],
     pub(crate) ordered: &'a Map<InstanceName, Ordered>,
     /// Instances that an earlier owner ordered of late, with the wave if it was for one.
     pub(crate) reserved: &'a Map<InstanceName, Option<u64>>,
@@ -49,20 +48,28 @@
     }
 }
 
-/// Instances of a wave that an earlier owner may have sent into their maintenance.
-///
-/// Failure: a new owner counts its own orders only, and with those of the earlier one too many
-/// instances of the wave are down at once.
-fn foreign(wave: &Wave, scene: &Scene<'_>) -> usize {
-    let names: Set<&InstanceName> = wave.instances.iter().collect();
-    let members = scene.members.iter().map(|m| m.instance);
-    let of_wave = members.filter(|i| names.contains(&i.name));
-    let others = of_wave.filter(|i| !scene.ordered.contains_key(&i.name));
-    let down = others.filter(|i| {
-        let ordered = scene.reserved.get(&i.name) == Some(&Some(wave.number));
-        i.state == InstanceState::Maintained || ordered
-    });
-    down.count()
+/// A wave and its instances, as of one plan.
+pub(crate) struct WaveMembers<'a> {
+    pub(crate) wave: &'a Wave,
+    members: Vec<&'a Member<'a>>,
+    /// Those that did not have their maintenance.
+    pub(crate) left: Vec<&'a Member<'a>>,
+}
+
+impl WaveMembers<'_> {
+    /// Instances that an earlier owner may have sent into their maintenance.
+    ///
+    /// Failure: a new owner counts its own orders only, and with those of the earlier one too many
+    /// instances of the wave are down at once.
+    fn foreign(&self, scene: &Scene<'_>) -> usize {
+        let members = self.members.iter().map(|m| m.instance);
+        let others = members.filter(|i| !scene.ordered.contains_key(&i.name));
+        let down = others.filter(|i| {
+            let ordered = scene.reserved.get(&i.name) == Some(&Some(self.wave.number));
+            i.state == InstanceState::Maintained || ordered
+        });
+        down.count()
+    }
 }
 
 /// How far the waves are.
@@ -99,17 +106,31 @@
         fresh.map(|wave| Duty::Began { wave }).collect()
     }
 
-    /// Whether a wave still wants this instance.
-    pub(crate) fn wants(&self, waves: &[Wave], instance: &InstanceName) -> bool {
-        waves.iter().any(|w| {
-            let done = self.done.get(&w.number);
-            w.instances.contains(instance) && done.is_none_or(|d| !d.contains(instance))
-        })
+    /// The instances of each wave.
+    pub(crate) fn members<'a>(
+        &self,
+        waves: &'a [Wave],
+        all: &'a [Member<'a>],
+    ) -> Vec<WaveMembers<'a>> {
+        let of = |wave: &'a Wave| {
+            let names: Set<&InstanceName> = wave.instances.iter().collect();
+            let members = all.iter().filter(|m| names.contains(&m.instance.name));
+            let members: Vec<&Member<'a>> = members.collect();
+            let done = self.done.get(&wave.number);
+            let open = |m: &&&Member<'a>| done.is_none_or(|d| !d.contains(&m.instance.name));
+            let left = members.iter().filter(open).copied().collect();
+            WaveMembers {
+                wave,
+                members,
+                left,
+            }
+        };
+        waves.iter().map(of).collect()
     }
 
     /// Whether a wave has so little time left that it goes before what pools want.
-    pub(crate) fn is_pressing(&mut self, wave: &Wave, scene: &Scene<'_>) -> bool {
-        let left = self.left(wave, scene).len();
+    pub(crate) fn is_pressing(&self, of: &WaveMembers<'_>, scene: &Scene<'_>) -> bool {
+        let (wave, left) = (of.wave, of.left.len());
         let rounds = left.div_ceil(wave.cap.max(1) as usize) as u32;
         let needed = (scene.maintaining + TURN) * rounds + LEAVING;
         left > 0 && self.time(wave, scene.now) < needed.mul_f64(EARLIER)
@@ -118,21 +139,21 @@
     /// What a wave needs now.
     pub(crate) fn plan(
         &mut self,
-        wave: &Wave,
+        of: &WaveMembers<'_>,
         scene: &Scene<'_>,
         pressing: bool,
         taken: &Set<InstanceName>,
     ) -> Vec<Duty> {
-        let left = self.left(wave, scene);
+        let (wave, left) = (of.wave, &of.left);
         let mut duties = self.tell(wave, left.is_empty());
         let of_wave = |o: &&Ordered| match &o.order {
             InstanceOrder::Maintain { wave: number, .. } => *number == wave.number,
             InstanceOrder::Move { .. } => false,
         };
         let under_way = scene.ordered.values().filter(of_wave).count();
-        let under_way = under_way + foreign(wave, scene);
+        let under_way = under_way + of.foreign(scene);
         let mut room = (wave.cap as usize).saturating_sub(under_way);
-        for member in &left {
+        for member in left {
             if room == 0 {
                 return duties;
             }
@@ -155,7 +176,7 @@
             duties.push(Duty::Order { order, worker });
         }
         let time = self.time(wave, scene.now);
-        duties.extend(self.empty_some(wave, scene, time, &left, room, pressing));
+        duties.extend(self.empty_some(wave, scene, time, left, room, pressing));
         duties
     }
 
@@ -165,21 +186,9 @@
         wave.within.duration().saturating_sub(now.since(seen))
     }
 
-    /// Instances of a wave that did not have their maintenance.
-    fn left<'a>(&mut self, wave: &Wave, scene: &Scene<'a>) -> Vec<&'a Member<'a>> {
-        let done = self.done.entry(wave.number).or_default();
-        let wanted: Set<&InstanceName> = wave.instances.iter().collect();
-        let left = scene.members.iter().filter(|m| {
-            let name = &m.instance.name;
-            wanted.contains(name) && !done.contains(name)
-        });
-        left.collect()
-    }
-
     /// Workers on instances that a wave has yet to maintain.
-    pub(crate) fn due(&mut self, wave: &Wave, scene: &Scene<'_>) -> Vec<WorkerId> {
-        let left = self.left(wave, scene);
-        let workers = left.iter().filter_map(|m| match &m.standing {
+    pub(crate) fn due(of: &WaveMembers<'_>) -> Vec<WorkerId> {
+        let workers = of.left.iter().filter_map(|m| match &m.standing {
             Standing::Serving(view) | Standing::Closing(view) => Some(view.worker.clone()),
             _ => None,
         });
@@ -187,8 +196,8 @@
     }
 
     /// Says what is left of a wave, and why it waits.
-    pub(crate) fn log(&mut self, wave: &Wave, scene: &Scene<'_>) {
-        let left = self.left(wave, scene);
+    pub(crate) fn log(&self, of: &WaveMembers<'_>, now: Time) {
+        let (wave, left) = (of.wave, &of.left);
         if left.is_empty() {
             return;
         }
@@ -200,7 +209,7 @@
         let first: Vec<&str> = first.take(NAMED).collect();
         log::info!(
             wave = wave.number, left = left.len() as u64,
-            ms = self.time(wave, scene.now).as_millis() as u64,
+            ms = self.time(wave, now).as_millis() as u64,
             spare = count(|s| matches!(s, Standing::Spare)),
             serving = count(|s| matches!(s, Standing::Serving(_))),
             closing = count(|s| matches!(s, Standing::Closing(_))),
--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -31,15 +31,21 @@
         record.apply(job, now);
         let copies: Vec<_> = job.copies().map(|(t, c)| (t, c.clone())).collect();
         for (task, copy) in copies {
-            let Some(step) = self.jobs[&id].step(task).cloned() else {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let (sub, index) = (job.sub.clone(), task.step.step as usize);
+            let Some(step) = sub.steps.get(index) else {
                 continue;
             };
             let worker = self.worker_mut(&copy.worker);
-            worker.hold(task, held(copy.run, &step));
-            let team = self.jobs[&id].sub.team.clone();
-            self.usage.add(team.as_ref(), step.room);
+            worker.hold(task, held(copy.run, step));
+            self.usage.add(sub.team.as_ref(), step.room);
         }
-        if !self.jobs[&id].is_open() {
+        let job = self.jobs.get(&id);
+        self.timed
+            .extend(job.and_then(|j| Some((j.next_turn()?, id))));
+        if job.is_some_and(|j| !j.is_open()) {
             self.open.remove(&id);
             self.stop_all(id);
         }
@@ -54,14 +60,14 @@
         self.open.remove(&id);
         self.cancelled.remove(&id);
         let ended = self.now;
-        self.finished.insert(id, Kept { job, ended });
+        self.remember(id, Kept { job, ended });
     }
 
     /// A job was accepted; `waited` is how long ago. A repeat has no effect.
     pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
         self.now = now;
         let id = sub.job;
-        if self.jobs.contains_key(&id) || self.finished.contains_key(&id) {
+        if self.jobs.contains(&id) || self.finished.contains_key(&id) {
             return;
         }
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
@@ -74,6 +80,7 @@
             log_accepted(&job);
         }
         self.count_arrival(&job);
+        self.timed.extend(job.next_turn().map(|due| (due, id)));
         self.jobs.insert(id, job);
         self.open.insert(id);
         if self.cancelled.remove(&id) {
--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -1,11 +1,11 @@
 //! Permissions of the policy service.
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Advice, StepId, WorkerId};
+use cactuswheel_work::{Advice, ServiceName, StepId, WorkerId};
 
 use crate::cell::Cell;
 use crate::output::Output;
-use crate::place::Candidate;
+use crate::rooms::Scope;
 
 /// Most workers named in one question. Each adds to the time of the answer, and a step seldom
 /// needs more; those with the most room are named first.
@@ -45,7 +45,7 @@
 
 impl Cell {
     /// The workers that may run a step; asks the policy service if too few are known.
-    pub(crate) fn permitted(&mut self, step: StepId, candidates: &[Candidate]) -> Permitted {
+    pub(crate) fn permitted(&mut self, step: StepId, service: &ServiceName) -> Permitted {
         let Some(_) = self.advice_of(step) else {
             return Permitted::Any;
         };
@@ -53,7 +53,7 @@
         let workers = &self.workers;
         let tickets = self.tickets.entry(step).or_default();
         let valid = tickets.good.iter().filter(|(id, t)| {
-            let alive = workers.get(*id).is_some_and(|w| w.born == t.born);
+            let alive = workers.get(id).is_some_and(|w| w.born == t.born);
             alive && t.until > now
         });
         let valid: Vec<WorkerId> = valid.map(|(id, _)| id.clone()).collect();
@@ -61,12 +61,11 @@
             return Permitted::Only(valid);
         }
         if tickets.asked.is_empty() {
-            let mut free: Vec<&Candidate> = candidates.iter().collect();
-            free.sort_by_key(|c| std::cmp::Reverse(c.free.cpu));
-            let open = free
-                .into_iter()
-                .filter(|c| !tickets.bad.contains(&c.worker));
-            tickets.asked = open.take(NAMED).map(|c| c.worker.clone()).collect();
+            let rooms = workers.rooms(service).into_iter();
+            let roomy = rooms.flat_map(|r| r.emptiest(Scope::All, 0));
+            let open = roomy.filter_map(|n| workers.at(n));
+            let open = open.filter(|w| w.is_open(now) && !tickets.bad.contains(&w.id));
+            tickets.asked = open.take(NAMED).map(|w| w.id.clone()).collect();
             if !tickets.asked.is_empty() {
                 let workers = tickets.asked.clone();
                 self.out.push(Output::Ask { step, workers });
--- a/crates/cell/src/ahead.rs
+++ b/crates/cell/src/ahead.rs
@@ -29,7 +29,10 @@
 
     /// Asks for `room` between two times, in milliseconds from now.
     pub fn add(&mut self, room: Room, from: u64, until: u64) {
-        for (slot, asked) in self.slots.iter_mut().enumerate() {
+        let slot = |at: u64| (at / SLOT_MS).min(SLOTS as u64) as usize;
+        let reached = slot(from)..slot(until.saturating_add(SLOT_MS - 1));
+        for slot in reached {
+            let asked = &mut self.slots[slot];
             let begin = slot as u64 * SLOT_MS;
             let shared = until.min(begin + SLOT_MS).saturating_sub(from.max(begin));
             *asked += part(room, shared, SLOT_MS);
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -1,5 +1,6 @@
 //! The cell itself: its state, what it is told and what it asks for.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,13 +15,16 @@
 use crate::copy::Phase;
 use crate::finished::Kept;
 use crate::job::Job;
+use crate::jobs::Jobs;
 use crate::learned::Learned;
+use crate::lines::Lines;
 use crate::output::Output;
 use crate::policy::WorkPolicy;
 use crate::run_state::Turn;
 use crate::shares::Shares;
 use crate::usage::Usage;
 use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
+use crate::workers::Workers;
 
 /// Bits of a fencing token below the owner's epoch. Within one ownership a worker's token rises
 /// each time that an order to it has no answer.
@@ -43,17 +47,27 @@
     /// has seen its old token, and refuses a lower one as if a newer owner were at work.
     pub(crate) fence: u64,
     pub(crate) config: Arc<FleetConfig>,
-    pub(crate) jobs: Map<JobId, Job>,
+    pub(crate) jobs: Jobs,
     /// Those that are not in a final state.
     pub(crate) open: Set<JobId>,
+    /// Those with a task that waits for a worker.
+    pub(crate) lines: Lines,
+    /// When the next occurrence of each job is due, in milliseconds since 1970.
+    pub(crate) timed: BTreeSet<(u64, JobId)>,
     /// Jobs of which nothing is left to do, by the journal.
     ///
     /// Invariant: none of them is in `jobs`.
     pub(crate) finished: Map<JobId, Kept>,
+    /// The same by age, oldest first.
+    pub(crate) oldest: VecDeque<JobId>,
     /// Finished jobs whose submission is still in the intake.
     pub(crate) unneeded: Vec<JobId>,
     pub(crate) last_drop: Time,
-    pub(crate) workers: Map<WorkerId, Worker>,
+    pub(crate) workers: Workers,
+    /// Workers on instances that are to be maintained before long.
+    pub(crate) due: Set<WorkerId>,
+    /// When lasting work was last asked to leave workers.
+    pub(crate) last_evacuation: Time,
     pub(crate) usage: Usage,
     pub(crate) shares: Shares,
     pub(crate) tickets: Map<StepId, Tickets>,
@@ -88,12 +102,17 @@
             policy: WorkPolicy::default(),
             fence: epoch << FENCE_BITS,
             config,
-            jobs: Map::default(),
+            jobs: Jobs::default(),
             open: Set::default(),
+            lines: Lines::default(),
+            timed: BTreeSet::new(),
             finished: Map::default(),
+            oldest: VecDeque::new(),
             unneeded: Vec::new(),
             last_drop: Time::default(),
-            workers: Map::default(),
+            workers: Workers::default(),
+            due: Set::default(),
+            last_evacuation: Time::default(),
             usage: Usage::default(),
             shares: Shares::default(),
             tickets: Map::default(),
@@ -134,18 +153,24 @@
             return;
         }
         self.config = config;
+        for id in &self.open {
+            self.jobs.get_mut(id);
+        }
         self.stirred = true;
     }
 
     /// The platform lists a worker.
     pub fn list(&mut self, now: Time, entry: WorkerEntry) {
         self.now = now;
+        let known = self.workers.get(&entry.id);
+        if known.is_some_and(|w| w.entry.as_ref() == Some(&entry)) {
+            // Every worker repeats its entry each second or two.
+            return;
+        }
         let id = entry.id.clone();
-        let fence = self.fence;
-        let worker = self.workers.entry(id.clone());
-        let worker = worker.or_insert_with(|| Worker::new(id.clone(), fence, now));
+        let worker = self.workers.get_or_add(&id, self.fence, now);
         let reborn = entry.born > worker.born && worker.born != 0;
-        self.stirred |= worker.entry.as_ref() != Some(&entry);
+        self.stirred = true;
         let changed = worker.entry.as_ref().is_none_or(|before| {
             before.presence != entry.presence || before.addr != entry.addr || reborn
         });
@@ -161,6 +186,7 @@
         }
         let draining = entry.presence == cactuswheel_work::Presence::Draining;
         worker.addr = Some(entry.addr);
+        worker.rack = entry.rack().map(Into::into);
         worker.entry = Some(entry);
         if changed && draining {
             self.leave(&id);
@@ -210,6 +236,16 @@
         self.renewing = age < RENEW_WITHOUT_STORE;
     }
 
+    /// Derives anew what follows from the state of jobs and workers that changed.
+    pub(crate) fn settle(&mut self) {
+        self.workers.settle();
+        let due = self.lines.due(self.now);
+        for id in self.jobs.take_touched().into_iter().chain(due) {
+            let queued = self.jobs.get(&id).and_then(|job| self.queued(job));
+            self.lines.put(id, queued);
+        }
+    }
+
     /// What is to be done now; `wall` is in milliseconds since 1970.
     pub fn poll(&mut self, now: Time, wall: u64) -> Vec<Output> {
         self.now = now;
@@ -231,18 +267,13 @@
 
     /// When it has to be polled at the latest, if nothing happens.
     pub fn wake(&self) -> Time {
-        let due = self.workers.values().filter_map(|w| match w.looking {
-            Looking::Due(at) => Some(at),
-            Looking::Flying(_) => None,
-        });
         let soon = self.now.after(Duration::from_millis(100));
-        due.chain([soon]).min().unwrap_or(soon)
+        let look = self.workers.next_look();
+        look.map_or(soon, |at| at.min(soon))
     }
 
     pub(crate) fn worker_mut(&mut self, id: &WorkerId) -> &mut Worker {
-        let (fence, now) = (self.fence, self.now);
-        let worker = self.workers.entry(id.clone());
-        worker.or_insert_with(|| Worker::new(id.clone(), fence, now))
+        self.workers.get_or_add(id, self.fence, self.now)
     }
 
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
@@ -277,17 +308,19 @@
 
     /// Occurrences that are due begin.
     fn begin_turns(&mut self, wall: u64) {
-        for id in &self.open {
-            let timed = self.jobs.get_mut(id).filter(|j| j.sub.times > 0);
-            let Some(job) = timed else {
+        while let Some(&(due, id)) = self.timed.first()
+            && due <= wall
+        {
+            self.timed.pop_first();
+            let job = self.jobs.get_mut(&id).filter(|j| j.is_open());
+            // A record of an earlier owner may be further on.
+            let Some(job) = job.filter(|j| j.next_turn() == Some(due)) else {
                 continue;
             };
             let next = job.turns.len() as u32;
-            let due = job.sub.begin + u64::from(next) * job.sub.interval.get();
-            if next < job.sub.turns() && wall >= due {
-                job.turns.push(Turn::new(next, &job.sub.steps));
-                self.stirred = true;
-            }
+            job.turns.push(Turn::new(next, &job.sub.steps));
+            self.timed.extend(job.next_turn().map(|due| (due, id)));
+            self.stirred = true;
         }
     }
 
@@ -295,16 +328,16 @@
     fn expire(&mut self) {
         let (lease, others) = (self.bounds.lease, self.others);
         let now = self.now;
+        self.workers.settle();
         let gone: Vec<WorkerId> = self
             .workers
-            .values()
-            .filter(|w| w.missed > 0 || w.entry.is_none())
+            .silent()
             .filter(|w| w.held.is_empty() || w.has_expired(lease, others, now))
             .map(|w| w.id.clone())
             .collect();
         for id in gone {
             self.lose_all(&id, "lease expired");
-            if self.workers[&id].entry.is_none() {
+            if self.workers.get(&id).is_some_and(|w| w.entry.is_none()) {
                 self.workers.remove(&id);
             }
         }
@@ -314,12 +347,14 @@
     fn forget(&mut self) {
         let kept = self.bounds.kept.duration() + KEPT_LONGER;
         let now = self.now;
-        let old = self.finished.iter();
-        let old = old.filter(|(_, k)| now.since(k.ended) > kept);
-        let old: Vec<JobId> = old.map(|(id, _)| *id).collect();
-        for id in old {
-            self.finished.remove(&id);
-            self.dirty.insert(id);
+        while let Some(id) = self.oldest.front() {
+            let known = self.finished.get(id);
+            if known.is_some_and(|k| now.since(k.ended) <= kept) {
+                return;
+            }
+            self.finished.remove(id);
+            self.dirty.insert(*id);
+            self.oldest.pop_front();
         }
     }
 }
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::JobId;
+use cactuswheel_work::{JobId, WorkerId};
 
 use crate::batch::{Batch, Consequences, Mark};
 use crate::cell::Cell;
@@ -49,11 +49,18 @@
     fn keep(&mut self, id: JobId, job: Finished) {
         let ended = self.jobs.remove(&id).and_then(|j| j.ended);
         let ended = ended.unwrap_or(self.now);
-        self.finished.insert(id, Kept { job, ended });
+        self.remember(id, Kept { job, ended });
+        self.lines.put(id, None);
         self.tickets.retain(|step, _| step.job != id);
         self.unneeded.push(id);
     }
 
+    pub(crate) fn remember(&mut self, id: JobId, kept: Kept) {
+        if self.finished.insert(id, kept).is_none() {
+            self.oldest.push_back(id);
+        }
+    }
+
     /// Asks to drop the submissions of finished jobs, many at a time.
     pub(crate) fn drop_submissions(&mut self) {
         let due = self.now.since(self.last_drop) >= DROP_EVERY;
@@ -69,8 +76,12 @@
     pub(crate) fn write(&mut self) {
         if self.dirty.is_empty() {
             // Ends of runs that no job knows change nothing; they need no journal.
-            for worker in self.workers.values_mut() {
-                worker.noted = worker.seen;
+            self.workers.settle();
+            let fresh: Vec<WorkerId> = self.workers.fresh().map(|w| w.id.clone()).collect();
+            for id in fresh {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.noted = worker.seen;
+                }
             }
             return;
         }
@@ -103,8 +114,12 @@
         self.planned = later;
         done.starts = now;
         if self.dirty.is_empty() {
-            let fresh = self.workers.values().filter(|w| w.seen > w.noted);
-            done.ends = fresh.map(|w| (w.id.clone(), w.born, w.seen)).collect();
+            self.workers.settle();
+            done.ends = self
+                .workers
+                .fresh()
+                .map(|w| (w.id.clone(), w.born, w.seen))
+                .collect();
         }
         let mark = Mark(self.next_mark);
         self.next_mark += 1;
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -20,7 +20,8 @@
             return;
         };
         job.started = true;
-        let Some(step) = job.step(task).cloned() else {
+        let sub = job.sub.clone();
+        let Some(step) = sub.steps.get(task.step.step as usize) else {
             return;
         };
         let open = job.is_open();
@@ -40,10 +41,10 @@
         self.release(task, run, id);
         match how {
             How::Done => {
-                self.learn_run(task, &step, started);
+                self.learn_run(task, step, started);
                 self.task_done(id, task, step.gang);
             }
-            How::Failed => self.task_failed(id, task, run, &step),
+            How::Failed => self.task_failed(id, task, run, step),
             How::Stopped | How::Expired | How::Broken | How::Alone => {}
         }
     }
@@ -182,8 +183,8 @@
         self.dirty.insert(task.job());
         self.stirred = true;
         if spent && open {
-            let waited = self.jobs[&task.job()].arrived;
-            let took = now.since(waited).as_millis() as u64;
+            let arrived = self.jobs.get(&task.job()).map(|j| j.arrived);
+            let took = arrived.map_or(0, |at| now.since(at).as_millis() as u64);
             log::warn!(
                 job:% = task.job(), task:% = task, worker:% = id, attempts = attempts,
                 took_ms = took;
@@ -201,20 +202,22 @@
         let Some(job) = self.jobs.get_mut(&task.job()) else {
             return;
         };
-        let team = job.sub.team.clone();
-        let step = job.step(task).cloned();
+        let sub = job.sub.clone();
         let Some(state) = job.task_mut(task) else {
             return;
         };
-        let before = state.copies.len();
-        state.copies.retain(|c| c.run != run || c.worker != *id);
-        if state.copies.len() == before {
+        let mut copies = state.copies.iter();
+        let Some(at) = copies.position(|c| c.run == run && c.worker == *id) else {
             return;
+        };
+        let phase = state.copies.remove(at).phase;
+        let step = sub.steps.get(task.step.step as usize);
+        if let Some(step) = step {
+            self.usage.remove(sub.team.as_ref(), step.room);
         }
-        if let Some(step) = &step {
-            self.usage.remove(team.as_ref(), step.room);
+        if phase == Phase::Planned {
+            self.planned.retain(|p| p.task != task || p.run != run);
         }
-        self.planned.retain(|p| p.task != task || p.run != run);
         self.dirty.insert(task.job());
         self.stirred = true;
         if step.is_some_and(|s| s.gang) {
@@ -330,7 +333,7 @@
     }
 
     pub(crate) fn copy_mut(&mut self, task: TaskId, run: u32, id: &WorkerId) -> Option<&mut Copy> {
-        let job = self.jobs.get_mut(&task.job())?;
+        let job = self.jobs.observe(&task.job())?;
         let copies = &mut job.task_mut(task)?.copies;
         copies.iter_mut().find(|c| c.run == run && c.worker == *id)
     }
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -1,6 +1,8 @@
 //! Workers that are to be emptied, because their instances are wanted elsewhere or are due for
 //! maintenance.
 
+use std::time::Duration;
+
 use cactuswheel_model::Set;
 use cactuswheel_work::{Step, TaskId, WorkerId};
 
@@ -8,8 +10,13 @@
 use crate::copy::Copy;
 use crate::job::Job;
 use crate::pass::beside;
+use crate::rooms::Scope;
 use crate::run_state::StepRun;
 
+/// Time between two tries to let lasting work leave: a start elsewhere is seen at work after
+/// some hundred milliseconds, and each try looks at every run that may leave.
+const EVACUATE_EVERY: Duration = Duration::from_millis(20);
+
 impl Cell {
     /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
     pub fn close(&mut self, id: &WorkerId, evacuate: bool) {
@@ -23,8 +30,8 @@
 
     /// The instances of these workers are to be maintained before long.
     pub fn expect_maintenance(&mut self, due: &Set<WorkerId>) {
-        for worker in self.workers.values_mut() {
-            worker.due = due.contains(&worker.id);
+        if self.due != *due {
+            self.due.clone_from(due);
         }
     }
 
@@ -46,9 +53,13 @@
 
     /// Lasting work leaves workers that are to be emptied, within its budget.
     pub(crate) fn evacuate(&mut self) {
-        let leaving = self.workers.values().filter(|w| w.evacuating);
+        if self.now.since(self.last_evacuation) < EVACUATE_EVERY {
+            return;
+        }
+        self.last_evacuation = self.now;
+        self.workers.settle();
         let mut lasting = Vec::new();
-        for worker in leaving {
+        for worker in self.workers.evacuating() {
             let runs = worker.held.iter().filter(|(_, h)| h.lasting);
             lasting.extend(runs.map(|(t, h)| (worker.id.clone(), *t, h.run)));
         }
@@ -90,9 +101,13 @@
     fn has_place(&self, job: &Job, step: &Step, run: &StepRun) -> bool {
         let service = self.service_of(job);
         let beside = beside(run);
-        let mut open = self.workers.values().filter(|w| w.is_open(self.now));
+        let Some(rooms) = self.workers.rooms(&service) else {
+            return false;
+        };
+        let roomy = rooms.emptiest(Scope::All, step.reserved().cpu);
+        let mut open = roomy.filter_map(|n| self.workers.at(n));
         open.any(|w| {
-            let Some(entry) = w.entry.as_ref().filter(|e| e.service == service) else {
+            let Some(entry) = w.entry.as_ref().filter(|_| w.is_open(self.now)) else {
                 return false;
             };
             let tasks = beside.get(&w.id).copied().unwrap_or_default();
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -30,6 +30,8 @@
     pub(crate) beyond: bool,
     /// Whether this owner has planned a run of it.
     pub(crate) begun: bool,
+    /// It changed since it was last put in line.
+    pub(crate) touched: bool,
 }
 
 impl Job {
@@ -46,6 +48,7 @@
             started: false,
             beyond: false,
             begun: false,
+            touched: false,
         }
     }
 
@@ -59,6 +62,14 @@
         })
     }
 
+    /// When its next occurrence is due, in milliseconds since 1970; `None` if there is none, or
+    /// if it runs once, at once.
+    pub(crate) fn next_turn(&self) -> Option<u64> {
+        let next = self.turns.len() as u32;
+        let due = self.sub.begin + u64::from(next) * self.sub.interval.get();
+        (next < self.sub.times).then_some(due)
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         !self.state.is_final()
     }
--- /dev/null
+++ b/crates/cell/src/lines.rs
@@ -0,0 +1,72 @@
+//! Jobs that wait for workers, best first.
+
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{JobId, ServiceName};
+
+use crate::rank::Rank;
+
+/// A job's place in the line of its service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Queued {
+    pub(crate) service: ServiceName,
+    pub(crate) rank: Rank,
+    /// Until then its rank stays the same, if nothing happens to it.
+    pub(crate) until: Time,
+}
+
+/// Jobs with a task that should run and has no run, by service, best first.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    lines: Map<ServiceName, BTreeSet<(Rank, JobId)>>,
+    queued: Map<JobId, Queued>,
+    /// When each has to be ranked again.
+    due: BTreeSet<(Time, JobId)>,
+}
+
+impl Lines {
+    /// Puts a job in line, or takes it out.
+    pub(crate) fn put(&mut self, id: JobId, now: Option<Queued>) {
+        let before = self.queued.get(&id);
+        if before == now.as_ref() {
+            return;
+        }
+        if let Some(before) = self.queued.remove(&id) {
+            self.due.remove(&(before.until, id));
+            if let Some(line) = self.lines.get_mut(&before.service) {
+                line.remove(&(before.rank, id));
+            }
+        }
+        if let Some(now) = now {
+            self.due.insert((now.until, id));
+            let line = self.lines.entry(now.service.clone()).or_default();
+            line.insert((now.rank, id));
+            self.queued.insert(id, now);
+        }
+    }
+
+    /// Jobs that have to be ranked again by `now`.
+    pub(crate) fn due(&self, now: Time) -> Vec<JobId> {
+        let due = self.due.iter().take_while(|(at, _)| *at <= now);
+        due.map(|(_, id)| *id).collect()
+    }
+
+    /// Services with a job in line.
+    pub(crate) fn services(&self) -> Vec<ServiceName> {
+        let busy = self.lines.iter().filter(|(_, line)| !line.is_empty());
+        busy.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// The job after `last` in the line of a service; the first one after none.
+    pub(crate) fn next(
+        &self,
+        service: &ServiceName,
+        last: Option<(Rank, JobId)>,
+    ) -> Option<(Rank, JobId)> {
+        let from = last.map_or(Bound::Unbounded, Bound::Excluded);
+        let line = self.lines.get(service)?;
+        line.range((from, Bound::Unbounded)).next().copied()
+    }
+}
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -91,7 +91,7 @@
                 closing: w.closing && w.answers(),
                 room: entry.room,
                 used: w.used,
-                lasting: w.held.values().filter(|h| h.lasting).count(),
+                lasting: w.lasting,
                 runs: w.held.len(),
             };
             (w.id.clone(), view)
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::{Map, Time};
+use cactuswheel_model::Time;
 use cactuswheel_work::{HoldOrder, Look, LookError, StopOrder, TaskId, WorkerId};
 
 use crate::cell::{Cell, RETRY_LOOK};
@@ -35,20 +35,14 @@
     pub(crate) fn look_around(&mut self) {
         let (now, lease) = (self.now, self.bounds.lease);
         let renewing = self.renewing;
-        for worker in self.workers.values_mut() {
-            let Looking::Due(at) = worker.looking else {
+        self.workers.settle();
+        for id in self.workers.due(now) {
+            let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
             };
-            // One that is listed no more may live; what runs there ends as it says.
-            let wanted = worker.entry.is_some() || !worker.held.is_empty();
-            let Some(addr) = worker.addr.filter(|_| wanted) else {
+            let Some(addr) = worker.addr else {
                 continue;
             };
-            // An end is acknowledged once the journal reflects it; until then the answer would
-            // list it again.
-            if at > now || worker.seen != worker.noted {
-                continue;
-            }
             let wait = match (worker.fence_settled(), worker.held.is_empty()) {
                 (false, _) => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
@@ -162,12 +156,15 @@
 
     /// Runs that should be there and are not.
     fn settle_absent(&mut self, id: &WorkerId, sent: Time, fence: u64, look: &Look) {
-        let listed: Map<TaskId, u32> = look.running.iter().map(|r| (r.task, r.run)).collect();
         let Some(worker) = self.workers.get(id) else {
             return;
         };
+        let listed = |task: &TaskId, run: u32| {
+            let mut rows = look.running.iter();
+            rows.any(|r| r.task == *task && r.run == run)
+        };
         let absent = worker.held.iter().map(|(t, h)| (*t, h.run));
-        let absent = absent.filter(|(t, run)| listed.get(t) != Some(run));
+        let absent = absent.filter(|(t, run)| !listed(t, *run));
         let absent: Vec<(TaskId, u32)> = absent.collect();
         let mut doubtful = false;
         for (task, run) in absent {
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -1,7 +1,9 @@
 //! One round of scheduling: waiting tasks meet workers with room.
 
-use cactuswheel_model::Map;
-use cactuswheel_work::{JobId, ServiceName, Step, StepId, TaskId, WorkerId};
+use std::time::Duration;
+
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
 
 use crate::advice::Permitted;
 use crate::batch::PlannedStart;
@@ -9,7 +11,8 @@
 use crate::copy::{Copy, Phase};
 use crate::job::Job;
 use crate::learned::Learned;
-use crate::place::{Candidate, Home, Wish, choose};
+use crate::lines::Queued;
+use crate::place::{Home, Wish, choose};
 use crate::rank::{Rank, rank};
 use crate::run_state::StepRun;
 use crate::worker::Held;
@@ -17,6 +20,9 @@
 /// Tasks without a place after which a round leaves a service: those behind seldom fit either.
 const MISSES: usize = 24;
 
+/// Longest time for which a rank is believed: what is learnt of run times shifts it.
+const RANKED: Duration = Duration::from_millis(500);
+
 /// Tasks of a step that wait for a worker.
 struct OpenStep {
     id: StepId,
@@ -25,58 +31,75 @@
     free: Vec<usize>,
 }
 
-/// A task and the worker that takes it.
+/// A task and the worker that takes it; its room is taken already.
 struct Choice {
     task: TaskId,
-    candidate: usize,
+    run: u32,
+    worker: WorkerId,
+}
+
+/// Tasks of one round that found no place.
+#[derive(Default)]
+struct Misses {
+    count: usize,
+    /// Room that no worker of the service has.
+    rooms: Vec<Room>,
+}
+
+impl Misses {
+    /// Whether a task that asks for this much cannot have a place either.
+    fn cover(&self, room: Room) -> bool {
+        self.rooms.iter().any(|missed| missed.fits(room))
+    }
 }
 
 impl Cell {
     /// Finds places for waiting tasks, best jobs first.
     pub(crate) fn schedule(&mut self) {
-        let waiting = self.waiting();
-        for (service, mut jobs) in waiting {
-            let mut candidates = self.candidates(&service);
-            if candidates.is_empty() {
-                continue;
-            }
-            jobs.sort_by_cached_key(|id| self.rank_of(*id));
-            let mut misses = 0;
-            for job in jobs {
-                misses += self.place_job(job, &mut candidates);
-                if misses >= MISSES {
-                    break;
-                }
+        self.settle();
+        for service in self.lines.services() {
+            if self.workers.rooms(&service).is_some() {
+                self.fill(&service);
             }
         }
     }
 
-    fn rank_of(&self, id: JobId) -> Option<Rank> {
-        self.jobs.get(&id).map(|job| self.rank(job))
+    /// Finds places on the workers of one service.
+    fn fill(&mut self, service: &ServiceName) {
+        let mut misses = Misses::default();
+        let mut last = None;
+        while let Some(next) = self.lines.next(service, last) {
+            last = Some(next);
+            self.place_job(next.1, service, &mut misses);
+            if misses.count >= MISSES {
+                return;
+            }
+        }
     }
 
-    /// The rank of a job now.
-    pub(crate) fn rank(&self, job: &Job) -> Rank {
+    /// The rank of a job now, and until when it holds.
+    pub(crate) fn rank(&self, job: &Job) -> (Rank, Time) {
         let queue = self.config.queues.get(&job.sub.queue);
         let learned = self.learned.get(&job.sub.queue);
         let longer = learned.map_or(1.0, Learned::stretch);
-        let rank = rank(job, queue, longer, self.now);
+        let (rank, until) = rank(job, queue, longer, self.now);
         match self.policy.begun {
-            true => rank,
-            false => rank.without_begun(),
+            true => (rank, until),
+            false => (rank.without_begun(), until),
         }
     }
 
-    /// Jobs with a task that should run and has no run, by service.
-    fn waiting(&self) -> Map<ServiceName, Vec<JobId>> {
-        let mut found: Map<ServiceName, Vec<JobId>> = Map::default();
-        for id in &self.open {
-            let job = self.jobs.get(id).filter(|j| has_free_task(j));
-            if let Some(job) = job {
-                found.entry(self.service_of(job)).or_default().push(*id);
-            }
+    /// A job's place in line; `None` if no task of it waits for a worker.
+    pub(crate) fn queued(&self, job: &Job) -> Option<Queued> {
+        if !job.is_open() || !has_free_task(job) {
+            return None;
         }
-        found
+        let (rank, until) = self.rank(job);
+        Some(Queued {
+            service: self.service_of(job),
+            rank,
+            until: until.min(self.now.after(RANKED)),
+        })
     }
 
     /// Service whose workers run a job's tasks: as the queue says now, or as it last said.
@@ -85,68 +108,44 @@
         queue.map_or_else(|| job.sub.service.clone(), |q| q.service.clone())
     }
 
-    fn candidates(&self, service: &ServiceName) -> Vec<Candidate> {
-        let open = self.workers.values().filter(|w| w.is_open(self.now));
-        let here = open.filter_map(|w| Some((w, w.entry.as_ref()?)));
-        let here = here.filter(|(_, e)| e.service == *service);
-        here.map(|(w, entry)| Candidate {
-            worker: w.id.clone(),
-            free: w.free(),
-            labels: entry.labels.clone(),
-            zone: entry.zone.clone(),
-            runs: w.held.len(),
-            lasting: w.held.values().filter(|h| h.lasting).count(),
-            serving: w.held.values().filter(|h| h.serves).count(),
-            fillers: w.held.values().filter(|h| h.filler).count(),
-            trial: w.health.is_on_trial(),
-            due: w.due,
-        })
-        .collect()
-    }
-
-    /// Places what it can of a job; gives the number of tasks without a place.
-    fn place_job(&mut self, id: JobId, candidates: &mut [Candidate]) -> usize {
+    /// Places what it can of a job.
+    fn place_job(&mut self, id: JobId, service: &ServiceName, misses: &mut Misses) {
         let Some(job) = self.jobs.get(&id) else {
-            return 0;
+            return;
         };
-        let steps = job.sub.clone();
-        let mut misses = 0;
-        for turn in 0..job.turns.len() {
-            for (number, step) in steps.steps.iter().enumerate() {
-                misses += self.place_step(id, turn, number, step, candidates);
+        let (sub, turns) = (job.sub.clone(), job.turns.len());
+        for turn in 0..turns {
+            for (number, step) in sub.steps.iter().enumerate() {
+                self.place_step((id, turn, number), step, service, misses);
             }
         }
-        misses
     }
 
     fn place_step(
         &mut self,
-        id: JobId,
-        turn: usize,
-        number: usize,
+        (id, turn, number): (JobId, usize, usize),
         step: &Step,
-        candidates: &mut [Candidate],
-    ) -> usize {
+        service: &ServiceName,
+        misses: &mut Misses,
+    ) {
         let Some(at) = self.open_step(id, turn, number, step) else {
-            return 0;
+            return;
         };
-        let allowed = match self.permitted(at.id, candidates) {
+        let allowed = match self.permitted(at.id, service) {
             Permitted::Any => None,
             Permitted::Only(workers) => Some(workers),
-            Permitted::Asked => return 0,
+            Permitted::Asked => return,
         };
-        let (choices, misses) = self.choose_all(&at, step, allowed.as_deref(), candidates);
+        let choices = self.choose_all(&at, step, service, allowed.as_deref(), misses);
         if step.gang && choices.len() < step.count as usize {
             for choice in &choices {
-                unreserve(&mut candidates[choice.candidate], step);
+                self.workers.let_go(&choice.worker, choice.task, choice.run);
             }
-            return misses.max(1);
+            return;
         }
         for choice in choices {
-            let worker = candidates[choice.candidate].worker.clone();
-            self.plan(choice.task, step, worker);
+            self.plan(choice, step);
         }
-        misses
     }
 
     /// The tasks of a step that wait for a worker; `None` if there are none.
@@ -165,30 +164,40 @@
         (!free.is_empty()).then_some(OpenStep { id, turn, free })
     }
 
-    /// Places for the step's tasks, and the number of tasks without one.
+    /// Places for the step's tasks, until one has none.
     fn choose_all(
-        &self,
+        &mut self,
         at: &OpenStep,
         step: &Step,
+        service: &ServiceName,
         allowed: Option<&[WorkerId]>,
-        candidates: &mut [Candidate],
-    ) -> (Vec<Choice>, usize) {
+        misses: &mut Misses,
+    ) -> Vec<Choice> {
         let mut choices = Vec::new();
         let Some(job) = self.jobs.get(&at.id.job) else {
-            return (choices, 0);
+            return choices;
         };
         let run = &job.turns[at.turn].steps[at.id.step as usize];
-        let mut beside = beside(run);
+        let mut beside = match step.spread {
+            0 => Map::default(),
+            _ => beside(run),
+        };
         let mut rack = self.begun_rack(run, step);
         let mut home = self.home(job);
         let team = job.sub.team.as_ref();
         let mut used = team.map(|t| self.usage.of(t)).unwrap_or_default();
         let cap = team.and_then(|t| self.config.teams.get(t));
         let cap = cap.map(|t| t.cap).unwrap_or_default();
+        // What no worker has room for, none has for the rest either.
+        let plain = allowed.is_none() && step.label.is_none() && step.spread == 0;
         for &index in &at.free {
             if !cap.admits(used, step.room) {
                 // The team's limit says nothing about room: another team's tasks may fit.
-                return (choices, 0);
+                return choices;
+            }
+            if plain && misses.cover(step.reserved()) {
+                misses.count += 1;
+                return choices;
             }
             let wish = Wish {
                 step,
@@ -197,36 +206,46 @@
                 rack: rack.as_deref(),
                 home: home.as_ref().filter(|_| self.policy.home),
                 allowed,
+                due: &self.due,
                 pack: self.policy.pack,
             };
-            let Some(candidate) = choose(candidates, &wish) else {
-                return (choices, 1);
+            let Some(worker) = choose(&self.workers, service, &wish, self.now) else {
+                misses.count += 1;
+                if plain {
+                    misses.rooms.push(step.reserved());
+                }
+                return choices;
             };
-            let taken = &mut candidates[candidate];
-            reserve(taken, step);
-            home.get_or_insert_with(|| Home::of(taken));
-            used += step.room;
-            *beside.entry(taken.worker.clone()).or_default() += 1;
-            if step.tight && rack.is_none() {
-                rack = taken.labels.get(1).cloned();
-            }
             let task = TaskId {
                 step: at.id,
                 index: index as u32,
             };
-            choices.push(Choice { task, candidate });
+            let number = run.tasks[index].run + 1;
+            self.workers.hold(&worker, task, held(number, step));
+            if let Some(entry) = self.workers.get(&worker).and_then(|w| w.entry.as_ref()) {
+                home.get_or_insert_with(|| Home::of(entry));
+                if step.tight && rack.is_none() {
+                    rack = entry.rack().map(str::to_owned);
+                }
+            }
+            used += step.room;
+            if step.spread > 0 {
+                *beside.entry(worker.clone()).or_default() += 1;
+            }
+            choices.push(Choice {
+                task,
+                run: number,
+                worker,
+            });
         }
-        (choices, 0)
+        choices
     }
 
     /// Where a job has a run already.
     fn home(&self, job: &Job) -> Option<Home> {
         let (_, copy) = job.copies().next()?;
         let entry = self.workers.get(&copy.worker)?.entry.as_ref()?;
-        Some(Home {
-            zone: entry.zone.clone(),
-            rack: entry.rack().map(str::to_owned),
-        })
+        Some(Home::of(entry))
     }
 
     /// Rack that a step which should stay on one rack has begun on.
@@ -240,39 +259,34 @@
     }
 
     /// Plans a run: it is ordered once the journal holds it.
-    fn plan(&mut self, id: TaskId, step: &Step, worker: WorkerId) {
+    fn plan(&mut self, choice: Choice, step: &Step) {
         let now = self.now;
-        let Some(place) = self.workers.get_mut(&worker) else {
+        let Choice { task, run, worker } = choice;
+        let Some(place) = self.workers.get(&worker) else {
             return;
         };
-        let Some(job) = self.jobs.get_mut(&id.job()) else {
+        let Some(job) = self.jobs.get_mut(&task.job()) else {
             return;
         };
         if !std::mem::replace(&mut job.begun, true) {
             let waited = now.since(job.arrived).as_millis() as u64;
             log::info!(
-                job:% = id.job(), queue:% = job.sub.queue, waited_ms = waited,
+                job:% = task.job(), queue:% = job.sub.queue, waited_ms = waited,
                 worker:% = worker, version = self.config.version;
                 "job begins"
             );
         }
-        let team = job.sub.team.clone();
-        let Some(task) = job.task_mut(id) else {
+        let sub = job.sub.clone();
+        let Some(state) = job.task_mut(task) else {
             return;
         };
-        task.run += 1;
-        let run = task.run;
+        state.run = run;
         let mut copy = Copy::new(worker.clone(), place.born, run, Phase::Planned, now);
         copy.fence = place.fence;
-        task.copies.push(copy);
-        place.hold(id, held(run, step));
-        self.usage.add(team.as_ref(), step.room);
-        self.dirty.insert(id.job());
-        self.planned.push(PlannedStart {
-            task: id,
-            run,
-            worker,
-        });
+        state.copies.push(copy);
+        self.usage.add(sub.team.as_ref(), step.room);
+        self.dirty.insert(task.job());
+        self.planned.push(PlannedStart { task, run, worker });
     }
 }
 
@@ -312,19 +326,3 @@
     }
     found
 }
-
-fn reserve(c: &mut Candidate, step: &Step) {
-    c.free -= step.reserved();
-    c.runs += 1;
-    c.lasting += usize::from(step.lasting);
-    c.serving += usize::from(step.serves());
-    c.fillers += usize::from(step.filler);
-}
-
-fn unreserve(c: &mut Candidate, step: &Step) {
-    c.free += step.reserved();
-    c.runs -= 1;
-    c.lasting -= usize::from(step.lasting);
-    c.serving -= usize::from(step.serves());
-    c.fillers -= usize::from(step.filler);
-}
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -5,29 +5,12 @@
 //! work goes where lasting work is already, as
 //! far as the step's spread allows. What fills is kept away from what serves users.
 
-use cactuswheel_model::Map;
-use cactuswheel_work::{Room, Step, WorkerId, ZoneName};
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{ServiceName, Step, WorkerEntry, WorkerId, ZoneName};
 
-/// A worker that may take work.
-#[derive(Debug, Clone)]
-pub(crate) struct Candidate {
-    pub(crate) worker: WorkerId,
-    pub(crate) free: Room,
-    pub(crate) labels: Vec<String>,
-    pub(crate) zone: ZoneName,
-    /// Runs there.
-    pub(crate) runs: usize,
-    /// Lasting runs there.
-    pub(crate) lasting: usize,
-    /// Runs there that serve users.
-    pub(crate) serving: usize,
-    /// Runs there that fill.
-    pub(crate) fillers: usize,
-    /// Takes one task at a time.
-    pub(crate) trial: bool,
-    /// Its instance is to be maintained before long.
-    pub(crate) due: bool,
-}
+use crate::rooms::{Rooms, Scope};
+use crate::worker::Worker;
+use crate::workers::Workers;
 
 /// Where the first task of a job is: its data centre and rack.
 ///
@@ -42,31 +25,12 @@
 }
 
 impl Home {
-    pub(crate) fn of(c: &Candidate) -> Self {
+    pub(crate) fn of(entry: &WorkerEntry) -> Self {
         Self {
-            zone: c.zone.clone(),
-            rack: c.labels.get(1).cloned(),
+            zone: entry.zone.clone(),
+            rack: entry.rack().map(str::to_owned),
         }
     }
-
-    /// How far a candidate is from it.
-    fn distance(&self, c: &Candidate) -> Distance {
-        if c.zone != self.zone {
-            return Distance::Elsewhere;
-        }
-        match c.labels.get(1) == self.rack.as_ref() {
-            true => Distance::Rack,
-            false => Distance::Zone,
-        }
-    }
-}
-
-/// What two places have in common.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Distance {
-    Rack,
-    Zone,
-    Elsewhere,
 }
 
 /// What is asked of a place.
@@ -83,66 +47,121 @@
     pub(crate) home: Option<&'a Home>,
     /// Workers that the queue's policy allows; `None` if it has none.
     pub(crate) allowed: Option<&'a [WorkerId]>,
+    /// Workers on instances that are to be maintained before long.
+    pub(crate) due: &'a Set<WorkerId>,
     /// Whether the fullest worker goes first, or the emptiest.
     pub(crate) pack: bool,
 }
 
-/// Index of the best candidate, if any can take the task.
-pub(crate) fn choose(candidates: &[Candidate], wish: &Wish<'_>) -> Option<usize> {
-    let fitting = candidates.iter().enumerate();
-    let fitting = fitting.filter(|(_, c)| fits(c, wish));
-    fitting.min_by_key(|(_, c)| cost(c, wish)).map(|(i, _)| i)
+/// The best worker of a service for a task, if any can take it.
+pub(crate) fn choose(
+    workers: &Workers,
+    service: &ServiceName,
+    wish: &Wish<'_>,
+    now: Time,
+) -> Option<WorkerId> {
+    let rooms = workers.rooms(service)?;
+    let step = wish.step;
+    let found = match step.lasting || step.filler || step.serves() {
+        true => cheapest(workers, rooms, wish, now),
+        false => nearest(workers, rooms, wish, now),
+    };
+    found.map(|w| w.id.clone())
+}
+
+/// The fullest worker where the task's data or its rack is, else by the job's other tasks, else
+/// anywhere; one on which it failed comes last.
+fn nearest<'a>(
+    workers: &'a Workers,
+    rooms: &Rooms,
+    wish: &Wish<'_>,
+    now: Time,
+) -> Option<&'a Worker> {
+    let near = wish.rack.or(wish.step.near.as_deref());
+    let home = wish.home;
+    let rack = home.and_then(|h| Some(Scope::Rack(&h.zone, h.rack.as_deref()?)));
+    let scopes = [
+        near.map(Scope::Named),
+        rack,
+        home.map(|h| Scope::Zone(&h.zone)),
+        Some(Scope::All),
+    ];
+    let sound = |w: &Worker| wish.avoid != Some(&w.id) && fits(w, wish, now);
+    let mut scopes = scopes.into_iter().flatten();
+    let found = scopes.find_map(|scope| first(workers, rooms, scope, wish, &sound));
+    found.or_else(|| {
+        let failed = workers.get(wish.avoid?)?;
+        let any = |w: &Worker| w.id == failed.id && fits(w, wish, now);
+        first(workers, rooms, Scope::All, wish, &any)
+    })
 }
 
-fn fits(c: &Candidate, wish: &Wish<'_>) -> bool {
+fn first<'a>(
+    workers: &'a Workers,
+    rooms: &Rooms,
+    scope: Scope<'_>,
+    wish: &Wish<'_>,
+    wanted: &impl Fn(&Worker) -> bool,
+) -> Option<&'a Worker> {
+    let need = wish.step.reserved().cpu;
+    let worker = |number| workers.at(number).filter(|w| wanted(w));
+    match wish.pack {
+        true => rooms.fullest(scope, need).find_map(worker),
+        false => rooms.emptiest(scope, need).find_map(worker),
+    }
+}
+
+/// The worker where the least speaks against the task, all of them compared.
+fn cheapest<'a>(
+    workers: &'a Workers,
+    rooms: &Rooms,
+    wish: &Wish<'_>,
+    now: Time,
+) -> Option<&'a Worker> {
+    let roomy = rooms.fullest(Scope::All, wish.step.reserved().cpu);
+    let fitting = roomy.filter_map(|n| workers.at(n));
+    let fitting = fitting.filter(|w| fits(w, wish, now));
+    fitting.min_by_key(|w| cost(w, wish))
+}
+
+fn fits(w: &Worker, wish: &Wish<'_>, now: Time) -> bool {
     let step = wish.step;
-    let label = step.label.as_ref();
-    let beside = wish.beside.get(&c.worker).copied().unwrap_or_default();
-    step.reserved().fits(c.free)
-        && (!c.trial || c.runs == 0)
-        && label.is_none_or(|l| c.labels.contains(l))
-        && (step.spread == 0 || beside < step.spread)
-        && wish.allowed.is_none_or(|a| a.contains(&c.worker))
+    let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
+    let labelled = |label: &String| labels.is_some_and(|l| l.contains(label));
+    let apart = || {
+        let beside = wish.beside.get(&w.id).copied().unwrap_or_default();
+        step.spread == 0 || beside < step.spread
+    };
+    step.reserved().fits(w.free())
+        && w.is_open(now)
+        && (!w.health.is_on_trial() || w.held.is_empty())
+        && step.label.as_ref().is_none_or(labelled)
+        && apart()
+        && wish.allowed.is_none_or(|a| a.contains(&w.id))
 }
 
 /// Lower is better; earlier parts decide.
-type Cost = (
-    bool,
-    bool,
-    bool,
-    bool,
-    std::cmp::Reverse<usize>,
-    Distance,
-    u64,
-);
+type Cost = (bool, bool, bool, bool, std::cmp::Reverse<usize>, u64);
 
-fn cost(c: &Candidate, wish: &Wish<'_>) -> Cost {
+fn cost(w: &Worker, wish: &Wish<'_>) -> Cost {
     let step = wish.step;
-    let failed = wish.avoid == Some(&c.worker);
+    let failed = wish.avoid == Some(&w.id);
     let near = wish.rack.or(step.near.as_deref());
-    let far = near.is_some_and(|rack| !c.labels.iter().any(|l| l == rack));
-    let disturbs = (step.filler && c.serving > 0) || (step.serves() && c.fillers > 0);
+    let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
+    let here = |rack: &str| labels.is_some_and(|l| l.iter().any(|l| l == rack));
+    let far = near.is_some_and(|rack| !here(rack));
+    let disturbs = (step.filler && w.serving > 0) || (step.serves() && w.fillers > 0);
     // Failure: lasting work that leaves for a wave goes to an instance of the same wave, and has
     // to leave again; its budget lets one task move at a time, so the wave is late.
-    let moves_again = step.lasting && c.due;
+    let moves_again = step.lasting && wish.due.contains(&w.id);
     let company = match step.lasting {
-        true => c.lasting,
+        true => w.lasting,
         false => 0,
     };
-    // Lasting work is better apart: its step's budget bears the loss of a few tasks.
-    let home = wish.home.filter(|_| !step.lasting);
     let left = match wish.pack {
-        true => c.free.cpu,
-        false => u64::MAX - c.free.cpu,
+        true => w.free().cpu,
+        false => u64::MAX - w.free().cpu,
     };
-    let distance = home.map_or(Distance::Rack, |h| h.distance(c));
-    (
-        failed,
-        far,
-        disturbs,
-        moves_again,
-        std::cmp::Reverse(company),
-        distance,
-        left,
-    )
+    let company = std::cmp::Reverse(company);
+    (failed, far, disturbs, moves_again, company, left)
 }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -14,6 +14,9 @@
 /// Multiple of its objective after which a job is worth nothing to its caller any more.
 const LATE_FACTOR: f64 = 3.0;
 
+/// A rank with this end does not change by the time alone.
+const NEVER: Time = Time::new(u64::MAX);
+
 /// Order of jobs; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
@@ -56,16 +59,18 @@
     }
 }
 
-/// The rank of a job at `now`; its work takes `longer` times as long as its caller guesses.
-pub(crate) fn rank(job: &Job, queue: Option<&Queue>, longer: f64, now: Time) -> Rank {
+/// The rank of a job at `now`, and until when it holds; its work takes `longer` times as long as
+/// its caller guesses.
+pub(crate) fn rank(job: &Job, queue: Option<&Queue>, longer: f64, now: Time) -> (Rank, Time) {
     let priority = queue.map_or(u32::MAX, |q| q.priority);
     if job.sub.lasting() {
-        return Rank {
+        let rank = Rank {
             class: Class::Lasting,
             priority,
             fresh: false,
             at: job.arrived,
         };
+        return (rank, NEVER);
     }
     let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
     let objective = job.chain() as f64 * longer * stretch + allowance as f64;
@@ -74,7 +79,7 @@
     let slack = objective - left - waited;
     if slack >= 0.0 {
         let at = Time::new(now.get() + slack as u64);
-        return Rank {
+        let rank = Rank {
             class: match job.beyond {
                 true => Class::TimelyBeyond,
                 false => Class::Timely,
@@ -83,6 +88,7 @@
             fresh: !job.started,
             at,
         };
+        return (rank, Time::new(at.get() + 1));
     }
     let useful = waited + left <= objective * LATE_FACTOR;
     let class = match (useful, job.beyond) {
@@ -90,12 +96,18 @@
         (true, true) => Class::LateBeyond,
         (false, _) => Class::Overdue,
     };
-    Rank {
+    let rank = Rank {
         class,
         priority,
         fresh: !job.started,
         at: job.arrived,
-    }
+    };
+    let rest = (objective * LATE_FACTOR - left - waited).max(0.0);
+    let until = match useful {
+        true => Time::new(now.get() + rest as u64 + 1),
+        false => NEVER,
+    };
+    (rank, until)
 }
 
 /// Longest chain of work that is left, by the caller's estimates.
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -46,10 +46,16 @@
 
     fn take_row(&mut self, id: &WorkerId, row: &Running) -> Option<Need> {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&row.task.job()) else {
+        let job_id = row.task.job();
+        if self.jobs.get(&job_id).is_some_and(|j| !j.started) {
+            // A job that has started ranks differently.
+            if let Some(job) = self.jobs.get_mut(&job_id) {
+                job.started = true;
+            }
+        }
+        let Some(job) = self.jobs.observe(&job_id) else {
             return Some(Need::Unwanted);
         };
-        job.started = true;
         let lasting = job.step(row.task).is_some_and(|s| s.lasting);
         let Some(task) = job.task_mut(row.task) else {
             return Some(Need::Unwanted);
@@ -78,11 +84,8 @@
     fn leave_sick(&mut self, id: &WorkerId, task: TaskId, run: u32) {
         let now = self.now;
         log::warn!(task:% = task, run = run, worker:% = id; "run stands still: it leaves its worker");
-        if let Some(state) = self
-            .jobs
-            .get_mut(&task.job())
-            .and_then(|j| j.task_mut(task))
-        {
+        let job = self.jobs.get_mut(&task.job());
+        if let Some(state) = job.and_then(|j| j.task_mut(task)) {
             state.failed_on = Some(id.clone());
         }
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -42,7 +42,7 @@
             return;
         };
         let ticket = self.ticket(task.step, &worker);
-        let Some(job) = self.jobs.get_mut(&task.job()) else {
+        let Some(job) = self.jobs.observe(&task.job()) else {
             return;
         };
         let spec = job.sub.spec.clone();
@@ -92,7 +92,10 @@
                     copy.moved = now;
                     self.watch(id, task);
                 }
-                if let Some(job) = self.jobs.get_mut(&task.job()) {
+                let job = self.jobs.get(&task.job());
+                if job.is_some_and(|j| !j.started)
+                    && let Some(job) = self.jobs.get_mut(&task.job())
+                {
                     job.started = true;
                 }
             }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -1,6 +1,7 @@
 //! A worker as its cell knows it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Millis, Time};
@@ -8,6 +9,7 @@
 
 use crate::health::Health;
 use crate::pacing::Throttle;
+use crate::workers::Marks;
 
 /// How much slower than true time a worker's clock may go: it runs at least at this share.
 const SLOWEST_CLOCK: f64 = 0.98;
@@ -56,8 +58,12 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) id: WorkerId,
+    /// Its number within the cell.
+    pub(crate) number: u32,
     /// Its entry in the platform's list, while it is there.
     pub(crate) entry: Option<WorkerEntry>,
+    /// Its rack, as the entry names it.
+    pub(crate) rack: Option<Arc<str>>,
     /// Where it is, or was when it was listed.
     pub(crate) addr: Option<SocketAddr>,
     /// Its life, as its start in milliseconds since 1970; 0 until it was looked at.
@@ -79,6 +85,12 @@
     pub(crate) held: Map<TaskId, Held>,
     /// What they take up.
     pub(crate) used: Room,
+    /// Runs there that last.
+    pub(crate) lasting: usize,
+    /// Runs there that serve users.
+    pub(crate) serving: usize,
+    /// Runs there that fill.
+    pub(crate) fillers: usize,
     pub(crate) looking: Looking,
     /// Number of the newest look; answers to older ones are not taken.
     pub(crate) look: u64,
@@ -90,19 +102,20 @@
     pub(crate) closing: bool,
     /// Lasting work leaves it too.
     pub(crate) evacuating: bool,
-    /// Its instance is to be maintained before long.
-    pub(crate) due: bool,
     /// A lasting run there has started and is not at work yet, as far as is known.
     pub(crate) waking: bool,
     /// No new work until then: it said that it had no room.
     pub(crate) full_until: Time,
+    pub(crate) marks: Marks,
 }
 
 impl Worker {
-    pub(crate) fn new(id: WorkerId, fence: u64, now: Time) -> Self {
+    pub(crate) fn new(id: WorkerId, number: u32, fence: u64, now: Time) -> Self {
         Self {
             id,
+            number,
             entry: None,
+            rack: None,
             addr: None,
             born: 0,
             fence,
@@ -114,6 +127,9 @@
             noted: 0,
             held: Map::default(),
             used: Room::default(),
+            lasting: 0,
+            serving: 0,
+            fillers: 0,
             looking: Looking::Due(now),
             look: 0,
             missed: 0,
@@ -121,20 +137,25 @@
             throttle: Throttle::default(),
             closing: false,
             evacuating: false,
-            due: false,
             waking: false,
             full_until: Time::default(),
+            marks: Marks::default(),
         }
     }
 
-    /// Whether it may get new work.
-    pub(crate) fn is_open(&self, now: Time) -> bool {
+    /// Whether it may get new work, as far as time has no part in it.
+    pub(crate) fn may_take(&self) -> bool {
         let listed = self.entry.as_ref();
         listed.is_some_and(|e| e.presence == Presence::Ready)
             && !self.closing
             && self.missed == 0
             && self.fence_settled()
             && self.born != 0
+    }
+
+    /// Whether it may get new work.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        self.may_take()
             && self.full_until <= now
             && self.health.is_trusted(now)
             && self.fix.is_some_and(|f| now.since(f.at) < QUIET_LIMIT)
@@ -179,16 +200,27 @@
     }
 
     pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
-        self.used += held.room;
         if let Some(before) = self.held.insert(task, held) {
-            self.used -= before.room;
+            self.uncount(before);
         }
+        self.used += held.room;
+        self.lasting += usize::from(held.lasting);
+        self.serving += usize::from(held.serves);
+        self.fillers += usize::from(held.filler);
+    }
+
+    fn uncount(&mut self, held: Held) {
+        self.used -= held.room;
+        self.lasting -= usize::from(held.lasting);
+        self.serving -= usize::from(held.serves);
+        self.fillers -= usize::from(held.filler);
     }
 
     pub(crate) fn drop_run(&mut self, task: TaskId, run: u32) {
-        if self.held.get(&task).is_some_and(|h| h.run == run) {
-            let held = self.held.remove(&task);
-            self.used -= held.map(|h| h.room).unwrap_or_default();
+        if self.held.get(&task).is_some_and(|h| h.run == run)
+            && let Some(held) = self.held.remove(&task)
+        {
+            self.uncount(held);
         }
     }
 
--- /dev/null
+++ b/crates/cell/src/workers.rs
@@ -0,0 +1,226 @@
+//! The workers that a cell knows, and which of them have something to be done.
+
+use std::collections::BTreeSet;
+
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{ServiceName, TaskId, WorkerId};
+
+use crate::rooms::{Place, Rooms};
+use crate::worker::{Held, Looking, Worker};
+
+/// What a worker was last entered under.
+#[derive(Debug, Default)]
+pub(crate) struct Marks {
+    /// Its state may have changed since.
+    touched: bool,
+    place: Option<(ServiceName, Place)>,
+    look: Option<Time>,
+    silent: bool,
+    evacuating: bool,
+    fresh: bool,
+}
+
+/// The workers that a cell knows, and which of them have something to be done.
+///
+/// An event concerns one worker; what is derived from its state is derived anew for that one
+/// only, so an event costs the same among fifty workers and among thousands.
+///
+/// Invariant: after [`Workers::settle`] the derived sets agree with every worker's state.
+#[derive(Debug, Default)]
+pub(crate) struct Workers {
+    all: Map<WorkerId, Worker>,
+    /// By number; numbers are not used again.
+    names: Vec<WorkerId>,
+    touched: Vec<WorkerId>,
+    rooms: Map<ServiceName, Rooms>,
+    /// When each is to be looked at next.
+    looks: BTreeSet<(Time, u32)>,
+    /// Those that left a look unanswered, or are listed no more.
+    silent: Set<WorkerId>,
+    /// Those that lasting work leaves.
+    evacuating: Set<WorkerId>,
+    /// Those with ends that the journal does not reflect yet.
+    fresh: Set<WorkerId>,
+}
+
+impl Workers {
+    pub(crate) fn get(&self, id: &WorkerId) -> Option<&Worker> {
+        self.all.get(id)
+    }
+
+    /// A worker whose state changes.
+    pub(crate) fn get_mut(&mut self, id: &WorkerId) -> Option<&mut Worker> {
+        let worker = self.all.get_mut(id)?;
+        if !std::mem::replace(&mut worker.marks.touched, true) {
+            self.touched.push(id.clone());
+        }
+        Some(worker)
+    }
+
+    /// A worker whose state changes; one that is not known is made.
+    pub(crate) fn get_or_add(&mut self, id: &WorkerId, fence: u64, now: Time) -> &mut Worker {
+        if !self.all.contains_key(id) {
+            let number = self.names.len() as u32;
+            self.names.push(id.clone());
+            let worker = Worker::new(id.clone(), number, fence, now);
+            self.all.insert(id.clone(), worker);
+        }
+        self.get_mut(id).expect("it was added")
+    }
+
+    pub(crate) fn remove(&mut self, id: &WorkerId) {
+        let Some(worker) = self.all.remove(id) else {
+            return;
+        };
+        let marks = worker.marks;
+        if let Some((service, place)) = marks.place
+            && let Some(rooms) = self.rooms.get_mut(&service)
+        {
+            rooms.remove(worker.number, &place);
+        }
+        if let Some(at) = marks.look {
+            self.looks.remove(&(at, worker.number));
+        }
+        self.silent.remove(id);
+        self.evacuating.remove(id);
+        self.fresh.remove(id);
+    }
+
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Worker> {
+        self.all.values()
+    }
+
+    /// The worker of a number that [`Rooms`] gave.
+    pub(crate) fn at(&self, number: u32) -> Option<&Worker> {
+        self.all.get(self.names.get(number as usize)?)
+    }
+
+    /// Workers of a service that may take work.
+    pub(crate) fn rooms(&self, service: &ServiceName) -> Option<&Rooms> {
+        self.rooms.get(service).filter(|r| !r.is_empty())
+    }
+
+    /// A run takes room on a worker, seen by the next choice of a place.
+    pub(crate) fn hold(&mut self, id: &WorkerId, task: TaskId, held: Held) {
+        if let Some(worker) = self.all.get_mut(id) {
+            worker.hold(task, held);
+            self.index(id);
+        }
+    }
+
+    /// The room of a run that was not planned after all is free again.
+    pub(crate) fn let_go(&mut self, id: &WorkerId, task: TaskId, run: u32) {
+        if let Some(worker) = self.all.get_mut(id) {
+            worker.drop_run(task, run);
+            self.index(id);
+        }
+    }
+
+    /// Those that left a look unanswered, or are listed no more.
+    pub(crate) fn silent(&self) -> impl Iterator<Item = &Worker> {
+        self.silent.iter().filter_map(|id| self.all.get(id))
+    }
+
+    /// Those that lasting work leaves.
+    pub(crate) fn evacuating(&self) -> impl Iterator<Item = &Worker> {
+        self.evacuating.iter().filter_map(|id| self.all.get(id))
+    }
+
+    /// Those with ends that the journal does not reflect yet.
+    pub(crate) fn fresh(&self) -> impl Iterator<Item = &Worker> {
+        self.fresh.iter().filter_map(|id| self.all.get(id))
+    }
+
+    /// Those that are to be looked at by now.
+    pub(crate) fn due(&self, now: Time) -> Vec<WorkerId> {
+        let due = self.looks.range(..=(now, u32::MAX));
+        let names = due.filter_map(|(_, n)| self.names.get(*n as usize));
+        names.cloned().collect()
+    }
+
+    /// When the next one is to be looked at.
+    pub(crate) fn next_look(&self) -> Option<Time> {
+        self.looks.first().map(|(at, _)| *at)
+    }
+
+    /// Derives anew what follows from the state of those that changed.
+    pub(crate) fn settle(&mut self) {
+        for id in std::mem::take(&mut self.touched) {
+            self.index(&id);
+        }
+    }
+
+    fn index(&mut self, id: &WorkerId) {
+        let Some(worker) = self.all.get_mut(id) else {
+            return;
+        };
+        let number = worker.number;
+        worker.marks.touched = false;
+        let place = worker.place();
+        if place != worker.marks.place {
+            let before = std::mem::replace(&mut worker.marks.place, place.clone());
+            if let Some((service, place)) = before
+                && let Some(rooms) = self.rooms.get_mut(&service)
+            {
+                rooms.remove(number, &place);
+            }
+            if let Some((service, place)) = place {
+                self.rooms
+                    .entry(service)
+                    .or_default()
+                    .insert(number, &place);
+            }
+        }
+        let look = worker.next_look();
+        if look != worker.marks.look {
+            if let Some(at) = std::mem::replace(&mut worker.marks.look, look) {
+                self.looks.remove(&(at, number));
+            }
+            self.looks.extend(look.map(|at| (at, number)));
+        }
+        let silent = worker.missed > 0 || worker.entry.is_none();
+        let (evacuating, fresh) = (worker.evacuating, worker.seen != worker.noted);
+        let marks = &mut worker.marks;
+        mark(&mut self.silent, id, &mut marks.silent, silent);
+        mark(&mut self.evacuating, id, &mut marks.evacuating, evacuating);
+        mark(&mut self.fresh, id, &mut marks.fresh, fresh);
+    }
+}
+
+/// Puts `id` into a set or takes it out, if that is not so already.
+fn mark(set: &mut Set<WorkerId>, id: &WorkerId, before: &mut bool, now: bool) {
+    match (std::mem::replace(before, now), now) {
+        (false, true) => {
+            set.insert(id.clone());
+        }
+        (true, false) => {
+            set.remove(id);
+        }
+        _ => {}
+    }
+}
+
+impl Worker {
+    /// Where it may take work, if it may take any.
+    fn place(&self) -> Option<(ServiceName, Place)> {
+        let entry = self.entry.as_ref().filter(|_| self.may_take())?;
+        let place = Place {
+            zone: entry.zone.clone(),
+            rack: self.rack.clone(),
+            free: self.free().cpu,
+        };
+        Some((entry.service.clone(), place))
+    }
+
+    /// When it is to be looked at next; `None` while nothing would come of it.
+    ///
+    /// One that is listed no more may live; what runs there ends as it says. An end is
+    /// acknowledged once the journal reflects it; until then the answer would list it again.
+    fn next_look(&self) -> Option<Time> {
+        let Looking::Due(at) = self.looking else {
+            return None;
+        };
+        let wanted = self.entry.is_some() || !self.held.is_empty();
+        (wanted && self.addr.is_some() && self.seen == self.noted).then_some(at)
+    }
+}
--- a/crates/work/src/name.rs
+++ b/crates/work/src/name.rs
@@ -7,17 +7,28 @@
         #[derive(
             Debug,
             Clone,
-            PartialEq,
             Eq,
             PartialOrd,
             Ord,
-            Hash,
             serde::Serialize,
             serde::Deserialize,
         )]
         #[serde(transparent)]
         pub struct $name(std::sync::Arc<str>);
 
+        // Most names that are compared are copies of one.
+        impl PartialEq for $name {
+            fn eq(&self, other: &Self) -> bool {
+                std::sync::Arc::ptr_eq(&self.0, &other.0) || self.0 == other.0
+            }
+        }
+
+        impl std::hash::Hash for $name {
+            fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+                self.0.hash(state);
+            }
+        }
+
         impl $name {
             /// The name as text.
             pub fn as_str(&self) -> &str {
