--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -67,7 +67,8 @@
         };
         let leaving = pool.closing.iter();
         let leaving = leaving.filter(|(m, v)| {
-            !taken.contains(&m.instance.name) && !self.waves.emptying.contains(&v.worker)
+            let free = !taken.contains(&m.instance.name) && !v.spent;
+            free && !self.waves.emptying.contains(&v.worker)
         });
         let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
         for (member, view) in &chosen {
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -104,6 +104,7 @@
             service: instance.pool.clone(),
             open: true,
             closing: false,
+            spent: false,
             room: UNIT,
             used: Room::default(),
             lasting: 0,
--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -13,6 +13,8 @@
     pub kept: Millis,
     /// Time from a throttle order to its effect.
     pub pace: Millis,
+    /// Most bytes of records in one batch for the journal; one record may be larger.
+    pub batch: usize,
     /// How a team's share is counted.
     pub share: ShareRule,
 }
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -336,7 +336,7 @@
             .map(|w| w.id.clone())
             .collect();
         for id in gone {
-            self.lose_all(&id, "lease expired");
+            self.give_up(&id);
             if self.workers.get(&id).is_some_and(|w| w.entry.is_none()) {
                 self.workers.remove(&id);
             }
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -11,9 +11,6 @@
 use crate::journal::{JobRecord, encode};
 use crate::output::Output;
 
-/// Largest batch, in bytes, well below what the store takes in one call.
-const MAX_BATCH: usize = 512 << 10;
-
 /// Time between two requests to drop submissions. A takeover in between reads those of two
 /// seconds, some hundred; each request takes an append for each partition of the intake.
 const DROP_EVERY: Duration = Duration::from_millis(2_000);
@@ -80,7 +77,7 @@
             let fresh: Vec<WorkerId> = self.workers.fresh().map(|w| w.id.clone()).collect();
             for id in fresh {
                 if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.noted = worker.seen;
+                    worker.note(worker.notable());
                 }
             }
             return;
@@ -89,7 +86,7 @@
         let mut done = Consequences::default();
         let mut size = 0;
         for id in std::mem::take(&mut self.dirty) {
-            if size >= MAX_BATCH {
+            if size >= self.bounds.batch {
                 self.dirty.insert(id);
                 continue;
             }
@@ -118,7 +115,7 @@
             done.ends = self
                 .workers
                 .fresh()
-                .map(|w| (w.id.clone(), w.born, w.seen))
+                .map(|w| (w.id.clone(), w.born, w.notable()))
                 .collect();
         }
         let mark = Mark(self.next_mark);
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -11,6 +11,9 @@
     /// A worker lists an end.
     pub(crate) fn take_end(&mut self, id: &WorkerId, end: &End) {
         let (task, run) = (end.task, end.run);
+        if end.how == How::Done && self.is_redone(task, run) {
+            self.bar(id, end);
+        }
         let copy = self.copy_mut(task, run, id);
         let Some((phase, started)) = copy.map(|c| (c.phase, c.started)) else {
             self.take_late_end(id, end);
@@ -107,6 +110,31 @@
         }
     }
 
+    /// Whether a run was given up while its worker was silent, and its task started anew.
+    fn is_redone(&self, task: TaskId, run: u32) -> bool {
+        let finished = self.finished.get(&task.job()).map(|k| &k.job.redone);
+        let open = self.jobs.get(&task.job()).map(|j| &j.redone);
+        let redone = finished.or(open).into_iter().flatten();
+        redone.into_iter().any(|r| r.task == task && run < r.run)
+    }
+
+    /// An end that must not be acknowledged, unless the worker's lease is known to have run out
+    /// after it.
+    fn bar(&mut self, id: &WorkerId, end: &End) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.lapsed > end.number {
+            return;
+        }
+        let first = worker.barred.map_or(end.number, |n| n.min(end.number));
+        worker.barred = Some(first);
+        log::warn!(
+            task:% = end.task, run = end.run, worker:% = id, number = end.number;
+            "worker is spent: what was given up there was done"
+        );
+    }
+
     fn task_done(&mut self, id: &WorkerId, task: TaskId, gang: bool) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.health.done();
@@ -267,6 +295,21 @@
         self.send_stop(id, task, run);
     }
 
+    /// Every lease on a silent worker has run out; what was done there before may still be listed.
+    pub(crate) fn give_up(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker.held.keys().copied().collect();
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.job());
+            if let Some(state) = job.and_then(|j| j.task_mut(task)) {
+                state.given_up = true;
+            }
+        }
+        self.lose_all(id, "lease expired");
+    }
+
     /// Everything on a worker is gone.
     pub(crate) fn lose_all(&mut self, id: &WorkerId, why: &str) {
         let Some(worker) = self.workers.get(id) else {
@@ -328,7 +371,7 @@
         if let Some(worker) = self.workers.get_mut(id)
             && worker.born == born
         {
-            worker.noted = worker.noted.max(number);
+            worker.note(number);
         }
     }
 
--- a/crates/cell/src/finished.rs
+++ b/crates/cell/src/finished.rs
@@ -1,7 +1,7 @@
 //! What is kept of a job when nothing of it is left to do.
 
 use cactuswheel_model::Time;
-use cactuswheel_work::{JobState, QueueName, TeamName};
+use cactuswheel_work::{JobState, QueueName, TaskId, TeamName};
 use serde::{Deserialize, Serialize};
 
 /// What callers may still ask of a job in a final state.
@@ -13,6 +13,17 @@
     pub(crate) state: JobState,
     pub(crate) team: Option<TeamName>,
     pub(crate) queue: QueueName,
+    /// Tasks that were started anew after a run had been given up unseen.
+    pub(crate) redone: Vec<Redone>,
+}
+
+/// A task that was started anew after a run had been given up unseen: what its worker may list
+/// of that run later must not be acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Redone {
+    pub(crate) task: TaskId,
+    /// The run that was started then.
+    pub(crate) run: u32,
 }
 
 /// A finished job in its cell.
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{JobState, Step, Submission, TaskId};
 
-use crate::finished::Finished;
+use crate::finished::{Finished, Redone};
 use crate::run_state::{StepRun, Task, Turn};
 
 /// A job in its cell.
@@ -30,6 +30,8 @@
     pub(crate) beyond: bool,
     /// Whether this owner has planned a run of it.
     pub(crate) begun: bool,
+    /// Tasks that were started anew after a run had been given up unseen.
+    pub(crate) redone: Vec<Redone>,
     /// It changed since it was last put in line.
     pub(crate) touched: bool,
 }
@@ -48,6 +50,7 @@
             started: false,
             beyond: false,
             begun: false,
+            redone: Vec::new(),
             touched: false,
         }
     }
@@ -59,6 +62,7 @@
             state: self.state,
             team: self.sub.team.clone(),
             queue: self.sub.queue.clone(),
+            redone: self.redone.clone(),
         })
     }
 
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -7,12 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::copy::{Copy, Phase};
-use crate::finished::Finished;
+use crate::finished::{Finished, Redone};
 use crate::job::Job;
 use crate::run_state::{StepRun, Task, Turn};
 
 /// First byte of every record. A reader refuses a version that it does not know.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Largest record that is read, in bytes: a declared length is not to be trusted.
 const MAX_RECORD: u64 = 1 << 20;
@@ -43,6 +43,7 @@
 pub struct OpenRecord {
     state: JobState,
     turns: Vec<TurnRecord>,
+    redone: Vec<Redone>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -108,6 +109,7 @@
         Self {
             state: job.state,
             turns: job.turns.iter().map(TurnRecord::new).collect(),
+            redone: job.redone.clone(),
         }
     }
 
@@ -116,6 +118,7 @@
     /// Every run in it may be there or not: an earlier owner ordered it, or was about to.
     pub(crate) fn apply(self, job: &mut Job, now: Time) {
         job.state = self.state;
+        job.redone = self.redone;
         if self.state.is_final() {
             job.shown = Some(self.state);
             job.ended = Some(now);
@@ -184,6 +187,7 @@
             started: self.run > 0,
             checkpoint: self.checkpoint,
             copies: self.copies.into_iter().map(|c| c.copy(now)).collect(),
+            given_up: false,
             failed_on: None,
         }
     }
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::{HoldOrder, Look, LookError, StopOrder, TaskId, WorkerId};
+use cactuswheel_work::{HoldOrder, How, Look, LookError, StopOrder, TaskId, WorkerId};
 
 use crate::cell::{Cell, RETRY_LOOK};
 use crate::copy::Phase;
@@ -45,6 +45,8 @@
             };
             let wait = match (worker.fence_settled(), worker.held.is_empty()) {
                 (false, _) => Duration::ZERO,
+                // It lists the same ends each time.
+                _ if worker.is_spent() => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
                 (true, false) if worker.waking => WAKING_WAIT,
                 (true, false) => LOOK_WAIT,
@@ -53,7 +55,7 @@
                 // Failure: each look at a silent worker moves the end of its lease, which then
                 // never comes, and what ran there is not started elsewhere. A look without a
                 // renewal finds it again just as well.
-                expiry: match renewing && worker.missed == 0 {
+                expiry: match renewing && worker.missed == 0 && !worker.is_spent() {
                     true => worker.renew(lease, now),
                     false => None,
                 },
@@ -140,6 +142,8 @@
         worker.looking = Looking::Due(now);
         let fence = worker.settle_fence();
         let seen = worker.seen;
+        let lapsed = look.ended.iter().filter(|e| e.how == How::Expired);
+        worker.lapsed = lapsed.map(|e| e.number).max().unwrap_or_default();
         for end in look.ended.iter().filter(|e| e.number > seen) {
             self.take_end(id, end);
         }
@@ -148,6 +152,9 @@
             worker.seen = worker.seen.max(last.unwrap_or_default());
         }
         self.take_running(id, &look.running);
+        if let Some(worker) = self.workers.get_mut(id).filter(|w| w.is_spent()) {
+            worker.looking = Looking::Due(now.after(MAX_RETRY));
+        }
         self.pace_fillers(id);
         if look.ended.len() < FULL_LIST {
             self.settle_absent(id, sent, fence, &look);
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -9,6 +9,7 @@
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
 use crate::copy::{Copy, Phase};
+use crate::finished::Redone;
 use crate::job::Job;
 use crate::learned::Learned;
 use crate::lines::Queued;
@@ -281,9 +282,13 @@
             return;
         };
         state.run = run;
+        let given_up = std::mem::take(&mut state.given_up);
         let mut copy = Copy::new(worker.clone(), place.born, run, Phase::Planned, now);
         copy.fence = place.fence;
         state.copies.push(copy);
+        if given_up {
+            job.redone.push(Redone { task, run });
+        }
         self.usage.add(sub.team.as_ref(), step.room);
         self.dirty.insert(task.job());
         self.planned.push(PlannedStart { task, run, worker });
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -40,6 +40,8 @@
     ///
     /// Invariant: at most one unless the step is speculative; all on different workers.
     pub(crate) copies: Vec<Copy>,
+    /// Its last run was given up while its worker was silent, and may have been done.
+    pub(crate) given_up: bool,
     /// Worker of the last run that failed.
     pub(crate) failed_on: Option<cactuswheel_work::WorkerId>,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -81,6 +81,15 @@
     pub(crate) seen: u64,
     /// Highest end that the journal reflects: it may be acknowledged.
     pub(crate) noted: u64,
+    /// First end that may never be acknowledged, if there is one.
+    ///
+    /// Failure: a worker is silent for longer than its lease, its runs are given up and started
+    /// anew, and then it lists one of them as done before the lease ran out. Once acknowledged
+    /// the work counts as done twice. Its life takes no more work and ends with the next move of
+    /// its instance.
+    pub(crate) barred: Option<u64>,
+    /// Highest end in the list at hand by which its lease is known to have run out.
+    pub(crate) lapsed: u64,
     /// Runs that are, or may be, there.
     pub(crate) held: Map<TaskId, Held>,
     /// What they take up.
@@ -125,6 +134,8 @@
             since: now,
             seen: 0,
             noted: 0,
+            barred: None,
+            lapsed: 0,
             held: Map::default(),
             used: Room::default(),
             lasting: 0,
@@ -151,6 +162,7 @@
             && self.missed == 0
             && self.fence_settled()
             && self.born != 0
+            && self.barred.is_none()
     }
 
     /// Whether it may get new work.
@@ -166,6 +178,23 @@
         self.full_until > now && self.answers()
     }
 
+    /// Highest end that may be acknowledged once the journal reflects it.
+    pub(crate) fn notable(&self) -> u64 {
+        let most = self.barred.map_or(u64::MAX, |first| first - 1);
+        self.seen.min(most)
+    }
+
+    /// The journal reflects its ends up to `number`.
+    pub(crate) fn note(&mut self, number: u64) {
+        self.noted = self.noted.max(number.min(self.notable()));
+    }
+
+    /// Whether its life is of no use any more: it takes no work, and can never be told that all
+    /// its ends were taken in.
+    pub(crate) fn is_spent(&self) -> bool {
+        self.barred.is_some()
+    }
+
     /// Whether it answers, as far as is known.
     pub(crate) fn answers(&self) -> bool {
         self.missed == 0 && self.born != 0
@@ -240,6 +269,7 @@
         self.expiry = 0;
         self.seen = 0;
         self.noted = 0;
+        self.barred = None;
         self.health = Health::default();
     }
 
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -179,7 +179,7 @@
             self.looks.extend(look.map(|at| (at, number)));
         }
         let silent = worker.missed > 0 || worker.entry.is_none();
-        let (evacuating, fresh) = (worker.evacuating, worker.seen != worker.noted);
+        let (evacuating, fresh) = (worker.evacuating, worker.notable() != worker.noted);
         let marks = &mut worker.marks;
         mark(&mut self.silent, id, &mut marks.silent, silent);
         mark(&mut self.evacuating, id, &mut marks.evacuating, evacuating);
@@ -221,6 +221,7 @@
             return None;
         };
         let wanted = self.entry.is_some() || !self.held.is_empty();
-        (wanted && self.addr.is_some() && self.seen == self.noted).then_some(at)
+        let told = self.notable() == self.noted;
+        (wanted && self.addr.is_some() && told).then_some(at)
     }
 }
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -64,6 +64,7 @@
         lease: Millis::new(4_500),
         kept: Millis::new(120_000),
         pace: Millis::new(100),
+        batch: 512 << 10,
         share: ShareRule {
             window: Duration::from_secs(5),
             burst: 0.1,
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -181,7 +181,10 @@
             self.begin(&order);
         }
         if self.clock as u64 > self.expiry {
-            self.lapsed = self.next - 1;
+            // With nothing running there is no lease that could run out.
+            if !self.running.is_empty() {
+                self.lapsed = self.next - 1;
+            }
             self.end_all(How::Expired);
         }
         let mut over = Vec::new();
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -28,9 +28,9 @@
             },
         };
         match answer {
-            Some(JobAnswer::NotOwner) => {}
+            Some(JobAnswer::NotOwner) => shared.missed.notify_one(),
             Some(known) => return Some(known),
-            None => shared.link.store(None),
+            None => lose_link(shared),
         }
         if shared.clock.now() >= until {
             return None;
@@ -52,8 +52,8 @@
         };
         match answer {
             Some(QueueAnswer::Pending(n)) => return Some(n),
-            Some(QueueAnswer::NotOwner) => {}
-            None => shared.link.store(None),
+            Some(QueueAnswer::NotOwner) => shared.missed.notify_one(),
+            None => lose_link(shared),
         }
         if shared.clock.now() >= until {
             return None;
@@ -62,6 +62,11 @@
     }
 }
 
+fn lose_link(shared: &Shared) {
+    shared.link.store(None);
+    shared.missed.notify_one();
+}
+
 async fn link(shared: &Shared) -> Option<Arc<OwnerLink>> {
     let owner = shared.owner.load_full()?;
     if owner.node == shared.settings.node {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -15,7 +15,6 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::lead::EXPIRY;
 use crate::owner::Event;
 use crate::shared::Shared;
 use crate::topics::{MAINTAINED, WAVES};
@@ -27,6 +26,18 @@
 const LIST_BUSY: Duration = Duration::from_millis(300);
 const LIST_IDLE: Duration = Duration::from_millis(1_000);
 
+/// Share of the link that lists of instances may take up.
+///
+/// Failure: a list of every instance takes up a third of what the owner reads, three times a
+/// second; on a narrow link orders and renewals of the ownership wait behind it.
+const LIST_SHARE: f64 = 0.05;
+
+/// About what an instance takes up in the list, in bytes.
+const LISTED: usize = 200;
+
+/// Longest time between lists: nothing is ordered by an older one.
+const LIST_MOST: Duration = Duration::from_millis(1_500);
+
 /// Time for an answer of the platform.
 const LIMIT: Duration = Duration::from_millis(900);
 
@@ -139,7 +150,7 @@
         }
         self.planned = now;
         // Another node may own the cell by then.
-        if self.shared.lead_age() >= EXPIRY || now < self.barred {
+        if !self.shared.leads() || now < self.barred {
             return;
         }
         let waves = self.shared.waves.load_full().unwrap_or_default();
@@ -280,7 +291,7 @@
     given: &Given,
     recorded: bool,
 ) -> InstanceOutcome {
-    let owner = !events.is_closed() && shared.lead_age() < EXPIRY;
+    let owner = !events.is_closed() && shared.leads();
     match recorded && owner {
         true => service.order(&given.order, &given.token, LIMIT).await,
         false => InstanceOutcome::Refused(0),
@@ -298,10 +309,13 @@
                 if std::mem::take(&mut lost) {
                     log::info!("list of instances regained");
                 }
+                let size = instances.len() * LISTED;
+                let least = shared.settings.link.time_of(size).div_f64(LIST_SHARE);
                 let same = quiet.as_ref() == Some(&instances);
                 quiet = Some(instances.clone());
                 let _ = events.send(Event::Instances(instances, sent)).await;
-                sleep(if same { LIST_IDLE } else { LIST_BUSY }).await;
+                let pause = if same { LIST_IDLE } else { LIST_BUSY };
+                sleep(pause.max(least.min(LIST_MOST))).await;
             }
             Err(e) => {
                 if !std::mem::replace(&mut lost, true) {
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -17,7 +17,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::journal_writer::JournalWriter;
-use crate::lead::EXPIRY;
 use crate::owner::Event;
 use crate::shared::Shared;
 
@@ -25,6 +24,18 @@
 /// others up; each takes a connection.
 const LANES: usize = 2;
 
+/// Time that orders under way may take on the link.
+///
+/// Failure: a new owner starts hundreds of tasks at once over a narrow link, the renewals of its
+/// ownership wait behind them for seconds, and the ownership is claimed by the next node.
+const WINDOW: Duration = Duration::from_millis(150);
+
+/// About what an order and its answer take up on the link, in bytes.
+const ORDER_SIZE: usize = 700;
+
+/// Least number of orders under way.
+const LEAST_ORDERS: usize = 16;
+
 /// Time for an answer to an order. Workers answer in milliseconds; a longer silence means that
 /// the answer will not come.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
@@ -48,6 +59,8 @@
     events: mpsc::Sender<Event>,
     journal: JournalWriter,
     workers: Map<WorkerId, Hand>,
+    /// Orders that may be under way.
+    window: Arc<Semaphore>,
     policy: Option<Arc<PolicyService>>,
     /// Questions to the policy service that are under way.
     questions: Arc<Semaphore>,
@@ -75,7 +88,10 @@
             .settings
             .policy
             .map(|a| Arc::new(PolicyService::new(a)));
+        let orders = shared.settings.link.bytes_in(WINDOW) / ORDER_SIZE;
+        let orders = orders.clamp(LEAST_ORDERS, Semaphore::MAX_PERMITS);
         Self {
+            window: Arc::new(Semaphore::new(orders)),
             journal: JournalWriter::new(shared.clone(), events.clone(), epoch),
             shared,
             events,
@@ -162,8 +178,9 @@
         let hand = self.hand(&worker, addr);
         let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
         let fence = hand.fence.clone();
+        let window = self.window.clone();
         self.tasks.spawn(async move {
-            let Ok(_lane) = lanes.acquire().await else {
+            let (Ok(_lane), Ok(_order)) = (lanes.acquire().await, window.acquire().await) else {
                 return;
             };
             // An order that was overtaken would be refused; not sending it says so sooner.
@@ -171,7 +188,7 @@
             // Failure: an owner is frozen with an order in hand, and wakes when another one has
             // settled that run and the worker has started anew, knowing no fencing token; the
             // task runs twice. Ownership is confirmed more often than it can be claimed.
-            let overtaken = overtaken || shared.lead_age() >= EXPIRY;
+            let overtaken = overtaken || !shared.leads();
             let outcome = match overtaken {
                 true => StartOutcome::NotSent,
                 false => orders.start(&order, ORDER_LIMIT).await,
--- /dev/null
+++ b/crates/node/src/hearing.rs
@@ -0,0 +1,51 @@
+//! When the owner's records were written, as far as a node can tell.
+
+use cactuswheel_model::Time;
+
+/// Dates the owner's records on this node's clock.
+///
+/// A record names the owner's steady clock when it was sent. The two clocks have nothing in
+/// common but their pace; of all records that were read, the one that came quickest ties them
+/// together. So a node that reads several renewals at once knows how old the newest is, and
+/// takes an ownership over as soon as one that reads each of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hearing {
+    /// When the newest record came, or the store came back.
+    at: Time,
+    /// Least difference seen between this node's clock and the owner's, in milliseconds.
+    ahead: Option<i64>,
+}
+
+impl Hearing {
+    /// Nothing was heard yet.
+    pub fn new(now: Time) -> Self {
+        Self {
+            at: now,
+            ahead: None,
+        }
+    }
+
+    /// When the owner was last heard of.
+    pub fn at(&self) -> Time {
+        self.at
+    }
+
+    /// Another owner's records follow: its clock is another one.
+    pub fn change(&mut self) {
+        self.ahead = None;
+    }
+
+    /// A record was read that was sent at `clock` of its owner.
+    pub fn hear(&mut self, now: Time, clock: u64) {
+        let ahead = now.get() as i64 - clock as i64;
+        let least = self.ahead.map_or(ahead, |before| before.min(ahead));
+        self.ahead = Some(least);
+        let sent = Time::new((clock as i64 + least).max(0) as u64);
+        self.at = self.at.max(sent);
+    }
+
+    /// The store cannot be read: time without it does not count.
+    pub fn wait(&mut self, now: Time) {
+        self.at = now;
+    }
+}
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Keyed, ReadError};
-use cactuswheel_capacity::LastOwner;
+use cactuswheel_capacity::{LONGEST_LAPSE, LastOwner};
 use cactuswheel_cell::{RENEW_WITHOUT_STORE, decode, encode};
 use cactuswheel_model::Time;
 use rand::Rng;
@@ -17,6 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::claim::{Claim, Claims};
+use crate::hearing::Hearing;
+use crate::link_rate::LinkRate;
 use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
 use crate::shared::Shared;
@@ -28,7 +30,18 @@
 /// Time without a renewal after which the ownership may be claimed. Three renewals have to be
 /// missed, or one answer lost and another renewal with it; a store that takes half a second for
 /// an answer still carries them.
-pub(crate) const EXPIRY: Duration = Duration::from_millis(1_100);
+const EXPIRY: Duration = Duration::from_millis(1_100);
+
+/// Largest answer of the store that a renewal may have to wait behind on the node's own link, in
+/// bytes: a page of five hundred records.
+pub(crate) const LARGE_PAGE: usize = 320 << 10;
+
+/// Time between two reads of the ownership by nodes with less processor than the owner.
+///
+/// Failure: the owner renews its ownership three times a second, and each renewal costs a call
+/// of every node: with 147 nodes two fifths of all calls. Those that would claim it last need not
+/// know of each.
+const WEAKER_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Claims are spread over this time, so that most of them see the first one's.
 const SPREAD: Duration = Duration::from_millis(40);
@@ -41,8 +54,8 @@
 /// Longest such wait.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
-/// Longest time for an answer of the store. With one answer lost the next renewal still comes in
-/// time.
+/// Longest time for an answer of the store, beside what a large page takes on the link. With one
+/// answer lost the next renewal still comes in time.
 const LIMIT: Duration = Duration::from_millis(600);
 
 /// Shortest such time.
@@ -81,6 +94,15 @@
     },
 }
 
+/// Time without a renewal after which an ownership may be claimed of a node with such a link.
+///
+/// Failure: an owner on a narrow link reads what earlier ones have left, its renewals wait behind
+/// the pages, and the ownership is claimed before they are through; the next node fares the
+/// same, and nothing runs any more. Behind one page a renewal still comes in time.
+pub(crate) fn lapse(link: LinkRate) -> Duration {
+    (EXPIRY + link.time_of(LARGE_PAGE)).min(LONGEST_LAPSE)
+}
+
 /// Takes part in the ownership.
 pub(crate) struct Lead {
     shared: Arc<Shared>,
@@ -89,8 +111,7 @@
     /// Offset at which the partition ended when it was last seen.
     end: u64,
     last: Option<Ownership>,
-    /// When the last record came, or the store came back.
-    heard: Time,
+    hearing: Hearing,
     /// When the record's owner was first heard of.
     since: Time,
     claims: Claims,
@@ -107,7 +128,7 @@
             role,
             end: 0,
             last: None,
-            heard,
+            hearing: Hearing::new(heard),
             since: heard,
             claims: Claims::default(),
             sent: heard,
@@ -178,29 +199,57 @@
         let me = &self.shared.settings.node;
         let mut last = self.last.iter();
         let released = last.all(|o| o.released || (o.node == *me && o.life != self.life));
-        let left = EXPIRY.saturating_sub(now.since(self.heard));
+        let lapse = self
+            .last
+            .as_ref()
+            .map_or(EXPIRY, |o| Duration::from_millis(o.lapse));
+        let left = lapse.saturating_sub(now.since(self.hearing.at()));
         if released || left.is_zero() || self.outranks(now) {
             return self.claim().await;
         }
-        let read = self.shared.store.read(OWNER, self.end, left, LIMIT).await;
+        if !self.read(left).await || !self.is_weaker() {
+            return;
+        }
+        // Others claim it before this node does; whoever misses the owner asks sooner.
+        let _ = timeout(WEAKER_PAUSE, self.shared.missed.notified()).await;
+        self.read(Duration::ZERO).await;
+    }
+
+    /// Reads what is new of the ownership; waits up to `wait` for it. True if that worked.
+    async fn read(&mut self, wait: Duration) -> bool {
+        let limit = LIMIT + self.shared.settings.link.time_of(LARGE_PAGE);
+        let read = self.shared.store.read(OWNER, self.end, wait, limit).await;
         match read {
             Ok(page) => {
                 for record in &page.records {
                     self.take(record);
                 }
                 self.end = page.from + page.records.len() as u64;
+                true
+            }
+            Err(ReadError::Deleted) => {
+                self.resync().await;
+                false
             }
-            Err(ReadError::Deleted) => self.resync().await,
             Err(ReadError::Failed(_)) => {
                 // Failure: the store is back after an outage, every node finds the ownership
                 // long expired and claims it before its owner can renew. Time without the
                 // store does not count.
-                self.heard = self.shared.clock.now();
+                self.hearing.wait(self.shared.clock.now());
                 sleep(RETRY).await;
+                false
             }
         }
     }
 
+    /// Whether this node has less processor than the owner.
+    fn is_weaker(&self) -> bool {
+        let cores = self.shared.settings.cores;
+        self.last
+            .as_ref()
+            .is_some_and(|o| cores < o.cores && !o.released)
+    }
+
     /// Whether the owner has so much less processor than this node that a change pays.
     fn outranks(&self, now: Time) -> bool {
         let cores = self.shared.settings.cores;
@@ -255,12 +304,14 @@
             clock: now.get(),
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
+            lapse: self.shared.lapse.as_millis() as u64,
         };
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
         let sent = self.shared.clock.now();
         self.sent = sent;
         let limit = self.shared.patience.limit().clamp(LEAST_LIMIT, LIMIT);
+        let limit = limit + settings.link.time_of(LARGE_PAGE);
         let done = store.append(OWNER, None, Some(self.end), &records, limit);
         match done.await {
             Ok(done) => {
@@ -279,7 +330,7 @@
         Some(LastOwner {
             life: last.life,
             clock: Time::new(last.clock),
-            heard: self.heard,
+            heard: self.hearing.at(),
             since: self.since,
         })
     }
@@ -287,7 +338,7 @@
     async fn resync(&mut self) {
         if let Err(e) = self.sync().await {
             log::debug!(error:% = e; "ownership cannot be read");
-            self.heard = self.shared.clock.now();
+            self.hearing.wait(self.shared.clock.now());
             sleep(RETRY).await;
         }
     }
@@ -316,11 +367,13 @@
         if self.last.as_ref().is_some_and(|o| o.epoch > record.epoch) {
             return;
         }
-        let news = self.last.as_ref() != Some(&record);
-        if news || record.node != self.shared.settings.node {
-            self.heard = self.shared.clock.now();
-        }
         let changed = self.last.as_ref().map(|o| o.epoch) != Some(record.epoch);
+        if changed {
+            self.hearing.change();
+        }
+        if self.last.as_ref() != Some(&record) {
+            self.hearing.hear(self.shared.clock.now(), record.clock);
+        }
         if changed {
             self.since = self.shared.clock.now();
             log::info!(owner:% = record.node, epoch = record.epoch; "owner known");
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -22,4 +22,6 @@
     pub(crate) released: bool,
     /// No owner before this one can be renewing leases any more.
     pub(crate) settled: bool,
+    /// Time without a renewal after which it may be claimed, in milliseconds.
+    pub(crate) lapse: u64,
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,6 +9,7 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 
+use crate::LinkRate;
 use crate::policies::Policies;
 
 /// Most partitions of a topic. Each is followed by a read of its own, and a takeover reads all.
@@ -24,6 +25,9 @@
     /// Processor that it has, in cores: those with more claim the ownership first.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Rate of its link, in megabits a second: what it reads and orders at a time follows it.
+    #[serde(default, rename = "link_mbps")]
+    pub link: LinkRate,
     /// Where it listens.
     pub listen: Listen,
     /// The platform's store.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,8 +8,10 @@
 use cactuswheel_model::Time;
 use cactuswheel_patience::Patience;
 use cactuswheel_work::{FleetConfig, Wave};
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::lead::lapse;
 use crate::metrics::Metrics;
 use crate::order_log::OrderLog;
 use crate::owner::OwnerHandle;
@@ -41,6 +43,10 @@
     pub(crate) link: ArcSwapOption<OwnerLink>,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
+    /// Time without a renewal after which an ownership of this node may be claimed.
+    pub(crate) lapse: Duration,
+    /// The owner that is known does not answer: there may be another one.
+    pub(crate) missed: Notify,
     /// When the write was sent that last confirmed this node's ownership.
     lead: AtomicU64,
     /// The ownership has to be claimed anew: the cell was given up while it was held.
@@ -66,6 +72,8 @@
             store: Store::new(settings.store),
             orders: OrderLog::new(settings.parts),
             patience: Patience::new(LEAST_PATIENCE, MOST_PATIENCE),
+            lapse: lapse(settings.link),
+            missed: Notify::new(),
             settings,
             life,
             clock: Clock,
@@ -110,6 +118,11 @@
         self.clock.now().since(confirmed)
     }
 
+    /// Whether this node's ownership was confirmed so lately that nobody else can have claimed it.
+    pub(crate) fn leads(&self) -> bool {
+        self.lead_age() < self.lapse
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -2,23 +2,31 @@
 
 use std::time::Duration;
 
-use cactuswheel_adapter::{AppendError, Item, Partition, Producer, ReadError};
+use cactuswheel_adapter::{AppendError, Item, Partition, Producer};
 use cactuswheel_capacity::{OrderRecord, Past};
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
-use futures::future::join_all;
+use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
+use crate::lead::LARGE_PAGE;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
 /// Name under which every owner writes the journal: the epoch tells them apart.
 pub(crate) const OWNER_NAME: &str = "owner";
 
-/// Time for an answer of the store.
+/// Time without a part of the store's answer, beside what a large page takes on the link.
 const LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Partitions that are read at a time.
+///
+/// Failure: all partitions are read at once over a narrow link, none is through within its time,
+/// and every try begins anew; the takeover never ends. Two at a time hide the way to the store,
+/// and leave the link to the renewals of the ownership.
+const SIDE_BY_SIDE: usize = 2;
+
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -26,6 +34,15 @@
 /// silent starts again elsewhere in about this time.
 const LEASE: Millis = Millis::new(4_500);
 
+/// Time that a batch for the journal may take on the link: renewals of the ownership wait behind it.
+const BATCH_TIME: Duration = Duration::from_millis(150);
+
+/// Least such size, in bytes.
+const LEAST_BATCH: usize = 16 << 10;
+
+/// Largest, in bytes: well below what the store takes in one call.
+const MOST_BATCH: usize = 512 << 10;
+
 /// Longest time that a job's age may be worth counting; clocks of nodes may be off.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
@@ -58,8 +75,11 @@
 ) -> Result<Taken, TakeoverError> {
     shut_out(shared, epoch).await?;
     // Whatever an earlier owner has in the journal is there by now, and nothing is added.
-    let parts = (0..shared.settings.parts).map(|part| newest(shared, intake(part)));
-    let (read, (journal, _)) = tokio::join!(join_all(parts), newest(shared, JOURNAL));
+    let parts = (0..shared.settings.parts).map(intake);
+    let all = [JOURNAL].into_iter().chain(parts);
+    let read = stream::iter(all.map(|part| newest(shared, part)));
+    let mut read: Vec<(Vec<Item>, u64)> = read.buffered(SIDE_BY_SIDE).collect().await;
+    let (journal, _) = read.remove(0);
     let (intake, ends): (Vec<Vec<Item>>, Vec<u64>) = read.into_iter().unzip();
     let intake: Vec<Item> = intake.into_iter().flatten().collect();
     let config = loop {
@@ -195,28 +215,29 @@
 }
 
 /// The newest record of each key, and the offset at which the first page was read.
+///
+/// What was read stays read: only a page that fails is asked for again.
 async fn newest(shared: &Shared, of: Partition) -> (Vec<Item>, u64) {
-    loop {
-        match pages(shared, of).await {
-            Ok(read) => return read,
-            Err(e) => {
-                log::info!(topic = of.topic, error:% = e; "takeover waits for the store");
-                sleep(RETRY).await;
-            }
-        }
-    }
-}
-
-async fn pages(shared: &Shared, of: Partition) -> Result<(Vec<Item>, u64), ReadError> {
     let mut items: Vec<Item> = Vec::new();
     let mut end = None;
+    let limit = LIMIT + shared.settings.link.time_of(LARGE_PAGE);
     loop {
         let after = items.last().map(|i| i.key.clone());
-        let page = shared.store.newest(of, after.as_deref(), LIMIT).await?;
-        let first = *end.get_or_insert(page.end);
-        items.extend(page.items);
-        if !page.more {
-            return Ok((items, first));
+        match shared.store.newest(of, after.as_deref(), limit).await {
+            Ok(page) => {
+                let first = *end.get_or_insert(page.end);
+                items.extend(page.items);
+                if !page.more {
+                    return (items, first);
+                }
+            }
+            Err(e) => {
+                log::info!(
+                    topic = of.topic, part = of.part, read = items.len() as u64, error:% = e;
+                    "takeover waits for the store"
+                );
+                sleep(RETRY).await;
+            }
         }
     }
 }
@@ -227,6 +248,11 @@
         lease: times.lease.min(LEASE),
         kept: times.kept,
         pace: times.pace,
+        batch: shared
+            .settings
+            .link
+            .bytes_in(BATCH_TIME)
+            .clamp(LEAST_BATCH, MOST_BATCH),
         share: shared.settings.share.rule(),
     }
 }
