--- /dev/null
+++ b/crates/node/src/cargo.rs
@@ -0,0 +1,117 @@
+//! Orders that go through a relay, and what it reports of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{
+    HoldOrder, JobId, Look, LookError, NodeName, PaceOrder, PlainOutcome, StartOrder, StartOutcome,
+    StopOrder, TaskId, WorkerId,
+};
+use serde::{Deserialize, Serialize};
+
+/// An order to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Order {
+    /// Renew its lease and look at it, in place of any earlier look that is under way.
+    Look(u64, HoldOrder),
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Throttle a run.
+    Pace(PaceOrder),
+}
+
+/// An order and the worker that it is for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Errand {
+    pub(crate) worker: WorkerId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) order: Order,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Report {
+    /// A look's outcome, by its number.
+    Looked(WorkerId, u64, Result<Look, LookError>),
+    /// A start order's outcome.
+    Started(WorkerId, TaskId, u32, StartOutcome),
+    /// A throttle order's outcome.
+    Paced(WorkerId, PaceOrder, PlainOutcome),
+}
+
+/// Errands for one relay, sent together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Cargo {
+    /// Number of the ownership under which they are given.
+    pub(crate) epoch: u64,
+    /// Where the owner takes reports.
+    pub(crate) owner: SocketAddr,
+    /// When the ownership was confirmed, on the relay's clock.
+    pub(crate) confirmed: Time,
+    /// Time after that from which no start is ordered, in milliseconds.
+    pub(crate) lapse: u64,
+    /// What each job runs; the orders themselves leave it out.
+    pub(crate) specs: Vec<(JobId, Arc<str>)>,
+    pub(crate) errands: Vec<Errand>,
+}
+
+/// What became of a relay's errands, sent together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Reports {
+    pub(crate) epoch: u64,
+    pub(crate) node: NodeName,
+    pub(crate) reports: Vec<Report>,
+}
+
+impl Cargo {
+    /// Names what each job runs once, however many of its tasks start.
+    pub(crate) fn fold_specs(&mut self) {
+        let mut specs: Map<JobId, Arc<str>> = Map::default();
+        for errand in &mut self.errands {
+            if let Order::Start(start) = &mut errand.order {
+                let spec = std::mem::replace(&mut start.spec, "".into());
+                specs.insert(start.task.job(), spec);
+            }
+        }
+        self.specs = specs.into_iter().collect();
+    }
+
+    /// Puts what each job runs back into its orders.
+    pub(crate) fn unfold_specs(&mut self) {
+        let specs: Map<JobId, Arc<str>> = self.specs.drain(..).collect();
+        for errand in &mut self.errands {
+            if let Order::Start(start) = &mut errand.order
+                && let Some(spec) = specs.get(&start.task.job())
+            {
+                start.spec = spec.clone();
+            }
+        }
+    }
+}
+
+impl Errand {
+    /// About what it takes up in a cargo, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        /// Names, addresses and numbers.
+        const BARE: usize = 80;
+        match &self.order {
+            Order::Start(start) => BARE + start.spec.len() + start.checkpoint.len(),
+            Order::Look(..) | Order::Stop(_) | Order::Pace(_) => BARE,
+        }
+    }
+}
+
+impl Report {
+    /// About what it takes up in a message, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        /// Names and numbers of a report, and of a row of a look.
+        const BARE: usize = 60;
+        match self {
+            Self::Looked(_, _, Ok(look)) => BARE * (1 + look.running.len() + look.ended.len()),
+            Self::Looked(..) | Self::Started(..) | Self::Paced(..) => BARE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/carrier.rs
@@ -0,0 +1,232 @@
+//! Carries orders out to workers from this node, for its own cell or for the owner elsewhere.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuswheel_adapter::{Link, Orders};
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{HoldOrder, PaceOrder, StartOrder, StartOutcome, StopOrder, WorkerId};
+use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
+use tokio_util::task::TaskTracker;
+
+use crate::cargo::{Errand, Order, Report};
+use crate::shared::Shared;
+
+/// Orders to one worker that are under way at a time. Two keep one lost answer from holding all
+/// others up; each takes a connection.
+const LANES: usize = 2;
+
+/// Time that orders under way may take on the link.
+///
+/// Failure: a new owner starts hundreds of tasks at once over a narrow link, the renewals of its
+/// ownership wait behind them for seconds, and the ownership is claimed by the next node.
+const WINDOW: Duration = Duration::from_millis(150);
+
+/// About what an order and its answer take up on the link, in bytes.
+const ORDER_SIZE: usize = 700;
+
+/// Least number of orders under way.
+const LEAST_ORDERS: usize = 16;
+
+/// Time for an answer to an order. Workers answer in milliseconds; a longer silence means that
+/// the answer will not come.
+pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time for an answer to a look, beyond its own wait.
+pub(crate) const LOOK_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time without an order after which a worker's connections go.
+const UNUSED: Duration = Duration::from_secs(20);
+
+/// Workers that are reached before unused ones are looked for.
+const MANY: usize = 64;
+
+/// Whose orders are carried out.
+pub(crate) trait Commander: Clone + Send + Sync + 'static {
+    /// Tells what became of an order.
+    fn tell(&self, report: Report) -> impl Future<Output = ()> + Send;
+
+    /// Whether nobody takes reports any more.
+    fn is_gone(&self) -> bool;
+
+    /// Whether the ownership under which orders are given was confirmed so lately that nobody
+    /// else can have claimed it.
+    fn leads(&self) -> bool;
+}
+
+/// Carries orders out to workers, until it is dropped.
+pub(crate) struct Carrier<C> {
+    shared: Arc<Shared>,
+    commander: C,
+    workers: Map<WorkerId, Hand>,
+    /// Orders that may be under way.
+    window: Arc<Semaphore>,
+    pruned: Time,
+    tasks: TaskTracker,
+}
+
+/// What reaches one worker.
+struct Hand {
+    addr: SocketAddr,
+    orders: Arc<Orders>,
+    lanes: Arc<Semaphore>,
+    /// Newest fencing token that any order carried; older orders are not sent any more.
+    fence: Arc<AtomicU64>,
+    look: Option<AbortHandle>,
+    used: Time,
+}
+
+impl<C: Commander> Carrier<C> {
+    pub(crate) fn new(shared: Arc<Shared>, commander: C) -> Self {
+        let orders = shared.settings.link.bytes_in(WINDOW) / ORDER_SIZE;
+        let orders = orders.clamp(LEAST_ORDERS, Semaphore::MAX_PERMITS);
+        Self {
+            commander,
+            workers: Map::default(),
+            window: Arc::new(Semaphore::new(orders)),
+            pruned: shared.clock.now(),
+            tasks: TaskTracker::new(),
+            shared,
+        }
+    }
+
+    pub(crate) fn carry(&mut self, errand: Errand) {
+        let Errand {
+            worker,
+            addr,
+            order,
+        } = errand;
+        self.prune();
+        match order {
+            Order::Look(look, order) => self.look(worker, addr, look, order),
+            Order::Start(order) => self.start(worker, addr, order),
+            Order::Stop(order) => self.stop(&worker, addr, order),
+            Order::Pace(order) => self.pace(&worker, addr, order),
+        }
+    }
+
+    /// A worker is listed no more: its connections go.
+    pub(crate) fn forget(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+    }
+
+    fn prune(&mut self) {
+        let now = self.shared.clock.now();
+        if self.workers.len() < MANY || now.since(self.pruned) < UNUSED {
+            return;
+        }
+        self.pruned = now;
+        self.workers.retain(|_, hand| now.since(hand.used) < UNUSED);
+    }
+
+    fn hand(&mut self, id: &WorkerId, addr: SocketAddr) -> &mut Hand {
+        let now = self.shared.clock.now();
+        let fresh = || Hand {
+            addr,
+            orders: Arc::new(Orders::new(id.clone(), Link::new(addr))),
+            lanes: Arc::new(Semaphore::new(LANES)),
+            fence: Arc::new(AtomicU64::new(0)),
+            look: None,
+            used: now,
+        };
+        let hand = self.workers.entry(id.clone()).or_insert_with(fresh);
+        if hand.addr != addr {
+            *hand = fresh();
+        }
+        hand.used = now;
+        hand
+    }
+
+    fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
+        let commander = self.commander.clone();
+        let hand = self.hand(&worker, addr);
+        hand.fence.fetch_max(order.fence, Ordering::AcqRel);
+        if let Some(before) = hand.look.take() {
+            before.abort();
+        }
+        let orders = hand.orders.clone();
+        let task = tokio::spawn(async move {
+            let answer = orders.hold(&order, LOOK_LIMIT).await;
+            commander.tell(Report::Looked(worker, look, answer)).await;
+        });
+        hand.look = Some(task.abort_handle());
+    }
+
+    fn start(&mut self, worker: WorkerId, addr: SocketAddr, order: StartOrder) {
+        let (commander, shared) = (self.commander.clone(), self.shared.clone());
+        let hand = self.hand(&worker, addr);
+        let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
+        let fence = hand.fence.clone();
+        let window = self.window.clone();
+        self.tasks.spawn(async move {
+            let (Ok(_lane), Ok(_order)) = (lanes.acquire().await, window.acquire().await) else {
+                return;
+            };
+            // An order that was overtaken would be refused; not sending it says so sooner.
+            let overtaken = fence.load(Ordering::Acquire) > order.fence || commander.is_gone();
+            // Failure: an owner is frozen with an order in hand, and wakes when another one has
+            // settled that run and the worker has started anew, knowing no fencing token; the
+            // task runs twice. Ownership is confirmed more often than it can be claimed.
+            let overtaken = overtaken || !commander.leads();
+            let outcome = match overtaken {
+                true => StartOutcome::NotSent,
+                false => orders.start(&order, ORDER_LIMIT).await,
+            };
+            shared.metrics.ordered("start", outcome_name(outcome));
+            let report = Report::Started(worker, order.task, order.run, outcome);
+            commander.tell(report).await;
+        });
+    }
+
+    fn stop(&mut self, worker: &WorkerId, addr: SocketAddr, order: StopOrder) {
+        let shared = self.shared.clone();
+        let orders = self.hand(worker, addr).orders.clone();
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let outcome = orders.stop(&order, ORDER_LIMIT).await;
+            shared.metrics.ordered("stop", "sent");
+            log::info!(
+                task:% = order.task, run = order.run, worker:% = worker, outcome:? = outcome;
+                "stop ordered"
+            );
+        });
+    }
+
+    fn pace(&mut self, worker: &WorkerId, addr: SocketAddr, order: PaceOrder) {
+        let (commander, shared) = (self.commander.clone(), self.shared.clone());
+        let orders = self.hand(worker, addr).orders.clone();
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let outcome = orders.pace(&order, ORDER_LIMIT).await;
+            shared.metrics.ordered("pace", "sent");
+            log::info!(
+                task:% = order.task, run = order.run, worker:% = worker,
+                percent = order.percent, outcome:? = outcome;
+                "pace ordered"
+            );
+            commander.tell(Report::Paced(worker, order, outcome)).await;
+        });
+    }
+}
+
+impl<C> Drop for Carrier<C> {
+    fn drop(&mut self) {
+        for hand in self.workers.values() {
+            if let Some(look) = &hand.look {
+                look.abort();
+            }
+        }
+    }
+}
+
+fn outcome_name(outcome: StartOutcome) -> &'static str {
+    match outcome {
+        StartOutcome::Started => "started",
+        StartOutcome::Refused(_) => "refused",
+        StartOutcome::NotSent => "not_sent",
+        StartOutcome::Unknown => "unknown",
+    }
+}
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -1,48 +1,27 @@
-//! Carries out what the cell asks for.
+//! Carries out what the cell asks for, from this node or through relays.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cactuswheel_adapter::{Link, Orders, PolicyService};
+use cactuswheel_adapter::PolicyService;
 use cactuswheel_cell::{Batch, Output};
-use cactuswheel_model::Map;
+use cactuswheel_model::{Map, Time};
+use cactuswheel_relay::{Capacity, Lost, Offer, Pending, Relays, Reply, Way};
 use cactuswheel_work::{
-    HoldOrder, JobId, PaceOrder, StartOrder, StartOutcome, StepId, StopOrder, WorkerId,
+    JobId, LookError, NodeName, PlainOutcome, StartOutcome, StepId, WorkerEntry, WorkerId, ZoneName,
 };
 use tokio::sync::{Semaphore, mpsc};
-use tokio::task::AbortHandle;
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
+use crate::cargo::{Errand, Order, Report, Reports};
+use crate::carrier::{Carrier, Commander, LOOK_LIMIT, ORDER_LIMIT};
+use crate::courier::Courier;
 use crate::journal_writer::JournalWriter;
 use crate::owner::Event;
 use crate::shared::Shared;
 
-/// Orders to one worker that are under way at a time. Two keep one lost answer from holding all
-/// others up; each takes a connection.
-const LANES: usize = 2;
-
-/// Time that orders under way may take on the link.
-///
-/// Failure: a new owner starts hundreds of tasks at once over a narrow link, the renewals of its
-/// ownership wait behind them for seconds, and the ownership is claimed by the next node.
-const WINDOW: Duration = Duration::from_millis(150);
-
-/// About what an order and its answer take up on the link, in bytes.
-const ORDER_SIZE: usize = 700;
-
-/// Least number of orders under way.
-const LEAST_ORDERS: usize = 16;
-
-/// Time for an answer to an order. Workers answer in milliseconds; a longer silence means that
-/// the answer will not come.
-const ORDER_LIMIT: Duration = Duration::from_millis(500);
-
-/// Time for an answer to a look, beyond its own wait.
-const LOOK_LIMIT: Duration = Duration::from_millis(600);
-
 /// Pause after the policy service gave no answer: it takes one call of a node at a time.
 const ADVICE_PAUSE: Duration = Duration::from_millis(30);
 
@@ -53,52 +32,75 @@
 /// Time for an answer of the policy service beyond what it says that it takes.
 const ADVICE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Time for the way to a relay and back, and for its own queue, beside the order's own limit.
+const RELAY_WAY: Duration = Duration::from_millis(700);
+
+/// Time between looks for relays that are silent and orders that are overdue.
+const CHECK_EVERY: Duration = Duration::from_millis(100);
+
+/// The owner on this node, whose orders are carried out.
+#[derive(Clone)]
+struct OwnEnd {
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+}
+
+impl Commander for OwnEnd {
+    async fn tell(&self, report: Report) {
+        // With the owner gone there is nobody to tell.
+        let _ = self.events.send(Event::Report(report)).await;
+    }
+
+    fn is_gone(&self) -> bool {
+        self.events.is_closed()
+    }
+
+    fn leads(&self) -> bool {
+        self.shared.leads()
+    }
+}
+
 /// Carries out what the cell asks for, until it is dropped.
 pub(crate) struct Hands {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
+    epoch: u64,
     journal: JournalWriter,
-    workers: Map<WorkerId, Hand>,
-    /// Orders that may be under way.
-    window: Arc<Semaphore>,
+    carrier: Carrier<OwnEnd>,
+    relays: Relays,
+    couriers: Map<NodeName, Courier>,
+    zones: Map<WorkerId, ZoneName>,
+    checked: Time,
     policy: Option<Arc<PolicyService>>,
     /// Questions to the policy service that are under way.
     questions: Arc<Semaphore>,
     tasks: TaskTracker,
 }
 
-/// What reaches one worker.
-struct Hand {
-    addr: SocketAddr,
-    orders: Arc<Orders>,
-    lanes: Arc<Semaphore>,
-    /// Newest fencing token that any order carried; older orders are not sent any more.
-    fence: Arc<AtomicU64>,
-    look: Option<AbortHandle>,
-}
-
 impl Hands {
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        events: mpsc::Sender<Event>,
-        epoch: u64,
-        tasks: TaskTracker,
-    ) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, events: mpsc::Sender<Event>, epoch: u64) -> Self {
         let policy = shared
             .settings
             .policy
             .map(|a| Arc::new(PolicyService::new(a)));
-        let orders = shared.settings.link.bytes_in(WINDOW) / ORDER_SIZE;
-        let orders = orders.clamp(LEAST_ORDERS, Semaphore::MAX_PERMITS);
+        let own = OwnEnd {
+            shared: shared.clone(),
+            events: events.clone(),
+        };
+        let link = shared.settings.link.bytes_in(Duration::from_secs(1));
         Self {
-            window: Arc::new(Semaphore::new(orders)),
             journal: JournalWriter::new(shared.clone(), events.clone(), epoch),
+            carrier: Carrier::new(shared.clone(), own),
+            relays: Relays::new(Capacity::by_link(link as f64)),
+            couriers: Map::default(),
+            zones: Map::default(),
+            checked: shared.clock.now(),
             shared,
             events,
-            workers: Map::default(),
+            epoch,
             policy,
             questions: Arc::new(Semaphore::new(QUESTIONS)),
-            tasks,
+            tasks: TaskTracker::new(),
         }
     }
 
@@ -111,122 +113,132 @@
                 addr,
                 look,
                 order,
-            } => self.look(worker, addr, look, order),
+            } => self.order(worker, addr, Order::Look(look, order)),
             Output::Start {
                 worker,
                 addr,
                 order,
-            } => self.start(worker, addr, order),
+            } => self.order(worker, addr, Order::Start(order)),
             Output::Stop {
                 worker,
                 addr,
                 order,
-            } => self.stop(&worker, addr, order),
+            } => self.order(worker, addr, Order::Stop(order)),
             Output::Pace {
                 worker,
                 addr,
                 order,
-            } => self.pace(&worker, addr, order),
+            } => self.order(worker, addr, Order::Pace(order)),
             Output::Ask { step, workers } => self.ask(step, workers),
             // Its owner acts on it.
             Output::Deposed { .. } => {}
         }
     }
 
-    fn drop_submissions(&mut self, jobs: Vec<JobId>) {
-        let journal = self.journal.clone();
-        self.tasks.spawn(async move { journal.forget(&jobs).await });
+    /// Sends what was collected for relays since the last call.
+    pub(crate) fn flush(&mut self) {
+        let now = self.shared.clock.now();
+        let age = self.shared.lead_age();
+        for (node, courier) in &mut self.couriers {
+            if courier.is_empty() {
+                continue;
+            }
+            if let Some(confirmed) = self.relays.confirmed(now, node, age) {
+                courier.send(confirmed);
+            }
+        }
     }
 
-    /// A worker is listed no more: its connections go.
-    pub(crate) fn forget(&mut self, id: &WorkerId) {
-        self.workers.remove(id);
+    /// A node offers to carry orders.
+    pub(crate) fn offer(&mut self, offer: Offer) -> Reply {
+        let now = self.shared.clock.now();
+        let (node, addr) = (offer.node.clone(), offer.addr);
+        let reply = self.relays.offer(now, offer);
+        if reply == Reply::Wanted && !self.couriers.contains_key(&node) {
+            let courier = Courier::start(
+                self.shared.clone(),
+                self.events.clone(),
+                self.epoch,
+                node.clone(),
+                addr,
+            );
+            self.couriers.insert(node, courier);
+        }
+        reply
     }
 
-    fn hand(&mut self, id: &WorkerId, addr: SocketAddr) -> &mut Hand {
-        let fresh = || Hand {
-            addr,
-            orders: Arc::new(Orders::new(id.clone(), Link::new(addr))),
-            lanes: Arc::new(Semaphore::new(LANES)),
-            fence: Arc::new(AtomicU64::new(0)),
-            look: None,
-        };
-        let hand = self.workers.entry(id.clone()).or_insert_with(fresh);
-        if hand.addr != addr {
-            *hand = fresh();
+    /// What a relay reports, as far as it is of this ownership.
+    pub(crate) fn reported(&mut self, reports: Reports) -> Vec<Report> {
+        if reports.epoch != self.epoch {
+            return Vec::new();
         }
-        hand
+        for report in &reports.reports {
+            let (worker, order) = answered(report);
+            self.relays.answered(&reports.node, worker, &order);
+        }
+        reports.reports
     }
 
-    fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
-        let events = self.events.clone();
-        let hand = self.hand(&worker, addr);
-        hand.fence.fetch_max(order.fence, Ordering::AcqRel);
-        if let Some(before) = hand.look.take() {
-            before.abort();
+    /// A relay takes no orders any more.
+    pub(crate) fn lose_relay(&mut self, node: &NodeName, why: &str) -> Vec<Report> {
+        self.couriers.remove(node);
+        let lost = self.relays.lose(node, why);
+        lost.into_iter().map(unknown).collect()
+    }
+
+    /// What is overdue by now at relays.
+    pub(crate) fn overdue(&mut self) -> Vec<Report> {
+        let now = self.shared.clock.now();
+        if now.since(self.checked) < CHECK_EVERY {
+            return Vec::new();
         }
-        let orders = hand.orders.clone();
-        let task = tokio::spawn(async move {
-            let answer = orders.hold(&order, LOOK_LIMIT).await;
-            let _ = events.send(Event::Looked(worker, look, answer)).await;
-        });
-        hand.look = Some(task.abort_handle());
+        self.checked = now;
+        self.relays.expect(self.zones.len());
+        let lost = self.relays.overdue(now);
+        let relays = &self.relays;
+        self.couriers.retain(|node, _| relays.addr(node).is_some());
+        self.shared.metrics.relays(relays.count());
+        lost.into_iter().map(unknown).collect()
     }
 
-    fn start(&mut self, worker: WorkerId, addr: SocketAddr, order: StartOrder) {
-        let (events, shared) = (self.events.clone(), self.shared.clone());
-        let hand = self.hand(&worker, addr);
-        let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
-        let fence = hand.fence.clone();
-        let window = self.window.clone();
-        self.tasks.spawn(async move {
-            let (Ok(_lane), Ok(_order)) = (lanes.acquire().await, window.acquire().await) else {
-                return;
-            };
-            // An order that was overtaken would be refused; not sending it says so sooner.
-            let overtaken = fence.load(Ordering::Acquire) > order.fence || events.is_closed();
-            // Failure: an owner is frozen with an order in hand, and wakes when another one has
-            // settled that run and the worker has started anew, knowing no fencing token; the
-            // task runs twice. Ownership is confirmed more often than it can be claimed.
-            let overtaken = overtaken || !shared.leads();
-            let outcome = match overtaken {
-                true => StartOutcome::NotSent,
-                false => orders.start(&order, ORDER_LIMIT).await,
-            };
-            shared.metrics.ordered("start", outcome_name(outcome));
-            let event = Event::Started(worker, order.task, order.run, outcome);
-            let _ = events.send(event).await;
-        });
+    /// A worker is listed.
+    pub(crate) fn place(&mut self, entry: &WorkerEntry) {
+        if !self.zones.contains_key(&entry.id) {
+            self.zones.insert(entry.id.clone(), entry.zone.clone());
+        }
     }
 
-    fn stop(&mut self, worker: &WorkerId, addr: SocketAddr, order: StopOrder) {
-        let shared = self.shared.clone();
-        let orders = self.hand(worker, addr).orders.clone();
-        let worker = worker.clone();
-        self.tasks.spawn(async move {
-            let outcome = orders.stop(&order, ORDER_LIMIT).await;
-            shared.metrics.ordered("stop", "sent");
-            log::info!(
-                task:% = order.task, run = order.run, worker:% = worker, outcome:? = outcome;
-                "stop ordered"
-            );
-        });
+    /// A worker is listed no more: its connections go.
+    pub(crate) fn forget(&mut self, id: &WorkerId) {
+        self.zones.remove(id);
+        self.relays.forget(id);
+        self.carrier.forget(id);
     }
 
-    fn pace(&mut self, worker: &WorkerId, addr: SocketAddr, order: PaceOrder) {
-        let (shared, events) = (self.shared.clone(), self.events.clone());
-        let orders = self.hand(worker, addr).orders.clone();
-        let worker = worker.clone();
-        self.tasks.spawn(async move {
-            let outcome = orders.pace(&order, ORDER_LIMIT).await;
-            shared.metrics.ordered("pace", "sent");
-            log::info!(
-                task:% = order.task, run = order.run, worker:% = worker,
-                percent = order.percent, outcome:? = outcome;
-                "pace ordered"
-            );
-            let _ = events.send(Event::Paced(worker, order, outcome)).await;
-        });
+    fn order(&mut self, worker: WorkerId, addr: SocketAddr, order: Order) {
+        let now = self.shared.clock.now();
+        let way = self.relays.choose(now, &worker, self.zones.get(&worker));
+        let errand = Errand {
+            worker,
+            addr,
+            order,
+        };
+        let Way::Relay(node) = way else {
+            return self.carrier.carry(errand);
+        };
+        let Some(courier) = self.couriers.get_mut(&node) else {
+            return self.carrier.carry(errand);
+        };
+        if let Some((order, limit)) = waits_for(&errand.order) {
+            let until = now.after(limit + RELAY_WAY);
+            self.relays.sent(&node, &errand.worker, order, until);
+        }
+        courier.add(errand);
+    }
+
+    fn drop_submissions(&mut self, jobs: Vec<JobId>) {
+        let journal = self.journal.clone();
+        self.tasks.spawn(async move { journal.forget(&jobs).await });
     }
 
     fn ask(&mut self, step: StepId, workers: Vec<WorkerId>) {
@@ -256,21 +268,33 @@
     }
 }
 
-impl Drop for Hands {
-    fn drop(&mut self) {
-        for hand in self.workers.values() {
-            if let Some(look) = &hand.look {
-                look.abort();
-            }
-        }
+/// What a relay owes for an order, and the time that the order itself may take. Stops are not
+/// answered: looks show what became of them.
+fn waits_for(order: &Order) -> Option<(Pending, Duration)> {
+    match order {
+        Order::Look(look, order) => Some((Pending::Look(*look), order.wait + LOOK_LIMIT)),
+        Order::Start(order) => Some((Pending::Start(order.task, order.run), ORDER_LIMIT)),
+        Order::Pace(order) => Some((Pending::Pace(order.clone()), ORDER_LIMIT)),
+        Order::Stop(_) => None,
     }
 }
 
-fn outcome_name(outcome: StartOutcome) -> &'static str {
-    match outcome {
-        StartOutcome::Started => "started",
-        StartOutcome::Refused(_) => "refused",
-        StartOutcome::NotSent => "not_sent",
-        StartOutcome::Unknown => "unknown",
+fn answered(report: &Report) -> (&WorkerId, Pending) {
+    match report {
+        Report::Looked(worker, look, _) => (worker, Pending::Look(*look)),
+        Report::Started(worker, task, run, _) => (worker, Pending::Start(*task, *run)),
+        Report::Paced(worker, order, _) => (worker, Pending::Pace(order.clone())),
+    }
+}
+
+fn unknown(lost: Lost) -> Report {
+    let Lost { worker, order } = lost;
+    match order {
+        Pending::Look(look) => {
+            let error = LookError::Unknown("no word of its relay".into());
+            Report::Looked(worker, look, Err(error))
+        }
+        Pending::Start(task, run) => Report::Started(worker, task, run, StartOutcome::Unknown),
+        Pending::Pace(order) => Report::Paced(worker, order, PlainOutcome::Unknown),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,7 @@
     looks: Counter<u64>,
     duties: Counter<u64>,
     epoch: Gauge<u64>,
+    relays: Gauge<u64>,
 }
 
 impl Metrics {
@@ -54,6 +55,7 @@
             orders: counter("cactuswheel_node_orders"),
             looks: counter("cactuswheel_node_looks"),
             duties: counter("cactuswheel_node_instance_orders"),
+            relays: meter.u64_gauge("cactuswheel_node_relays").build(),
             epoch: meter.u64_gauge("cactuswheel_node_owner_epoch").build(),
             registry,
             _provider: provider,
@@ -98,6 +100,11 @@
         self.duties.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Nodes that carry this owner's orders.
+    pub(crate) fn relays(&self, count: usize) {
+        self.relays.record(count as u64, &[]);
+    }
+
     /// 0 while this node does not own the cell.
     pub(crate) fn owns(&self, epoch: u64) {
         self.epoch.record(epoch, &[]);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::lead::{Lead, Role};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use crate::{NodeError, Settings, config_follower, owner, peer, ready, view};
+use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_desk, view};
 
 /// Time from the signal to stop until no more connections are taken: the balancer looks once a
 /// second and believes the second refusal.
@@ -53,6 +53,7 @@
     tokio::spawn(peer::serve(peers, shared.clone()));
     tokio::spawn(serve_metrics(readers, shared.clone()));
     tokio::spawn(reload(hangup, path, shared.clone()));
+    tokio::spawn(relay_desk::offer(shared.clone()));
     tokio::spawn(owner::run(shared.clone(), roles.clone()));
     let lead = Lead::new(shared.clone(), life, role);
     let lead = tokio::spawn(lead.run(halted));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,14 +7,16 @@
 use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{Cell, Known, Mark, Output, Reads};
 use cactuswheel_model::Time;
+use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{
-    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, Look, LookError, PaceOrder,
-    PlainOutcome, QueueName, StartOutcome, StepId, TaskId, WorkerEntry, WorkerId,
+    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId,
+    WorkerEntry, WorkerId,
 };
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::cargo::{Report, Reports};
 use crate::fleet::Fleet;
 use crate::hands::Hands;
 use crate::intake_follower::{Intaken, follow_intake, read_intake};
@@ -47,12 +49,14 @@
     NoWorker(WorkerId),
     /// Every worker's entry was told.
     Listed,
-    /// A look's outcome.
-    Looked(WorkerId, u64, Result<Look, LookError>),
-    /// A start order's outcome.
-    Started(WorkerId, TaskId, u32, StartOutcome),
-    /// A throttle order's outcome.
-    Paced(WorkerId, PaceOrder, PlainOutcome),
+    /// What became of an order to a worker.
+    Report(Report),
+    /// What a relay reports.
+    Relayed(Reports, oneshot::Sender<bool>),
+    /// A node offers to carry orders.
+    Offer(Offer, oneshot::Sender<Reply>),
+    /// A relay takes no orders any more, and why.
+    RelayLost(NodeName, &'static str),
     /// A batch is in the journal.
     Appended(Mark),
     /// A newer owner writes the journal.
@@ -110,6 +114,21 @@
         answer.await.ok()?
     }
 
+    pub(crate) async fn enlist(&self, offer: Offer) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        if self.events.send(Event::Offer(offer, reply)).await.is_err() {
+            return Reply::NotOwner;
+        }
+        answer.await.unwrap_or(Reply::NotOwner)
+    }
+
+    /// False if the owner is gone.
+    pub(crate) async fn report(&self, reports: Reports) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.events.send(Event::Relayed(reports, reply)).await;
+        sent.is_ok() && answer.await.unwrap_or(false)
+    }
+
     pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
         if self.events.try_send(Event::Config(config)).is_err() {
             // The owner takes the newest configuration with its next event.
@@ -166,7 +185,6 @@
     };
     shared.metrics.owns(epoch);
     let (events, inbox) = mpsc::channel(QUEUE);
-    let tasks = tokio_util::task::TaskTracker::new();
     let follow = |(part, from): (usize, &u64)| {
         let (shared, events) = (shared.clone(), events.clone());
         AbortOnDrop(tokio::spawn(follow_intake(
@@ -187,7 +205,7 @@
             taken.orders,
             before,
         ),
-        hands: Hands::new(shared.clone(), events.clone(), epoch, tasks),
+        hands: Hands::new(shared.clone(), events.clone(), epoch),
         cell: taken.cell,
         reads: Reads::new(taken.intake),
         parked: Vec::new(),
@@ -240,6 +258,9 @@
                     deposed |= self.take(event);
                 }
             }
+            for report in self.hands.overdue() {
+                self.take_report(report);
+            }
             if let Some(fleet) = &mut self.fleet {
                 fleet.plan(&mut self.cell);
             }
@@ -255,6 +276,7 @@
                 }
                 self.hands.carry_out(output);
             }
+            self.hands.flush();
             if deposed {
                 log::warn!("ownership is over: a newer owner is at work");
                 return;
@@ -272,24 +294,32 @@
                 self.answer_parked();
             }
             Event::Config(config) => self.cell.configure(now, config),
-            Event::Worker(entry) => self.cell.list(now, entry),
+            Event::Worker(entry) => {
+                self.hands.place(&entry);
+                self.cell.list(now, entry);
+            }
             Event::NoWorker(id) => {
                 self.cell.unlist(now, &id);
                 self.hands.forget(&id);
             }
             Event::Listed => {}
-            Event::Looked(id, look, answer) => {
-                let outcome = match &answer {
-                    Ok(_) => "ok",
-                    Err(_) => "failed",
-                };
-                self.shared.metrics.looked(outcome);
-                self.cell.looked(now, &id, look, answer);
+            Event::Report(report) => self.take_report(report),
+            Event::Relayed(reports, reply) => {
+                for report in self.hands.reported(reports) {
+                    self.take_report(report);
+                }
+                // A relay that has stopped waiting tells it again, which does no harm.
+                let _ = reply.send(true);
             }
-            Event::Started(id, task, run, outcome) => {
-                self.cell.started(now, &id, task, run, outcome);
+            Event::Offer(offer, reply) => {
+                // A node that has stopped waiting offers again.
+                let _ = reply.send(self.hands.offer(offer));
+            }
+            Event::RelayLost(node, why) => {
+                for report in self.hands.lose_relay(&node, why) {
+                    self.take_report(report);
+                }
             }
-            Event::Paced(id, order, outcome) => self.cell.paced(now, &id, &order, outcome),
             Event::Appended(mark) => self.cell.appended(now, mark),
             Event::Deposed => return true,
             Event::Instances(instances, sent) => {
@@ -321,6 +351,25 @@
         false
     }
 
+    /// What became of an order to a worker.
+    fn take_report(&mut self, report: Report) {
+        let now = self.shared.clock.now();
+        match report {
+            Report::Looked(id, look, answer) => {
+                let outcome = match &answer {
+                    Ok(_) => "ok",
+                    Err(_) => "failed",
+                };
+                self.shared.metrics.looked(outcome);
+                self.cell.looked(now, &id, look, answer);
+            }
+            Report::Started(id, task, run, outcome) => {
+                self.cell.started(now, &id, task, run, outcome);
+            }
+            Report::Paced(id, order, outcome) => self.cell.paced(now, &id, &order, outcome),
+        }
+    }
+
     fn take_records(&mut self, read: Intaken) {
         let now = self.shared.clock.now();
         for record in read.records {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -16,10 +17,12 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::cargo::{Cargo, Reports};
+use crate::relay_desk::RelayDesk;
 use crate::shared::Shared;
 
 /// Largest frame, in bytes; a longer one ends the connection.
-const MAX_FRAME: usize = 64 << 10;
+const MAX_FRAME: usize = 256 << 10;
 
 /// Time for a connection to the owner.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -63,10 +66,16 @@
 pub(crate) trait Desk {
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
+    /// To the owner: the caller offers to carry orders, or goes on doing so.
+    async fn enlist(offer: Offer) -> Reply;
+    /// To a relay: carry these orders out. False if a newer owner's are carried.
+    async fn carry(cargo: Cargo) -> bool;
+    /// To the owner: what became of its orders. False if the caller is no owner any more.
+    async fn report(reports: Reports) -> bool;
 }
 
 #[derive(Clone)]
-struct Server(Arc<Shared>);
+struct Server(Arc<Shared>, Arc<RelayDesk>);
 
 impl Desk for Server {
     async fn job(self, _: Context, id: JobId) -> JobAnswer {
@@ -82,10 +91,29 @@
             None => QueueAnswer::NotOwner,
         }
     }
+
+    async fn enlist(self, _: Context, offer: Offer) -> Reply {
+        match self.0.own.load_full() {
+            Some(own) => own.enlist(offer).await,
+            None => Reply::NotOwner,
+        }
+    }
+
+    async fn carry(self, _: Context, cargo: Cargo) -> bool {
+        self.1.take(cargo)
+    }
+
+    async fn report(self, _: Context, reports: Reports) -> bool {
+        match self.0.own.load_full() {
+            Some(own) => own.report(reports).await,
+            None => false,
+        }
+    }
 }
 
 /// Answers other nodes until the task is dropped.
 pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    let relay = Arc::new(RelayDesk::new(shared.clone()));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
@@ -97,7 +125,7 @@
             .max_frame_length(MAX_FRAME)
             .new_framed(stream);
         let channel = BaseChannel::with_defaults(new(framed, Bincode::default()));
-        let server = Server(shared.clone());
+        let server = Server(shared.clone(), relay.clone());
         tokio::spawn(channel.execute(server.serve()).for_each(|answer| async {
             tokio::spawn(answer);
         }));
@@ -127,6 +155,18 @@
     pub(crate) async fn queue(&self, name: QueueName, limit: Duration) -> Option<QueueAnswer> {
         self.client.queue(within(limit), name).await.ok()
     }
+
+    pub(crate) async fn enlist(&self, offer: Offer, limit: Duration) -> Option<Reply> {
+        self.client.enlist(within(limit), offer).await.ok()
+    }
+
+    pub(crate) async fn carry(&self, cargo: Cargo, limit: Duration) -> Option<bool> {
+        self.client.carry(within(limit), cargo).await.ok()
+    }
+
+    pub(crate) async fn report(&self, reports: Reports, limit: Duration) -> Option<bool> {
+        self.client.report(within(limit), reports).await.ok()
+    }
 }
 
 fn within(limit: Duration) -> Context {
--- /dev/null
+++ b/crates/node/src/relay_desk.rs
@@ -0,0 +1,227 @@
+//! Carries orders for the owner elsewhere: offers to, takes cargo, reports.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_relay::{Capacity, Offer, Reply};
+use rand::Rng;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::cargo::{Cargo, Report, Reports};
+use crate::carrier::{Carrier, Commander};
+use crate::peer::OwnerLink;
+use crate::shared::Shared;
+
+/// Time between heartbeats of a relay.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// Time between offers of a node that is not wanted, half of it up to all of it.
+const OFFER_AGAIN: Duration = Duration::from_millis(4_000);
+
+/// Wait of a node with one core before its first offer; one with less waits for longer in
+/// proportion, so that those that can carry more come first.
+const CORE_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest such wait.
+const MAX_DELAY: Duration = Duration::from_millis(800);
+
+/// Time for an answer of the owner.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Reports that may wait.
+const QUEUE: usize = 4_096;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE: usize = 32 << 10;
+
+/// Times that reports are told before they are left to the owner's own time limit.
+const TRIES: u32 = 3;
+
+/// The owner elsewhere, as a relay knows it.
+#[derive(Clone)]
+struct Principal {
+    shared: Arc<Shared>,
+    /// When the ownership was last known to be confirmed, on this node's clock.
+    confirmed: Arc<AtomicU64>,
+    lapse: Duration,
+    reports: mpsc::Sender<Report>,
+}
+
+impl Commander for Principal {
+    async fn tell(&self, report: Report) {
+        // With another owner at work there is nobody to tell.
+        let _ = self.reports.send(report).await;
+    }
+
+    fn is_gone(&self) -> bool {
+        self.reports.is_closed()
+    }
+
+    fn leads(&self) -> bool {
+        let confirmed = Time::new(self.confirmed.load(Ordering::Acquire));
+        self.shared.clock.now().since(confirmed) < self.lapse
+    }
+}
+
+/// Orders of one ownership.
+struct Service {
+    epoch: u64,
+    confirmed: Arc<AtomicU64>,
+    carrier: Carrier<Principal>,
+}
+
+/// Carries orders for the owner elsewhere.
+pub(crate) struct RelayDesk {
+    shared: Arc<Shared>,
+    service: Mutex<Option<Service>>,
+}
+
+impl RelayDesk {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            service: Mutex::new(None),
+        }
+    }
+
+    /// Takes orders; false if a newer owner's were taken before.
+    pub(crate) fn take(&self, mut cargo: Cargo) -> bool {
+        cargo.unfold_specs();
+        let mut service = self.lock();
+        let newest = service.as_ref().map_or(0, |s| s.epoch);
+        if newest > cargo.epoch {
+            return false;
+        }
+        if newest < cargo.epoch {
+            *service = Some(self.serve(&cargo));
+        }
+        let Some(service) = service.as_mut() else {
+            return false;
+        };
+        let confirmed = cargo.confirmed.get();
+        service.confirmed.fetch_max(confirmed, Ordering::AcqRel);
+        for errand in cargo.errands {
+            service.carrier.carry(errand);
+        }
+        true
+    }
+
+    fn serve(&self, cargo: &Cargo) -> Service {
+        log::info!(epoch = cargo.epoch, owner:% = cargo.owner; "orders are carried for an owner");
+        let (reports, told) = mpsc::channel(QUEUE);
+        let confirmed = Arc::new(AtomicU64::new(0));
+        let principal = Principal {
+            shared: self.shared.clone(),
+            confirmed: confirmed.clone(),
+            lapse: Duration::from_millis(cargo.lapse),
+            reports,
+        };
+        let teller = tell(self.shared.clone(), cargo.epoch, cargo.owner, told);
+        tokio::spawn(teller);
+        Service {
+            epoch: cargo.epoch,
+            confirmed,
+            carrier: Carrier::new(self.shared.clone(), principal),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Service>> {
+        self.service.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells the owner what became of its orders, all that waits in one message.
+async fn tell(
+    shared: Arc<Shared>,
+    epoch: u64,
+    owner: SocketAddr,
+    mut told: mpsc::Receiver<Report>,
+) {
+    let mut link = None;
+    while let Some(first) = told.recv().await {
+        let mut size = first.size();
+        let mut reports = vec![first];
+        while size < MAX_MESSAGE
+            && let Ok(next) = told.try_recv()
+        {
+            size += next.size();
+            reports.push(next);
+        }
+        let message = Reports {
+            epoch,
+            node: shared.settings.node.clone(),
+            reports,
+        };
+        for _ in 0..TRIES {
+            if link.is_none() {
+                link = OwnerLink::connect(owner).await;
+            }
+            let Some(to) = &link else {
+                continue;
+            };
+            match to.report(message.clone(), LIMIT).await {
+                Some(_) => break,
+                None => link = None,
+            }
+        }
+    }
+}
+
+/// Offers to carry orders to whoever owns the cell, for as long as the node runs.
+pub(crate) async fn offer(shared: Arc<Shared>) {
+    let cores = shared.settings.cores;
+    let first = CORE_DELAY.div_f64(cores).min(MAX_DELAY);
+    let mut asked = None;
+    let mut link: Option<OwnerLink> = None;
+    loop {
+        let Some(owner) = shared.owner.load_full() else {
+            sleep(HEARTBEAT).await;
+            continue;
+        };
+        if owner.node == shared.settings.node {
+            sleep(OFFER_AGAIN).await;
+            continue;
+        }
+        if asked != Some(owner.epoch) {
+            asked = Some(owner.epoch);
+            sleep(first).await;
+        }
+        if link.as_ref().is_none_or(|l| l.addr != owner.addr) {
+            link = OwnerLink::connect(owner.addr).await;
+        }
+        let reply = match &link {
+            Some(to) => to.enlist(own_offer(&shared), LIMIT).await,
+            None => None,
+        };
+        match reply {
+            Some(Reply::Wanted) => sleep(HEARTBEAT).await,
+            Some(Reply::Enough) => {
+                let spread = rand::rng().random_range(0.5..1.0);
+                sleep(OFFER_AGAIN.mul_f64(spread)).await;
+            }
+            Some(Reply::NotOwner) => sleep(HEARTBEAT).await,
+            None => {
+                link = None;
+                sleep(HEARTBEAT).await;
+            }
+        }
+    }
+}
+
+fn own_offer(shared: &Shared) -> Offer {
+    let settings = &shared.settings;
+    let link = settings.link.bytes_in(Duration::from_secs(1));
+    Offer {
+        node: settings.node.clone(),
+        life: shared.life,
+        zone: settings.zone.clone(),
+        addr: settings.listen.peers,
+        capacity: Capacity::new(link as f64, settings.cores),
+        clock: shared.clock.now(),
+        leaving: shared.is_stopping(),
+    }
+}
--- a/crates/work/src/end.rs
+++ b/crates/work/src/end.rs
@@ -1,9 +1,11 @@
 //! The end of a run, as a worker lists it.
 
+use serde::{Deserialize, Serialize};
+
 use crate::TaskId;
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
     /// Its work is done.
     Done,
@@ -20,7 +22,7 @@
 }
 
 /// One row of a worker's list of ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// Number within the worker's life; rises from 1.
     pub number: u64,
--- a/crates/work/src/hold_order.rs
+++ b/crates/work/src/hold_order.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Renews the lease of everything on a worker and looks at it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldOrder {
     /// When the lease expires, on the worker's clock; `None` leaves it as it is.
     pub expiry: Option<u64>,
@@ -19,7 +21,7 @@
 }
 
 /// Why a look shows nothing.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum LookError {
     /// Another worker, or another life, is at this address.
     #[error("another worker is at this address")]
--- a/crates/work/src/look.rs
+++ b/crates/work/src/look.rs
@@ -1,9 +1,11 @@
 //! What a worker says when it is looked at.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{End, TaskId};
 
 /// A run that is there.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: TaskId,
@@ -18,7 +20,7 @@
 }
 
 /// Both lists of a worker and its clock, as of one moment.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Look {
     /// The worker's own steady clock, in milliseconds.
     pub clock: u64,
--- a/crates/work/src/pace_order.rs
+++ b/crates/work/src/pace_order.rs
@@ -1,9 +1,11 @@
 //! Orders that throttle a run.
 
+use serde::{Deserialize, Serialize};
+
 use crate::TaskId;
 
 /// Tells a worker at which share a run may work.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PaceOrder {
     /// The task.
     pub task: TaskId,
--- a/crates/work/src/plain_outcome.rs
+++ b/crates/work/src/plain_outcome.rs
@@ -1,7 +1,9 @@
 //! What becomes of an order.
 
+use serde::{Deserialize, Serialize};
+
 /// What became of any other order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlainOutcome {
     /// Carried out.
     Done,
--- a/crates/work/src/start_order.rs
+++ b/crates/work/src/start_order.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::TaskId;
 
 /// Tells a worker to start a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The task.
     pub task: TaskId,
@@ -24,7 +26,7 @@
 }
 
 /// Why a run was surely not started by an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// A higher fencing token was seen.
     Fence,
@@ -45,7 +47,7 @@
 }
 
 /// What became of an order to start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
     /// The run is there.
     Started,
