--- a/crates/cell/src/outlook.rs
+++ b/crates/cell/src/outlook.rs
@@ -43,7 +43,7 @@
     /// Adds what an open short job asks for now and later; what waits only as far as its team's
     /// limit lets it start, and apart from the rest if it is of no use any more.
     pub(crate) fn add_ahead(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
-        let overdue = self.rank(job).0.is_overdue();
+        let overdue = self.rank(job).0.is_late();
         let nothing = Learned::default();
         let learned = self.learned.get(&job.sub.queue).unwrap_or(&nothing);
         for turn in &job.turns {
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -53,9 +53,9 @@
         }
     }
 
-    /// Whether the job is of no use to its caller any more.
-    pub(crate) fn is_overdue(self) -> bool {
-        self.class == Class::Overdue
+    /// Whether the job cannot meet its objective any more, or is of no use at all.
+    pub(crate) fn is_late(self) -> bool {
+        matches!(self.class, Class::Late | Class::LateBeyond | Class::Overdue)
     }
 }
 
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -43,6 +43,7 @@
         .level_for("cactuswheel_node", LevelFilter::Info)
         .level_for("cactuswheel_capacity", LevelFilter::Info)
         .level_for("cactuswheel_cell", LevelFilter::Info)
+        .level_for("cactuswheel_relay", LevelFilter::Info)
         // It calls every late answer an error; our own lines tell which peer is silent.
         .level_for("tarpc", LevelFilter::Off)
         .chain(fern::Output::call(move |record| push(&queue, record)))
