--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -21,6 +21,7 @@
 use crate::journal_writer::JournalWriter;
 use crate::owner::Event;
 use crate::shared::Shared;
+use crate::tally::Tally;
 
 /// Pause after the policy service gave no answer: it takes one call of a node at a time.
 const ADVICE_PAUSE: Duration = Duration::from_millis(30);
@@ -71,6 +72,7 @@
     couriers: Map<NodeName, Courier>,
     zones: Map<WorkerId, ZoneName>,
     checked: Time,
+    tally: Tally,
     policy: Option<Arc<PolicyService>>,
     /// Questions to the policy service that are under way.
     questions: Arc<Semaphore>,
@@ -95,6 +97,7 @@
             couriers: Map::default(),
             zones: Map::default(),
             checked: shared.clock.now(),
+            tally: Tally::new(shared.clock.now()),
             shared,
             events,
             epoch,
@@ -198,6 +201,7 @@
         let relays = &self.relays;
         self.couriers.retain(|node, _| relays.addr(node).is_some());
         self.shared.metrics.relays(relays.count());
+        self.tally.tell(now, self.relays.count());
         lost.into_iter().map(unknown).collect()
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod shared;
 mod takeover;
+mod tally;
 mod topics;
 mod view;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactuswheel_adapter::traffic;
 use cactuswheel_model::Code;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -46,6 +47,20 @@
             let histogram = meter.f64_histogram(name);
             histogram.with_boundaries(bounds.to_vec()).build()
         };
+        let calls = meter.u64_observable_counter("cactuswheel_node_calls");
+        let calls = calls.with_callback(|seen| {
+            for t in traffic() {
+                seen.observe(t.calls, &[KeyValue::new("kind", t.kind)]);
+            }
+        });
+        calls.build();
+        let bytes = meter.u64_observable_counter("cactuswheel_node_call_bytes");
+        let bytes = bytes.with_callback(|seen| {
+            for t in traffic() {
+                seen.observe(t.bytes, &[KeyValue::new("kind", t.kind)]);
+            }
+        });
+        bytes.build();
         Ok(Self {
             answers: counter("cactuswheel_node_answers"),
             refusals: counter("cactuswheel_node_refusals"),
