--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -12,7 +12,7 @@
 use crate::run_state::{StepRun, Task, Turn};
 
 /// First byte of every record. A reader refuses a version that it does not know.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Largest record that is read, in bytes: a declared length is not to be trusted.
 const MAX_RECORD: u64 = 1 << 20;
@@ -39,11 +39,22 @@
 }
 
 /// Where a job stands of which something is left to do.
+///
+/// Written each time that a task of it starts or ends, so what is common takes a byte: the
+/// tasks of a job share few workers, and most have not begun, run for the first time or are done.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenRecord {
     state: JobState,
-    turns: Vec<TurnRecord>,
     redone: Vec<Redone>,
+    /// Workers that hold runs of it.
+    places: Vec<PlaceRecord>,
+    turns: Vec<TurnRecord>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PlaceRecord {
+    worker: WorkerId,
+    born: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,19 +70,26 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct TaskRecord {
-    run: u32,
-    fails: Vec<u32>,
-    done: bool,
-    checkpoint: String,
-    copies: Vec<CopyRecord>,
+enum TaskRecord {
+    /// It never had a run.
+    Fresh,
+    /// Nothing of it matters any more.
+    Done,
+    /// Its first run is, or may be, at this place.
+    First(u32),
+    /// Anything else.
+    Other(OtherRecord),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct CopyRecord {
-    worker: WorkerId,
-    born: u64,
+struct OtherRecord {
     run: u32,
+    fails: Vec<u32>,
+    done: bool,
+    checkpoint: String,
+    given_up: bool,
+    /// Places and numbers of runs.
+    copies: Vec<(u32, u32)>,
 }
 
 /// Encodes a [`JobRecord`] or a [`Submission`].
@@ -106,16 +124,18 @@
 
 impl OpenRecord {
     fn new(job: &Job) -> Self {
+        let mut places = Vec::new();
+        let turns = job.turns.iter();
         Self {
             state: job.state,
-            turns: job.turns.iter().map(TurnRecord::new).collect(),
             redone: job.redone.clone(),
+            turns: turns.map(|t| TurnRecord::new(t, &mut places)).collect(),
+            places,
         }
     }
 
-    /// Puts the recorded state into a fresh job.
-    ///
-    /// Every run in it may be there or not: an earlier owner ordered it, or was about to.
+    /// Puts the record into a job that was just handed in. Every run that it tells of may be
+    /// there or not: an earlier owner ordered it, or was about to.
     pub(crate) fn apply(self, job: &mut Job, now: Time) {
         job.state = self.state;
         job.redone = self.redone;
@@ -124,7 +144,12 @@
             job.ended = Some(now);
         }
         let sub = job.sub.clone();
-        job.turns = self.turns.into_iter().map(|t| t.turn(&sub, now)).collect();
+        let places = Places {
+            known: &self.places,
+            now,
+        };
+        let turns = self.turns.into_iter();
+        job.turns = turns.map(|t| t.turn(&sub, &places)).collect();
         let mut tasks = job
             .turns
             .iter()
@@ -134,75 +159,130 @@
     }
 }
 
+/// Workers that a record names.
+struct Places<'a> {
+    known: &'a [PlaceRecord],
+    now: Time,
+}
+
+impl Places<'_> {
+    /// A run at a place; `None` if the record names no such place.
+    fn copy(&self, place: u32, run: u32) -> Option<Copy> {
+        let place = self.known.get(place as usize)?;
+        let worker = place.worker.clone();
+        Some(Copy::new(worker, place.born, run, Phase::Unknown, self.now))
+    }
+}
+
 impl TurnRecord {
-    fn new(turn: &Turn) -> Self {
+    fn new(turn: &Turn, places: &mut Vec<PlaceRecord>) -> Self {
+        let steps = turn.steps.iter();
         Self {
             number: turn.number,
-            steps: turn.steps.iter().map(StepRecord::new).collect(),
+            steps: steps.map(|s| StepRecord::new(s, places)).collect(),
         }
     }
 
-    fn turn(self, sub: &Submission, now: Time) -> Turn {
+    fn turn(self, sub: &Submission, places: &Places<'_>) -> Turn {
         let mut turn = Turn::new(self.number, &sub.steps);
         for (run, record) in turn.steps.iter_mut().zip(self.steps) {
-            record.fill(run, now);
+            record.fill(run, places);
         }
         turn
     }
 }
 
 impl StepRecord {
-    fn new(step: &StepRun) -> Self {
+    fn new(step: &StepRun, places: &mut Vec<PlaceRecord>) -> Self {
+        let tasks = step.tasks.iter();
         Self {
             fails: step.fails.clone(),
-            tasks: step.tasks.iter().map(TaskRecord::new).collect(),
+            tasks: tasks.map(|t| TaskRecord::new(t, places)).collect(),
         }
     }
 
-    fn fill(self, step: &mut StepRun, now: Time) {
+    fn fill(self, step: &mut StepRun, places: &Places<'_>) {
         step.fails = self.fails;
         for (task, record) in step.tasks.iter_mut().zip(self.tasks) {
-            *task = record.task(now);
+            *task = record.task(places);
         }
         step.done = step.tasks.iter().filter(|t| t.done).count() as u32;
     }
 }
 
 impl TaskRecord {
-    fn new(task: &Task) -> Self {
+    fn new(task: &Task, places: &mut Vec<PlaceRecord>) -> Self {
+        if task.done && task.copies.is_empty() {
+            return Self::Done;
+        }
+        let bare = task.fails.is_empty() && task.checkpoint.is_empty() && !task.given_up;
+        match (task.run, task.copies.as_slice()) {
+            (0, []) if bare => Self::Fresh,
+            (1, [copy]) if bare && !task.done => Self::First(place(copy, places)),
+            _ => Self::Other(OtherRecord::new(task, places)),
+        }
+    }
+
+    fn task(self, places: &Places<'_>) -> Task {
+        match self {
+            Self::Fresh => Task::default(),
+            Self::Done => Task {
+                run: 1,
+                done: true,
+                started: true,
+                ..Task::default()
+            },
+            Self::First(place) => Task {
+                run: 1,
+                started: true,
+                copies: places.copy(place, 1).into_iter().collect(),
+                ..Task::default()
+            },
+            Self::Other(record) => record.task(places),
+        }
+    }
+}
+
+impl OtherRecord {
+    fn new(task: &Task, places: &mut Vec<PlaceRecord>) -> Self {
+        let copies = task.copies.iter();
         Self {
             run: task.run,
             fails: task.fails.clone(),
             done: task.done,
             checkpoint: task.checkpoint.clone(),
-            copies: task.copies.iter().map(CopyRecord::new).collect(),
+            given_up: task.given_up,
+            copies: copies.map(|c| (place(c, places), c.run)).collect(),
         }
     }
 
-    fn task(self, now: Time) -> Task {
+    fn task(self, places: &Places<'_>) -> Task {
+        let copies = self.copies.into_iter();
         Task {
             run: self.run,
             fails: self.fails,
             done: self.done,
             started: self.run > 0,
             checkpoint: self.checkpoint,
-            copies: self.copies.into_iter().map(|c| c.copy(now)).collect(),
-            given_up: false,
+            given_up: self.given_up,
+            copies: copies
+                .filter_map(|(at, run)| places.copy(at, run))
+                .collect(),
             failed_on: None,
         }
     }
 }
 
-impl CopyRecord {
-    fn new(copy: &Copy) -> Self {
-        Self {
+/// Number of a run's place in the record.
+fn place(copy: &Copy, places: &mut Vec<PlaceRecord>) -> u32 {
+    let mut known = places.iter();
+    let at = known.position(|p| p.worker == copy.worker && p.born == copy.born);
+    let at = at.unwrap_or_else(|| {
+        places.push(PlaceRecord {
             worker: copy.worker.clone(),
             born: copy.born,
-            run: copy.run,
-        }
-    }
-
-    fn copy(self, now: Time) -> Copy {
-        Copy::new(self.worker, self.born, self.run, Phase::Unknown, now)
-    }
+        });
+        places.len() - 1
+    });
+    at as u32
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -32,6 +32,10 @@
 /// second; on a narrow link orders and renewals of the ownership wait behind it.
 const LIST_SHARE: f64 = 0.05;
 
+/// Bytes a second that lists of instances may take whatever the link: what a list shows sooner
+/// changes little, since orders and arrivals are known without it.
+const LIST_RATE: f64 = 200_000.0;
+
 /// About what an instance takes up in the list, in bytes.
 const LISTED: usize = 200;
 
@@ -311,6 +315,7 @@
                 }
                 let size = instances.len() * LISTED;
                 let least = shared.settings.link.time_of(size).div_f64(LIST_SHARE);
+                let least = least.max(Duration::from_secs_f64(size as f64 / LIST_RATE));
                 let same = quiet.as_ref() == Some(&instances);
                 quiet = Some(instances.clone());
                 let _ = events.send(Event::Instances(instances, sent)).await;
