--- a/crates/node/src/cargo.rs
+++ b/crates/node/src/cargo.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{Map, Time};
+use cactuswheel_relay::SeenLook;
 use cactuswheel_work::{
     HoldOrder, JobId, Look, LookError, NodeName, PaceOrder, PlainOutcome, StartOrder, StartOutcome,
     StopOrder, TaskId, WorkerId,
@@ -36,6 +37,8 @@
 pub(crate) enum Report {
     /// A look's outcome, by its number.
     Looked(WorkerId, u64, Result<Look, LookError>),
+    /// The same as a relay tells it, without what was told before.
+    Seen(WorkerId, u64, SeenLook),
     /// A start order's outcome.
     Started(WorkerId, TaskId, u32, StartOutcome),
     /// A throttle order's outcome.
@@ -111,6 +114,7 @@
         const BARE: usize = 60;
         match self {
             Self::Looked(_, _, Ok(look)) => BARE * (1 + look.running.len() + look.ended.len()),
+            Self::Seen(_, _, look) => BARE * (1 + look.rows.len() + look.ended.len()),
             Self::Looked(..) | Self::Started(..) | Self::Paced(..) => BARE,
         }
     }
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -7,7 +7,7 @@
 use cactuswheel_adapter::PolicyService;
 use cactuswheel_cell::{Batch, Output};
 use cactuswheel_model::{Map, Time};
-use cactuswheel_relay::{Capacity, Lost, Offer, Pending, Relays, Reply, Way};
+use cactuswheel_relay::{Capacity, Known, Lost, Offer, Pending, Relays, Reply, Way};
 use cactuswheel_work::{
     JobId, LookError, NodeName, PlainOutcome, StartOutcome, StepId, WorkerEntry, WorkerId, ZoneName,
 };
@@ -70,6 +70,8 @@
     carrier: Carrier<OwnEnd>,
     relays: Relays,
     couriers: Map<NodeName, Courier>,
+    /// What relays told of workers.
+    known: Known,
     zones: Map<WorkerId, ZoneName>,
     checked: Time,
     tally: Tally,
@@ -95,6 +97,7 @@
             carrier: Carrier::new(shared.clone(), own),
             relays: Relays::new(Capacity::by_link(link as f64)),
             couriers: Map::default(),
+            known: Known::default(),
             zones: Map::default(),
             checked: shared.clock.now(),
             tally: Tally::new(shared.clock.now()),
@@ -175,11 +178,14 @@
         if reports.epoch != self.epoch {
             return Vec::new();
         }
-        for report in &reports.reports {
-            let (worker, order) = answered(report);
-            self.relays.answered(&reports.node, worker, &order);
+        let node = reports.node;
+        let mut whole = Vec::with_capacity(reports.reports.len());
+        for report in reports.reports {
+            let (worker, order) = answered(&report);
+            self.relays.answered(&node, worker, &order);
+            whole.push(unfold(&mut self.known, &node, report));
         }
-        reports.reports
+        whole
     }
 
     /// A relay takes no orders any more.
@@ -215,6 +221,7 @@
     /// A worker is listed no more: its connections go.
     pub(crate) fn forget(&mut self, id: &WorkerId) {
         self.zones.remove(id);
+        self.known.forget(id);
         self.relays.forget(id);
         self.carrier.forget(id);
     }
@@ -285,12 +292,25 @@
 
 fn answered(report: &Report) -> (&WorkerId, Pending) {
     match report {
-        Report::Looked(worker, look, _) => (worker, Pending::Look(*look)),
+        Report::Looked(worker, look, _) | Report::Seen(worker, look, _) => {
+            (worker, Pending::Look(*look))
+        }
         Report::Started(worker, task, run, _) => (worker, Pending::Start(*task, *run)),
         Report::Paced(worker, order, _) => (worker, Pending::Pace(order.clone())),
     }
 }
 
+/// Puts back what a relay left out of a look.
+fn unfold(known: &mut Known, node: &NodeName, report: Report) -> Report {
+    let Report::Seen(worker, number, seen) = report else {
+        return report;
+    };
+    let look = known.unfold(node, &worker, number, seen);
+    let look =
+        look.ok_or_else(|| LookError::Unknown("it refers to one that did not arrive".into()));
+    Report::Looked(worker, number, look)
+}
+
 fn unknown(lost: Lost) -> Report {
     let Lost { worker, order } = lost;
     match order {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -34,7 +34,7 @@
 
 /// Largest answer of the store that a renewal may have to wait behind on the node's own link, in
 /// bytes: a page of five hundred records.
-pub(crate) const LARGE_PAGE: usize = 320 << 10;
+const LARGE_PAGE: usize = 320 << 10;
 
 /// Time between two reads of the ownership by nodes with less processor than the owner.
 ///
@@ -100,7 +100,12 @@
 /// the pages, and the ownership is claimed before they are through; the next node fares the
 /// same, and nothing runs any more. Behind one page a renewal still comes in time.
 pub(crate) fn lapse(link: LinkRate) -> Duration {
-    (EXPIRY + link.time_of(LARGE_PAGE)).min(LONGEST_LAPSE)
+    EXPIRY + page_time(link)
+}
+
+/// Time that a large answer of the store takes on such a link, as far as anything waits for it.
+pub(crate) fn page_time(link: LinkRate) -> Duration {
+    link.time_of(LARGE_PAGE).min(LONGEST_LAPSE - EXPIRY)
 }
 
 /// Takes part in the ownership.
@@ -217,7 +222,7 @@
 
     /// Reads what is new of the ownership; waits up to `wait` for it. True if that worked.
     async fn read(&mut self, wait: Duration) -> bool {
-        let limit = LIMIT + self.shared.settings.link.time_of(LARGE_PAGE);
+        let limit = LIMIT + page_time(self.shared.settings.link);
         let read = self.shared.store.read(OWNER, self.end, wait, limit).await;
         match read {
             Ok(page) => {
@@ -311,7 +316,7 @@
         let sent = self.shared.clock.now();
         self.sent = sent;
         let limit = self.shared.patience.limit().clamp(LEAST_LIMIT, LIMIT);
-        let limit = limit + settings.link.time_of(LARGE_PAGE);
+        let limit = limit + page_time(settings.link);
         let done = store.append(OWNER, None, Some(self.end), &records, limit);
         match done.await {
             Ok(done) => {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -363,6 +363,8 @@
                 self.shared.metrics.looked(outcome);
                 self.cell.looked(now, &id, look, answer);
             }
+            // Relays' looks were made whole before.
+            Report::Seen(..) => {}
             Report::Started(id, task, run, outcome) => {
                 self.cell.started(now, &id, task, run, outcome);
             }
--- a/crates/node/src/relay_desk.rs
+++ b/crates/node/src/relay_desk.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_relay::{Capacity, Offer, Reply};
+use cactuswheel_relay::{Capacity, Offer, Reply, Told};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -142,20 +142,22 @@
     mut told: mpsc::Receiver<Report>,
 ) {
     let mut link = None;
+    let mut known = Told::default();
     while let Some(first) = told.recv().await {
         let mut size = first.size();
-        let mut reports = vec![first];
+        let mut reports = vec![fold(&shared, &mut known, first)];
         while size < MAX_MESSAGE
             && let Ok(next) = told.try_recv()
         {
             size += next.size();
-            reports.push(next);
+            reports.push(fold(&shared, &mut known, next));
         }
         let message = Reports {
             epoch,
             node: shared.settings.node.clone(),
             reports,
         };
+        let mut arrived = false;
         for _ in 0..TRIES {
             if link.is_none() {
                 link = OwnerLink::connect(owner).await;
@@ -164,10 +166,27 @@
                 continue;
             };
             match to.report(message.clone(), LIMIT).await {
-                Some(_) => break,
+                Some(done) => {
+                    arrived = done;
+                    break;
+                }
                 None => link = None,
             }
         }
+        if !arrived {
+            known.clear();
+        }
+    }
+}
+
+/// Leaves out of a look what the owner was told before.
+fn fold(shared: &Shared, known: &mut Told, report: Report) -> Report {
+    match report {
+        Report::Looked(worker, number, Ok(look)) => {
+            let seen = known.fold(shared.clock.now(), &worker, number, look);
+            Report::Seen(worker, number, seen)
+        }
+        other => other,
     }
 }
 
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -10,7 +10,7 @@
 use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
-use crate::lead::LARGE_PAGE;
+use crate::lead::page_time;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
@@ -220,7 +220,7 @@
 async fn newest(shared: &Shared, of: Partition) -> (Vec<Item>, u64) {
     let mut items: Vec<Item> = Vec::new();
     let mut end = None;
-    let limit = LIMIT + shared.settings.link.time_of(LARGE_PAGE);
+    let limit = LIMIT + page_time(shared.settings.link);
     loop {
         let after = items.last().map(|i| i.key.clone());
         match shared.store.newest(of, after.as_deref(), limit).await {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,8 +13,10 @@
 mod offer;
 mod pending;
 mod relays;
+mod rows;
 
 pub use capacity::Capacity;
 pub use offer::{Offer, Reply};
 pub use pending::Pending;
 pub use relays::{Lost, Relays, Way};
+pub use rows::{Known, Row, SeenLook, Told};
--- /dev/null
+++ b/crates/relay/tests/relays.rs
@@ -0,0 +1,185 @@
+//! Which node carries orders to which worker.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_relay::{Capacity, Offer, Pending, Relays, Reply, Way};
+use cactuswheel_work::{NodeName, WorkerId, ZoneName};
+
+/// Bytes a second of a link of 2 Mbit/s.
+const NARROW: f64 = 250_000.0;
+
+const NOW: Time = Time::new(50_000);
+
+fn offer(node: &str, zone: &str) -> Offer {
+    Offer {
+        node: node.into(),
+        life: 1,
+        zone: zone.into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        capacity: Capacity::new(NARROW, 1.0),
+        clock: Time::new(9_000),
+        leaving: false,
+    }
+}
+
+/// An owner on a narrow link with `workers` workers, and these relays.
+fn relays(workers: usize, nodes: &[(&str, &str)]) -> Relays {
+    let mut relays = Relays::new(Capacity::by_link(NARROW));
+    relays.expect(workers);
+    for (node, zone) in nodes {
+        relays.offer(NOW, offer(node, zone));
+    }
+    relays
+}
+
+fn choose(relays: &mut Relays, worker: usize, zone: &str) -> Way {
+    let worker = WorkerId::from(format!("w{worker}"));
+    relays.choose(NOW, &worker, Some(&ZoneName::from(zone)))
+}
+
+fn through(node: &str) -> Way {
+    Way::Relay(node.into())
+}
+
+/// A small fleet on a wide link needs no relays: each is one more thing that can fail.
+#[test]
+fn none_needed() {
+    let mut wide = Relays::new(Capacity::by_link(125_000_000.0));
+    wide.expect(349);
+    assert_eq!(wide.offer(NOW, offer("n1", "a")), Reply::Enough);
+    assert_eq!(choose(&mut wide, 1, "a"), Way::Direct);
+}
+
+/// A fleet of 130 workers on links of 2 Mbit/s: offers are taken until the relays together have
+/// room for half as many again, and no relay gets more workers than it offered to carry.
+#[test]
+fn enough_relays() {
+    let mut found = relays(130, &[]);
+    let taken = (0..40).filter(|n| {
+        let reply = found.offer(NOW, offer(&format!("n{n}"), "a"));
+        reply == Reply::Wanted
+    });
+    let taken = taken.count();
+    let each = Capacity::new(NARROW, 1.0).workers();
+    assert_eq!(taken, (130 * 3 / 2usize).div_ceil(each));
+    let mut count = vec![0; 40];
+    for worker in 0..130 {
+        let Way::Relay(node) = choose(&mut found, worker, "a") else {
+            panic!("worker {worker} has no relay");
+        };
+        let number: usize = node.as_str()[1..].parse().expect("it is a number");
+        count[number] += 1;
+    }
+    assert!(count.iter().all(|c| *c <= each), "{count:?}");
+}
+
+/// Orders go through a relay of the worker's own data centre, and stay with it; elsewhere only if
+/// there is none, and directly if all are full.
+#[test]
+fn near_first() {
+    let mut found = relays(130, &[("n1", "a"), ("n2", "b")]);
+    assert_eq!(choose(&mut found, 1, "a"), through("n1"));
+    assert_eq!(choose(&mut found, 2, "b"), through("n2"));
+    assert_eq!(choose(&mut found, 1, "a"), through("n1"));
+    let each = Capacity::new(NARROW, 1.0).workers();
+    for worker in 3..1 + 2 * each {
+        assert_ne!(choose(&mut found, worker, "a"), Way::Direct);
+    }
+    assert_eq!(choose(&mut found, 999, "a"), Way::Direct);
+}
+
+/// Callers wait for orders that went out through a node that is killed. Whatever was on its way
+/// there may be carried out, and is told as such; its workers get another relay at once.
+#[test]
+fn relay_lost() {
+    let mut found = relays(130, &[("n1", "a"), ("n2", "a")]);
+    let Way::Relay(node) = choose(&mut found, 1, "a") else {
+        panic!("no relay");
+    };
+    let worker = WorkerId::from("w1");
+    found.sent(
+        &node,
+        &worker,
+        Pending::Look(3),
+        NOW.after(Duration::from_secs(2)),
+    );
+    found.sent(
+        &node,
+        &worker,
+        Pending::Look(4),
+        NOW.after(Duration::from_secs(2)),
+    );
+    let lost = found.lose(&node, "killed");
+    let orders: Vec<&Pending> = lost.iter().map(|l| &l.order).collect();
+    assert_eq!(
+        orders,
+        [&Pending::Look(4)],
+        "the newer look replaced the older"
+    );
+    assert!(matches!(choose(&mut found, 1, "a"), Way::Relay(other) if other != node));
+}
+
+/// A relay goes silent without a word, or one order of it gets no answer: both come back as
+/// unknown after a while, and an answer in time does not.
+#[test]
+fn silent_and_overdue() {
+    let mut found = relays(130, &[("n1", "a")]);
+    let node = NodeName::from("n1");
+    let worker = WorkerId::from("w1");
+    choose(&mut found, 1, "a");
+    let soon = NOW.after(Duration::from_millis(600));
+    found.sent(&node, &worker, Pending::Look(1), soon);
+    found.answered(&node, &worker, &Pending::Look(1));
+    found.sent(&node, &worker, Pending::Look(2), soon);
+    assert!(
+        found
+            .overdue(NOW.after(Duration::from_millis(500)))
+            .is_empty()
+    );
+    let late = found.overdue(NOW.after(Duration::from_millis(700)));
+    assert_eq!(late.len(), 1);
+    found.sent(
+        &node,
+        &worker,
+        Pending::Look(3),
+        NOW.after(Duration::from_secs(60)),
+    );
+    let gone = found.overdue(NOW.after(Duration::from_millis(1_400)));
+    assert_eq!(gone.len(), 1);
+    assert_eq!(found.count(), 0);
+}
+
+/// A node that stops by plan gets nothing new, and what it has is answered still.
+#[test]
+fn leaving_relay() {
+    let mut found = relays(130, &[("n1", "a"), ("n2", "a")]);
+    let Way::Relay(node) = choose(&mut found, 1, "a") else {
+        panic!("no relay");
+    };
+    let leaving = Offer {
+        leaving: true,
+        ..offer(node.as_str(), "a")
+    };
+    assert_eq!(found.offer(NOW, leaving), Reply::Wanted);
+    assert!(matches!(choose(&mut found, 1, "a"), Way::Relay(other) if other != node));
+    assert_eq!(found.count(), 2);
+}
+
+/// Tasks run twice: a relay is frozen with a start in hand, and gives it after another owner has
+/// settled that run. It knows on its own clock when the ownership was confirmed, and never later
+/// than it was: the heartbeat was on its way for a while.
+#[test]
+fn confirmed_never_late() {
+    let found = relays(130, &[("n1", "a")]);
+    let node = NodeName::from("n1");
+    for way in [0, 5, 400] {
+        // The relay's clock shows 9,000 when it sends the heartbeat, which comes `way` later.
+        let there = |now: Time| now.get() - NOW.get() + 9_000 + way;
+        let now = NOW.after(Duration::from_millis(700));
+        let age = Duration::from_millis(250);
+        let told = found.confirmed(now, &node, age).expect("it is a relay");
+        assert!(told.get() <= there(now) - 250, "{told}");
+    }
+}
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -28,11 +28,19 @@
 }
 
 impl Node {
-    /// A node that is not started yet, on four ports from `port` on.
-    pub fn new(name: &str, host: IpAddr, port: u16, store: SocketAddr, cloud: SocketAddr) -> Self {
+    /// A node that is not started yet, on four ports from `port` on, told that its link takes
+    /// `link` megabits a second.
+    pub fn new(
+        name: &str,
+        host: IpAddr,
+        port: u16,
+        store: SocketAddr,
+        cloud: SocketAddr,
+        link: f64,
+    ) -> Self {
         let at = |n: u16| SocketAddr::new(host, port + n);
         let settings = json!({
-            "node": name, "zone": "local",
+            "node": name, "zone": "local", "link_mbps": link,
             "listen": { "callers": at(0), "ready": at(1), "peers": at(2), "metrics": at(3) },
             "store": store, "parts": 3, "instances": cloud,
             "times": {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,9 +1,9 @@
 //! A loopback proxy that misbehaves.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -36,6 +36,10 @@
 pub struct Proxy {
     addr: SocketAddr,
     mode: Arc<AtomicU8>,
+    /// Bytes a second that go through in each direction, over all connections; 0 for no bound.
+    rate: Arc<AtomicU64>,
+    /// When the bytes that were let through before are through: there and back.
+    free: Arc<[Mutex<Instant>; 2]>,
 }
 
 impl Proxy {
@@ -45,6 +49,8 @@
         let proxy = Self {
             addr: listener.local_addr()?,
             mode: Arc::new(AtomicU8::new(Mode::Pass as u8)),
+            rate: Arc::default(),
+            free: Arc::new([(); 2].map(|()| Mutex::new(Instant::now()))),
         };
         let served = proxy.clone();
         tokio::spawn(async move {
@@ -65,6 +71,27 @@
         self.mode.store(mode as u8, Ordering::Relaxed);
     }
 
+    /// Lets only so many bytes a second through in each direction, over all connections.
+    pub fn narrow(&self, rate: u64) {
+        self.rate.store(rate, Ordering::Relaxed);
+    }
+
+    /// Waits until so many bytes are through.
+    async fn pass(&self, len: usize, there: bool) {
+        let rate = self.rate.load(Ordering::Relaxed);
+        if rate == 0 {
+            return;
+        }
+        let time = Duration::from_secs_f64(len as f64 / rate as f64);
+        let until = {
+            let free = self.free[usize::from(there)].lock();
+            let mut free = free.unwrap_or_else(PoisonError::into_inner);
+            *free = (*free).max(Instant::now()) + time;
+            *free
+        };
+        sleep(until.saturating_duration_since(Instant::now())).await;
+    }
+
     fn is(&self, mode: Mode) -> bool {
         self.mode.load(Ordering::Relaxed) == mode as u8
     }
@@ -101,6 +128,7 @@
             while self.is(Mode::Silent) || (self.is(Mode::OneWay) && !there) {
                 sleep(PAUSE).await;
             }
+            self.pass(len, there).await;
             if self.is(Mode::Delay) {
                 sleep(DELAY).await;
             }
--- /dev/null
+++ b/crates/soak/tests/narrow.rs
@@ -0,0 +1,81 @@
+//! Nodes on narrow links.
+
+use std::time::{Duration, Instant};
+
+use cactuswheel_soak::World;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// One task that runs at once.
+fn short() -> Value {
+    json!([{ "count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 200 }])
+}
+
+/// Callers wait for ever. The owner is killed with hundreds of kilobytes of open jobs in the
+/// store; every page that the next one asks for shares its narrow link, none is through in its
+/// time, and each try begins anew, while renewals of the ownership wait behind them and the next
+/// node starts the same. Two partitions at a time, and pages that are kept, end the takeover.
+#[tokio::test(flavor = "multi_thread")]
+async fn takeover_ends() {
+    let mut world = World::with_links(3, 21, 1.0).await;
+    let mut caller = world.caller(0);
+    let never = json!([{ "count": 1, "cpu": 99_000, "mem_mb": 100, "estimate_ms": 200 }]);
+    let spec = "x".repeat(4_000);
+    for id in 0..120 {
+        caller.submit("/a/", id, &never, &spec).await;
+    }
+    for proxy in &world.proxies {
+        proxy.narrow(125_000);
+    }
+    let owner = world.owner().expect("a node owns the cell");
+    world.nodes[owner].signal("KILL");
+    let start = Instant::now();
+    while world.log("cell taken over").len() < 2 {
+        assert!(start.elapsed() < Duration::from_secs(30), "no takeover");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let job = caller.submit("/b/", 900, &short(), "work_ms=100").await;
+    assert_eq!(caller.wait(&job).await.as_deref(), Ok("complete"));
+    let taken = world.log("cell taken over").len();
+    assert_eq!(taken, 2, "nobody else had to take it over");
+}
+
+/// The owner's link carries orders to one worker only, so other nodes carry them; callers notice
+/// nothing when such a node is killed, nor when the owner is.
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_killed() {
+    let mut world = World::with_links(4, 22, 0.2).await;
+    let start = Instant::now();
+    while world.log("relay taken").is_empty() {
+        assert!(start.elapsed() < Duration::from_secs(10), "no relay");
+        sleep(Duration::from_millis(50)).await;
+    }
+    // What was on the way directly is over, and orders go through relays from now on.
+    sleep(Duration::from_millis(1_500)).await;
+    let mut caller = world.caller(0);
+    let mut jobs = Vec::new();
+    for id in 0..6 {
+        jobs.push(caller.submit("/a/", id, &short(), "work_ms=900").await);
+    }
+    let owner = world.owner().expect("a node owns the cell");
+    let carries = |n: usize| {
+        !world.nodes[n]
+            .log("orders are carried for an owner")
+            .is_empty()
+    };
+    let relay = (0..4).find(|n| *n != owner && carries(*n));
+    let relay = relay.expect("a node carries orders");
+    world.nodes[relay].signal("KILL");
+    for job in &jobs {
+        assert_eq!(caller.wait(job).await.as_deref(), Ok("complete"));
+    }
+    for id in 10..16 {
+        jobs.push(caller.submit("/a/", id, &short(), "work_ms=900").await);
+    }
+    world.nodes[owner].signal("KILL");
+    for job in &jobs {
+        assert_eq!(caller.wait(job).await.as_deref(), Ok("complete"));
+    }
+    let broken = world.platform.ledger(|l| l.broken.clone());
+    assert_eq!(broken, Vec::<String>::new());
+}
