--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -73,6 +73,8 @@
     /// What relays told of workers.
     known: Known,
     zones: Map<WorkerId, ZoneName>,
+    /// Every worker's entry was told.
+    listed: bool,
     checked: Time,
     tally: Tally,
     policy: Option<Arc<PolicyService>>,
@@ -99,6 +101,7 @@
             couriers: Map::default(),
             known: Known::default(),
             zones: Map::default(),
+            listed: false,
             checked: shared.clock.now(),
             tally: Tally::new(shared.clock.now()),
             shared,
@@ -202,7 +205,9 @@
             return Vec::new();
         }
         self.checked = now;
-        self.relays.expect(self.zones.len());
+        if self.listed {
+            self.relays.expect(self.zones.len());
+        }
         let lost = self.relays.overdue(now);
         let relays = &self.relays;
         self.couriers.retain(|node, _| relays.addr(node).is_some());
@@ -218,6 +223,11 @@
         }
     }
 
+    /// Every worker's entry was told.
+    pub(crate) fn know_all(&mut self) {
+        self.listed = true;
+    }
+
     /// A worker is listed no more: its connections go.
     pub(crate) fn forget(&mut self, id: &WorkerId) {
         self.zones.remove(id);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -302,7 +302,7 @@
                 self.cell.unlist(now, &id);
                 self.hands.forget(&id);
             }
-            Event::Listed => {}
+            Event::Listed => self.hands.know_all(),
             Event::Report(report) => self.take_report(report),
             Event::Relayed(reports, reply) => {
                 for report in self.hands.reported(reports) {
--- a/crates/node/src/relay_desk.rs
+++ b/crates/node/src/relay_desk.rs
@@ -222,7 +222,7 @@
                 let spread = rand::rng().random_range(0.5..1.0);
                 sleep(OFFER_AGAIN.mul_f64(spread)).await;
             }
-            Some(Reply::NotOwner) => sleep(HEARTBEAT).await,
+            Some(Reply::NotOwner | Reply::NotYet) => sleep(HEARTBEAT).await,
             None => {
                 link = None;
                 sleep(HEARTBEAT).await;
--- a/crates/relay/src/offer.rs
+++ b/crates/relay/src/offer.rs
@@ -34,6 +34,8 @@
     Wanted,
     /// There are enough others, or the owner needs none.
     Enough,
+    /// The owner does not know its workers yet.
+    NotYet,
     /// Whoever was asked does not own the cell, or not yet.
     NotOwner,
 }
--- a/crates/relay/src/relays.rs
+++ b/crates/relay/src/relays.rs
@@ -39,8 +39,8 @@
 pub struct Relays {
     /// Workers that the owner can do without relays.
     own: Capacity,
-    /// Workers that orders go to.
-    workers: usize,
+    /// Workers that orders go to; `None` until they are known.
+    workers: Option<usize>,
     relays: Map<NodeName, Relay>,
     /// The relay of each worker.
     ///
@@ -74,7 +74,7 @@
     pub fn new(own: Capacity) -> Self {
         Self {
             own,
-            workers: 0,
+            workers: None,
             relays: Map::default(),
             chosen: Map::default(),
         }
@@ -82,7 +82,7 @@
 
     /// Orders go to so many workers.
     pub fn expect(&mut self, workers: usize) {
-        self.workers = workers;
+        self.workers = Some(workers);
     }
 
     /// Takes an offer, or a relay's heartbeat.
@@ -94,16 +94,21 @@
             relay.heard = now;
             return Reply::Wanted;
         }
-        let needed = self.workers > self.own.workers();
+        // Failure: a new owner knows no workers yet, turns every offer away, and carries all orders
+        // itself for the seconds in which its callers have waited already.
+        let Some(workers) = self.workers else {
+            return Reply::NotYet;
+        };
+        let needed = workers > self.own.workers();
         let there = self.relays.values().map(|r| r.offer.capacity);
         let there = there.sum::<Capacity>().workers() as f64;
         let known = self.relays.contains_key(&offer.node);
-        if offer.leaving || known || !needed || there >= self.workers as f64 * ENOUGH {
+        if offer.leaving || known || !needed || there >= workers as f64 * ENOUGH {
             return Reply::Enough;
         }
         log::info!(
             relay:% = offer.node, zone:% = offer.zone, capacity:% = offer.capacity,
-            workers = self.workers as u64, relays = self.relays.len() as u64;
+            workers = workers as u64, relays = self.relays.len() as u64;
             "relay taken"
         );
         let relay = Relay {
--- a/crates/relay/tests/relays.rs
+++ b/crates/relay/tests/relays.rs
@@ -43,6 +43,16 @@
     Way::Relay(node.into())
 }
 
+/// Callers wait longer after a change of owners: the new one turns offers away before it knows its
+/// workers, and carries every order itself until the nodes offer again, seconds later.
+#[test]
+fn asks_again() {
+    let mut fresh = Relays::new(Capacity::by_link(NARROW));
+    assert_eq!(fresh.offer(NOW, offer("n1", "a")), Reply::NotYet);
+    fresh.expect(130);
+    assert_eq!(fresh.offer(NOW, offer("n1", "a")), Reply::Wanted);
+}
+
 /// A small fleet on a wide link needs no relays: each is one more thing that can fail.
 #[test]
 fn none_needed() {
