--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -225,6 +225,10 @@
     NotEverywhere = 505, 504, Ran,
         "in force, but not confirmed everywhere",
         "See `cactuswheel status`; look at the entries that did not answer.";
+    /// A node leaves a cell to others: its state is more than the node's memory allows.
+    StateTooLarge = 506, 503, NotRun,
+        "the cell's state is too large for this node",
+        "Give the nodes more memory, or hand in fewer jobs; a node with more memory takes the cell.";
 
     /// A service's disruption budget has no room.
     BudgetFull = 601, 409, NotRun,
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -9,6 +9,7 @@
 use cactuswheel_work::Wave;
 use tokio::time::sleep;
 
+use crate::lead::page_time;
 use crate::shared::Shared;
 use crate::topics::OPERATORS;
 
@@ -45,11 +46,12 @@
 async fn start(shared: &Shared) -> Result<u64, ReadError> {
     let mut after: Option<String> = None;
     let mut end = None;
+    let limit = READ_LIMIT + page_time(shared.settings.link);
     loop {
         let sent = shared.clock.now();
         let page = shared
             .store
-            .newest(OPERATORS, after.as_deref(), READ_LIMIT)
+            .newest(OPERATORS, after.as_deref(), limit)
             .await?;
         // Records that come while the pages are read lie behind the first page's end.
         let from = *end.get_or_insert(page.end);
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// The owner was at work for so long without a pause.
+    pub(crate) fn busy(&mut self, time: Duration) {
+        self.tally.busy(time);
+    }
+
     /// A node offers to carry orders.
     pub(crate) fn offer(&mut self, offer: Offer) -> Reply {
         let now = self.shared.clock.now();
@@ -212,7 +217,9 @@
         let relays = &self.relays;
         self.couriers.retain(|node, _| relays.addr(node).is_some());
         self.shared.metrics.relays(relays.count());
-        self.tally.tell(now, self.relays.count());
+        if let Some(percent) = self.tally.tell(now, self.relays.count()) {
+            self.shared.metrics.busy(percent);
+        }
         lost.into_iter().map(unknown).collect()
     }
 
--- a/crates/node/src/intake_follower.rs
+++ b/crates/node/src/intake_follower.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::lead::page_time;
 use crate::owner::Event;
 use crate::shared::Shared;
 use crate::topics::intake;
@@ -105,10 +106,9 @@
     log::warn!(part = part, from = from; "intake records were deleted: reading the newest again");
     let mut after: Option<String> = None;
     let mut end = None;
+    let limit = READ_LIMIT + page_time(shared.settings.link);
     loop {
-        let page = shared
-            .store
-            .newest(intake(part), after.as_deref(), READ_LIMIT);
+        let page = shared.store.newest(intake(part), after.as_deref(), limit);
         let page = match page.await {
             Ok(page) => page,
             Err(e) => {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -36,7 +36,7 @@
 /// bytes: a page of five hundred records.
 const LARGE_PAGE: usize = 320 << 10;
 
-/// Time between two reads of the ownership by nodes with less processor than the owner.
+/// Time between two reads of the ownership by nodes that are weaker than the owner.
 ///
 /// Failure: the owner renews its ownership three times a second, and each renewal costs a call
 /// of every node: with 147 nodes two fifths of all calls. Those that would claim it last need not
@@ -46,9 +46,9 @@
 /// Claims are spread over this time, so that most of them see the first one's.
 const SPREAD: Duration = Duration::from_millis(40);
 
-/// Further wait of a node with one core; one with less waits for longer in proportion. An owner
-/// with an eighth of a core cannot keep up with a fleet of hundreds of workers, and some nodes
-/// have four times as much.
+/// Further wait of a node with a strength of one core; a weaker one waits for longer in proportion.
+/// An owner with an eighth of a core, or on a narrow link, cannot keep up with a fleet of hundreds
+/// of workers, and some nodes have four times as much.
 const CORE_DELAY: Duration = Duration::from_millis(25);
 
 /// Longest such wait.
@@ -61,7 +61,7 @@
 /// Shortest such time.
 const LEAST_LIMIT: Duration = Duration::from_millis(300);
 
-/// Times as much processor as the owner that a node has to have to take the ownership from it.
+/// Times as much strength as the owner that a node has to have to take the ownership from it.
 ///
 /// Failure: while the larger nodes are restarted in turn a small one owns the cell, and keeps it;
 /// starts wait for its processor for the rest of the day. A change of owners takes a few tenths
@@ -154,7 +154,10 @@
                     let _ = timeout(left, stop.wait_for(|s| *s)).await;
                     if !*stop.borrow() {
                         let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
-                        self.write(anew).await;
+                        match anew && self.shared.declines() {
+                            true => self.give_up().await,
+                            false => self.write(anew).await,
+                        }
                     }
                 }
                 false => {
@@ -167,6 +170,14 @@
         }
     }
 
+    /// Gives an ownership up that this node cannot carry.
+    async fn give_up(&mut self) {
+        if let Some(last) = &self.last {
+            Self::release(&self.shared, last.epoch, self.life).await;
+        }
+        self.resync().await;
+    }
+
     /// Gives the ownership up, so that another node takes it without waiting for its expiry.
     pub(crate) async fn release(shared: &Shared, epoch: u64, life: u64) {
         let Ok(page) = shared.store.newest(OWNER, None, LIMIT).await else {
@@ -209,6 +220,10 @@
             .as_ref()
             .map_or(EXPIRY, |o| Duration::from_millis(o.lapse));
         let left = lapse.saturating_sub(now.since(self.hearing.at()));
+        if self.shared.declines() {
+            self.read(WATCHED).await;
+            return;
+        }
         if released || left.is_zero() || self.outranks(now) {
             return self.claim().await;
         }
@@ -247,18 +262,18 @@
         }
     }
 
-    /// Whether this node has less processor than the owner.
+    /// Whether this node is weaker than the owner.
     fn is_weaker(&self) -> bool {
-        let cores = self.shared.settings.cores;
+        let strength = self.shared.settings.strength();
         self.last
             .as_ref()
-            .is_some_and(|o| cores < o.cores && !o.released)
+            .is_some_and(|o| strength < o.strength && !o.released)
     }
 
-    /// Whether the owner has so much less processor than this node that a change pays.
+    /// Whether the owner is so much weaker than this node that a change pays.
     fn outranks(&self, now: Time) -> bool {
-        let cores = self.shared.settings.cores;
-        let weaker = |o: &Ownership| o.cores * STRONGER <= cores;
+        let strength = self.shared.settings.strength();
+        let weaker = |o: &Ownership| o.strength * STRONGER <= strength;
         self.last.as_ref().is_some_and(weaker)
             && now.since(self.since) >= WATCHED
             && self.shared.is_fresh()
@@ -267,7 +282,7 @@
     async fn claim(&mut self) {
         let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
             + CORE_DELAY
-                .div_f64(self.shared.settings.cores)
+                .div_f64(self.shared.settings.strength())
                 .min(MAX_DELAY);
         let read = self.shared.store.read(OWNER, self.end, wait, LIMIT);
         match read.await {
@@ -305,7 +320,7 @@
             node: settings.node.clone(),
             life: self.life,
             addr: settings.listen.peers,
-            cores: settings.cores,
+            strength: settings.strength(),
             clock: now.get(),
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,7 @@
     duties: Counter<u64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
+    busy: Gauge<u64>,
 }
 
 impl Metrics {
@@ -70,6 +71,9 @@
             orders: counter("cactuswheel_node_orders"),
             looks: counter("cactuswheel_node_looks"),
             duties: counter("cactuswheel_node_instance_orders"),
+            busy: meter
+                .u64_gauge("cactuswheel_node_owner_busy_percent")
+                .build(),
             relays: meter.u64_gauge("cactuswheel_node_relays").build(),
             epoch: meter.u64_gauge("cactuswheel_node_owner_epoch").build(),
             registry,
@@ -115,6 +119,11 @@
         self.duties.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Share of the time for which the owner was at work, in percent.
+    pub(crate) fn busy(&self, percent: u64) {
+        self.busy.record(percent, &[]);
+    }
+
     /// Nodes that carry this owner's orders.
     pub(crate) fn relays(&self, count: usize) {
         self.relays.record(count as u64, &[]);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{Cell, Known, Mark, Output, Reads};
@@ -177,6 +177,11 @@
                 log::warn!(epoch = epoch, error:% = e; "cell not taken over");
                 return;
             }
+            Err(e @ TakeoverError::TooLarge { .. }) => {
+                log::error!(epoch = epoch, error:% = e; "cell not taken over: others go first");
+                shared.decline();
+                return;
+            }
             Err(e) => {
                 log::error!(epoch = epoch, error:% = e; "cell not taken over");
                 sleep(TAKEOVER_RETRY).await;
@@ -251,6 +256,7 @@
             let now = self.shared.clock.now();
             let sleep = self.cell.wake().since(now).min(MAX_SLEEP);
             let first = timeout(sleep, inbox.recv()).await;
+            let woken = Instant::now();
             let mut deposed = false;
             if let Ok(Some(event)) = first {
                 deposed |= self.take(event);
@@ -277,6 +283,7 @@
                 self.hands.carry_out(output);
             }
             self.hands.flush();
+            self.hands.busy(woken.elapsed());
             if deposed {
                 log::warn!("ownership is over: a newer owner is at work");
                 return;
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -14,8 +14,8 @@
     /// Tells lives of one node apart.
     pub(crate) life: u64,
     pub(crate) addr: SocketAddr,
-    /// Processor of the node, in cores.
-    pub(crate) cores: f64,
+    /// How much of a cell's work the node can do, in cores.
+    pub(crate) strength: f64,
     /// The node's steady clock in milliseconds when the record was sent.
     pub(crate) clock: u64,
     /// Given up: whoever wants it may take it at once.
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::lead::page_time;
 use crate::owner::Event;
 use crate::shared::Shared;
 use crate::topics::WORKERS;
@@ -51,8 +52,9 @@
     let mut after: Option<String> = None;
     let mut end = None;
     let mut listed: Set<WorkerId> = Set::default();
+    let limit = READ_LIMIT + page_time(shared.settings.link);
     loop {
-        let page = shared.store.newest(WORKERS, after.as_deref(), READ_LIMIT);
+        let page = shared.store.newest(WORKERS, after.as_deref(), limit);
         let page = page.await?;
         let from = *end.get_or_insert(page.end);
         after = page.items.last().map(|i| i.key.clone());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use cactuswheel_cell::ShareRule;
 use cactuswheel_model::Millis;
@@ -12,6 +13,10 @@
 use crate::LinkRate;
 use crate::policies::Policies;
 
+/// Bytes a second of a link that go with a core: an owner that uses all of a core moves about as
+/// many.
+const BYTES_PER_CORE: f64 = 5_000_000.0;
+
 /// Most partitions of a topic. Each is followed by a read of its own, and a takeover reads all.
 const MAX_PARTS: u32 = 64;
 
@@ -28,6 +33,9 @@
     /// Rate of its link, in megabits a second: what it reads and orders at a time follows it.
     #[serde(default, rename = "link_mbps")]
     pub link: LinkRate,
+    /// Memory that it may use, in MiB: a cell whose state is too large for it is left to others.
+    #[serde(default = "much_memory", rename = "memory_mb")]
+    pub memory: u64,
     /// Where it listens.
     pub listen: Listen,
     /// The platform's store.
@@ -181,6 +189,13 @@
         }
     }
 
+    /// How much of a cell's work the node can do, in cores: as much as its processor and its link
+    /// both allow.
+    pub fn strength(&self) -> f64 {
+        let link = self.link.bytes_in(Duration::from_secs(1)) as f64;
+        self.cores.min(link / BYTES_PER_CORE)
+    }
+
     /// The first field that is out of its range, and what is wrong with it.
     fn fault(&self) -> Option<(String, &'static str)> {
         let own = self.own_fault();
@@ -212,6 +227,9 @@
         if !(self.share.burst.is_finite() && self.share.burst >= 0.0) {
             return Some(("share.burst", "has to be 0 or more"));
         }
+        if self.memory == 0 {
+            return Some(("memory_mb", "has to be positive"));
+        }
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
@@ -223,6 +241,10 @@
     1
 }
 
+fn much_memory() -> u64 {
+    1_024
+}
+
 fn one_core() -> f64 {
     1.0
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -49,6 +49,8 @@
     pub(crate) missed: Notify,
     /// When the write was sent that last confirmed this node's ownership.
     lead: AtomicU64,
+    /// Until then this node leaves the ownership to others.
+    declined: AtomicU64,
     /// The ownership has to be claimed anew: the cell was given up while it was held.
     pub(crate) reclaim: AtomicBool,
     stopping: AtomicBool,
@@ -58,6 +60,10 @@
 /// the rest covers the way from the check to the worker and the rounding of clocks.
 const FRESH_SHARE: f64 = 0.8;
 
+/// Time for which a node that could not take the cell over leaves it to others: each of a few
+/// hundred nodes has its turn in it.
+const DECLINED: Duration = Duration::from_secs(10);
+
 /// Shortest wait for the answer to an append before it is tried again beside. An append takes
 /// some ten milliseconds; a node that has used its processor up stands still for a tenth of a
 /// second.
@@ -85,6 +91,7 @@
             link: ArcSwapOption::empty(),
             own: ArcSwapOption::empty(),
             lead: AtomicU64::new(0),
+            declined: AtomicU64::new(0),
             reclaim: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
@@ -123,6 +130,17 @@
         self.lead_age() < self.lapse
     }
 
+    /// Leaves the ownership to others for a while: this node cannot carry it.
+    pub(crate) fn decline(&self) {
+        let until = self.clock.now().after(DECLINED);
+        self.declined.store(until.get(), Ordering::Relaxed);
+    }
+
+    /// Whether this node leaves the ownership to others.
+    pub(crate) fn declines(&self) -> bool {
+        self.clock.now().get() < self.declined.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -43,6 +43,10 @@
 /// Largest, in bytes: well below what the store takes in one call.
 const MOST_BATCH: usize = 512 << 10;
 
+/// Part of a node's memory that the records of a cell may take: in the cell they take about six
+/// times as much.
+const MEMORY_PART: usize = 8;
+
 /// Longest time that a job's age may be worth counting; clocks of nodes may be off.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
@@ -52,6 +56,14 @@
     /// A newer owner is there.
     #[error("a newer owner is there")]
     Deposed,
+    /// The cell's state is more than this node may hold.
+    #[error("error 506: the cell's state has {size} bytes of records; this node takes {most}")]
+    TooLarge {
+        /// Bytes of records.
+        size: usize,
+        /// Most that the node takes.
+        most: usize,
+    },
     /// A record cannot be read; going on without it would run work twice.
     #[error("journal of job {0}: {1}")]
     Record(JobId, BadRecord),
@@ -82,6 +94,11 @@
     let (journal, _) = read.remove(0);
     let (intake, ends): (Vec<Vec<Item>>, Vec<u64>) = read.into_iter().unzip();
     let intake: Vec<Item> = intake.into_iter().flatten().collect();
+    let size = size_of_all(&intake) + size_of_all(&journal);
+    let most = (shared.settings.memory << 20) as usize / MEMORY_PART;
+    if size > most {
+        return Err(TakeoverError::TooLarge { size, most });
+    }
     let config = loop {
         match shared.config.load_full() {
             Some(config) => break config,
@@ -107,6 +124,10 @@
     })
 }
 
+fn size_of_all(items: &[Item]) -> usize {
+    items.iter().map(|i| i.key.len() + i.value.len()).sum()
+}
+
 /// Puts what earlier owners left behind into a fresh cell.
 fn rebuild(
     shared: &Shared,
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -35,6 +35,8 @@
     let settings = load("least", &least()).expect("nothing is missing");
     assert_eq!(settings.parts, 1);
     assert_eq!(settings.cores, 1.0);
+    assert_eq!(settings.link.to_string(), "1000 Mbit/s");
+    assert_eq!(settings.memory, 1_024);
     assert_eq!(settings.share.window.get(), 5_000);
     assert_eq!((settings.share.burst, settings.share.slack), (0.1, 20));
 }
@@ -47,6 +49,9 @@
         ("parts", json!(65), "`parts` has to be from 1 to 64"),
         ("parts", json!(-1), "at `parts`"),
         ("cores", json!(0.0), "`cores` has to be positive"),
+        ("memory_mb", json!(0), "`memory_mb` has to be positive"),
+        ("link_mbps", json!(0), "at `link_mbps`"),
+        ("link_mbps", json!("fast"), "at `link_mbps`"),
         (
             "share",
             json!({ "window_s": 0 }),
@@ -114,3 +119,17 @@
     assert_eq!(policies.pools.hold.get(), 1_000);
     assert!(!policies.work.home && policies.work.pack);
 }
+
+/// A node is as strong as both its processor and its link allow.
+#[test]
+fn strength() {
+    let strength = |cores: f64, link: f64| {
+        let mut settings = least();
+        settings["cores"] = json!(cores);
+        settings["link_mbps"] = json!(link);
+        let settings = load(&format!("strength{cores}-{link}"), &settings);
+        settings.expect("it is usable").strength()
+    };
+    assert_eq!(strength(0.5, 200.0), 0.5);
+    assert!(strength(0.5, 2.0) < strength(0.12, 20.0));
+}
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -28,19 +28,19 @@
 }
 
 impl Node {
-    /// A node that is not started yet, on four ports from `port` on, told that its link takes
-    /// `link` megabits a second.
+    /// A node that is not started yet, on four ports from `port` on, with these settings over
+    /// the usual ones.
     pub fn new(
         name: &str,
         host: IpAddr,
         port: u16,
         store: SocketAddr,
         cloud: SocketAddr,
-        link: f64,
+        own: &Value,
     ) -> Self {
         let at = |n: u16| SocketAddr::new(host, port + n);
-        let settings = json!({
-            "node": name, "zone": "local", "link_mbps": link,
+        let mut settings = json!({
+            "node": name, "zone": "local",
             "listen": { "callers": at(0), "ready": at(1), "peers": at(2), "metrics": at(3) },
             "store": store, "parts": 3, "instances": cloud,
             "times": {
@@ -48,6 +48,9 @@
                 "maintain_s": 0.4, "order_ms": 1000, "pace_ms": 100,
             },
         });
+        for (field, value) in own.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
         let file = format!("cactuswheel-{}-{name}-{host}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
