--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/pass.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
+use cactuswheel_work::{Cap, JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
 
 use crate::advice::Permitted;
 use crate::batch::PlannedStart;
@@ -15,7 +15,7 @@
 use crate::lines::Queued;
 use crate::place::{Home, Wish, choose};
 use crate::rank::{Rank, rank};
-use crate::run_state::StepRun;
+use crate::run_state::{StepRun, Task};
 use crate::worker::Held;
 
 /// Tasks without a place after which a round leaves a service: those behind seldom fit either.
@@ -39,6 +39,17 @@
     worker: WorkerId,
 }
 
+impl Choice {
+    fn new(step: StepId, index: usize, task: &Task, worker: WorkerId) -> Self {
+        let index = index as u32;
+        Self {
+            task: TaskId { step, index },
+            run: task.run + 1,
+            worker,
+        }
+    }
+}
+
 /// Tasks of one round that found no place.
 #[derive(Default)]
 struct Misses {
@@ -185,10 +196,7 @@
         };
         let mut rack = self.begun_rack(run, step);
         let mut home = self.home(job);
-        let team = job.sub.team.as_ref();
-        let mut used = team.map(|t| self.usage.of(t)).unwrap_or_default();
-        let cap = team.and_then(|t| self.config.teams.get(t));
-        let cap = cap.map(|t| t.cap).unwrap_or_default();
+        let (mut used, cap) = self.quota(job);
         // What no worker has room for, none has for the rest either.
         let plain = allowed.is_none() && step.label.is_none() && step.spread == 0;
         for &index in &at.free {
@@ -217,13 +225,11 @@
                 }
                 return choices;
             };
-            let task = TaskId {
-                step: at.id,
-                index: index as u32,
-            };
-            let number = run.tasks[index].run + 1;
-            self.workers.hold(&worker, task, held(number, step));
-            if let Some(entry) = self.workers.get(&worker).and_then(|w| w.entry.as_ref()) {
+            let choice = Choice::new(at.id, index, &run.tasks[index], worker);
+            self.workers
+                .hold(&choice.worker, choice.task, held(choice.run, step));
+            let place = self.workers.get(&choice.worker);
+            if let Some(entry) = place.and_then(|w| w.entry.as_ref()) {
                 home.get_or_insert_with(|| Home::of(entry));
                 if step.tight && rack.is_none() {
                     rack = entry.rack().map(str::to_owned);
@@ -231,17 +237,21 @@
             }
             used += step.room;
             if step.spread > 0 {
-                *beside.entry(worker.clone()).or_default() += 1;
+                *beside.entry(choice.worker.clone()).or_default() += 1;
             }
-            choices.push(Choice {
-                task,
-                run: number,
-                worker,
-            });
+            choices.push(choice);
         }
         choices
     }
 
+    /// What a job's team has running, and its limit.
+    fn quota(&self, job: &Job) -> (Room, Cap) {
+        let team = job.sub.team.as_ref();
+        let used = team.map(|t| self.usage.of(t)).unwrap_or_default();
+        let cap = team.and_then(|t| self.config.teams.get(t));
+        (used, cap.map(|t| t.cap).unwrap_or_default())
+    }
+
     /// Where a job has a run already.
     fn home(&self, job: &Job) -> Option<Home> {
         let (_, copy) = job.copies().next()?;
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -9,7 +9,7 @@
 use cactuswheel_work::Wave;
 use tokio::time::sleep;
 
-use crate::lead::page_time;
+use crate::lapse::page_time;
 use crate::shared::Shared;
 use crate::topics::OPERATORS;
 
--- a/crates/node/src/courier.rs
+++ b/crates/node/src/courier.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::cargo::{Cargo, Errand};
-use crate::owner::Event;
+use crate::event::Event;
 use crate::peer::OwnerLink;
 use crate::shared::Shared;
 
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,67 @@
+//! What happens to the cell.
+
+use std::sync::Arc;
+
+use cactuswheel_cell::Mark;
+use cactuswheel_model::Time;
+use cactuswheel_relay::{Offer, Reply};
+use cactuswheel_work::{
+    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId,
+    WorkerEntry, WorkerId,
+};
+use serde_json::Value;
+use tokio::sync::oneshot;
+
+use crate::cargo::{Report, Reports};
+use crate::intake_follower::Intaken;
+use crate::peer::{JobAnswer, QueueAnswer};
+
+/// What happens to the cell.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// Records of the intake.
+    Intake(Intaken),
+    /// A read of a partition of the intake for the sake of a question is over.
+    IntakeRead(u32),
+    /// Newer configuration.
+    Config(Arc<FleetConfig>),
+    /// A worker's entry.
+    Worker(WorkerEntry),
+    /// A worker is listed no more.
+    NoWorker(WorkerId),
+    /// Every worker's entry was told.
+    Listed,
+    /// What became of an order to a worker.
+    Report(Report),
+    /// What a relay reports.
+    Relayed(Reports, oneshot::Sender<bool>),
+    /// A node offers to carry orders.
+    Offer(Offer, oneshot::Sender<Reply>),
+    /// A relay takes no orders any more, and why.
+    RelayLost(NodeName, &'static str),
+    /// A batch is in the journal.
+    Appended(Mark),
+    /// A newer owner writes the journal.
+    Deposed,
+    /// The platform's list of instances, and when the request for it was sent.
+    Instances(Vec<Instance>, Time),
+    /// What became of an order to an instance, with the worker on it.
+    Ordered(InstanceOrder, Option<WorkerId>, InstanceOutcome),
+    /// The policy service's answer.
+    Advised(StepId, Option<Vec<(WorkerId, String)>>),
+    /// Somebody asks for something.
+    Ask(Ask),
+}
+
+/// What is asked of the owner.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// Somebody asks for a job.
+    Job(JobId, oneshot::Sender<JobAnswer>),
+    /// An operator asks for the cell.
+    View(oneshot::Sender<Value>),
+    /// An operator asks for a job.
+    Story(JobId, oneshot::Sender<Option<Value>>),
+    /// Somebody asks for a queue.
+    Queue(QueueName, oneshot::Sender<QueueAnswer>),
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::owner::Event;
+use crate::event::Event;
 use crate::shared::Shared;
 use crate::topics::{MAINTAINED, WAVES};
 
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -18,8 +18,8 @@
 use crate::cargo::{Errand, Order, Report, Reports};
 use crate::carrier::{Carrier, Commander, LOOK_LIMIT, ORDER_LIMIT};
 use crate::courier::Courier;
+use crate::event::Event;
 use crate::journal_writer::JournalWriter;
-use crate::owner::Event;
 use crate::shared::Shared;
 use crate::tally::Tally;
 
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::appending::append;
-use crate::owner::Event;
+use crate::event::Event;
 use crate::shared::Shared;
 use crate::takeover::OWNER_NAME;
 use crate::topics::{IntakeKey, JOURNAL, intake, part_of};
--- /dev/null
+++ b/crates/node/src/lapse.rs
@@ -0,0 +1,30 @@
+//! How long an ownership holds without a renewal.
+
+use std::time::Duration;
+
+use cactuswheel_capacity::LONGEST_LAPSE;
+
+use crate::link_rate::LinkRate;
+
+/// Time without a renewal after which the ownership may be claimed. Three renewals have to be
+/// missed, or one answer lost and another renewal with it; a store that takes half a second for
+/// an answer still carries them.
+pub(crate) const EXPIRY: Duration = Duration::from_millis(1_100);
+
+/// Largest answer of the store that a renewal may have to wait behind on the node's own link, in
+/// bytes: a page of five hundred records.
+const LARGE_PAGE: usize = 320 << 10;
+
+/// Time without a renewal after which an ownership may be claimed of a node with such a link.
+///
+/// Failure: an owner on a narrow link reads what earlier ones have left, its renewals wait behind
+/// the pages, and the ownership is claimed before they are through; the next node fares the
+/// same, and nothing runs any more. Behind one page a renewal still comes in time.
+pub(crate) fn lapse(link: LinkRate) -> Duration {
+    EXPIRY + page_time(link)
+}
+
+/// Time that a large answer of the store takes on such a link, as far as anything waits for it.
+pub(crate) fn page_time(link: LinkRate) -> Duration {
+    link.time_of(LARGE_PAGE).min(LONGEST_LAPSE - EXPIRY)
+}
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Keyed, ReadError};
-use cactuswheel_capacity::{LONGEST_LAPSE, LastOwner};
+use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{RENEW_WITHOUT_STORE, decode, encode};
 use cactuswheel_model::Time;
 use rand::Rng;
@@ -18,24 +18,16 @@
 
 use crate::claim::{Claim, Claims};
 use crate::hearing::Hearing;
-use crate::link_rate::LinkRate;
+use crate::lapse::{EXPIRY, page_time};
 use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
+use crate::role::Role;
 use crate::shared::Shared;
 use crate::topics::OWNER;
 
 /// Time between renewals, from sending to sending.
 const RENEW: Duration = Duration::from_millis(300);
 
-/// Time without a renewal after which the ownership may be claimed. Three renewals have to be
-/// missed, or one answer lost and another renewal with it; a store that takes half a second for
-/// an answer still carries them.
-const EXPIRY: Duration = Duration::from_millis(1_100);
-
-/// Largest answer of the store that a renewal may have to wait behind on the node's own link, in
-/// bytes: a page of five hundred records.
-const LARGE_PAGE: usize = 320 << 10;
-
 /// Time between two reads of the ownership by nodes that are weaker than the owner.
 ///
 /// Failure: the owner renews its ownership three times a second, and each renewal costs a call
@@ -78,36 +70,6 @@
 /// Key of the one record.
 const KEY: &str = "0";
 
-/// This node's part in the ownership.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Role {
-    /// Another node owns the cell, or none.
-    Idle,
-    /// This node owns it.
-    Owner {
-        /// The ownership's number.
-        epoch: u64,
-        /// No earlier owner was renewing leases any more when it was claimed.
-        alone: bool,
-        /// The owner before.
-        before: Option<LastOwner>,
-    },
-}
-
-/// Time without a renewal after which an ownership may be claimed of a node with such a link.
-///
-/// Failure: an owner on a narrow link reads what earlier ones have left, its renewals wait behind
-/// the pages, and the ownership is claimed before they are through; the next node fares the
-/// same, and nothing runs any more. Behind one page a renewal still comes in time.
-pub(crate) fn lapse(link: LinkRate) -> Duration {
-    EXPIRY + page_time(link)
-}
-
-/// Time that a large answer of the store takes on such a link, as far as anything waits for it.
-pub(crate) fn page_time(link: LinkRate) -> Duration {
-    link.time_of(LARGE_PAGE).min(LONGEST_LAPSE - EXPIRY)
-}
-
 /// Takes part in the ownership.
 pub(crate) struct Lead {
     shared: Arc<Shared>,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,8 +15,9 @@
 
 use crate::front::{self, Front};
 use crate::intake::Intake;
-use crate::lead::{Lead, Role};
+use crate::lead::Lead;
 use crate::metrics::Metrics;
+use crate::role::Role;
 use crate::shared::Shared;
 use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_desk, view};
 
@@ -48,12 +49,8 @@
     );
     let (role, roles) = watch::channel(Role::Idle);
     let (halt, halted) = watch::channel(false);
-    tokio::spawn(config_follower::follow(shared.clone()));
-    tokio::spawn(ready::serve(balancer, shared.clone()));
-    tokio::spawn(peer::serve(peers, shared.clone()));
-    tokio::spawn(serve_metrics(readers, shared.clone()));
+    serve_others(&shared, balancer, peers, readers);
     tokio::spawn(reload(hangup, path, shared.clone()));
-    tokio::spawn(relay_desk::offer(shared.clone()));
     tokio::spawn(owner::run(shared.clone(), roles.clone()));
     let lead = Lead::new(shared.clone(), life, role);
     let lead = tokio::spawn(lead.run(halted));
@@ -94,6 +91,20 @@
     Ok(())
 }
 
+/// Starts what goes on until the process ends, whoever owns the cell.
+fn serve_others(
+    shared: &Arc<Shared>,
+    balancer: TcpListener,
+    peers: TcpListener,
+    readers: TcpListener,
+) {
+    tokio::spawn(config_follower::follow(shared.clone()));
+    tokio::spawn(ready::serve(balancer, shared.clone()));
+    tokio::spawn(peer::serve(peers, shared.clone()));
+    tokio::spawn(serve_metrics(readers, shared.clone()));
+    tokio::spawn(relay_desk::offer(shared.clone()));
+}
+
 /// Waits until every request has its answer and every caller's connection is closed.
 async fn answer_all(front: &Front, open: &TaskTracker) {
     open.close();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,23 +5,20 @@
 use std::time::{Duration, Instant};
 
 use cactuswheel_capacity::LastOwner;
-use cactuswheel_cell::{Cell, Known, Mark, Output, Reads};
+use cactuswheel_cell::{Cell, Known, Output, Reads};
 use cactuswheel_model::Time;
-use cactuswheel_relay::{Offer, Reply};
-use cactuswheel_work::{
-    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId,
-    WorkerEntry, WorkerId,
-};
-use serde_json::Value;
+use cactuswheel_work::{InstanceOutcome, JobId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::cargo::{Report, Reports};
+use crate::cargo::Report;
+use crate::event::{Ask, Event};
 use crate::fleet::Fleet;
 use crate::hands::Hands;
 use crate::intake_follower::{Intaken, follow_intake, read_intake};
-use crate::lead::Role;
+use crate::owner_handle::OwnerHandle;
 use crate::peer::{JobAnswer, QueueAnswer};
+use crate::role::Role;
 use crate::roster;
 use crate::shared::Shared;
 use crate::takeover::{TakeoverError, take_intake, take_over};
@@ -34,109 +31,6 @@
 /// Pause after the cell could not be taken over.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(300);
 
-/// What happens to the cell.
-#[derive(Debug)]
-pub(crate) enum Event {
-    /// Records of the intake.
-    Intake(Intaken),
-    /// A read of a partition of the intake for the sake of a question is over.
-    IntakeRead(u32),
-    /// Newer configuration.
-    Config(Arc<FleetConfig>),
-    /// A worker's entry.
-    Worker(WorkerEntry),
-    /// A worker is listed no more.
-    NoWorker(WorkerId),
-    /// Every worker's entry was told.
-    Listed,
-    /// What became of an order to a worker.
-    Report(Report),
-    /// What a relay reports.
-    Relayed(Reports, oneshot::Sender<bool>),
-    /// A node offers to carry orders.
-    Offer(Offer, oneshot::Sender<Reply>),
-    /// A relay takes no orders any more, and why.
-    RelayLost(NodeName, &'static str),
-    /// A batch is in the journal.
-    Appended(Mark),
-    /// A newer owner writes the journal.
-    Deposed,
-    /// The platform's list of instances, and when the request for it was sent.
-    Instances(Vec<Instance>, Time),
-    /// What became of an order to an instance, with the worker on it.
-    Ordered(InstanceOrder, Option<WorkerId>, InstanceOutcome),
-    /// The policy service's answer.
-    Advised(StepId, Option<Vec<(WorkerId, String)>>),
-    /// Somebody asks for a job.
-    Job(JobId, oneshot::Sender<JobAnswer>),
-    /// An operator asks for the cell.
-    View(oneshot::Sender<Value>),
-    /// An operator asks for a job.
-    Story(JobId, oneshot::Sender<Option<Value>>),
-    /// Somebody asks for a queue.
-    Queue(QueueName, oneshot::Sender<QueueAnswer>),
-}
-
-/// How other tasks reach the owner on this node.
-#[derive(Debug)]
-pub(crate) struct OwnerHandle {
-    events: mpsc::Sender<Event>,
-}
-
-impl OwnerHandle {
-    pub(crate) async fn job(&self, id: JobId) -> JobAnswer {
-        let (reply, answer) = oneshot::channel();
-        if self.events.send(Event::Job(id, reply)).await.is_err() {
-            return JobAnswer::NotOwner;
-        }
-        answer.await.unwrap_or(JobAnswer::NotOwner)
-    }
-
-    pub(crate) async fn queue(&self, name: QueueName) -> QueueAnswer {
-        let (reply, answer) = oneshot::channel();
-        if self.events.send(Event::Queue(name, reply)).await.is_err() {
-            return QueueAnswer::NotOwner;
-        }
-        answer.await.unwrap_or(QueueAnswer::NotOwner)
-    }
-
-    /// The cell, for operators; `None` if the owner is gone.
-    pub(crate) async fn view(&self) -> Option<Value> {
-        let (reply, answer) = oneshot::channel();
-        self.events.send(Event::View(reply)).await.ok()?;
-        answer.await.ok()
-    }
-
-    /// One job, for operators; `None` if there is none.
-    pub(crate) async fn story(&self, id: JobId) -> Option<Value> {
-        let (reply, answer) = oneshot::channel();
-        self.events.send(Event::Story(id, reply)).await.ok()?;
-        answer.await.ok()?
-    }
-
-    pub(crate) async fn enlist(&self, offer: Offer) -> Reply {
-        let (reply, answer) = oneshot::channel();
-        if self.events.send(Event::Offer(offer, reply)).await.is_err() {
-            return Reply::NotOwner;
-        }
-        answer.await.unwrap_or(Reply::NotOwner)
-    }
-
-    /// False if the owner is gone.
-    pub(crate) async fn report(&self, reports: Reports) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let sent = self.events.send(Event::Relayed(reports, reply)).await;
-        sent.is_ok() && answer.await.unwrap_or(false)
-    }
-
-    pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
-        if self.events.try_send(Event::Config(config)).is_err() {
-            // The owner takes the newest configuration with its next event.
-            log::warn!("owner is too busy for a configuration just now");
-        }
-    }
-}
-
 /// Owns the cell whenever `role` says so.
 pub(crate) async fn run(shared: Arc<Shared>, mut role: watch::Receiver<Role>) {
     loop {
@@ -345,17 +239,22 @@
                 }
             }
             Event::Advised(step, good) => self.cell.advised(now, step, good),
-            Event::Job(id, reply) => self.answer_job(id, now, reply),
-            // Whoever has stopped waiting needs no answer.
-            Event::View(reply) => drop(reply.send(cell_view(&self.cell))),
-            Event::Story(id, reply) => drop(reply.send(job_view(&self.cell, id))),
-            Event::Queue(name, reply) => {
+            Event::Ask(ask) => self.answer(ask),
+        }
+        false
+    }
+
+    /// Answers a question; whoever has stopped waiting needs no answer.
+    fn answer(&mut self, ask: Ask) {
+        match ask {
+            Ask::Job(id, reply) => self.answer_job(id, self.shared.clock.now(), reply),
+            Ask::View(reply) => drop(reply.send(cell_view(&self.cell))),
+            Ask::Story(id, reply) => drop(reply.send(job_view(&self.cell, id))),
+            Ask::Queue(name, reply) => {
                 let pending = self.cell.pending(&name);
-                // Whoever has stopped waiting needs no answer.
-                let _ = reply.send(QueueAnswer::Pending(pending));
+                drop(reply.send(QueueAnswer::Pending(pending)));
             }
         }
-        false
     }
 
     /// What became of an order to a worker.
--- /dev/null
+++ b/crates/node/src/owner_handle.rs
@@ -0,0 +1,73 @@
+//! How other tasks of a node reach its owner.
+
+use std::sync::Arc;
+
+use cactuswheel_relay::{Offer, Reply};
+use cactuswheel_work::{FleetConfig, JobId, QueueName};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::cargo::Reports;
+use crate::event::{Ask, Event};
+use crate::peer::{JobAnswer, QueueAnswer};
+
+/// How other tasks reach the owner on this node.
+#[derive(Debug)]
+pub(crate) struct OwnerHandle {
+    pub(crate) events: mpsc::Sender<Event>,
+}
+
+impl OwnerHandle {
+    /// Without an owner the question is dropped, and whoever waits for the answer hears of it.
+    async fn ask(&self, ask: Ask) {
+        let _ = self.events.send(Event::Ask(ask)).await;
+    }
+
+    pub(crate) async fn job(&self, id: JobId) -> JobAnswer {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::Job(id, reply)).await;
+        answer.await.unwrap_or(JobAnswer::NotOwner)
+    }
+
+    pub(crate) async fn queue(&self, name: QueueName) -> QueueAnswer {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::Queue(name, reply)).await;
+        answer.await.unwrap_or(QueueAnswer::NotOwner)
+    }
+
+    /// The cell, for operators; `None` if the owner is gone.
+    pub(crate) async fn view(&self) -> Option<Value> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::View(reply)).await;
+        answer.await.ok()
+    }
+
+    /// One job, for operators; `None` if there is none.
+    pub(crate) async fn story(&self, id: JobId) -> Option<Value> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::Story(id, reply)).await;
+        answer.await.ok()?
+    }
+
+    pub(crate) async fn enlist(&self, offer: Offer) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        if self.events.send(Event::Offer(offer, reply)).await.is_err() {
+            return Reply::NotOwner;
+        }
+        answer.await.unwrap_or(Reply::NotOwner)
+    }
+
+    /// False if the owner is gone.
+    pub(crate) async fn report(&self, reports: Reports) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.events.send(Event::Relayed(reports, reply)).await;
+        sent.is_ok() && answer.await.unwrap_or(false)
+    }
+
+    pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
+        if self.events.try_send(Event::Config(config)).is_err() {
+            // The owner takes the newest configuration with its next event.
+            log::warn!("owner is too busy for a configuration just now");
+        }
+    }
+}
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -9,8 +9,8 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::lead::page_time;
-use crate::owner::Event;
+use crate::event::Event;
+use crate::lapse::page_time;
 use crate::shared::Shared;
 use crate::topics::WORKERS;
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,10 +11,10 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::lead::lapse;
+use crate::lapse::lapse;
 use crate::metrics::Metrics;
 use crate::order_log::OrderLog;
-use crate::owner::OwnerHandle;
+use crate::owner_handle::OwnerHandle;
 use crate::peer::{OwnerAt, OwnerLink};
 use crate::settings::Settings;
 
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -10,7 +10,7 @@
 use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
-use crate::lead::page_time;
+use crate::lapse::page_time;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
