--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -1,6 +1,7 @@
 //! How much a pool is asked for.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use cactuswheel_cell::{Load, SLOT_MS, SLOTS};
 use cactuswheel_model::{Map, Millis, Time};
@@ -15,6 +16,9 @@
 /// Run time of a task, in milliseconds, where none waits to tell it.
 const USUAL_RUN: u64 = 1_000;
 
+/// Times as long as others that instances are kept which chance may ask for again.
+const CHANCE_HOLD: u32 = 2;
+
 /// How much one pool is asked for, now and lately.
 #[derive(Debug, Default)]
 pub(crate) struct Trend {
@@ -54,16 +58,35 @@
         let arrival = slot(policy.arrival);
         let target = instances(asked[arrival]);
         self.targets.push_back((now, target));
-        while self.targets.len() > 1 && now.since(self.targets[0].0) > policy.hold.duration() {
+        let long = policy.hold.duration() * CHANCE_HOLD;
+        while self.targets.len() > 1 && now.since(self.targets[0].0) > long {
             self.targets.pop_front();
         }
-        let keep = self.targets.iter().map(|(_, t)| *t).max();
         Need {
             target,
-            keep: keep.unwrap_or_default(),
+            keep: self.keep(now, policy),
         }
     }
 
+    /// Instances that it does not pay to send away: the highest target of late. A few more than
+    /// that, as many as chance explains, are kept for longer.
+    ///
+    /// Failure: under a steady load the number of jobs at hand rises and falls by chance within
+    /// seconds, and one instance or two go to and fro with it; nobody's work is faster for it.
+    fn keep(&self, now: Time, policy: &PoolPolicy) -> usize {
+        let within = |time: Duration| {
+            let late = self
+                .targets
+                .iter()
+                .filter(move |(at, _)| now.since(*at) <= time);
+            late.map(|(_, t)| *t).max().unwrap_or_default()
+        };
+        let hold = policy.hold.duration();
+        let short = within(hold);
+        let chance = (short as f64).sqrt() as usize;
+        within(hold * CHANCE_HOLD).min(short + chance).max(short)
+    }
+
     /// Instances, in fractions, that are asked for in each slot from now on.
     fn asked(
         &mut self,
--- a/crates/cell/benches/events.rs
+++ b/crates/cell/benches/events.rs
@@ -52,6 +52,7 @@
             kept: Millis::new(120_000),
             pace: Millis::new(100),
             batch: 512 << 10,
+            stop: Millis::new(400),
             share: ShareRule {
                 window: Duration::from_secs(5),
                 burst: 0.1,
--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -13,6 +13,8 @@
     pub kept: Millis,
     /// Time from a throttle order to its effect.
     pub pace: Millis,
+    /// Longest time that a stop takes.
+    pub stop: Millis,
     /// Most bytes of records in one batch for the journal; one record may be larger.
     pub batch: usize,
     /// How a team's share is counted.
--- a/crates/cell/src/copy.rs
+++ b/crates/cell/src/copy.rs
@@ -28,7 +28,7 @@
     pub(crate) phase: Phase,
     /// Since when it is in this phase.
     pub(crate) since: Time,
-    /// Highest fencing token that its order may carry.
+    /// Highest fencing token that its order may carry; 0 if an earlier owner gave it.
     pub(crate) fence: u64,
     /// Whether it surely started: if so, no order can start it again.
     pub(crate) sure: bool,
@@ -71,6 +71,11 @@
         self.phase == Phase::Running && self.percent >= 100
     }
 
+    /// Whether this owner planned it.
+    pub(crate) fn is_own(&self) -> bool {
+        self.fence != 0
+    }
+
     pub(crate) fn enter(&mut self, phase: Phase, now: Time) {
         self.phase = phase;
         self.since = now;
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -80,11 +80,7 @@
             return true;
         };
         let mine = &run.tasks[task.index as usize];
-        // What a silent worker said last is no word on what runs there now.
-        let at_work = |c: &Copy| {
-            let worker = self.workers.get(&c.worker);
-            c.is_at_work() && worker.is_some_and(|w| w.missed == 0)
-        };
+        let at_work = |c: &Copy| c.is_at_work() && self.is_telling(c);
         let running = mine.copies.iter().all(|c| c.worker != *from || at_work(c));
         let others = run.tasks.iter().enumerate();
         let others = others.filter(|(i, _)| *i != task.index as usize);
@@ -93,6 +89,20 @@
         running && (away.count() as u32) < budget && self.has_place(job, step, run)
     }
 
+    /// Whether what a worker lists of a run says that it goes on.
+    ///
+    /// What a silent worker said last is no word on what runs there now. Nor is what one lists of
+    /// an earlier owner's run until a stop which that one may have ordered would be through: the
+    /// run is listed as before meanwhile, and a step with a budget of two would lose three tasks.
+    fn is_telling(&self, copy: &Copy) -> bool {
+        let Some(worker) = self.workers.get(&copy.worker) else {
+            return false;
+        };
+        let stop = self.bounds.stop.duration();
+        let met = worker.met.is_some_and(|at| self.now.since(at) > stop);
+        worker.missed == 0 && (copy.is_own() || met)
+    }
+
     /// Whether a worker could take one more task of a step now.
     ///
     /// Failure: a task leaves while every other worker has as many of its step as its spread
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -139,6 +139,7 @@
             return;
         };
         worker.fix_clock(look.clock, lease, now);
+        worker.met.get_or_insert(now);
         worker.looking = Looking::Due(now);
         let fence = worker.settle_fence();
         let seen = worker.seen;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -77,6 +77,8 @@
     expiry: u64,
     /// Since when this owner knows it.
     since: Time,
+    /// When this owner's first look at its life was answered.
+    pub(crate) met: Option<Time>,
     /// Highest end that was taken in.
     pub(crate) seen: u64,
     /// Highest end that the journal reflects: it may be acknowledged.
@@ -132,6 +134,7 @@
             fix: None,
             expiry: 0,
             since: now,
+            met: None,
             seen: 0,
             noted: 0,
             barred: None,
@@ -267,6 +270,7 @@
         self.born = born;
         self.fix = None;
         self.expiry = 0;
+        self.met = None;
         self.seen = 0;
         self.noted = 0;
         self.barred = None;
--- a/crates/cell/tests/owners.rs
+++ b/crates/cell/tests/owners.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_work::{JobId, JobState};
-use world::{World, job, steps};
+use world::{World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -132,3 +132,34 @@
     world.run(4 * SECOND);
     assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
 }
+
+/// A step's budget is broken. An owner tells one task to leave and is replaced at once; its worker
+/// lists the run as at work until the stop is through, so the new owner lets another task leave,
+/// and two are away where one may be. What an earlier owner ran counts once such a stop is over.
+#[test]
+fn stop_under_way() {
+    let mut world = World::new(31, 4);
+    for number in 0..4 {
+        world.worker(number).lasting = vec![1];
+        world.worker(number).stopping = Duration::from_millis(350);
+    }
+    world.submit(lasting(1, 2, 1));
+    world.run(Duration::from_secs(3));
+    let busy: Vec<usize> = (0..4).filter(|&n| world.worker(n).count() == 1).collect();
+    let ids: Vec<_> = busy.iter().map(|&n| world.worker(n).id.clone()).collect();
+    world.cell().close(&ids[0], true);
+    world.run(Duration::from_millis(30));
+    world.take_over();
+    world.bury_others();
+    // The new owner's planner wants the other worker empty, as soon as it is looked at.
+    world.run(Duration::from_millis(40));
+    world.cell().close(&ids[1], true);
+    for _ in 0..100 {
+        world.run(Duration::from_millis(10));
+        let away = (0..4).filter(|&n| world.worker(n).count() == 1).count();
+        assert!(away >= 1, "both tasks are away");
+    }
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.worker(busy[1]).count(), 0, "it leaves in the end");
+    world.assert_clean();
+}
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -65,6 +65,7 @@
         kept: Millis::new(120_000),
         pace: Millis::new(100),
         batch: 512 << 10,
+        stop: Millis::new(400),
         share: ShareRule {
             window: Duration::from_secs(5),
             burst: 0.1,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -127,6 +127,13 @@
     /// Time for which orders to an instance have to come from one node.
     #[serde(rename = "order_ms", deserialize_with = "from_millis")]
     pub order: Millis,
+    /// Longest time that a worker takes to stop a run.
+    #[serde(
+        rename = "stop_ms",
+        default = "one_second",
+        deserialize_with = "from_millis"
+    )]
+    pub stop: Millis,
     /// Time from a throttle order to its effect.
     #[serde(rename = "pace_ms", deserialize_with = "from_millis")]
     pub pace: Millis,
@@ -245,6 +252,10 @@
     1_024
 }
 
+fn one_second() -> Millis {
+    Millis::new(1_000)
+}
+
 fn one_core() -> f64 {
     1.0
 }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -269,6 +269,7 @@
         lease: times.lease.min(LEASE),
         kept: times.kept,
         pace: times.pace,
+        stop: times.stop,
         batch: shared
             .settings
             .link
