--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -115,11 +115,7 @@
                     let left = RENEW.saturating_sub(passed);
                     let _ = timeout(left, stop.wait_for(|s| *s)).await;
                     if !*stop.borrow() {
-                        let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
-                        match anew && self.shared.declines() {
-                            true => self.give_up().await,
-                            false => self.write(anew).await,
-                        }
+                        self.hold().await;
                     }
                 }
                 false => {
@@ -132,12 +128,30 @@
         }
     }
 
+    /// Renews the ownership, claims it anew if the cell was given up while it was held, or gives
+    /// it up if this node cannot carry it.
+    async fn hold(&mut self) {
+        let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
+        match anew && self.shared.declines() {
+            true => self.give_up().await,
+            false => self.write(anew).await,
+        }
+    }
+
     /// Gives an ownership up that this node cannot carry.
+    ///
+    /// Failure: the store is away just then, the ownership is renewed after its return by a node
+    /// that runs no cell, and nobody takes it over. Until it is given up it is not renewed, so
+    /// that it lapses at the latest.
     async fn give_up(&mut self) {
         if let Some(last) = &self.last {
             Self::release(&self.shared, last.epoch, self.life).await;
         }
+        sleep(RETRY).await;
         self.resync().await;
+        if self.is_mine() {
+            self.shared.reclaim.store(true, Ordering::Release);
+        }
     }
 
     /// Gives the ownership up, so that another node takes it without waiting for its expiry.
