--- a/crates/e2e/tests/log_faults.rs
+++ b/crates/e2e/tests/log_faults.rs
@@ -48,6 +48,13 @@
     }
 }
 
+/// Waits until `entry` has read what `writer` has: a ticket is in force at its writer first.
+async fn wait_heard(fleet: &Fleet, entry: usize, writer: usize) {
+    let written = fleet.admin(writer, "/v1/status").await["next"].as_u64();
+    let heard = |s: &Value| s["next"].as_u64() >= written;
+    fleet.wait_status(fleet.admins[entry], heard).await;
+}
+
 /// Ticket records in the platform's log.
 async fn tickets_logged(fleet: &Fleet) -> usize {
     let call = Call::get(fleet.platform_addr, "/log/fleet?from=0&max=1000&wait=0");
@@ -102,7 +109,9 @@
     assert_ne!(fleet.apply(1, &team(2, 6)).0, Some(0));
     trim_to_snapshot(&fleet, 0, 3).await;
     assert_eq!(fleet.apply(1, &team(4, 7)).0, Some(0));
+    wait_heard(&fleet, 0, 1).await;
     let before = fleet.admin(0, "/v1/config").await;
+    assert_eq!(before["teams"]["ads"]["limit"], 7);
     let audit = fleet.admin(0, "/v1/audit?object=team/ads").await;
     fleet.kill_entry(0);
     fleet.kill_entry(1);
