--- a/crates/relay/src/rows.rs
+++ b/crates/relay/src/rows.rs
@@ -92,8 +92,12 @@
             rows: page,
         };
         self.workers.insert(worker.clone(), page);
+        // Failure: a look does not arrive, all later ones refer to it in turn, and the owner takes
+        // a worker that answers for lost; its runs are given up and done again. Rows are told
+        // anew before the owner's retries are far apart, so that one of them is readable.
+        let refers = rows.iter().any(|row| matches!(row, Row::Same(_)));
         SeenLook {
-            base,
+            base: if refers { base } else { 0 },
             clock: look.clock,
             born: look.born,
             rows,
--- a/crates/relay/tests/rows.rs
+++ b/crates/relay/tests/rows.rs
@@ -106,3 +106,20 @@
     let second = two.fold(now, &worker, 2, look(&[(5, 10)]));
     assert_eq!(owner.unfold(&"n2".into(), &worker, 2, second), None);
 }
+
+/// What the caller sees: a task is done a second time, and its job is late.
+/// A look does not reach the owner, or the worker was listed anew in between. The relay's next
+/// looks refer to it, the owner can read none of them, and the worker stays lost until its runs
+/// are given up, though it answers each time. A look in which every row is told anew, or in
+/// which nothing runs, needs no other and has to be readable.
+#[test]
+fn lost_base() {
+    for (later, rows) in [(600, vec![(0, 12)]), (40, Vec::new())] {
+        let (mut relay, mut owner) = (Told::default(), Known::default());
+        let (node, worker) = (NodeName::from("n1"), WorkerId::from("w1"));
+        relay.fold(Time::new(0), &worker, 1, look(&[(0, 10)]));
+        let seen = relay.fold(Time::new(later), &worker, 2, look(&rows));
+        let whole = owner.unfold(&node, &worker, 2, seen);
+        assert_eq!(whole.map(|l| l.running.len()), Some(rows.len()));
+    }
+}
