--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -67,7 +67,7 @@
         };
         let leaving = pool.closing.iter();
         let leaving = leaving.filter(|(m, v)| {
-            let free = !taken.contains(&m.instance.name) && !v.spent;
+            let free = !taken.contains(&m.instance.name) && !v.spent && !v.evacuated;
             free && !self.waves.emptying.contains(&v.worker)
         });
         let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
@@ -90,7 +90,8 @@
                 continue;
             }
             let free = |m: &Member<'_>, v: &WorkerView| {
-                v.runs == 0 && !taken.contains(&m.instance.name) && self.fits(m, to)
+                let here = v.runs == 0 && !v.evacuated;
+                here && !taken.contains(&m.instance.name) && self.fits(m, to)
             };
             let leaving = pool.closing.iter().position(|(m, v)| free(m, v));
             if let Some(at) = leaving {
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -151,6 +151,8 @@
         for member in &all {
             let pool = pools.entry(&member.instance.pool);
             match &member.standing {
+                // Work could not start there: it stays where it is off.
+                Standing::Spare if snapshot.evacuated.contains(&member.instance.zone) => {}
                 Standing::Spare => spare.push(member),
                 Standing::Serving(view) => pool.or_default().serving.push((member, view)),
                 Standing::Closing(view) => pool.or_default().closing.push((member, view)),
--- a/crates/capacity/src/snapshot.rs
+++ b/crates/capacity/src/snapshot.rs
@@ -1,8 +1,8 @@
 //! What a plan is made from.
 
 use cactuswheel_cell::{Load, WorkerView};
-use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Instance, InstanceName, ServiceName, Wave, WorkerId};
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{Instance, InstanceName, ServiceName, Wave, WorkerId, ZoneName};
 
 /// What a plan is made from, as of one moment.
 #[derive(Debug)]
@@ -24,4 +24,6 @@
     /// Instances that an earlier owner ordered of late, with the wave if it was for one: they get
     /// no orders yet.
     pub reserved: &'a Map<InstanceName, Option<u64>>,
+    /// Data centres that are evacuated: no work starts there.
+    pub evacuated: &'a Set<ZoneName>,
 }
--- a/crates/capacity/src/targets.rs
+++ b/crates/capacity/src/targets.rs
@@ -1,6 +1,8 @@
 //! How many instances each pool wants.
 
-use cactuswheel_cell::Load;
+use std::borrow::Cow;
+
+use cactuswheel_cell::{Load, WorkerView};
 use cactuswheel_model::Map;
 use cactuswheel_work::{InstanceState, Room, ServiceName};
 
@@ -18,6 +20,7 @@
         let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
         let mut shares: Map<ServiceName, Share> = loads
             .map(|(service, load)| {
+                let load = &*without_evacuated(service, load, snapshot);
                 let unit = units.get(service).copied().or(any).unwrap_or_default();
                 let trend = self.trends.entry(service.clone()).or_default();
                 let serving = open.get(service).copied().unwrap_or_default();
@@ -33,12 +36,33 @@
             })
             .collect();
         let usable = snapshot.instances.iter();
-        let usable = usable.filter(|i| i.state != InstanceState::Down).count();
+        let usable = usable.filter(|i| i.state != InstanceState::Down);
+        let usable = usable.filter(|i| !snapshot.evacuated.contains(&i.zone));
+        let usable = usable.count();
         divide(&mut shares, usable, self.policy.overdue);
         shares
     }
 }
 
+/// A load less the lasting work that goes on in evacuated data centres: it needs no place
+/// elsewhere.
+fn without_evacuated<'a>(
+    service: &ServiceName,
+    load: &'a Load,
+    snapshot: &Snapshot<'_>,
+) -> Cow<'a, Load> {
+    if snapshot.evacuated.is_empty() {
+        return Cow::Borrowed(load);
+    }
+    let mut rest = load.clone();
+    let holds = |w: &&WorkerView| w.service == *service && w.evacuated && w.lasting > 0;
+    for worker in snapshot.workers.values().filter(holds) {
+        rest.lasting -= worker.used;
+        rest.spread = rest.spread.saturating_sub(1);
+    }
+    Cow::Owned(rest)
+}
+
 /// Least number of instances of a pool that has work at all.
 fn least(load: &Load) -> usize {
     usize::from(load.queues > 0).max(load.spread)
--- /dev/null
+++ b/crates/capacity/tests/evacuated.rs
@@ -0,0 +1,87 @@
+//! Pools while a data centre is evacuated.
+
+mod fleet;
+
+use std::time::Duration;
+
+use cactuswheel_capacity::Duty;
+use cactuswheel_work::{InstanceOrder, Room};
+use fleet::Fleet;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Two instances of each pool and two that are off in data centre `lost`, as many elsewhere.
+fn two_zones() -> Fleet {
+    let mut fleet = Fleet::new(4, 4, 4);
+    for instance in &mut fleet.instances {
+        let name = instance.name.as_str();
+        if name.ends_with("-0") || name.ends_with("-1") {
+            instance.zone = "lost".into();
+        }
+    }
+    fleet
+}
+
+fn evacuate(fleet: &mut Fleet) {
+    fleet.evacuated = [("lost").into()].into_iter().collect();
+    let lost = |i: &&cactuswheel_work::Instance| i.zone.as_str() == "lost";
+    let lost = fleet.instances.iter().filter(lost);
+    let lost: Vec<_> = lost.filter_map(|i| i.worker.clone()).collect();
+    for worker in lost {
+        let view = fleet.workers.get_mut(&worker).expect("it is there");
+        (view.evacuated, view.closing) = (true, true);
+    }
+}
+
+/// Guards against a pool that counts on instances on which nothing may start: it neither takes
+/// them from elsewhere nor opens its own, and grows with others.
+#[test]
+fn grows_elsewhere() {
+    let mut fleet = two_zones();
+    evacuate(&mut fleet);
+    fleet.ask("hot", 4 * 64);
+    let duties = fleet.plan();
+    assert!(
+        !duties.iter().any(|d| matches!(d, Duty::Reopen(_))),
+        "{duties:?}"
+    );
+    let moved = fleet.orders.iter().filter_map(|o| match o {
+        InstanceOrder::Move { instance, pool } if pool.as_str() == "hot" => Some(instance),
+        _ => None,
+    });
+    let moved: Vec<_> = moved.collect();
+    assert!(
+        !moved.is_empty(),
+        "two of four instances are left for work of four"
+    );
+    let lost = |n: &str| n.ends_with("-0") || n.ends_with("-1");
+    assert!(!moved.iter().any(|n| lost(n.as_str())), "{moved:?}");
+}
+
+/// Guards against a pool that grows by as many instances as lasting work keeps busy in the
+/// evacuated data centre.
+#[test]
+fn lasting_goes_on() {
+    let mut fleet = two_zones();
+    let load = fleet.loads.get_mut("hot").expect("the pool is there");
+    let (cpu, memory) = (64_000, 0);
+    let whole = Room {
+        cpu,
+        memory,
+        gpu: 0,
+    };
+    load.lasting = whole * 2;
+    load.used = whole * 2;
+    evacuate(&mut fleet);
+    let views = fleet.workers.values_mut();
+    let inside = views.filter(|v| v.evacuated && v.service.as_str() == "hot");
+    for view in inside {
+        (view.lasting, view.runs, view.used) = (1, 1, whole);
+    }
+    fleet.run(2 * SECOND);
+    let grown = fleet.orders.iter().filter(|o| match o {
+        InstanceOrder::Move { pool, .. } => pool.as_str() == "hot",
+        InstanceOrder::Maintain { .. } => false,
+    });
+    assert_eq!(grown.count(), 0);
+}
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName, Wave,
-    WorkerId,
+    WorkerId, ZoneName,
 };
 
 /// Time that a move or maintenance takes here.
@@ -32,6 +32,7 @@
     pub loads: Map<ServiceName, Load>,
     pub waves: Vec<Wave>,
     pub reserved: Map<InstanceName, Option<u64>>,
+    pub evacuated: Set<ZoneName>,
     /// Every order that was given.
     pub orders: Vec<InstanceOrder>,
     /// What the operators were told last.
@@ -53,6 +54,7 @@
             loads: Map::default(),
             waves: Vec::new(),
             reserved: Map::default(),
+            evacuated: Set::default(),
             orders: Vec::new(),
             complete: None,
             begun: Vec::new(),
@@ -104,6 +106,7 @@
             service: instance.pool.clone(),
             open: true,
             closing: false,
+            evacuated: false,
             spent: false,
             room: UNIT,
             used: Room::default(),
@@ -168,6 +171,7 @@
             waves: &self.waves,
             spare: &spare,
             reserved: &self.reserved,
+            evacuated: &self.evacuated,
         };
         let duties = self.planner.plan(&snapshot);
         let (orders, others): (Vec<_>, Vec<_>) = duties
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -6,7 +6,7 @@
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{
-    FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerEntry, WorkerId,
+    FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerEntry, WorkerId, ZoneName,
 };
 
 use crate::advice::Tickets;
@@ -66,6 +66,8 @@
     pub(crate) workers: Workers,
     /// Workers on instances that are to be maintained before long.
     pub(crate) due: Set<WorkerId>,
+    /// Data centres in which nothing starts.
+    pub(crate) evacuated: Arc<Set<ZoneName>>,
     /// When lasting work was last asked to leave workers.
     pub(crate) last_evacuation: Time,
     pub(crate) usage: Usage,
@@ -112,6 +114,7 @@
             last_drop: Time::default(),
             workers: Workers::default(),
             due: Set::default(),
+            evacuated: Arc::default(),
             last_evacuation: Time::default(),
             usage: Usage::default(),
             shares: Shares::default(),
@@ -146,6 +149,31 @@
         self.others = RENEW_WITHOUT_STORE;
     }
 
+    /// Version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        self.config.version
+    }
+
+    /// Nothing starts in these data centres until they are left out again; what runs there goes on.
+    pub fn evacuate_zones(&mut self, now: Time, zones: &Arc<Set<ZoneName>>) {
+        if Arc::ptr_eq(zones, &self.evacuated) || *zones == self.evacuated {
+            return;
+        }
+        self.now = now;
+        self.evacuated = zones.clone();
+        let mut changed = 0;
+        for id in self.workers.ids() {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            let inside = worker.is_within(zones);
+            changed += u64::from(inside != worker.evacuated);
+            worker.evacuated = inside;
+        }
+        log::info!(zones:? = zones, workers = changed; "evacuated data centres changed");
+        self.stirred = true;
+    }
+
     /// A newer configuration is in force.
     pub fn configure(&mut self, now: Time, config: Arc<FleetConfig>) {
         self.now = now;
@@ -188,6 +216,7 @@
         worker.addr = Some(entry.addr);
         worker.rack = entry.rack().map(Into::into);
         worker.entry = Some(entry);
+        worker.evacuated = worker.is_within(&self.evacuated);
         if changed && draining {
             self.leave(&id);
         }
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -27,7 +27,7 @@
         }
         let born = copy.born;
         let place = self.workers.get_mut(&worker);
-        let place = place.filter(|w| w.born == born && !w.is_draining());
+        let place = place.filter(|w| w.born == born && !w.is_draining() && !w.evacuated);
         let Some((place, entry)) = place
             .and_then(|w| Some((w.entry.clone()?, w)))
             .map(|(e, w)| (w, e))
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -19,6 +19,8 @@
     pub open: bool,
     /// Whether it is kept free of new work.
     pub closing: bool,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// Whether it can take no more work in its life.
     pub spent: bool,
     /// What it has.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_model::{Map, Millis, Time};
-use cactuswheel_work::{Presence, Room, TaskId, WorkerEntry, WorkerId};
+use cactuswheel_model::{Map, Millis, Set, Time};
+use cactuswheel_work::{Presence, Room, TaskId, WorkerEntry, WorkerId, ZoneName};
 
 use crate::health::Health;
 use crate::pacing::Throttle;
@@ -111,6 +111,8 @@
     pub(crate) throttle: Throttle,
     /// Gets no new work: its instance is wanted elsewhere.
     pub(crate) closing: bool,
+    /// Gets no new work: its data centre is evacuated.
+    pub(crate) evacuated: bool,
     /// Lasting work leaves it too.
     pub(crate) evacuating: bool,
     /// A lasting run there has started and is not at work yet, as far as is known.
@@ -150,6 +152,7 @@
             health: Health::default(),
             throttle: Throttle::default(),
             closing: false,
+            evacuated: false,
             evacuating: false,
             waking: false,
             full_until: Time::default(),
@@ -162,6 +165,7 @@
         let listed = self.entry.as_ref();
         listed.is_some_and(|e| e.presence == Presence::Ready)
             && !self.closing
+            && !self.evacuated
             && self.missed == 0
             && self.fence_settled()
             && self.born != 0
@@ -209,6 +213,12 @@
         all - self.used
     }
 
+    /// Whether its data centre is one of these.
+    pub(crate) fn is_within(&self, zones: &Set<ZoneName>) -> bool {
+        let listed = self.entry.as_ref();
+        listed.is_some_and(|e| zones.contains(&e.zone))
+    }
+
     /// Whether it leaves.
     pub(crate) fn is_draining(&self) -> bool {
         let listed = self.entry.as_ref();
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -90,6 +90,11 @@
         self.all.values()
     }
 
+    /// Identifiers of all workers.
+    pub(crate) fn ids(&self) -> Vec<WorkerId> {
+        self.all.keys().cloned().collect()
+    }
+
     /// The worker of a number that [`Rooms`] gave.
     pub(crate) fn at(&self, number: u32) -> Option<&Worker> {
         self.all.get(self.names.get(number as usize)?)
--- /dev/null
+++ b/crates/cell/tests/evacuated.rs
@@ -0,0 +1,95 @@
+//! Data centres that the operators evacuate.
+
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_cell::Output;
+use cactuswheel_model::Set;
+use cactuswheel_work::{JobId, JobState, ZoneName};
+use world::{World, job, lasting, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Two workers in data centre `a`, two in `b`.
+fn two_zones() -> World {
+    let mut world = World::new(5, 4);
+    for number in 0..4 {
+        world.worker(number).zone = if number < 2 { "a" } else { "b" };
+        let (now, entry) = (world.now, world.worker(number).entry());
+        world.cell().list(now, entry);
+    }
+    world.run(SECOND);
+    world
+}
+
+fn evacuate(world: &mut World, zones: &[&str]) {
+    let zones: Set<ZoneName> = zones.iter().map(|z| ZoneName::from(*z)).collect();
+    let now = world.now;
+    world.cell().evacuate_zones(now, &Arc::new(zones));
+}
+
+/// Guards against starts in a data centre after its evacuation was asked for.
+#[test]
+fn nothing_starts() {
+    let mut world = two_zones();
+    evacuate(&mut world, &["a", "nowhere"]);
+    evacuate(&mut world, &["a", "nowhere"]);
+    for id in 0..8 {
+        world.submit(job(id, steps(1, 2, 500)));
+        world.run(SECOND / 10);
+        assert_eq!((world.worker(0).count(), world.worker(1).count()), (0, 0));
+    }
+    world.run(10 * SECOND);
+    world.assert_clean();
+    for id in 0..8 {
+        let state = world.state(JobId::new(id));
+        assert_eq!(
+            state,
+            Some(JobState::Complete),
+            "the other data centre does it"
+        );
+    }
+}
+
+/// Guards against lasting work that stops because its data centre takes no new work, and against
+/// a data centre that stays closed when it is taken back.
+#[test]
+fn what_runs_goes_on() {
+    let mut world = two_zones();
+    for number in 0..4 {
+        world.worker(number).lasting = vec![1, 2];
+    }
+    evacuate(&mut world, &["a"]);
+    world.submit(lasting(1, 2, 1));
+    world.run(SECOND);
+    assert_eq!((world.worker(2).count(), world.worker(3).count()), (1, 1));
+    evacuate(&mut world, &["b"]);
+    world.run(3 * SECOND);
+    assert_eq!((world.worker(2).count(), world.worker(3).count()), (1, 1));
+    evacuate(&mut world, &[]);
+    world.submit(lasting(2, 4, 1));
+    world.run(SECOND);
+    let counts: Vec<usize> = (0..4).map(|n| world.worker(n).count()).collect();
+    assert_eq!(counts, [1, 1, 2, 2]);
+}
+
+/// Guards against a start that waits for the journal while the evacuation begins.
+#[test]
+fn planned_start_dropped() {
+    let mut world = two_zones();
+    world.submit(job(1, steps(1, 2, 500)));
+    let now = world.now.after(SECOND / 100);
+    let outputs = world.cell().poll(now, now.get());
+    evacuate(&mut world, &["a", "b"]);
+    let cell = world.cell();
+    for output in outputs {
+        if let Output::Append(batch) = output {
+            cell.appended(now, batch.mark);
+        }
+    }
+    let outputs = cell.poll(now, now.get());
+    let starts = outputs.iter().filter(|o| matches!(o, Output::Start { .. }));
+    assert_eq!(starts.count(), 0);
+}
--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -124,6 +124,12 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// The operator drops a record.
+    pub fn remove(&self, key: &str) {
+        self.lock().store.put("keyed.op", key, &[]);
+        self.inner.changed.notify_waiters();
+    }
+
     /// The newest value that the system told the operator under `key`.
     pub fn status(&self, key: &str) -> Option<Value> {
         let newest = self.lock().store.value("keyed.status", key)?;
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{
-    CONFIG_KEY, Item, Keyed, ReadError, WAVE_PREFIX, read_config, read_wave,
+    CONFIG_KEY, Item, Keyed, ReadError, WAVE_PREFIX, evacuated_zone, read_config, read_wave,
 };
-use cactuswheel_work::Wave;
+use cactuswheel_model::Set;
+use cactuswheel_work::{Wave, ZoneName};
 use tokio::time::sleep;
 
 use crate::lapse::page_time;
@@ -44,29 +45,39 @@
 
 /// Reads the newest records; gives the offset to go on from.
 async fn start(shared: &Shared) -> Result<u64, ReadError> {
-    let mut after: Option<String> = None;
+    let mut items: Vec<Item> = Vec::new();
     let mut end = None;
     let limit = READ_LIMIT + page_time(shared.settings.link);
     loop {
         let sent = shared.clock.now();
+        let after = items.last().map(|i| i.key.clone());
         let page = shared
             .store
             .newest(OPERATORS, after.as_deref(), limit)
             .await?;
         // Records that come while the pages are read lie behind the first page's end.
         let from = *end.get_or_insert(page.end);
-        after = page.items.last().map(|i| i.key.clone());
-        for item in page.items {
-            let Item { key, value, .. } = item;
-            take(shared, &Keyed::new(key, value));
-        }
+        items.extend(page.items);
         if !page.more {
+            take_newest(shared, items);
             shared.confirm(sent);
             return Ok(from);
         }
     }
 }
 
+/// Takes the newest record of every key.
+///
+/// An evacuation that is over is not among them, so the set is replaced; and it is in force before
+/// the first configuration lets a takeover begin.
+fn take_newest(shared: &Shared, items: Vec<Item>) {
+    let zones = items.iter().filter_map(|i| evacuated_zone(&i.key));
+    evacuate(shared, zones.collect());
+    for Item { key, value, .. } in items {
+        take(shared, &Keyed::new(key, value));
+    }
+}
+
 async fn tail(shared: &Shared, mut next: u64, lost: &mut bool) -> ReadError {
     loop {
         let sent = shared.clock.now();
@@ -95,6 +106,14 @@
 }
 
 fn take(shared: &Shared, record: &Keyed) {
+    if let Some(zone) = evacuated_zone(&record.key) {
+        let mut zones = (**shared.evacuated.load()).clone();
+        match record.value {
+            Some(_) => zones.insert(zone),
+            None => zones.remove(&zone),
+        };
+        return evacuate(shared, zones);
+    }
     let Some(value) = &record.value else {
         return;
     };
@@ -123,11 +142,17 @@
         teams = config.teams.len() as u64;
         "configuration in force"
     );
-    let config = Arc::new(config);
-    shared.config.store(Some(config.clone()));
-    if let Some(own) = shared.own.load().as_ref() {
-        own.configure(config);
+    shared.config.store(Some(Arc::new(config)));
+}
+
+/// Replaces the data centres that are evacuated.
+fn evacuate(shared: &Shared, zones: Set<ZoneName>) {
+    let known = shared.evacuated.load();
+    if **known == zones {
+        return;
     }
+    log::info!(zones:? = zones, before:? = **known; "evacuation of data centres");
+    shared.evacuated.store(Arc::new(zones));
 }
 
 fn take_wave(shared: &Shared, value: &[u8]) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,13 +1,11 @@
 //! What happens to the cell.
 
-use std::sync::Arc;
-
 use cactuswheel_cell::Mark;
 use cactuswheel_model::Time;
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{
-    FleetConfig, Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId,
-    WorkerEntry, WorkerId,
+    Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId, WorkerEntry,
+    WorkerId,
 };
 use serde_json::Value;
 use tokio::sync::oneshot;
@@ -23,8 +21,6 @@
     Intake(Intaken),
     /// A read of a partition of the intake for the sake of a question is over.
     IntakeRead(u32),
-    /// Newer configuration.
-    Config(Arc<FleetConfig>),
     /// A worker's entry.
     Worker(WorkerEntry),
     /// A worker is listed no more.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -163,6 +163,7 @@
         self.reserved.retain(|_, r| r.until > now);
         let reserved = self.reserved.iter().map(|(name, r)| (name.clone(), r.wave));
         let reserved = reserved.collect();
+        let evacuated = self.shared.evacuated.load();
         let snapshot = Snapshot {
             now,
             loads: &loads,
@@ -172,6 +173,7 @@
             waves: &waves,
             spare: &spare,
             reserved: &reserved,
+            evacuated: &evacuated,
         };
         let mut orders = Vec::new();
         for duty in self.planner.plan(&snapshot) {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -158,6 +158,7 @@
                     deposed |= self.take(event);
                 }
             }
+            self.take_operators();
             for report in self.hands.overdue() {
                 self.take_report(report);
             }
@@ -185,6 +186,17 @@
         }
     }
 
+    /// Takes over what the operators have written since.
+    fn take_operators(&mut self) {
+        let now = self.shared.clock.now();
+        if let Some(config) = self.shared.config.load().as_ref()
+            && config.version > self.cell.version()
+        {
+            self.cell.configure(now, config.clone());
+        }
+        self.cell.evacuate_zones(now, &self.shared.evacuated.load());
+    }
+
     /// Takes an event; true if a newer owner is at work.
     fn take(&mut self, event: Event) -> bool {
         let now = self.shared.clock.now();
@@ -194,7 +206,6 @@
                 self.reads.over(part);
                 self.answer_parked();
             }
-            Event::Config(config) => self.cell.configure(now, config),
             Event::Worker(entry) => {
                 self.hands.place(&entry);
                 self.cell.list(now, entry);
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -1,9 +1,7 @@
 //! How other tasks of a node reach its owner.
 
-use std::sync::Arc;
-
 use cactuswheel_relay::{Offer, Reply};
-use cactuswheel_work::{FleetConfig, JobId, QueueName};
+use cactuswheel_work::{JobId, QueueName};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
@@ -63,11 +61,4 @@
         let sent = self.events.send(Event::Relayed(reports, reply)).await;
         sent.is_ok() && answer.await.unwrap_or(false)
     }
-
-    pub(crate) fn configure(&self, config: Arc<FleetConfig>) {
-        if self.events.try_send(Event::Config(config)).is_err() {
-            // The owner takes the newest configuration with its next event.
-            log::warn!("owner is too busy for a configuration just now");
-        }
-    }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,11 +3,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use cactuswheel_adapter::Store;
-use cactuswheel_model::Time;
+use cactuswheel_model::{Set, Time};
 use cactuswheel_patience::Patience;
-use cactuswheel_work::{FleetConfig, Wave};
+use cactuswheel_work::{FleetConfig, Wave, ZoneName};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -35,6 +35,8 @@
     pub(crate) config: ArcSwapOption<FleetConfig>,
     /// Waves of maintenance that the operators ask for.
     pub(crate) waves: ArcSwapOption<Vec<Wave>>,
+    /// Data centres that the operators evacuate.
+    pub(crate) evacuated: ArcSwap<Set<ZoneName>>,
     /// When the read was sent that last confirmed the configuration.
     confirmed: AtomicU64,
     /// Where the cell's owner is, as far as the store has told.
@@ -86,6 +88,7 @@
             metrics,
             config: ArcSwapOption::empty(),
             waves: ArcSwapOption::empty(),
+            evacuated: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
--- a/crates/soak/tests/path.rs
+++ b/crates/soak/tests/path.rs
@@ -118,6 +118,33 @@
     assert_eq!(world.log("instance maintained").len(), 7);
 }
 
+/// Guards against starts in an evacuated data centre, and against one that stays closed because
+/// the record of its return was deleted before it was read.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuated_and_back() {
+    let world = World::start(2, 5).await;
+    world.platform.put("evacuate/local", &json!({}));
+    let changed = |times: usize| {
+        let world = &world;
+        async move {
+            let start = Instant::now();
+            while world.log("evacuated data centres changed").len() < times {
+                assert!(start.elapsed() < Duration::from_secs(3), "the owner knows");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    };
+    changed(1).await;
+    let mut caller = world.caller(0);
+    let job = caller.submit("/a/", 11, &steps(), "work_ms=100").await;
+    sleep(Duration::from_millis(700)).await;
+    assert_eq!(world.platform.ledger(|l| l.starts_of(&job.id)), 0);
+    world.platform.remove("evacuate/local");
+    world.platform.compact();
+    changed(2).await;
+    assert_eq!(caller.wait(&job).await.as_deref(), Ok("complete"));
+}
+
 /// Broken settings end a node with a numbered error that names the place.
 #[test]
 fn bad_settings() {
