--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -12,7 +12,7 @@
 
 /// Longest time that a look waits for an end. Leases are renewed as often, and what stands
 /// still shows as late.
-const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+const LOOK_WAIT: Duration = Duration::from_millis(500);
 
 /// The same for a worker with nothing on it.
 const IDLE_WAIT: Duration = Duration::from_millis(2_000);
@@ -104,7 +104,11 @@
             log::warn!(worker:% = id, runs = runs, error:% = error; "worker lost");
         }
         worker.missed += 1;
-        let pause = RETRY_LOOK.saturating_mul(1 << worker.missed.min(4));
+        // One lost answer says little: the next look goes out at once.
+        let pause = match worker.missed {
+            1 => Duration::ZERO,
+            more => RETRY_LOOK.saturating_mul(1 << more.min(4)),
+        };
         worker.looking = Looking::Due(now.after(pause.min(MAX_RETRY)));
         match error {
             LookError::Fence => self.out.push(Output::Deposed {
--- a/crates/cell/tests/silence.rs
+++ b/crates/cell/tests/silence.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use cactuswheel_work::{JobId, JobState};
+use cactuswheel_cell::Output;
+use cactuswheel_work::{JobId, JobState, LookError};
 use world::{World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -96,3 +97,31 @@
     let tried = world.worker(0).begun.len();
     assert!(tried <= 10, "the sick worker was tried {tried} times");
 }
+
+/// Guards against a worker that gets no work for half a second because one answer was lost: the
+/// next look goes out at once, and only those after it wait.
+#[test]
+fn one_lost_answer() {
+    let mut world = World::new(3, 1);
+    let now = world.now;
+    let cell = world.cell();
+    let mut looks = Vec::new();
+    for pause in [0, 0, 100] {
+        let now = now.after(Duration::from_millis(pause));
+        let outputs = cell.poll(now, now.get());
+        let look = outputs.into_iter().find_map(|o| match o {
+            Output::Look { worker, look, .. } => Some((worker, look)),
+            _ => None,
+        });
+        if let Some((worker, look)) = &look {
+            cell.looked(
+                now,
+                worker,
+                *look,
+                Err(LookError::Unknown("silence".into())),
+            );
+        }
+        looks.push(look.is_some());
+    }
+    assert_eq!(looks, [true, true, false]);
+}
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactuswheel_adapter::{Link, Orders};
 use cactuswheel_model::{Map, Time};
+use cactuswheel_patience::Patience;
 use cactuswheel_work::{HoldOrder, PaceOrder, StartOrder, StartOutcome, StopOrder, WorkerId};
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
@@ -31,13 +32,16 @@
 /// Least number of orders under way.
 const LEAST_ORDERS: usize = 16;
 
-/// Time for an answer to an order. Workers answer in milliseconds; a longer silence means that
-/// the answer will not come.
+/// Longest wait for an answer to an order; a shorter one is learnt from how long answers take.
 pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time for an answer to a look, beyond its own wait.
+/// Longest wait for an answer to a look, beyond its own wait; a shorter one is learnt.
 pub(crate) const LOOK_LIMIT: Duration = Duration::from_millis(600);
 
+/// Shortest wait for an answer. A node that has used up its processor stands still for a tenth
+/// of a second.
+const LEAST_LIMIT: Duration = Duration::from_millis(150);
+
 /// Time without an order after which a worker's connections go.
 const UNUSED: Duration = Duration::from_secs(20);
 
@@ -64,6 +68,8 @@
     workers: Map<WorkerId, Hand>,
     /// Orders that may be under way.
     window: Arc<Semaphore>,
+    /// How long workers' answers to orders take.
+    answers: Arc<Patience>,
     pruned: Time,
     tasks: TaskTracker,
 }
@@ -87,6 +93,7 @@
             commander,
             workers: Map::default(),
             window: Arc::new(Semaphore::new(orders)),
+            answers: Arc::new(Patience::new(LEAST_LIMIT, ORDER_LIMIT)),
             pruned: shared.clock.now(),
             tasks: TaskTracker::new(),
             shared,
@@ -142,6 +149,7 @@
 
     fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
         let commander = self.commander.clone();
+        let limit = self.answers.limit().min(LOOK_LIMIT);
         let hand = self.hand(&worker, addr);
         hand.fence.fetch_max(order.fence, Ordering::AcqRel);
         if let Some(before) = hand.look.take() {
@@ -149,7 +157,7 @@
         }
         let orders = hand.orders.clone();
         let task = tokio::spawn(async move {
-            let answer = orders.hold(&order, LOOK_LIMIT).await;
+            let answer = orders.hold(&order, limit).await;
             commander.tell(Report::Looked(worker, look, answer)).await;
         });
         hand.look = Some(task.abort_handle());
@@ -157,10 +165,10 @@
 
     fn start(&mut self, worker: WorkerId, addr: SocketAddr, order: StartOrder) {
         let (commander, shared) = (self.commander.clone(), self.shared.clone());
+        let (window, answers) = (self.window.clone(), self.answers.clone());
         let hand = self.hand(&worker, addr);
         let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
         let fence = hand.fence.clone();
-        let window = self.window.clone();
         self.tasks.spawn(async move {
             let (Ok(_lane), Ok(_order)) = (lanes.acquire().await, window.acquire().await) else {
                 return;
@@ -173,7 +181,7 @@
             let overtaken = overtaken || !commander.leads();
             let outcome = match overtaken {
                 true => StartOutcome::NotSent,
-                false => orders.start(&order, ORDER_LIMIT).await,
+                false => start_within(&orders, &order, &answers).await,
             };
             shared.metrics.ordered("start", outcome_name(outcome));
             let report = Report::Started(worker, order.task, order.run, outcome);
@@ -222,6 +230,18 @@
     }
 }
 
+/// Orders a start, and learns from how long its answer takes.
+async fn start_within(orders: &Orders, order: &StartOrder, answers: &Patience) -> StartOutcome {
+    let sent = Instant::now();
+    let outcome = orders.start(order, answers.limit()).await;
+    match outcome {
+        StartOutcome::Started | StartOutcome::Refused(_) => answers.answered(sent.elapsed()),
+        StartOutcome::Unknown => answers.overdue(),
+        StartOutcome::NotSent => {}
+    }
+    outcome
+}
+
 fn outcome_name(outcome: StartOutcome) -> &'static str {
     match outcome {
         StartOutcome::Started => "started",
