--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -169,7 +169,15 @@
         let mut surplus = pool.have().saturating_sub(pool.keep);
         let idle = pool.serving.iter().filter(|(_, v)| v.lasting == 0);
         let mut idle: Vec<_> = idle.collect();
-        idle.sort_by_key(|(_, v)| (v.runs, v.used.cpu));
+        // An instance that is off has its maintenance at no cost.
+        idle.sort_by_key(|(_, v)| {
+            (
+                v.runs > 0,
+                !self.due.contains(&v.worker),
+                v.runs,
+                v.used.cpu,
+            )
+        });
         for (member, view) in idle {
             let name = &member.instance.name;
             if surplus == 0 {
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -59,7 +59,7 @@
     /// Instances that cannot serve a pool.
     pub(crate) unfit: Map<ServiceName, Set<InstanceName>>,
     /// Workers on instances that are to be maintained before long.
-    due: Set<WorkerId>,
+    pub(crate) due: Set<WorkerId>,
     /// When the pools were last told of in the log.
     told: Time,
 }
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -245,21 +245,28 @@
             _ => false,
         });
         let emptying = emptying.count();
+        // Workers without lasting work are left to their pools as long as there is time: most are
+        // empty before the wave is over, and their maintenance then takes nothing from anybody.
+        let slow = |m: &&&Member<'_>| match &m.standing {
+            Standing::Serving(view) | Standing::Closing(view) => pressing || view.lasting > 0,
+            _ => false,
+        };
         let round = (LEAVING + scene.maintaining).as_millis() as f64;
         let rounds = (time.as_millis() as f64 / round).max(1.0);
-        let pace = (left.len() as f64 / rounds).ceil() as usize;
+        let pace = (left.iter().filter(slow).count() as f64 / rounds).ceil() as usize;
         let wanted = pace.max(GENTLE).min(wave.cap as usize).min(room + emptying);
         // A pool that is short keeps its workers as long as there is time.
         let free = |m: &Member<'_>| pressing || !scene.is_short(m);
-        let busy = left.iter().filter(|m| free(m));
+        let busy = left.iter().filter(slow).filter(|m| free(m));
         let mut busy: Vec<_> = busy
             .filter_map(|m| match &m.standing {
                 Standing::Serving(view) => Some(*view),
                 _ => None,
             })
             .collect();
-        // The least is lost where the least runs.
-        busy.sort_by_key(|v| (v.lasting, v.used.cpu));
+        // A budget lets the tasks of a step leave one after the other, so those with the most of
+        // them take the longest.
+        busy.sort_by_key(|v| (std::cmp::Reverse(v.lasting), v.used.cpu));
         let chosen = busy.into_iter().take(wanted.saturating_sub(emptying));
         let chosen: Vec<WorkerId> = chosen.map(|v| v.worker.clone()).collect();
         let duties = chosen.into_iter().map(|worker| {
--- a/crates/capacity/tests/waves.rs
+++ b/crates/capacity/tests/waves.rs
@@ -140,3 +140,37 @@
     let maintained = |o: &&InstanceOrder| matches!(o, InstanceOrder::Maintain { .. });
     assert_eq!(fleet.orders.iter().filter(maintained).count(), 3);
 }
+
+/// Guards against a wave that is late because lasting work begins to leave late, and against one
+/// that closes workers in full use which would be empty before it is over.
+#[test]
+fn lasting_leaves_first() {
+    let mut fleet = Fleet::new(6, 1, 0);
+    fleet.waves = vec![wave(&fleet, 3)];
+    fleet.occupy("hot", 1, 1);
+    fleet.occupy("hot", 3, 3);
+    for _ in 0..4 {
+        fleet.occupy("hot", 0, 2);
+    }
+    fleet.ask("hot", 6 * 64);
+    let lasting = |fleet: &Fleet, id| fleet.workers.get(id).map(|v| v.lasting);
+    let before: Vec<_> = fleet.workers.values().cloned().collect();
+    let closed: Vec<_> = fleet
+        .plan()
+        .into_iter()
+        .filter_map(|d| match d {
+            Duty::Close { worker, .. } => Some(worker),
+            _ => None,
+        })
+        .collect();
+    let kept = before.iter().filter(|v| v.lasting == 0 && v.runs > 0);
+    for view in kept {
+        assert!(!closed.contains(&view.worker), "{} works", view.worker);
+    }
+    let most = before
+        .iter()
+        .max_by_key(|v| v.lasting)
+        .expect("there are workers");
+    assert!(closed.contains(&most.worker), "{closed:?}");
+    assert_eq!(lasting(&fleet, &most.worker), Some(0), "its work has left");
+}
