--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -35,6 +35,7 @@
             log::info!("operators' records were deleted: reading the newest again");
             continue;
         }
+        shared.store_failed();
         if !lost {
             lost = true;
             log::warn!(error:% = failed, age_ms = shared.config_age(); "configuration lost");
@@ -57,6 +58,7 @@
             .await?;
         // Records that come while the pages are read lie behind the first page's end.
         let from = *end.get_or_insert(page.end);
+        shared.store_answered();
         items.extend(page.items);
         if !page.more {
             take_newest(shared, items);
@@ -89,6 +91,7 @@
             Ok(page) => page,
             Err(e) => return e,
         };
+        shared.store_answered();
         next += page.records.len() as u64;
         for record in &page.records {
             match Keyed::read(record) {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -150,7 +150,8 @@
             }
         };
         self.busy.fetch_sub(1, Ordering::AcqRel);
-        if self.shared.is_stopping() {
+        // A caller that comes back on the same connection would come back to this node.
+        if !self.shared.is_ready() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -232,10 +232,12 @@
         self.doubt.store(0, Ordering::Relaxed);
         match outcome {
             Ok(_) => {
+                self.shared.store_answered();
                 self.seq += 1;
                 Ok(())
             }
             Err(AppendError::Refused(status)) => {
+                self.shared.store_failed();
                 log::warn!(records = records.len() as u64, status = status; "intake refused");
                 Err(NotStored::Refused)
             }
@@ -248,6 +250,7 @@
     }
 
     fn enter_doubt(&self) {
+        self.shared.store_failed();
         let now = self.shared.clock.now().get();
         let before = self
             .doubt
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -41,7 +41,7 @@
     if request.uri().path() != READY_PATH {
         return StatusCode::NOT_FOUND;
     }
-    match shared.is_fresh() && !shared.is_stopping() {
+    match shared.is_ready() {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{OwnerAt, OwnerLink};
 use crate::settings::Settings;
+use crate::store_health::StoreHealth;
 
 /// What the parts of a node share.
 #[derive(Debug)]
@@ -39,6 +40,7 @@
     pub(crate) evacuated: ArcSwap<Set<ZoneName>>,
     /// When the read was sent that last confirmed the configuration.
     confirmed: AtomicU64,
+    health: StoreHealth,
     /// Where the cell's owner is, as far as the store has told.
     pub(crate) owner: ArcSwapOption<OwnerAt>,
     /// The connection to the owner.
@@ -90,6 +92,7 @@
             waves: ArcSwapOption::empty(),
             evacuated: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
+            health: StoreHealth::default(),
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
             own: ArcSwapOption::empty(),
@@ -117,6 +120,25 @@
         self.config.load().is_some() && (self.config_age() as f64) < bound
     }
 
+    /// A call to the store has failed.
+    pub(crate) fn store_failed(&self) {
+        if self.health.failed(self.clock.now()) {
+            log::warn!(config_age_ms = self.config_age(); "store does not answer");
+        }
+    }
+
+    /// The store has answered.
+    pub(crate) fn store_answered(&self) {
+        if let Some(time) = self.health.answered(self.clock.now()) {
+            log::info!(ms = time.as_millis() as u64; "store answers again");
+        }
+    }
+
+    /// Whether new callers are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_fresh() && !self.health.is_lost(self.clock.now()) && !self.is_stopping()
+    }
+
     /// This node's ownership was confirmed by a write that was sent at `sent`.
     pub(crate) fn confirm_lead(&self, sent: Time) {
         self.lead.fetch_max(sent.get(), Ordering::Relaxed);
--- /dev/null
+++ b/crates/node/src/store_health.rs
@@ -0,0 +1,40 @@
+//! Whether the store answers this node.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+
+/// Time without an answer after which the store counts as out of reach: one lost answer or one
+/// refusal says little.
+const LOST_AFTER: Duration = Duration::from_millis(300);
+
+/// Whether the store answers this node.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    /// When the first of the newest failures in a row was seen, in milliseconds; 0 if the last
+    /// call was answered.
+    failing: AtomicU64,
+}
+
+impl StoreHealth {
+    /// A call has failed; true if it is the first in a row.
+    pub fn failed(&self, now: Time) -> bool {
+        let first =
+            self.failing
+                .compare_exchange(0, now.get(), Ordering::Relaxed, Ordering::Relaxed);
+        first.is_ok()
+    }
+
+    /// A call was answered; gives for how long calls had failed, if the last one had.
+    pub fn answered(&self, now: Time) -> Option<Duration> {
+        let since = self.failing.swap(0, Ordering::Relaxed);
+        (since != 0).then(|| now.since(Time::new(since)))
+    }
+
+    /// Whether calls have failed for so long that callers are served better by other nodes.
+    pub fn is_lost(&self, now: Time) -> bool {
+        let since = self.failing.load(Ordering::Relaxed);
+        since != 0 && now.since(Time::new(since)) > LOST_AFTER
+    }
+}
