--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -67,7 +67,11 @@
     pub fn submit(&mut self, now: Time, sub: Submission, waited: Duration) {
         self.now = now;
         let id = sub.job;
-        if self.jobs.contains(&id) || self.finished.contains_key(&id) {
+        if let Some(job) = self.jobs.observe(&id) {
+            job.in_intake = true;
+            return;
+        }
+        if self.finished.contains_key(&id) {
             return;
         }
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
--- a/crates/cell/src/batch.rs
+++ b/crates/cell/src/batch.rs
@@ -13,6 +13,8 @@
 pub struct Batch {
     /// Its number.
     pub mark: Mark,
+    /// Submissions of jobs that are accepted with this batch; `None` drops one.
+    pub submissions: Vec<(JobId, Option<Vec<u8>>)>,
     /// Each job's state, whole and encoded; `None` forgets the job.
     pub records: Vec<(JobId, Option<Vec<u8>>)>,
 }
@@ -20,6 +22,8 @@
 /// What holds once a batch is in the journal.
 #[derive(Debug, Default)]
 pub(crate) struct Consequences {
+    /// Jobs that are accepted.
+    pub(crate) accepted: Vec<JobId>,
     /// Runs that may be ordered.
     pub(crate) starts: Vec<PlannedStart>,
     /// States that may be shown.
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -75,12 +75,16 @@
     pub(crate) tickets: Map<StepId, Tickets>,
     /// Jobs whose cancelling came before themselves.
     pub(crate) cancelled: Set<JobId>,
+    /// Submissions that the journal is to hold, as they were encoded.
+    pub(crate) handed: Map<JobId, Vec<u8>>,
     /// Jobs whose state the journal does not hold yet.
     pub(crate) dirty: Set<JobId>,
     /// Runs that wait for the journal.
     pub(crate) planned: Vec<PlannedStart>,
     /// The batch under way, and what holds once it is in the journal.
     pub(crate) flying: Option<(Mark, Consequences)>,
+    /// When that was asked for.
+    pub(crate) written: Time,
     pub(crate) next_mark: u64,
     pub(crate) out: Vec<Output>,
     /// What was learnt of each queue's jobs.
@@ -120,9 +124,11 @@
             shares: Shares::default(),
             tickets: Map::default(),
             cancelled: Set::default(),
+            handed: Map::default(),
             dirty: Set::default(),
             planned: Vec::new(),
             flying: None,
+            written: Time::default(),
             next_mark: 1,
             out: Vec::new(),
             learned: Map::default(),
@@ -259,6 +265,11 @@
         waiting.count() as u64
     }
 
+    /// For how long a batch has been under way, if one is.
+    pub fn writing(&self, now: Time) -> Option<Duration> {
+        self.flying.as_ref().map(|_| now.since(self.written))
+    }
+
     /// The ownership was confirmed `age` ago. Past [`RENEW_WITHOUT_STORE`] leases are left to
     /// expire: a newer owner may count on it.
     pub fn confirmed(&mut self, age: Duration) {
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::{JobId, WorkerId};
+use cactuswheel_work::{JobId, JobState, WorkerId};
 
 use crate::batch::{Batch, Consequences, Mark};
 use crate::cell::Cell;
@@ -22,6 +22,14 @@
         let Some((_, done)) = self.flying.take_if(|(m, _)| *m == mark) else {
             return;
         };
+        for id in &done.accepted {
+            if let Some(job) = self.jobs.observe(id) {
+                job.in_journal = true;
+            }
+        }
+        if !done.accepted.is_empty() {
+            self.out.push(Output::Accepted(done.accepted));
+        }
         for (id, state) in done.states {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.shown = Some(state);
@@ -44,12 +52,17 @@
     /// all before it starts anything, and on a narrow link that takes seconds. The journal's
     /// record says all that callers may still ask, so the submission can go.
     fn keep(&mut self, id: JobId, job: Finished) {
-        let ended = self.jobs.remove(&id).and_then(|j| j.ended);
-        let ended = ended.unwrap_or(self.now);
+        let known = self.jobs.remove(&id);
+        // A cancel stands in the intake wherever the submission is.
+        let elsewhere = known.as_ref().is_some_and(|j| !j.in_intake);
+        let cancelled = job.state == JobState::Cancelled;
+        let ended = known.and_then(|j| j.ended).unwrap_or(self.now);
         self.remember(id, Kept { job, ended });
         self.lines.put(id, None);
         self.tickets.retain(|step, _| step.job != id);
-        self.unneeded.push(id);
+        if cancelled || !elsewhere {
+            self.unneeded.push(id);
+        }
     }
 
     pub(crate) fn remember(&mut self, id: JobId, kept: Kept) {
@@ -82,6 +95,7 @@
             }
             return;
         }
+        let mut submissions = Vec::new();
         let mut records = Vec::new();
         let mut done = Consequences::default();
         let mut size = 0;
@@ -95,10 +109,21 @@
                 continue;
             }
             let record = self.jobs.get(&id).map(JobRecord::new);
+            if let Some(handed) = self.handed.remove(&id) {
+                done.accepted.push(id);
+                // The last record stands by itself.
+                if matches!(record, Some(JobRecord::Open(_))) {
+                    size += handed.len();
+                    submissions.push((id, Some(handed)));
+                }
+            }
             if let Some(job) = self.jobs.get(&id).filter(|j| j.state.is_final()) {
                 done.states.push((id, job.state));
             }
             if let Some(JobRecord::Finished(job)) = &record {
+                if self.jobs.get(&id).is_some_and(|j| j.in_journal) {
+                    submissions.push((id, None));
+                }
                 done.finished.push((id, job.clone()));
             }
             let record = record.map(|r| encode(&r));
@@ -118,9 +143,14 @@
                 .map(|w| (w.id.clone(), w.born, w.notable()))
                 .collect();
         }
+        self.written = self.now;
         let mark = Mark(self.next_mark);
         self.next_mark += 1;
         self.flying = Some((mark, done));
-        self.out.push(Output::Append(Batch { mark, records }));
+        self.out.push(Output::Append(Batch {
+            mark,
+            submissions,
+            records,
+        }));
     }
 }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -32,6 +32,10 @@
     pub(crate) begun: bool,
     /// Tasks that were started anew after a run had been given up unseen.
     pub(crate) redone: Vec<Redone>,
+    /// The intake holds its submission.
+    pub(crate) in_intake: bool,
+    /// The journal holds its submission.
+    pub(crate) in_journal: bool,
     /// It changed since it was last put in line.
     pub(crate) touched: bool,
 }
@@ -51,6 +55,8 @@
             beyond: false,
             begun: false,
             redone: Vec::new(),
+            in_intake: true,
+            in_journal: false,
             touched: false,
         }
     }
--- a/crates/cell/src/output.rs
+++ b/crates/cell/src/output.rs
@@ -13,6 +13,8 @@
 pub enum Output {
     /// Append to the journal; repeat until it is certain. Answer: [`crate::Cell::appended`].
     Append(Batch),
+    /// The journal holds these submissions.
+    Accepted(Vec<JobId>),
     /// Drop what callers handed in for these jobs: the journal says all that is still asked of
     /// them. Nothing depends on it.
     DropSubmissions(Vec<JobId>),
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuswheel_cell::{Batch, Bounds, Cell, JobRecord, Mark, Output, ShareRule, decode};
+use cactuswheel_cell::{Batch, Bounds, Cell, JobRecord, Mark, Output, ShareRule, decode, encode};
 use cactuswheel_model::{Map, Millis, Time};
 use cactuswheel_testkit::Rng;
 use cactuswheel_work::{
@@ -51,6 +51,12 @@
     pub subs: Vec<Submission>,
     pub cancels: Vec<JobId>,
     journal: Map<JobId, Vec<u8>>,
+    /// Submissions that the journal holds.
+    pub held: Map<JobId, Vec<u8>>,
+    /// Jobs that owners have accepted by themselves.
+    pub accepted: Vec<JobId>,
+    /// Jobs that wait to be handed to the newest owner.
+    handed: Vec<Submission>,
     /// Highest epoch that the journal has seen.
     epoch: u64,
     /// Rules that were broken.
@@ -87,6 +93,9 @@
             subs: Vec::new(),
             cancels: Vec::new(),
             journal: Map::default(),
+            held: Map::default(),
+            accepted: Vec::new(),
+            handed: Vec::new(),
             epoch: 0,
             broken: Vec::new(),
             paces: Vec::new(),
@@ -119,6 +128,10 @@
         for sub in &self.subs {
             cell.submit(self.now, sub.clone(), Duration::ZERO);
         }
+        for record in self.held.values() {
+            let sub = decode(record).expect("the journal holds whole submissions");
+            cell.restore_submission(self.now, sub, Duration::ZERO);
+        }
         for (id, record) in &self.journal {
             let record: JobRecord = decode(record).expect("the journal holds whole records");
             cell.restore(self.now, *id, record);
@@ -152,6 +165,22 @@
         }
     }
 
+    /// A front hands a job to the newest owner, again and again until one has accepted it.
+    pub fn hand_in(&mut self, sub: Submission) {
+        self.handed.push(sub);
+    }
+
+    fn hand_all_in(&mut self, owner: &mut Owner) {
+        if owner.epoch < self.epoch {
+            return;
+        }
+        let accepted = self.accepted.clone();
+        self.handed.retain(|s| !accepted.contains(&s.job));
+        for sub in &self.handed {
+            owner.cell.hand_in(self.now, sub.clone(), encode(sub));
+        }
+    }
+
     pub fn cancel(&mut self, id: JobId) {
         self.cancels.push(id);
         let now = self.now;
@@ -203,6 +232,7 @@
                 Event::Paced(id, order, outcome) => owner.cell.paced(now, &id, &order, outcome),
             }
         }
+        self.hand_all_in(owner);
         for output in owner.cell.poll(now, now.get()) {
             self.carry_out(owner, output);
         }
@@ -214,6 +244,7 @@
             .after(Duration::from_millis(5 + self.rng.below(20)));
         match output {
             Output::Append(batch) => self.append(owner, batch),
+            Output::Accepted(jobs) => self.accepted.extend(jobs),
             Output::DropSubmissions(jobs) => {
                 self.subs.retain(|s| !jobs.contains(&s.job));
                 self.cancels.retain(|c| !jobs.contains(c));
@@ -309,6 +340,12 @@
             return;
         }
         let mark = batch.mark;
+        for (id, record) in batch.submissions {
+            match record {
+                Some(record) => self.held.insert(id, record),
+                None => self.held.remove(&id),
+            };
+        }
         for (id, record) in batch.records {
             match record {
                 Some(record) => self.journal.insert(id, record),
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -1,12 +1,14 @@
 //! Asks the cell's owner, wherever it is.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cactuswheel_work::{JobId, QueueName};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use crate::peer::{JobAnswer, OwnerLink, QueueAnswer};
+use crate::peer::{HandInAnswer, JobAnswer, OwnerLink, QueueAnswer};
 use crate::shared::Shared;
 
 /// Time for one answer of the owner. It answers from memory, so a longer silence is a lost
@@ -62,6 +64,44 @@
     }
 }
 
+/// Hands a job to the owner if one is connected, within `limit`.
+///
+/// Nothing waits for a connection here: without the owner the front stores the job by itself.
+pub(crate) async fn hand_in(shared: &Arc<Shared>, record: Bytes, limit: Duration) -> HandInAnswer {
+    let limit = limit.min(shared.hand_ins.limit());
+    if let Some(own) = shared.own.load_full() {
+        let answer = timeout(limit, own.hand_in(record, limit)).await;
+        return answer.unwrap_or(HandInAnswer::Unknown);
+    }
+    let Some(link) = link_at_hand(shared) else {
+        return HandInAnswer::Refused;
+    };
+    let sent = shared.clock.now();
+    let answer = link.hand_in(record, limit).await;
+    let took = shared.clock.now().since(sent);
+    match answer {
+        Some(_) => shared.hand_ins.answered(took),
+        None if took < limit => lose_link(shared),
+        None => shared.hand_ins.overdue(),
+    }
+    answer.unwrap_or(HandInAnswer::Unknown)
+}
+
+/// The connection to the owner; without one it begins to be made.
+fn link_at_hand(shared: &Arc<Shared>) -> Option<Arc<OwnerLink>> {
+    let owner = shared.owner.load_full()?;
+    let known = shared.link.load_full().filter(|l| l.addr == owner.addr);
+    let mine = owner.node == shared.settings.node;
+    if known.is_none() && !mine && !shared.connecting.swap(true, Ordering::AcqRel) {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            link(&shared).await;
+            shared.connecting.store(false, Ordering::Release);
+        });
+    }
+    known
+}
+
 fn lose_link(shared: &Shared) {
     shared.link.store(None);
     shared.missed.notify_one();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,5 +1,6 @@
 //! What happens to the cell.
 
+use bytes::Bytes;
 use cactuswheel_cell::Mark;
 use cactuswheel_model::Time;
 use cactuswheel_relay::{Offer, Reply};
@@ -12,11 +13,13 @@
 
 use crate::cargo::{Report, Reports};
 use crate::intake_follower::Intaken;
-use crate::peer::{JobAnswer, QueueAnswer};
+use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
 
 /// What happens to the cell.
 #[derive(Debug)]
 pub(crate) enum Event {
+    /// A front hands a job in.
+    HandIn(Handed),
     /// Records of the intake.
     Intake(Intaken),
     /// A read of a partition of the intake for the sake of a question is over.
@@ -49,6 +52,16 @@
     Ask(Ask),
 }
 
+/// A job that a front hands in.
+#[derive(Debug)]
+pub(crate) struct Handed {
+    /// Its submission.
+    pub(crate) record: Bytes,
+    /// Until then the front waits for the answer.
+    pub(crate) until: Time,
+    pub(crate) reply: oneshot::Sender<HandInAnswer>,
+}
+
 /// What is asked of the owner.
 #[derive(Debug)]
 pub(crate) enum Ask {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -266,11 +266,7 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.time.saturating_sub(spent + WAY_BACK);
-        match self
-            .intake
-            .store(IntakeKey::Submitted(id), record, left)
-            .await
-        {
+        match self.intake.accept(&self.shared, id, record, left).await {
             Ok(()) => Ok(found(Vec::new())),
             Err(e) => Err(self.not_stored(id, "submit", e)),
         }
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -139,8 +139,8 @@
                 order,
             } => self.order(worker, addr, Order::Pace(order)),
             Output::Ask { step, workers } => self.ask(step, workers),
-            // Its owner acts on it.
-            Output::Deposed { .. } => {}
+            // The owner acts on these.
+            Output::Deposed { .. } | Output::Accepted(_) => {}
         }
     }
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -4,12 +4,16 @@
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use cactuswheel_adapter::{AppendError, Keyed, Partition, Producer, records_size};
 use cactuswheel_model::Time;
+use cactuswheel_work::JobId;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use crate::appending::append;
+use crate::ask;
+use crate::peer::HandInAnswer;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, intake, part_of};
 
@@ -33,6 +37,16 @@
 /// Time for which an append may be in doubt before what comes after it is refused.
 const DOUBT_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time for which an append may be under way before what waits behind it is refused.
+pub(crate) fn stuck_after(shared: &Shared) -> Duration {
+    doubt_after(shared) + DOUBT_LIMIT
+}
+
+/// Time without an answer after which an append is in doubt.
+fn doubt_after(shared: &Shared) -> Duration {
+    DOUBT_AFTER.min(shared.patience.limit() * DOUBT_LIMITS)
+}
+
 /// Why a record is not known to be in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NotStored {
@@ -82,6 +96,32 @@
         }
     }
 
+    /// Accepts a job: by the owner, whose journal then holds it together with what is planned of
+    /// it, or in the intake if the owner does not answer.
+    pub(crate) async fn accept(
+        &self,
+        shared: &Arc<Shared>,
+        id: JobId,
+        record: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(), NotStored> {
+        let start = shared.clock.now();
+        let record = Bytes::from(record);
+        let handed = ask::hand_in(shared, record.clone(), limit).await;
+        if handed == HandInAnswer::Accepted {
+            return Ok(());
+        }
+        let left = limit.saturating_sub(shared.clock.now().since(start));
+        let stored = self
+            .store(IntakeKey::Submitted(id), record.to_vec(), left)
+            .await;
+        match (stored, handed) {
+            // The owner may accept it yet.
+            (Err(_), HandInAnswer::Unknown) => Err(NotStored::Doubt),
+            (stored, _) => stored,
+        }
+    }
+
     /// Stores a record of a job; certain when it returns without an error.
     pub(crate) async fn store(
         &self,
@@ -220,8 +260,7 @@
                 in_doubt,
             );
             tokio::pin!(append);
-            let patience = self.shared.patience.limit() * DOUBT_LIMITS;
-            match timeout(patience.min(DOUBT_AFTER), append.as_mut()).await {
+            match timeout(doubt_after(&self.shared), append.as_mut()).await {
                 Ok(outcome) => outcome,
                 Err(_) => {
                     self.enter_doubt();
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -57,11 +57,15 @@
             .filter(|(_, record)| record.is_none())
             .map(|(id, _)| *id)
             .collect();
-        let records = batch.records.into_iter().map(|(id, value)| Keyed {
-            key: id.to_string(),
+        let keyed = |key: String, value: Option<Vec<u8>>| Keyed {
+            key,
             value: value.map(Into::into),
-        });
-        let records: Vec<Keyed> = records.collect();
+        };
+        let submissions = batch.submissions.into_iter();
+        let submissions = submissions.map(|(id, v)| keyed(IntakeKey::Submitted(id).to_string(), v));
+        let states = batch.records.into_iter();
+        let states = states.map(|(id, v)| keyed(id.to_string(), v));
+        let records: Vec<Keyed> = submissions.chain(states).collect();
         // With the owner gone there is nobody to tell.
         if let Err(ShutOut) = self.write(&records).await {
             let _ = self.events.send(Event::Deposed).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 mod peer;
 mod policies;
 mod ready;
+mod reception;
 mod relay_desk;
 mod role;
 mod roster;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -18,6 +18,7 @@
 use crate::intake_follower::{Intaken, follow_intake, read_intake};
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{JobAnswer, QueueAnswer};
+use crate::reception::Reception;
 use crate::role::Role;
 use crate::roster;
 use crate::shared::Shared;
@@ -108,6 +109,7 @@
         cell: taken.cell,
         reads: Reads::new(taken.intake),
         parked: Vec::new(),
+        reception: Reception::new(shared.clone()),
         events: events.clone(),
         shared: shared.clone(),
     };
@@ -138,6 +140,7 @@
     fleet: Option<Fleet>,
     reads: Reads,
     parked: Vec<Parked>,
+    reception: Reception,
     events: mpsc::Sender<Event>,
 }
 
@@ -162,6 +165,8 @@
             for report in self.hands.overdue() {
                 self.take_report(report);
             }
+            self.reception.hand_in(&mut self.cell);
+            self.answer_parked();
             if let Some(fleet) = &mut self.fleet {
                 fleet.plan(&mut self.cell);
             }
@@ -170,12 +175,14 @@
                 .cell
                 .poll(self.shared.clock.now(), self.shared.clock.wall());
             for output in outputs {
-                if let Output::Deposed { worker, .. } = &output {
-                    log::warn!(worker:% = worker; "a worker obeys a newer owner");
-                    deposed = true;
-                    continue;
+                match output {
+                    Output::Deposed { worker, .. } => {
+                        log::warn!(worker:% = worker; "a worker obeys a newer owner");
+                        deposed = true;
+                    }
+                    Output::Accepted(jobs) => self.reception.accepted(&jobs),
+                    output => self.hands.carry_out(output),
                 }
-                self.hands.carry_out(output);
             }
             self.hands.flush();
             self.hands.busy(woken.elapsed());
@@ -201,6 +208,7 @@
     fn take(&mut self, event: Event) -> bool {
         let now = self.shared.clock.now();
         match event {
+            Event::HandIn(handed) => self.reception.take(handed),
             Event::Intake(read) => self.take_records(read),
             Event::IntakeRead(part) => {
                 self.reads.over(part);
@@ -309,7 +317,8 @@
     }
 
     /// Says that there is no such job only when everything is known that was accepted before
-    /// the question came.
+    /// the question came: by fronts, in the intake, and by a newer owner, which there was none of
+    /// when the ownership was confirmed since.
     fn answer_job(&mut self, id: JobId, since: Time, reply: oneshot::Sender<JobAnswer>) {
         let answer = match self.cell.state(id) {
             Some(state) => JobAnswer::Known {
@@ -329,6 +338,9 @@
     /// Whether every job of this one's partition is known that was accepted before `since`; sees
     /// to it that it will be.
     fn is_up_to_date(&mut self, id: JobId, since: Time) -> bool {
+        if !self.shared.led_since(since) {
+            return false;
+        }
         let part = part_of(id, self.shared.settings.parts);
         match self.reads.ask(part, since) {
             Known::Yes => true,
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -1,13 +1,17 @@
 //! How other tasks of a node reach its owner.
 
+use std::time::Duration;
+
+use bytes::Bytes;
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{JobId, QueueName};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::cargo::Reports;
-use crate::event::{Ask, Event};
-use crate::peer::{JobAnswer, QueueAnswer};
+use crate::clock::Clock;
+use crate::event::{Ask, Event, Handed};
+use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
 
 /// How other tasks reach the owner on this node.
 #[derive(Debug)]
@@ -55,6 +59,21 @@
         answer.await.unwrap_or(Reply::NotOwner)
     }
 
+    /// Without an answer the job may be in a batch that is under way.
+    pub(crate) async fn hand_in(&self, record: Bytes, limit: Duration) -> HandInAnswer {
+        let (reply, answer) = oneshot::channel();
+        let until = Clock.now().after(limit);
+        let handed = Handed {
+            record,
+            until,
+            reply,
+        };
+        if self.events.send(Event::HandIn(handed)).await.is_err() {
+            return HandInAnswer::Refused;
+        }
+        answer.await.unwrap_or(HandInAnswer::Unknown)
+    }
+
     /// False if the owner is gone.
     pub(crate) async fn report(&self, reports: Reports) -> bool {
         let (reply, answer) = oneshot::channel();
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
 use futures::StreamExt;
@@ -61,11 +62,24 @@
     NotOwner,
 }
 
+/// What the owner says of a job that a front has handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum HandInAnswer {
+    /// The store holds it.
+    Accepted,
+    /// It left no trace and never will.
+    Refused,
+    /// It may be accepted, now or later.
+    Unknown,
+}
+
 /// Calls between nodes.
 #[tarpc::service]
 pub(crate) trait Desk {
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
+    /// To the owner: accept this job within `limit` milliseconds.
+    async fn hand_in(record: Bytes, limit: u64) -> HandInAnswer;
     /// To the owner: the caller offers to carry orders, or goes on doing so.
     async fn enlist(offer: Offer) -> Reply;
     /// To a relay: carry these orders out. False if a newer owner's are carried.
@@ -92,6 +106,13 @@
         }
     }
 
+    async fn hand_in(self, _: Context, record: Bytes, limit: u64) -> HandInAnswer {
+        match self.0.own.load_full() {
+            Some(own) => own.hand_in(record, Duration::from_millis(limit)).await,
+            None => HandInAnswer::Refused,
+        }
+    }
+
     async fn enlist(self, _: Context, offer: Offer) -> Reply {
         match self.0.own.load_full() {
             Some(own) => own.enlist(offer).await,
@@ -156,6 +177,12 @@
         self.client.queue(within(limit), name).await.ok()
     }
 
+    /// `None` if the answer did not come: the job may be accepted, now or later.
+    pub(crate) async fn hand_in(&self, record: Bytes, limit: Duration) -> Option<HandInAnswer> {
+        let ms = limit.as_millis() as u64;
+        self.client.hand_in(within(limit), record, ms).await.ok()
+    }
+
     pub(crate) async fn enlist(&self, offer: Offer, limit: Duration) -> Option<Reply> {
         self.client.enlist(within(limit), offer).await.ok()
     }
--- /dev/null
+++ b/crates/node/src/reception.rs
@@ -0,0 +1,94 @@
+//! Jobs that fronts hand to the owner, until the journal holds them.
+
+use std::sync::Arc;
+
+use cactuswheel_cell::{Cell, HandIn, decode};
+use cactuswheel_model::Map;
+use cactuswheel_work::{JobId, Submission};
+use tokio::sync::oneshot;
+
+use crate::event::Handed;
+use crate::intake::stuck_after;
+use crate::peer::HandInAnswer;
+use crate::shared::Shared;
+
+/// Jobs that may wait for the batch under way; more only pile up while the store is away.
+const MAX_WAITING: usize = 1_024;
+
+/// Jobs that fronts hand to the owner, until the journal holds them.
+pub(crate) struct Reception {
+    shared: Arc<Shared>,
+    /// The cell knows nothing of these: they can be refused.
+    waiting: Vec<Handed>,
+    /// Whom to tell when the journal holds a job.
+    replies: Map<JobId, Vec<oneshot::Sender<HandInAnswer>>>,
+}
+
+impl Reception {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            waiting: Vec::new(),
+            replies: Map::default(),
+        }
+    }
+
+    pub(crate) fn take(&mut self, handed: Handed) {
+        if self.waiting.len() >= MAX_WAITING {
+            return answer(handed.reply, HandInAnswer::Refused);
+        }
+        self.waiting.push(handed);
+    }
+
+    /// Hands the cell what waits, unless a batch is under way.
+    ///
+    /// Failure: the store is away, and callers wait for their whole time to hear that nothing
+    /// was stored. What waits behind a batch that takes too long is refused at once.
+    pub(crate) fn hand_in(&mut self, cell: &mut Cell) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        if let Some(writing) = cell.writing(now) {
+            let stuck = writing > stuck_after(&self.shared);
+            let over = |h: &Handed| stuck || h.until <= now;
+            for handed in self.waiting.extract_if(.., |h| over(h)) {
+                answer(handed.reply, HandInAnswer::Refused);
+            }
+            return;
+        }
+        for handed in std::mem::take(&mut self.waiting) {
+            self.hand_one_in(cell, handed);
+        }
+    }
+
+    fn hand_one_in(&mut self, cell: &mut Cell, handed: Handed) {
+        let now = self.shared.clock.now();
+        let sub = match decode::<Submission>(&handed.record) {
+            Ok(sub) if handed.until > now => sub,
+            Ok(_) => return answer(handed.reply, HandInAnswer::Refused),
+            Err(e) => {
+                log::error!(error:% = e; "submission cannot be read");
+                return answer(handed.reply, HandInAnswer::Refused);
+            }
+        };
+        let id = sub.job;
+        match cell.hand_in(now, sub, handed.record.to_vec()) {
+            HandIn::Accepted => answer(handed.reply, HandInAnswer::Accepted),
+            HandIn::Journaling => self.replies.entry(id).or_default().push(handed.reply),
+            HandIn::Busy => self.waiting.push(handed),
+        }
+    }
+
+    /// The journal holds these jobs.
+    pub(crate) fn accepted(&mut self, jobs: &[JobId]) {
+        for reply in jobs.iter().flat_map(|id| self.replies.remove(id)).flatten() {
+            answer(reply, HandInAnswer::Accepted);
+        }
+    }
+}
+
+/// A front that has stopped waiting needs no answer.
+fn answer(reply: oneshot::Sender<HandInAnswer>, answer: HandInAnswer) {
+    let _ = reply.send(answer);
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -45,6 +45,10 @@
     pub(crate) owner: ArcSwapOption<OwnerAt>,
     /// The connection to the owner.
     pub(crate) link: ArcSwapOption<OwnerLink>,
+    /// How long the owner takes to accept a job.
+    pub(crate) hand_ins: Patience,
+    /// A connection to the owner is being made.
+    pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
     /// Time without a renewal after which an ownership of this node may be claimed.
@@ -73,6 +77,10 @@
 /// second.
 const LEAST_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Shortest and longest wait for the owner to accept a job before its front stores it by itself.
+const LEAST_HAND_IN: Duration = Duration::from_millis(400);
+const MOST_HAND_IN: Duration = Duration::from_millis(1_500);
+
 /// Longest such wait, for a store that takes most of a second.
 const MOST_PATIENCE: Duration = Duration::from_millis(2_000);
 
@@ -95,6 +103,8 @@
             health: StoreHealth::default(),
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
+            hand_ins: Patience::new(LEAST_HAND_IN, MOST_HAND_IN),
+            connecting: AtomicBool::new(false),
             own: ArcSwapOption::empty(),
             lead: AtomicU64::new(0),
             declined: AtomicU64::new(0),
@@ -144,6 +154,11 @@
         self.lead.fetch_max(sent.get(), Ordering::Relaxed);
     }
 
+    /// Whether that was confirmed by a write that was sent after `time`.
+    pub(crate) fn led_since(&self, time: Time) -> bool {
+        Time::new(self.lead.load(Ordering::Relaxed)) >= time
+    }
+
     /// Age of that confirmation.
     pub(crate) fn lead_age(&self) -> Duration {
         let confirmed = Time::new(self.lead.load(Ordering::Relaxed));
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -141,6 +141,13 @@
         take_intake(shared, cell, now, &item.key, &item.value);
     }
     for item in journal {
+        if let Some(IntakeKey::Submitted(id)) = IntakeKey::parse(&item.key) {
+            restore_submission(shared, cell, id, &item.value)?;
+        }
+    }
+    let states = journal.iter();
+    let states = states.filter(|i| IntakeKey::parse(&i.key).is_none());
+    for item in states {
         let Ok(id) = item.key.parse::<JobId>() else {
             log::error!(key = item.key; "journal record of no job");
             continue;
@@ -159,6 +166,25 @@
     Ok(())
 }
 
+/// Takes over a submission that an earlier owner has accepted.
+fn restore_submission(
+    shared: &Shared,
+    cell: &mut Cell,
+    id: JobId,
+    value: &[u8],
+) -> Result<(), TakeoverError> {
+    let sub = decode::<Submission>(value).map_err(|e| TakeoverError::Record(id, e))?;
+    let age = age(shared, &sub);
+    cell.restore_submission(shared.clock.now(), sub, age);
+    Ok(())
+}
+
+/// How long ago a job was accepted, as far as that counts.
+fn age(shared: &Shared, sub: &Submission) -> Duration {
+    let age = shared.clock.wall().saturating_sub(sub.accepted);
+    Duration::from_millis(age).min(MAX_AGE)
+}
+
 /// What earlier owners have had remembered of instances: maintenance, and their last orders.
 async fn instances(shared: &Shared) -> (Past, Option<Vec<(InstanceName, OrderRecord)>>) {
     let ((maintained, _), (begun, _)) =
@@ -203,8 +229,7 @@
     match IntakeKey::parse(key) {
         Some(IntakeKey::Submitted(id)) => match decode::<Submission>(value) {
             Ok(sub) => {
-                let age = shared.clock.wall().saturating_sub(sub.accepted);
-                let age = Duration::from_millis(age).min(MAX_AGE);
+                let age = age(shared, &sub);
                 cell.submit(now, sub, age);
             }
             Err(e) => log::error!(job:% = id, error:% = e; "submission cannot be read"),
