--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -12,10 +12,13 @@
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
 };
+use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::backoff::Backoff;
 use crate::event::Event;
+use crate::record_writer::RecordWriter;
 use crate::shared::Shared;
 use crate::topics::{MAINTAINED, WAVES};
 
@@ -45,13 +48,13 @@
 /// Time for an answer of the platform.
 const LIMIT: Duration = Duration::from_millis(900);
 
-/// Pause before a record is written again.
-const RETRY: Duration = Duration::from_millis(200);
-
 /// Margin on the time for which orders to an instance have to come from one node, beside the time
 /// that an order may take from its record to its way.
 const ORDER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Status of an order that was not given, since it is not on record.
+const NOT_RECORDED: u16 = 0;
+
 /// Bits of an order's token below the owner's epoch.
 const TOKEN_BITS: u32 = 20;
 
@@ -64,9 +67,15 @@
 /// The owner's part in what instances do.
 pub(crate) struct Fleet {
     shared: Arc<Shared>,
-    events: mpsc::Sender<Event>,
     planner: Planner,
-    service: Arc<Instances>,
+    /// Each instance has one order under way at the most, so there are never many.
+    orders: mpsc::UnboundedSender<Vec<Given>>,
+    /// When each wave began.
+    waves: RecordWriter,
+    /// Instances that had their maintenance.
+    maintained: RecordWriter,
+    /// What the operators are told of waves.
+    status: RecordWriter,
     instances: Vec<Instance>,
     listed: Time,
     planned: Time,
@@ -78,6 +87,8 @@
     reserved: Map<InstanceName, Reserved>,
     /// Until then no instance may be ordered.
     barred: Time,
+    /// Pause after the store has turned the record of orders away.
+    backoff: Backoff,
     token: u64,
 }
 
@@ -98,6 +109,9 @@
             maintaining: shared.settings.times.maintaining,
         };
         let policy = shared.settings.policies.pools.clone();
+        let writer = |to| RecordWriter::start(shared.clone(), events.clone(), to);
+        let (ordering, queue) = mpsc::unbounded_channel();
+        tokio::spawn(order(shared.clone(), service, events.clone(), queue));
         let wait = shared.settings.times.order.duration() + LIMIT + ORDER_MARGIN;
         let now = shared.clock.now();
         // Nobody knows what was ordered of late: anything may have been.
@@ -114,10 +128,13 @@
             instances: Vec::new(),
             listed: Time::default(),
             planned: Time::default(),
+            backoff: Backoff::default(),
             token: epoch << TOKEN_BITS,
+            orders: ordering,
+            waves: writer(WAVES),
+            maintained: writer(MAINTAINED),
+            status: writer(STATUS),
             shared,
-            events,
-            service,
         })
     }
 
@@ -134,6 +151,13 @@
         worker: Option<&WorkerId>,
         outcome: InstanceOutcome,
     ) {
+        match outcome {
+            InstanceOutcome::Refused(NOT_RECORDED) => {
+                let spread = rand::rng().random_range(0.0..1.0);
+                self.backoff.refused(self.shared.clock.now(), spread);
+            }
+            _ => self.backoff.taken(),
+        }
         self.planner
             .ordered(self.shared.clock.now(), name(order), outcome);
         let Some(worker) = worker else {
@@ -154,7 +178,7 @@
         }
         self.planned = now;
         // Another node may own the cell by then.
-        if !self.shared.leads() || now < self.barred {
+        if !self.shared.leads() || now < self.barred || !self.backoff.is_over(now) {
             return;
         }
         let waves = self.shared.waves.load_full().unwrap_or_default();
@@ -180,8 +204,8 @@
             self.carry_out(cell, duty, &mut orders);
         }
         cell.expect_maintenance(self.planner.due());
-        if !orders.is_empty() {
-            self.order(orders);
+        if !orders.is_empty() && self.orders.send(orders).is_err() {
+            log::error!("orders to instances are carried out no more");
         }
     }
 
@@ -216,69 +240,62 @@
             Duty::Reopen(worker) => cell.reopen(&worker),
             Duty::Began { wave } => {
                 let at = encode(&self.shared.clock.wall());
-                self.write(WAVES, Keyed::new(wave.to_string(), at));
+                self.waves.write(Keyed::new(wave.to_string(), at));
             }
             Duty::Maintained { wave, instance } => {
                 log::info!(wave = wave, instance:% = instance; "instance maintained");
                 let key = format!("{wave}/{instance}");
-                self.write(MAINTAINED, Keyed::new(key, vec![1]));
+                self.maintained.write(Keyed::new(key, vec![1]));
             }
             Duty::Status { wave, complete } => {
                 log::info!(wave = wave, complete = complete; "wave told of");
                 let (key, value) = wave_status(wave, complete);
-                self.write(STATUS, Keyed::new(key, value));
+                self.status.write(Keyed::new(key, value));
             }
         }
     }
+}
 
-    /// Puts orders on record, then gives them.
-    fn order(&self, orders: Vec<Given>) {
-        let (shared, service) = (self.shared.clone(), self.service.clone());
-        let events = self.events.clone();
-        tokio::spawn(async move {
-            let (life, at) = (shared.life, shared.clock.now());
-            let records = orders.iter().map(|g| {
-                let wave = wave(&g.order);
-                let record = OrderRecord { life, at, wave };
-                Keyed::new(name(&g.order).as_str(), encode(&record))
-            });
-            let records: Vec<Keyed> = records.collect();
-            let recorded = shared.orders.write(&shared.store, &records).await;
-            if let Err(e) = &recorded {
-                log::info!(error:% = e; "orders to instances not on record");
-            }
-            for given in orders {
-                let (shared, service) = (shared.clone(), service.clone());
-                let events = events.clone();
-                let recorded = recorded.is_ok();
-                tokio::spawn(async move {
-                    let outcome = give(&shared, &service, &events, &given, recorded).await;
-                    shared.metrics.instance_ordered(outcome_name(outcome));
-                    log::info!(
-                        order:? = given.order, token = given.token.fence, outcome:? = outcome;
-                        "instance ordered"
-                    );
-                    let event = Event::Ordered(given.order, given.worker, outcome);
-                    let _ = events.send(event).await;
-                });
-            }
-        });
-    }
-
-    /// Writes a record until it is there, or until nobody owns the cell here any more.
-    fn write(&self, to: Partition, record: Keyed) {
-        let (shared, events) = (self.shared.clone(), self.events.clone());
-        tokio::spawn(async move {
-            let records = [record];
-            while !events.is_closed() {
-                let done = shared.store.append(to, None, None, &records, LIMIT);
-                match done.await {
-                    Ok(_) => return,
-                    Err(e) => log::info!(topic = to.topic, error:% = e; "record not written yet"),
-                }
-                sleep(RETRY).await;
-            }
+/// Puts orders on record, then gives them, until nobody owns the cell here any more.
+///
+/// Failure: the store takes a quarter of a second for an append, one at a time, each plan appends
+/// its own orders, and those of a queue's first second are given up unrecorded. Plans that come
+/// while an append is under way go into the next one together.
+async fn order(
+    shared: Arc<Shared>,
+    service: Arc<Instances>,
+    events: mpsc::Sender<Event>,
+    mut queue: mpsc::UnboundedReceiver<Vec<Given>>,
+) {
+    while let Some(mut orders) = queue.recv().await {
+        while let Ok(more) = queue.try_recv() {
+            orders.extend(more);
+        }
+        let (life, at) = (shared.life, shared.clock.now());
+        let records = orders.iter().map(|g| {
+            let wave = wave(&g.order);
+            let record = OrderRecord { life, at, wave };
+            Keyed::new(name(&g.order).as_str(), encode(&record))
         });
+        let records: Vec<Keyed> = records.collect();
+        let recorded = shared.orders.write(&shared.store, &records).await;
+        if let Err(e) = &recorded {
+            log::info!(error:% = e; "orders to instances not on record");
+        }
+        for given in orders {
+            let (shared, service) = (shared.clone(), service.clone());
+            let (events, recorded) = (events.clone(), recorded.is_ok());
+            tokio::spawn(async move {
+                let outcome = give(&shared, &service, &events, &given, recorded).await;
+                shared.metrics.instance_ordered(outcome_name(outcome));
+                log::info!(
+                    order:? = given.order, token = given.token.fence, outcome:? = outcome;
+                    "instance ordered"
+                );
+                let event = Event::Ordered(given.order, given.worker, outcome);
+                let _ = events.send(event).await;
+            });
+        }
     }
 }
 
@@ -300,7 +317,7 @@
     let owner = !events.is_closed() && shared.leads();
     match recorded && owner {
         true => service.order(&given.order, &given.token, LIMIT).await,
-        false => InstanceOutcome::Refused(0),
+        false => InstanceOutcome::Refused(NOT_RECORDED),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod appending;
 mod ask;
+mod backoff;
 mod cargo;
 mod carrier;
 mod claim;
@@ -36,6 +37,7 @@
 mod policies;
 mod ready;
 mod reception;
+mod record_writer;
 mod relay_desk;
 mod role;
 mod roster;
@@ -47,6 +49,7 @@
 mod topics;
 mod view;
 
+pub use backoff::Backoff;
 pub use claim::{Claim, Claims};
 pub use clock::Clock;
 pub use error::NodeError;
