--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -17,10 +17,10 @@
     /// Failure: lasting work has no place for ten seconds, because a pool that lacks two
     /// instances for it comes after one that lacks twenty for a surge. Pools that lack a place
     /// for lasting work go first.
-    pub(super) fn grow(
+    pub(super) fn grow<'a>(
         &mut self,
-        pools: &mut Map<&ServiceName, Pool<'_>>,
-        spare: &mut Vec<&Member<'_>>,
+        pools: &mut Map<&ServiceName, Pool<'a>>,
+        spare: &mut Vec<&'a Member<'a>>,
         taken: &mut Set<InstanceName>,
         duties: &mut Vec<Duty>,
     ) {
@@ -32,12 +32,11 @@
         for (_, mut missing, service) in short {
             missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
             while missing > 0 {
-                let fit = |m: &&&Member<'_>| self.fits(m, &service);
-                let found = spare.iter().position(|m| fit(&m));
-                let member = match found {
-                    Some(at) => Some((spare.remove(at), None)),
-                    None => self.borrow(pools, &service, taken),
-                };
+                // What another pool is about to send away goes there by one move instead of two.
+                let member = self
+                    .borrow(pools, &service, taken, |p| p.keep)
+                    .or_else(|| Some((self.take_spare(spare, &service)?, None)))
+                    .or_else(|| self.borrow(pools, &service, taken, |p| p.target));
                 let Some((member, worker)) = member else {
                     break;
                 };
@@ -54,6 +53,16 @@
         }
     }
 
+    /// A spare instance that fits a pool.
+    fn take_spare<'a>(
+        &self,
+        spare: &mut Vec<&'a Member<'a>>,
+        to: &ServiceName,
+    ) -> Option<&'a Member<'a>> {
+        let at = spare.iter().position(|m| self.fits(m, to))?;
+        Some(spare.remove(at))
+    }
+
     /// Workers of a pool that were about to leave take work again.
     fn reopen(
         &self,
@@ -78,12 +87,13 @@
         chosen.len()
     }
 
-    /// An empty instance of a pool that has more than it keeps.
+    /// An empty instance of a pool that has more than it needs, as `need` has it.
     fn borrow<'a>(
         &self,
         pools: &mut Map<&ServiceName, Pool<'a>>,
         to: &ServiceName,
         taken: &Set<InstanceName>,
+        need: impl Fn(&Pool<'_>) -> usize,
     ) -> Option<(&'a Member<'a>, Option<WorkerId>)> {
         for (service, pool) in pools.iter_mut() {
             if *service == to {
@@ -98,7 +108,7 @@
                 let (member, view) = pool.closing.remove(at);
                 return Some((member, Some(view.worker.clone())));
             }
-            if pool.have() <= pool.target {
+            if pool.have() <= need(pool) {
                 continue;
             }
             let idle = pool.serving.iter().position(|(m, v)| free(m, v));
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -60,6 +60,8 @@
     pub(crate) unfit: Map<ServiceName, Set<InstanceName>>,
     /// Workers on instances that are to be maintained before long.
     pub(crate) due: Set<WorkerId>,
+    /// When it planned first, and whether the pools were at work then.
+    pub(crate) first: Option<(Time, bool)>,
     /// When the pools were last told of in the log.
     told: Time,
 }
@@ -83,6 +85,7 @@
             waves,
             unfit: Map::default(),
             due: Set::default(),
+            first: None,
             told: Time::default(),
         }
     }
--- a/crates/capacity/src/rate.rs
+++ b/crates/capacity/src/rate.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cactuswheel_cell::Arrivals;
 use cactuswheel_model::Time;
 
 /// Times over which jobs are counted, the longest first.
@@ -15,6 +16,14 @@
     Duration::from_millis(250),
 ];
 
+/// Jobs that a queue gets in a second.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Flow {
+    pub(crate) rate: f64,
+    /// There are fewer of late than before, and chance does not explain it.
+    pub(crate) fell: bool,
+}
+
 /// How many jobs a queue gets.
 ///
 /// Answers load of which the pattern is not known. Under a steady load the longest window counts:
@@ -28,24 +37,43 @@
 }
 
 impl Rate {
-    /// Takes in the number of jobs that have arrived; gives how many come in a second.
+    /// Takes in the jobs that have arrived; gives how many come in a second.
     ///
     /// `doubt` is the number of standard deviations that chance may explain.
-    pub(crate) fn count(&mut self, now: Time, jobs: u64, doubt: f64) -> f64 {
+    pub(crate) fn count(&mut self, now: Time, arrivals: &Arrivals, doubt: f64) -> Flow {
+        if self.seen.is_empty() {
+            self.remember(&arrivals.earlier);
+        }
+        let jobs = arrivals.jobs;
         self.seen.push_back((now, jobs));
         while self.seen.len() > 2 && now.since(self.seen[1].0) >= WINDOWS[0] {
             self.seen.pop_front();
         }
-        let mut rate = None;
-        for window in WINDOWS {
-            let (span, count) = self.within(now, jobs, window);
+        let (span, count) = self.within(now, jobs, WINDOWS[0]);
+        let usual = count / span;
+        let mut rate = usual;
+        for window in &WINDOWS[1..] {
+            let (span, count) = self.within(now, jobs, *window);
             let own = count / span;
-            let same = rate.is_some_and(|r| is_chance(count, r * span, doubt));
-            if !same {
-                rate = Some(own);
+            if !is_chance(count, rate * span, doubt) {
+                rate = own;
             }
         }
-        rate.unwrap_or_default()
+        Flow {
+            rate,
+            fell: rate < usual,
+        }
+    }
+
+    /// Begins with what an earlier owner has taken in.
+    ///
+    /// Failure: a new owner knows of no arrivals, takes a queue in its busiest second for a silent
+    /// one, and sends the instances away that its jobs wait for.
+    fn remember(&mut self, earlier: &[Time]) {
+        let mut times = earlier.to_vec();
+        times.sort_unstable();
+        let counts = times.into_iter().zip(0..);
+        self.seen.extend(counts);
     }
 
     /// Seconds that a window covers, and the jobs that have arrived in them.
--- a/crates/capacity/src/targets.rs
+++ b/crates/capacity/src/targets.rs
@@ -1,6 +1,7 @@
 //! How many instances each pool wants.
 
 use std::borrow::Cow;
+use std::time::Duration;
 
 use cactuswheel_cell::{Load, WorkerView};
 use cactuswheel_model::Map;
@@ -10,12 +11,24 @@
 use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
 
+/// Time for which a new planner sends no instance away from a pool at work: it does not know yet
+/// what comes in.
+const YOUNG: Duration = Duration::from_millis(2_000);
+
 impl Planner {
+    /// Whether this planner has taken over pools at work too lately to know what they need.
+    fn is_young(&mut self, snapshot: &Snapshot<'_>) -> bool {
+        let working = || snapshot.loads.values().any(|l| l.used.cpu > 0);
+        let (first, taken) = *self.first.get_or_insert_with(|| (snapshot.now, working()));
+        taken && snapshot.now.since(first) < YOUNG
+    }
+
     /// Instances that each pool wants now, and those that it keeps.
     pub(crate) fn targets(&mut self, snapshot: &Snapshot<'_>) -> Map<ServiceName, Share> {
         let open = open_workers(snapshot);
         let units = units(snapshot);
         let any = snapshot.instances.first().map(|i| i.room);
+        let young = self.is_young(snapshot);
         let loads = snapshot.loads.iter();
         let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
         let mut shares: Map<ServiceName, Share> = loads
@@ -29,7 +42,7 @@
                 let share = Share {
                     least: least(load).max(trend.for_lasting(load, unit)),
                     target,
-                    keep: need.keep.max(target),
+                    keep: need.keep.max(target).max(if young { serving } else { 0 }),
                     overdue: trend.for_overdue(load, unit),
                 };
                 (service.clone(), share)
--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -51,7 +51,7 @@
         serving: usize,
         policy: &PoolPolicy,
     ) -> Need {
-        let asked = self.asked(now, load, unit, serving, policy);
+        let (asked, fell) = self.asked(now, load, unit, serving, policy);
         let busy = !load.waiting.is_empty() || asked[SLOTS - 1] > units(load.lasting, unit);
         let reserve = if busy { policy.reserve } else { 0.0 };
         let instances = |asked: f64| (asked * policy.gaps + reserve).ceil() as usize;
@@ -64,7 +64,7 @@
         }
         Need {
             target,
-            keep: self.keep(now, policy),
+            keep: self.keep(now, policy, fell),
         }
     }
 
@@ -73,7 +73,9 @@
     ///
     /// Failure: under a steady load the number of jobs at hand rises and falls by chance within
     /// seconds, and one instance or two go to and fro with it; nobody's work is faster for it.
-    fn keep(&self, now: Time, policy: &PoolPolicy) -> usize {
+    ///
+    /// Where `fell`, fewer jobs come than before, so the highest target of late says nothing.
+    fn keep(&self, now: Time, policy: &PoolPolicy, fell: bool) -> usize {
         let within = |time: Duration| {
             let late = self
                 .targets
@@ -82,12 +84,16 @@
             late.map(|(_, t)| *t).max().unwrap_or_default()
         };
         let hold = policy.hold.duration();
-        let short = within(hold);
+        let short = match fell {
+            true => within(Duration::ZERO),
+            false => within(hold),
+        };
         let chance = (short as f64).sqrt() as usize;
         within(hold * CHANCE_HOLD).min(short + chance).max(short)
     }
 
-    /// Instances, in fractions, that are asked for in each slot from now on.
+    /// Instances, in fractions, that are asked for in each slot from now on, and whether fewer
+    /// jobs come than before.
     fn asked(
         &mut self,
         now: Time,
@@ -95,16 +101,18 @@
         unit: Room,
         serving: usize,
         policy: &PoolPolicy,
-    ) -> [f64; SLOTS] {
+    ) -> ([f64; SLOTS], bool) {
+        let mut fell = false;
         let rates = load.arrivals.iter().map(|(queue, arrivals)| {
             let rate = self.rates.entry(queue.clone()).or_default();
-            (
-                rate.count(now, arrivals.jobs, policy.doubt),
-                &arrivals.course,
-            )
+            let flow = rate.count(now, arrivals, policy.doubt);
+            fell |= flow.fell;
+            (flow.rate, &arrivals.course)
         });
         let rates: Vec<_> = rates.collect();
-        let room = serving as f64 / policy.gaps;
+        // Lasting work keeps its places, and what of it waits asks for its own room only once.
+        let lasting = units(load.lasting, unit);
+        let room = (serving as f64 / policy.gaps - lasting).max(0.0);
         let arrival = slot(policy.arrival);
         let mut asked = [0.0; SLOTS];
         let mut coming = Room::default();
@@ -114,18 +122,17 @@
             for (rate, course) in &rates {
                 coming += share(course.at(slot), rate * SLOT_MS as f64 / 1_000.0);
             }
-            let known = load.lasting + load.ahead.at(slot) + coming;
+            let short = load.ahead.at(slot) + coming;
             // What could not start asks for its room all at once, for as long as its tasks run;
             // those that would be running still are in what is known already.
             let over = (slot as f64 - slots).max(0.0) / slot.max(1) as f64;
-            let known = units(known, unit);
-            *asked = known + over * delayed / slots;
+            *asked = units(load.lasting + short, unit) + over * delayed / slots;
             delayed = match slot < arrival {
-                true => (delayed + known - room).max(0.0),
+                true => (delayed + units(short, unit) - room).max(0.0),
                 false => 0.0,
             };
         }
-        asked
+        (asked, fell)
     }
 
     /// Instances that hold the lasting work.
--- a/crates/capacity/tests/demand.rs
+++ b/crates/capacity/tests/demand.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_work::{InstanceOrder, InstanceState};
+use cactuswheel_work::{InstanceOrder, InstanceState, Room};
 use fleet::{Fleet, TICK};
 
 /// Pool that an order sends its instance to.
@@ -162,3 +162,86 @@
     let first = fleet.orders.first().map(pool_of);
     assert_eq!(first.as_deref(), Some("cold"));
 }
+
+/// Guards against lasting work that waits for its first place and is asked for twice, as if it
+/// were a backlog of short work on top.
+#[test]
+fn lasting_asked_once() {
+    let mut fleet = Fleet::new(1, 1, 40);
+    let load = fleet.loads.get_mut("hot").expect("the pool is there");
+    let (cpu, memory) = (10 * 64_000, 0);
+    load.lasting = Room {
+        cpu,
+        memory,
+        gpu: 0,
+    };
+    load.waiting = load.lasting;
+    fleet.run(4 * SECOND);
+    assert_eq!(
+        fleet.count("hot"),
+        12,
+        "ten, a tenth to spare, half an instance more"
+    );
+}
+
+/// Guards against a new owner that takes a queue in its busiest second for a silent one: what an
+/// earlier owner has taken in tells how many jobs come, and nothing is sent away at first.
+#[test]
+fn owner_changes_in_a_surge() {
+    let mut fleet = Fleet::new(10, 1, 30);
+    for _ in 0..10 {
+        fleet.occupy("hot", 0, 1);
+    }
+    let now = fleet.now;
+    let before = |ms| cactuswheel_model::Time::new(now.get() - ms);
+    let load = fleet.loads.get_mut("hot").expect("the pool is there");
+    load.used = fleet::UNIT;
+    let arrivals = load.arrivals.entry("queue".into()).or_default();
+    arrivals.earlier = (0..60).map(|n| before(20 * (60 - n))).collect();
+    arrivals.jobs = 60;
+    fleet.arrive("hot", 0);
+    fleet.run(TICK);
+    let asked = fleet.orders.iter().filter(|o| pool_of(o) == "hot");
+    assert!(asked.count() >= 14, "fifty jobs a second take 25 instances");
+    fleet
+        .loads
+        .get_mut("hot")
+        .expect("it is there")
+        .arrivals
+        .clear();
+    fleet.run(SECOND);
+    assert!(fleet.count("hot") >= 10, "nothing is sent away at first");
+}
+
+/// Guards against two moves where one does: what another pool is about to send away goes straight
+/// to the pool that is short, though spare instances are at hand.
+#[test]
+fn surplus_lends_first() {
+    let mut fleet = Fleet::new(2, 8, 8);
+    fleet.ask("hot", 400);
+    fleet.run(TICK);
+    let lent = fleet.orders.iter().filter(|o| match o {
+        InstanceOrder::Move { instance, pool } => {
+            pool.as_str() == "hot" && instance.as_str().starts_with("cold")
+        }
+        InstanceOrder::Maintain { .. } => false,
+    });
+    assert_eq!(lent.count(), 6, "all that hot lacks");
+}
+
+/// Guards against instances that are kept for a second after a queue's turn is over: a fall that
+/// chance does not explain is believed at once.
+#[test]
+fn fall_is_believed() {
+    let mut fleet = Fleet::new(12, 1, 30);
+    for _ in 0..60 {
+        fleet.arrive("hot", 2);
+        fleet.run(TICK);
+    }
+    let before = fleet.orders.len();
+    fleet.run(8 * TICK);
+    let gone = fleet.orders[before..]
+        .iter()
+        .filter(|o| pool_of(o) == "off");
+    assert!(gone.count() >= 4, "{:?}", &fleet.orders[before..]);
+}
--- a/crates/cell/src/learned.rs
+++ b/crates/cell/src/learned.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Millis;
+use cactuswheel_model::{Millis, Time};
 
 use crate::ahead::Ahead;
 
@@ -21,6 +21,8 @@
 pub struct Arrivals {
     /// Number of jobs; only rises.
     pub jobs: u64,
+    /// When those among them arrived that an earlier owner has taken in.
+    pub earlier: Vec<Time>,
     /// What a job asks for from its arrival on, on average.
     pub course: Ahead,
 }
--- a/crates/cell/src/outlook.rs
+++ b/crates/cell/src/outlook.rs
@@ -16,6 +16,10 @@
 /// A job that waited for longer than this for its owner says nothing of how many come now.
 const RECENT: Duration = Duration::from_millis(1_000);
 
+/// The same of a job that an earlier owner has taken in. Most of those that came before are done,
+/// and are not known any more.
+const RECENT_BEFORE: Duration = Duration::from_millis(1_500);
+
 /// Share of its work, in percent, from which a run's progress tells more than a guess.
 const TELLING: u64 = 10;
 
@@ -28,7 +32,11 @@
 impl Cell {
     /// Counts a short job that has arrived, and learns from what it asks for.
     pub(crate) fn count_arrival(&mut self, job: &Job) {
-        if job.sub.lasting() || self.now.since(job.arrived) > RECENT {
+        let recent = match self.restoring {
+            true => RECENT_BEFORE,
+            false => RECENT,
+        };
+        if job.sub.lasting() || self.now.since(job.arrived) > recent {
             return;
         }
         let learned = self.learned.entry(job.sub.queue.clone()).or_default();
@@ -38,6 +46,9 @@
             outlook.add_turn(job, turn, |_, free| free);
         }
         learned.arrive(&course);
+        if self.restoring {
+            learned.arrivals.earlier.push(job.arrived);
+        }
     }
 
     /// Adds what an open short job asks for now and later; what waits only as far as its team's
