--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -23,7 +23,7 @@
 mod waves;
 
 pub use duty::Duty;
-pub use past::{LONGEST_LAPSE, LastOwner, OrderRecord, Reserved, reserved};
+pub use past::{LastOwner, MAX_EXPIRY, OrderRecord, Reserved, reserved};
 pub use planner::{Past, Planner, Times};
 pub use policy::PoolPolicy;
 pub use snapshot::Snapshot;
--- a/crates/capacity/src/past.rs
+++ b/crates/capacity/src/past.rs
@@ -19,7 +19,7 @@
 
 /// Longest time for which an owner may still give orders after another has claimed the ownership:
 /// it learns of that with its next renewal, and sends nothing once its last one is older than this.
-pub const LONGEST_LAPSE: Duration = Duration::from_millis(2_500);
+pub const MAX_EXPIRY: Duration = Duration::from_millis(2_500);
 
 /// What was last heard of the owner before this one: it dates what that one has put on record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +47,7 @@
                 (heard + self.clock.since(order.at)).saturating_sub(order.at.since(self.clock))
             }
             // By an owner before that one.
-            false => now.since(self.since).saturating_sub(LONGEST_LAPSE),
+            false => now.since(self.since).saturating_sub(MAX_EXPIRY),
         }
     }
 }
--- a/crates/node/src/appending.rs
+++ b/crates/node/src/appending.rs
@@ -10,10 +10,10 @@
 use crate::shared::Shared;
 
 /// Longest time for one answer. Whoever waits for it has given up long before.
-const LIMIT: Duration = Duration::from_millis(3_000);
+const TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Tries under way at a time.
-const SIDE_BY_SIDE: usize = 3;
+const MAX_IN_FLIGHT: usize = 3;
 
 /// Pause before an append is tried again that was turned away.
 const RETRY: Duration = Duration::from_millis(25);
@@ -44,7 +44,9 @@
     let attempt = || async {
         let sent = shared.clock.now();
         let store = &shared.store;
-        let done = store.append(to, Some(producer), None, records, LIMIT).await;
+        let done = store
+            .append(to, Some(producer), None, records, TIMEOUT)
+            .await;
         (shared.clock.now().since(sent), done)
     };
     let mut flying = FuturesUnordered::new();
@@ -55,10 +57,10 @@
         if flying.is_empty() {
             flying.push(attempt());
         }
-        let Ok(next) = timeout(shared.patience.limit(), flying.next()).await else {
+        let Ok(next) = timeout(shared.rtt.limit(), flying.next()).await else {
             shared.metrics.append_failed(what);
-            shared.patience.overdue();
-            if flying.len() < SIDE_BY_SIDE {
+            shared.rtt.overdue();
+            if flying.len() < MAX_IN_FLIGHT {
                 shared.store.suspect();
                 flying.push(attempt());
             }
@@ -69,7 +71,7 @@
         };
         match outcome {
             Ok(done) => {
-                shared.patience.answered(took);
+                shared.rtt.answered(took);
                 return Ok(done);
             }
             Err(AppendError::Refused(status)) => {
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -13,19 +13,19 @@
 
 /// Time for one answer of the owner. It answers from memory, so a longer silence is a lost
 /// connection, and another one is worth the try.
-const TRY_LIMIT: Duration = Duration::from_millis(350);
+const TRY_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Pause before the owner is looked up again.
 const PAUSE: Duration = Duration::from_millis(40);
 
-/// What the owner says of a job; `None` if no owner answers within `patience`.
-pub(crate) async fn job(shared: &Shared, id: JobId, patience: Duration) -> Option<JobAnswer> {
-    let until = shared.clock.now().after(patience);
+/// What the owner says of a job; `None` if no owner answers within `limit`.
+pub(crate) async fn job(shared: &Shared, id: JobId, limit: Duration) -> Option<JobAnswer> {
+    let until = shared.clock.now().after(limit);
     loop {
         let answer = match shared.own.load_full() {
             Some(own) => Some(own.job(id).await),
             None => match link(shared).await {
-                Some(link) => link.job(id, TRY_LIMIT).await,
+                Some(link) => link.job(id, TRY_TIMEOUT).await,
                 None => None,
             },
         };
@@ -41,14 +41,14 @@
     }
 }
 
-/// Number of a queue's jobs that wait; `None` if no owner answers within `patience`.
-pub(crate) async fn pending(shared: &Shared, queue: &QueueName, patience: Duration) -> Option<u64> {
-    let until = shared.clock.now().after(patience);
+/// Number of a queue's jobs that wait; `None` if no owner answers within `limit`.
+pub(crate) async fn pending(shared: &Shared, queue: &QueueName, limit: Duration) -> Option<u64> {
+    let until = shared.clock.now().after(limit);
     loop {
         let answer = match shared.own.load_full() {
             Some(own) => Some(own.queue(queue.clone()).await),
             None => match link(shared).await {
-                Some(link) => link.queue(queue.clone(), TRY_LIMIT).await,
+                Some(link) => link.queue(queue.clone(), TRY_TIMEOUT).await,
                 None => None,
             },
         };
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -10,7 +10,7 @@
 use cactuswheel_work::{Wave, ZoneName};
 use tokio::time::sleep;
 
-use crate::lapse::page_time;
+use crate::expiry::page_time;
 use crate::shared::Shared;
 use crate::topics::OPERATORS;
 
@@ -18,7 +18,7 @@
 const READ_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Time for an answer beyond the wait. A store that is slow still answers in this time.
-const READ_LIMIT: Duration = Duration::from_millis(700);
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(100);
@@ -48,7 +48,7 @@
 async fn start(shared: &Shared) -> Result<u64, ReadError> {
     let mut items: Vec<Item> = Vec::new();
     let mut end = None;
-    let limit = READ_LIMIT + page_time(shared.settings.link);
+    let limit = READ_TIMEOUT + page_time(shared.settings.link);
     loop {
         let sent = shared.clock.now();
         let after = items.last().map(|i| i.key.clone());
@@ -85,7 +85,7 @@
         let sent = shared.clock.now();
         let page = shared
             .store
-            .read(OPERATORS, next, READ_WAIT, READ_LIMIT)
+            .read(OPERATORS, next, READ_WAIT, READ_TIMEOUT)
             .await;
         let page = match page {
             Ok(page) => page,
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/dispatcher.rs
@@ -1,4 +1,4 @@
-//! Carries out what the cell asks for, from this node or through relays.
+//! Executes what the cell asks for, from this node or through relays.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,13 +15,13 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
-use crate::cargo::{Errand, Order, Report, Reports};
-use crate::carrier::{Carrier, Commander, LOOK_LIMIT, ORDER_LIMIT};
-use crate::courier::Courier;
 use crate::event::Event;
 use crate::journal_writer::JournalWriter;
+use crate::order_sender::{LOOK_TIMEOUT, ORDER_TIMEOUT, OrderSender, OrderSink};
+use crate::owner_stats::OwnerStats;
+use crate::relay_client::RelayClient;
+use crate::relay_request::{Envelope, Order, Report, Reports};
 use crate::shared::Shared;
-use crate::tally::Tally;
 
 /// Pause after the policy service gave no answer: it takes one call of a node at a time.
 const ADVICE_PAUSE: Duration = Duration::from_millis(30);
@@ -31,7 +31,7 @@
 const QUESTIONS: usize = 4;
 
 /// Time for an answer of the policy service beyond what it says that it takes.
-const ADVICE_LIMIT: Duration = Duration::from_millis(2_000);
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Time for the way to a relay and back, and for its own queue, beside the order's own limit.
 const RELAY_WAY: Duration = Duration::from_millis(700);
@@ -41,12 +41,12 @@
 
 /// The owner on this node, whose orders are carried out.
 #[derive(Clone)]
-struct OwnEnd {
+struct LocalOwner {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
 }
 
-impl Commander for OwnEnd {
+impl OrderSink for LocalOwner {
     async fn tell(&self, report: Report) {
         // With the owner gone there is nobody to tell.
         let _ = self.events.send(Event::Report(report)).await;
@@ -61,49 +61,49 @@
     }
 }
 
-/// Carries out what the cell asks for, until it is dropped.
-pub(crate) struct Hands {
+/// Executes what the cell asks for, until it is dropped.
+pub(crate) struct Dispatcher {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
     epoch: u64,
     journal: JournalWriter,
-    carrier: Carrier<OwnEnd>,
+    sender: OrderSender<LocalOwner>,
     relays: Relays,
-    couriers: Map<NodeName, Courier>,
+    clients: Map<NodeName, RelayClient>,
     /// What relays told of workers.
     known: Known,
     zones: Map<WorkerId, ZoneName>,
     /// Every worker's entry was told.
     listed: bool,
     checked: Time,
-    tally: Tally,
+    stats: OwnerStats,
     policy: Option<Arc<PolicyService>>,
     /// Questions to the policy service that are under way.
     questions: Arc<Semaphore>,
     tasks: TaskTracker,
 }
 
-impl Hands {
+impl Dispatcher {
     pub(crate) fn new(shared: Arc<Shared>, events: mpsc::Sender<Event>, epoch: u64) -> Self {
         let policy = shared
             .settings
             .policy
             .map(|a| Arc::new(PolicyService::new(a)));
-        let own = OwnEnd {
+        let own = LocalOwner {
             shared: shared.clone(),
             events: events.clone(),
         };
         let link = shared.settings.link.bytes_in(Duration::from_secs(1));
         Self {
             journal: JournalWriter::new(shared.clone(), events.clone(), epoch),
-            carrier: Carrier::new(shared.clone(), own),
+            sender: OrderSender::new(shared.clone(), own),
             relays: Relays::new(Capacity::by_link(link as f64)),
-            couriers: Map::default(),
+            clients: Map::default(),
             known: Known::default(),
             zones: Map::default(),
             listed: false,
             checked: shared.clock.now(),
-            tally: Tally::new(shared.clock.now()),
+            stats: OwnerStats::new(shared.clock.now()),
             shared,
             events,
             epoch,
@@ -113,7 +113,7 @@
         }
     }
 
-    pub(crate) fn carry_out(&mut self, output: Output) {
+    pub(crate) fn execute(&mut self, output: Output) {
         match output {
             Output::Append(batch) => self.append(batch),
             Output::DropSubmissions(jobs) => self.drop_submissions(jobs),
@@ -148,35 +148,35 @@
     pub(crate) fn flush(&mut self) {
         let now = self.shared.clock.now();
         let age = self.shared.lead_age();
-        for (node, courier) in &mut self.couriers {
-            if courier.is_empty() {
+        for (node, client) in &mut self.clients {
+            if client.is_empty() {
                 continue;
             }
             if let Some(confirmed) = self.relays.confirmed(now, node, age) {
-                courier.send(confirmed);
+                client.send(confirmed);
             }
         }
     }
 
     /// The owner was at work for so long without a pause.
     pub(crate) fn busy(&mut self, time: Duration) {
-        self.tally.busy(time);
+        self.stats.busy(time);
     }
 
-    /// A node offers to carry orders.
+    /// A node offers to relay orders.
     pub(crate) fn offer(&mut self, offer: Offer) -> Reply {
         let now = self.shared.clock.now();
         let (node, addr) = (offer.node.clone(), offer.addr);
         let reply = self.relays.offer(now, offer);
-        if reply == Reply::Wanted && !self.couriers.contains_key(&node) {
-            let courier = Courier::start(
+        if reply == Reply::Wanted && !self.clients.contains_key(&node) {
+            let client = RelayClient::start(
                 self.shared.clone(),
                 self.events.clone(),
                 self.epoch,
                 node.clone(),
                 addr,
             );
-            self.couriers.insert(node, courier);
+            self.clients.insert(node, client);
         }
         reply
     }
@@ -198,7 +198,7 @@
 
     /// A relay takes no orders any more.
     pub(crate) fn lose_relay(&mut self, node: &NodeName, why: &str) -> Vec<Report> {
-        self.couriers.remove(node);
+        self.clients.remove(node);
         let lost = self.relays.lose(node, why);
         lost.into_iter().map(unknown).collect()
     }
@@ -215,9 +215,9 @@
         }
         let lost = self.relays.overdue(now);
         let relays = &self.relays;
-        self.couriers.retain(|node, _| relays.addr(node).is_some());
+        self.clients.retain(|node, _| relays.addr(node).is_some());
         self.shared.metrics.relays(relays.count());
-        if let Some(percent) = self.tally.tell(now, self.relays.count()) {
+        if let Some(percent) = self.stats.tell(now, self.relays.count()) {
             self.shared.metrics.busy(percent);
         }
         lost.into_iter().map(unknown).collect()
@@ -240,28 +240,28 @@
         self.zones.remove(id);
         self.known.forget(id);
         self.relays.forget(id);
-        self.carrier.forget(id);
+        self.sender.forget(id);
     }
 
     fn order(&mut self, worker: WorkerId, addr: SocketAddr, order: Order) {
         let now = self.shared.clock.now();
         let way = self.relays.choose(now, &worker, self.zones.get(&worker));
-        let errand = Errand {
+        let envelope = Envelope {
             worker,
             addr,
             order,
         };
         let Way::Relay(node) = way else {
-            return self.carrier.carry(errand);
+            return self.sender.submit(envelope);
         };
-        let Some(courier) = self.couriers.get_mut(&node) else {
-            return self.carrier.carry(errand);
+        let Some(client) = self.clients.get_mut(&node) else {
+            return self.sender.submit(envelope);
         };
-        if let Some((order, limit)) = waits_for(&errand.order) {
+        if let Some((order, limit)) = waits_for(&envelope.order) {
             let until = now.after(limit + RELAY_WAY);
-            self.relays.sent(&node, &errand.worker, order, until);
+            self.relays.sent(&node, &envelope.worker, order, until);
         }
-        courier.add(errand);
+        client.add(envelope);
     }
 
     fn drop_submissions(&mut self, jobs: Vec<JobId>) {
@@ -280,7 +280,7 @@
             let Ok(_question) = questions.acquire().await else {
                 return;
             };
-            let answer = policy.ask(step, &workers, ADVICE_LIMIT).await;
+            let answer = policy.ask(step, &workers, ADVICE_TIMEOUT).await;
             if let Err(e) = &answer {
                 log::warn!(step:% = step, workers = workers.len() as u64, error:% = e; "no advice");
                 sleep(ADVICE_PAUSE).await;
@@ -300,9 +300,9 @@
 /// answered: looks show what became of them.
 fn waits_for(order: &Order) -> Option<(Pending, Duration)> {
     match order {
-        Order::Look(look, order) => Some((Pending::Look(*look), order.wait + LOOK_LIMIT)),
-        Order::Start(order) => Some((Pending::Start(order.task, order.run), ORDER_LIMIT)),
-        Order::Pace(order) => Some((Pending::Pace(order.clone()), ORDER_LIMIT)),
+        Order::Look(look, order) => Some((Pending::Look(*look), order.wait + LOOK_TIMEOUT)),
+        Order::Start(order) => Some((Pending::Start(order.task, order.run), ORDER_TIMEOUT)),
+        Order::Pace(order) => Some((Pending::Pace(order.clone()), ORDER_TIMEOUT)),
         Order::Stop(_) => None,
     }
 }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/election.rs
@@ -17,8 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::claim::{Claim, Claims};
-use crate::hearing::Hearing;
-use crate::lapse::{EXPIRY, page_time};
+use crate::expiry::{EXPIRY, page_time};
+use crate::owner_clock::OwnerClock;
 use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
 use crate::role::Role;
@@ -36,7 +36,7 @@
 const WEAKER_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Claims are spread over this time, so that most of them see the first one's.
-const SPREAD: Duration = Duration::from_millis(40);
+const CLAIM_JITTER: Duration = Duration::from_millis(40);
 
 /// Further wait of a node with a strength of one core; a weaker one waits for longer in proportion.
 /// An owner with an eighth of a core, or on a narrow link, cannot keep up with a fleet of hundreds
@@ -48,10 +48,10 @@
 
 /// Longest time for an answer of the store, beside what a large page takes on the link. With one
 /// answer lost the next renewal still comes in time.
-const LIMIT: Duration = Duration::from_millis(600);
+const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Shortest such time.
-const LEAST_LIMIT: Duration = Duration::from_millis(300);
+const MIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Times as much strength as the owner that a node has to have to take the ownership from it.
 ///
@@ -78,7 +78,7 @@
     /// Offset at which the partition ended when it was last seen.
     end: u64,
     last: Option<Ownership>,
-    hearing: Hearing,
+    owner_clock: OwnerClock,
     /// When the record's owner was first heard of.
     since: Time,
     claims: Claims,
@@ -95,7 +95,7 @@
             role,
             end: 0,
             last: None,
-            hearing: Hearing::new(heard),
+            owner_clock: OwnerClock::new(heard),
             since: heard,
             claims: Claims::default(),
             sent: heard,
@@ -129,7 +129,7 @@
     }
 
     /// Renews the ownership, claims it anew if the cell was given up while it was held, or gives
-    /// it up if this node cannot carry it.
+    /// it up if this node cannot hold it.
     async fn hold(&mut self) {
         let anew = self.shared.reclaim.swap(false, Ordering::AcqRel);
         match anew && self.shared.declines() {
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Gives an ownership up that this node cannot carry.
+    /// Gives an ownership up that this node cannot hold.
     ///
     /// Failure: the store is away just then, the ownership is renewed after its return by a node
     /// that runs no cell, and nobody takes it over. Until it is given up it is not renewed, so
@@ -156,7 +156,7 @@
 
     /// Gives the ownership up, so that another node takes it without waiting for its expiry.
     pub(crate) async fn release(shared: &Shared, epoch: u64, life: u64) {
-        let Ok(page) = shared.store.newest(OWNER, None, LIMIT).await else {
+        let Ok(page) = shared.store.newest(OWNER, None, TIMEOUT).await else {
             return;
         };
         let last = page
@@ -171,7 +171,7 @@
         let records = [Keyed::new(KEY, encode(&record))];
         let done = shared
             .store
-            .append(OWNER, None, Some(page.end), &records, LIMIT);
+            .append(OWNER, None, Some(page.end), &records, TIMEOUT);
         match done.await {
             Ok(_) => log::info!(epoch = epoch; "ownership released"),
             Err(e) => log::warn!(epoch = epoch, error:% = e; "ownership not released"),
@@ -191,11 +191,11 @@
         let me = &self.shared.settings.node;
         let mut last = self.last.iter();
         let released = last.all(|o| o.released || (o.node == *me && o.life != self.life));
-        let lapse = self
+        let expiry = self
             .last
             .as_ref()
-            .map_or(EXPIRY, |o| Duration::from_millis(o.lapse));
-        let left = lapse.saturating_sub(now.since(self.hearing.at()));
+            .map_or(EXPIRY, |o| Duration::from_millis(o.expiry));
+        let left = expiry.saturating_sub(now.since(self.owner_clock.at()));
         if self.shared.declines() {
             self.read(WATCHED).await;
             return;
@@ -213,7 +213,7 @@
 
     /// Reads what is new of the ownership; waits up to `wait` for it. True if that worked.
     async fn read(&mut self, wait: Duration) -> bool {
-        let limit = LIMIT + page_time(self.shared.settings.link);
+        let limit = TIMEOUT + page_time(self.shared.settings.link);
         let read = self.shared.store.read(OWNER, self.end, wait, limit).await;
         match read {
             Ok(page) => {
@@ -231,7 +231,7 @@
                 // Failure: the store is back after an outage, every node finds the ownership
                 // long expired and claims it before its owner can renew. Time without the
                 // store does not count.
-                self.hearing.wait(self.shared.clock.now());
+                self.owner_clock.wait(self.shared.clock.now());
                 sleep(RETRY).await;
                 false
             }
@@ -256,11 +256,11 @@
     }
 
     async fn claim(&mut self) {
-        let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
+        let wait = CLAIM_JITTER.mul_f64(rand::rng().random_range(0.0..1.0))
             + CORE_DELAY
                 .div_f64(self.shared.settings.strength())
                 .min(MAX_DELAY);
-        let read = self.shared.store.read(OWNER, self.end, wait, LIMIT);
+        let read = self.shared.store.read(OWNER, self.end, wait, TIMEOUT);
         match read.await {
             Ok(page) if page.records.is_empty() => self.write(true).await,
             Ok(page) => {
@@ -300,13 +300,13 @@
             clock: now.get(),
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
-            lapse: self.shared.lapse.as_millis() as u64,
+            expiry: self.shared.expiry.as_millis() as u64,
         };
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
         let sent = self.shared.clock.now();
         self.sent = sent;
-        let limit = self.shared.patience.limit().clamp(LEAST_LIMIT, LIMIT);
+        let limit = self.shared.rtt.limit().clamp(MIN_TIMEOUT, TIMEOUT);
         let limit = limit + page_time(settings.link);
         let done = store.append(OWNER, None, Some(self.end), &records, limit);
         match done.await {
@@ -326,7 +326,7 @@
         Some(LastOwner {
             life: last.life,
             clock: Time::new(last.clock),
-            heard: self.hearing.at(),
+            heard: self.owner_clock.at(),
             since: self.since,
         })
     }
@@ -334,13 +334,13 @@
     async fn resync(&mut self) {
         if let Err(e) = self.sync().await {
             log::debug!(error:% = e; "ownership cannot be read");
-            self.hearing.wait(self.shared.clock.now());
+            self.owner_clock.wait(self.shared.clock.now());
             sleep(RETRY).await;
         }
     }
 
     async fn sync(&mut self) -> Result<(), ReadError> {
-        let page = self.shared.store.newest(OWNER, None, LIMIT).await?;
+        let page = self.shared.store.newest(OWNER, None, TIMEOUT).await?;
         self.end = page.end;
         for item in page.items {
             match decode::<Ownership>(&item.value) {
@@ -365,10 +365,11 @@
         }
         let changed = self.last.as_ref().map(|o| o.epoch) != Some(record.epoch);
         if changed {
-            self.hearing.change();
+            self.owner_clock.change();
         }
         if self.last.as_ref() != Some(&record) {
-            self.hearing.hear(self.shared.clock.now(), record.clock);
+            self.owner_clock
+                .observe(self.shared.clock.now(), record.clock);
         }
         if changed {
             self.since = self.shared.clock.now();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -11,9 +11,9 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
-use crate::cargo::{Report, Reports};
 use crate::intake_follower::Intaken;
 use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
+use crate::relay_request::{Report, Reports};
 
 /// What happens to the cell.
 #[derive(Debug)]
@@ -34,7 +34,7 @@
     Report(Report),
     /// What a relay reports.
     Relayed(Reports, oneshot::Sender<bool>),
-    /// A node offers to carry orders.
+    /// A node offers to relay orders.
     Offer(Offer, oneshot::Sender<Reply>),
     /// A relay takes no orders any more, and why.
     RelayLost(NodeName, &'static str),
--- a/crates/node/src/lapse.rs
+++ b/crates/node/src/expiry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_capacity::LONGEST_LAPSE;
+use cactuswheel_capacity::MAX_EXPIRY;
 
 use crate::link_rate::LinkRate;
 
@@ -20,11 +20,11 @@
 /// Failure: an owner on a narrow link reads what earlier ones have left, its renewals wait behind
 /// the pages, and the ownership is claimed before they are through; the next node fares the
 /// same, and nothing runs any more. Behind one page a renewal still comes in time.
-pub(crate) fn lapse(link: LinkRate) -> Duration {
+pub(crate) fn expiry(link: LinkRate) -> Duration {
     EXPIRY + page_time(link)
 }
 
 /// Time that a large answer of the store takes on such a link, as far as anything waits for it.
 pub(crate) fn page_time(link: LinkRate) -> Duration {
-    link.time_of(LARGE_PAGE).min(LONGEST_LAPSE - EXPIRY)
+    link.time_of(LARGE_PAGE).min(MAX_EXPIRY - EXPIRY)
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -46,7 +46,7 @@
 const LIST_MOST: Duration = Duration::from_millis(1_500);
 
 /// Time for an answer of the platform.
-const LIMIT: Duration = Duration::from_millis(900);
+const TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Margin on the time for which orders to an instance have to come from one node, beside the time
 /// that an order may take from its record to its way.
@@ -112,7 +112,7 @@
         let writer = |to| RecordWriter::start(shared.clone(), events.clone(), to);
         let (ordering, queue) = mpsc::unbounded_channel();
         tokio::spawn(order(shared.clone(), service, events.clone(), queue));
-        let wait = shared.settings.times.order.duration() + LIMIT + ORDER_MARGIN;
+        let wait = shared.settings.times.order.duration() + TIMEOUT + ORDER_MARGIN;
         let now = shared.clock.now();
         // Nobody knows what was ordered of late: anything may have been.
         let barred = orders.is_none().then(|| now.after(wait));
@@ -201,7 +201,7 @@
         };
         let mut orders = Vec::new();
         for duty in self.planner.plan(&snapshot) {
-            self.carry_out(cell, duty, &mut orders);
+            self.execute(cell, duty, &mut orders);
         }
         cell.expect_maintenance(self.planner.due());
         if !orders.is_empty() && self.orders.send(orders).is_err() {
@@ -217,7 +217,7 @@
         spare.map(|s| s.name.clone()).collect()
     }
 
-    fn carry_out(&mut self, cell: &mut Cell, duty: Duty, orders: &mut Vec<Given>) {
+    fn execute(&mut self, cell: &mut Cell, duty: Duty, orders: &mut Vec<Given>) {
         match duty {
             Duty::Order { order, worker } => {
                 // Nothing starts there between now and the order's arrival.
@@ -316,7 +316,7 @@
 ) -> InstanceOutcome {
     let owner = !events.is_closed() && shared.leads();
     match recorded && owner {
-        true => service.order(&given.order, &given.token, LIMIT).await,
+        true => service.order(&given.order, &given.token, TIMEOUT).await,
         false => InstanceOutcome::Refused(NOT_RECORDED),
     }
 }
@@ -327,7 +327,7 @@
     let mut quiet: Option<Vec<Instance>> = None;
     while !events.is_closed() {
         let sent = shared.clock.now();
-        match service.list(LIMIT).await {
+        match service.list(TIMEOUT).await {
             Ok(instances) => {
                 if std::mem::take(&mut lost) {
                     log::info!("list of instances regained");
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -33,14 +33,14 @@
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time in which a caller has to send the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Part of a caller's time that is left for the way of the answer.
 const WAY_BACK: Duration = Duration::from_millis(150);
 
 /// Longest wait for an owner of the cell. A takeover takes about two seconds; a caller that
 /// would wait longer asks again in its own time.
-const OWNER_PATIENCE: Duration = Duration::from_millis(1_500);
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time that a caller has if it names none.
 const DEFAULT_TIME: Duration = Duration::from_secs(3);
@@ -115,7 +115,7 @@
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
+        .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     tokio::select! {
@@ -282,7 +282,7 @@
     }
 
     async fn state(&self, target: &Target<'_>, id: JobId) -> Result<Answer, Refusal> {
-        match ask::job(&self.shared, id, patience(target)).await {
+        match ask::job(&self.shared, id, owner_timeout(target)).await {
             Some(JobAnswer::Known { state, team }) if may_see(target, team.as_ref()) => {
                 Ok(found(state_body(state)))
             }
@@ -296,7 +296,7 @@
 
     async fn cancel(&self, target: &Target<'_>, id: JobId) -> Result<Answer, Refusal> {
         let start = self.shared.clock.now();
-        match ask::job(&self.shared, id, patience(target)).await {
+        match ask::job(&self.shared, id, owner_timeout(target)).await {
             Some(JobAnswer::Known { team, .. }) if may_see(target, team.as_ref()) => {}
             Some(JobAnswer::Known { .. } | JobAnswer::Unknown) => {
                 return Err(Refusal::new(Code::NoJob, ""));
@@ -325,7 +325,7 @@
         if *request.method() != Method::GET {
             return Err(Refusal::new(Code::BadRequest, "a job id is missing"));
         }
-        match ask::pending(&self.shared, &target.queue.name, patience(target)).await {
+        match ask::pending(&self.shared, &target.queue.name, owner_timeout(target)).await {
             Some(pending) => Ok(found(pending_body(pending))),
             None => Err(self.no_owner(target.queue.name.as_str())),
         }
@@ -344,8 +344,8 @@
     target.team.is_none() || team.is_none() || target.team.as_ref() == team
 }
 
-fn patience(target: &Target<'_>) -> Duration {
-    OWNER_PATIENCE.min(target.time.saturating_sub(WAY_BACK))
+fn owner_timeout(target: &Target<'_>) -> Duration {
+    OWNER_TIMEOUT.min(target.time.saturating_sub(WAY_BACK))
 }
 
 fn host(request: &Request<Incoming>) -> String {
--- a/crates/node/src/reception.rs
+++ b/crates/node/src/hand_ins.rs
@@ -16,7 +16,7 @@
 const MAX_WAITING: usize = 1_024;
 
 /// Jobs that fronts hand to the owner, until the journal holds them.
-pub(crate) struct Reception {
+pub(crate) struct HandIns {
     shared: Arc<Shared>,
     /// The cell knows nothing of these: they can be refused.
     waiting: Vec<Handed>,
@@ -24,7 +24,7 @@
     replies: Map<JobId, Vec<oneshot::Sender<HandInAnswer>>>,
 }
 
-impl Reception {
+impl HandIns {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -44,7 +44,7 @@
 
 /// Time without an answer after which an append is in doubt.
 fn doubt_after(shared: &Shared) -> Duration {
-    DOUBT_AFTER.min(shared.patience.limit() * DOUBT_LIMITS)
+    DOUBT_AFTER.min(shared.rtt.limit() * DOUBT_LIMITS)
 }
 
 /// Why a record is not known to be in the store.
--- a/crates/node/src/intake_follower.rs
+++ b/crates/node/src/intake_follower.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
-use crate::lapse::page_time;
+use crate::expiry::page_time;
 use crate::shared::Shared;
 use crate::topics::intake;
 
@@ -17,7 +17,7 @@
 const READ_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Time for an answer beyond the wait.
-const READ_LIMIT: Duration = Duration::from_millis(900);
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(60);
@@ -55,7 +55,7 @@
     let sent = shared.clock.now();
     let page = shared
         .store
-        .read(intake(part), from, Duration::ZERO, READ_LIMIT);
+        .read(intake(part), from, Duration::ZERO, READ_TIMEOUT);
     match page.await {
         Ok(page) => {
             let read = Event::Intake(Intaken::new(part, &page, sent));
@@ -80,7 +80,9 @@
     let mut lost = false;
     while !events.is_closed() {
         let sent = shared.clock.now();
-        let page = shared.store.read(intake(part), next, READ_WAIT, READ_LIMIT);
+        let page = shared
+            .store
+            .read(intake(part), next, READ_WAIT, READ_TIMEOUT);
         match page.await {
             Ok(page) => {
                 if std::mem::take(&mut lost) {
@@ -106,7 +108,7 @@
     log::warn!(part = part, from = from; "intake records were deleted: reading the newest again");
     let mut after: Option<String> = None;
     let mut end = None;
-    let limit = READ_LIMIT + page_time(shared.settings.link);
+    let limit = READ_TIMEOUT + page_time(shared.settings.link);
     loop {
         let page = shared.store.newest(intake(part), after.as_deref(), limit);
         let page = match page.await {
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -17,7 +17,7 @@
 use crate::topics::{IntakeKey, JOURNAL, intake, part_of};
 
 /// Time for an answer when something is dropped.
-const LIMIT: Duration = Duration::from_millis(700);
+const TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time without an answer after which the journal counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(700);
@@ -155,7 +155,7 @@
             return;
         }
         let store = &self.shared.store;
-        let done = store.append(intake(part), None, None, records, LIMIT);
+        let done = store.append(intake(part), None, None, records, TIMEOUT);
         if let Err(e) = done.await {
             log::info!(part = part, error:% = e; "finished jobs stay in the intake");
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -124,7 +124,7 @@
         self.busy.record(percent, &[]);
     }
 
-    /// Nodes that carry this owner's orders.
+    /// Nodes that relay this owner's orders.
     pub(crate) fn relays(&self, count: usize) {
         self.relays.record(count as u64, &[]);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,13 +13,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::election::Lead;
 use crate::front::{self, Front};
 use crate::intake::Intake;
-use crate::lead::Lead;
 use crate::metrics::Metrics;
 use crate::role::Role;
 use crate::shared::Shared;
-use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_desk, view};
+use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_server, view};
 
 /// Time from the signal to stop until no more connections are taken: the balancer looks once a
 /// second and believes the second refusal.
@@ -102,7 +102,7 @@
     tokio::spawn(ready::serve(balancer, shared.clone()));
     tokio::spawn(peer::serve(peers, shared.clone()));
     tokio::spawn(serve_metrics(readers, shared.clone()));
-    tokio::spawn(relay_desk::offer(shared.clone()));
+    tokio::spawn(relay_server::offer(shared.clone()));
 }
 
 /// Waits until every request has its answer and every caller's connection is closed.
--- a/crates/node/src/order_log.rs
+++ b/crates/node/src/order_log.rs
@@ -10,10 +10,10 @@
 use crate::topics::orders;
 
 /// Time for an order to get on record; after it the order is not given, and planned anew.
-const WRITE_LIMIT: Duration = Duration::from_millis(900);
+const WRITE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time for an answer to a read.
-const READ_LIMIT: Duration = Duration::from_millis(1_500);
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Times that a partition is read before it counts as unreadable.
 const READ_TRIES: usize = 5;
@@ -48,7 +48,7 @@
         let first = self.good.load(Ordering::Relaxed);
         let mut part = first;
         loop {
-            let left = WRITE_LIMIT.saturating_sub(begun.elapsed());
+            let left = WRITE_TIMEOUT.saturating_sub(begun.elapsed());
             let done = store.append(orders(part), None, None, records, left);
             let Err(e) = done.await else {
                 self.good.store(part, Ordering::Relaxed);
@@ -58,7 +58,7 @@
             part = (part + 1) % self.parts;
             // One that does not answer is left for the next time, too.
             self.good.store(part, Ordering::Relaxed);
-            if part == first || begun.elapsed() >= WRITE_LIMIT {
+            if part == first || begun.elapsed() >= WRITE_TIMEOUT {
                 return Err(e);
             }
         }
@@ -88,7 +88,7 @@
     let mut items: Vec<Item> = Vec::new();
     loop {
         let after = items.last().map(|i| i.key.clone());
-        let page = store.newest(orders(part), after.as_deref(), READ_LIMIT);
+        let page = store.newest(orders(part), after.as_deref(), READ_TIMEOUT);
         let page = page.await?;
         items.extend(page.items);
         if !page.more {
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/order_sender.rs
@@ -1,4 +1,4 @@
-//! Carries orders out to workers from this node, for its own cell or for the owner elsewhere.
+//! Sends orders to workers from this node, for its own cell or for an owner on another node.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,13 +7,13 @@
 
 use cactuswheel_adapter::{Link, Orders};
 use cactuswheel_model::{Map, Time};
-use cactuswheel_patience::Patience;
+use cactuswheel_rtt::RttEstimator;
 use cactuswheel_work::{HoldOrder, PaceOrder, StartOrder, StartOutcome, StopOrder, WorkerId};
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
-use crate::cargo::{Errand, Order, Report};
+use crate::relay_request::{Envelope, Order, Report};
 use crate::shared::Shared;
 
 /// Orders to one worker that are under way at a time. Two keep one lost answer from holding all
@@ -33,23 +33,23 @@
 const LEAST_ORDERS: usize = 16;
 
 /// Longest wait for an answer to an order; a shorter one is learnt from how long answers take.
-pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(500);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest wait for an answer to a look, beyond its own wait; a shorter one is learnt.
-pub(crate) const LOOK_LIMIT: Duration = Duration::from_millis(600);
+pub(crate) const LOOK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Shortest wait for an answer. A node that has used up its processor stands still for a tenth
 /// of a second.
-const LEAST_LIMIT: Duration = Duration::from_millis(150);
+const MIN_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time without an order after which a worker's connections go.
 const UNUSED: Duration = Duration::from_secs(20);
 
 /// Workers that are reached before unused ones are looked for.
-const MANY: usize = 64;
+const PRUNE_ABOVE: usize = 64;
 
-/// Whose orders are carried out.
-pub(crate) trait Commander: Clone + Send + Sync + 'static {
+/// Where the outcome of orders is reported.
+pub(crate) trait OrderSink: Clone + Send + Sync + 'static {
     /// Tells what became of an order.
     fn tell(&self, report: Report) -> impl Future<Output = ()> + Send;
 
@@ -61,21 +61,21 @@
     fn leads(&self) -> bool;
 }
 
-/// Carries orders out to workers, until it is dropped.
-pub(crate) struct Carrier<C> {
+/// Sends orders to workers, until it is dropped.
+pub(crate) struct OrderSender<C> {
     shared: Arc<Shared>,
-    commander: C,
-    workers: Map<WorkerId, Hand>,
+    sink: C,
+    workers: Map<WorkerId, WorkerConn>,
     /// Orders that may be under way.
     window: Arc<Semaphore>,
     /// How long workers' answers to orders take.
-    answers: Arc<Patience>,
+    answers: Arc<RttEstimator>,
     pruned: Time,
     tasks: TaskTracker,
 }
 
-/// What reaches one worker.
-struct Hand {
+/// The connections to one worker.
+struct WorkerConn {
     addr: SocketAddr,
     orders: Arc<Orders>,
     lanes: Arc<Semaphore>,
@@ -85,27 +85,27 @@
     used: Time,
 }
 
-impl<C: Commander> Carrier<C> {
-    pub(crate) fn new(shared: Arc<Shared>, commander: C) -> Self {
+impl<C: OrderSink> OrderSender<C> {
+    pub(crate) fn new(shared: Arc<Shared>, sink: C) -> Self {
         let orders = shared.settings.link.bytes_in(WINDOW) / ORDER_SIZE;
         let orders = orders.clamp(LEAST_ORDERS, Semaphore::MAX_PERMITS);
         Self {
-            commander,
+            sink,
             workers: Map::default(),
             window: Arc::new(Semaphore::new(orders)),
-            answers: Arc::new(Patience::new(LEAST_LIMIT, ORDER_LIMIT)),
+            answers: Arc::new(RttEstimator::new(MIN_TIMEOUT, ORDER_TIMEOUT)),
             pruned: shared.clock.now(),
             tasks: TaskTracker::new(),
             shared,
         }
     }
 
-    pub(crate) fn carry(&mut self, errand: Errand) {
-        let Errand {
+    pub(crate) fn submit(&mut self, envelope: Envelope) {
+        let Envelope {
             worker,
             addr,
             order,
-        } = errand;
+        } = envelope;
         self.prune();
         match order {
             Order::Look(look, order) => self.look(worker, addr, look, order),
@@ -122,16 +122,16 @@
 
     fn prune(&mut self) {
         let now = self.shared.clock.now();
-        if self.workers.len() < MANY || now.since(self.pruned) < UNUSED {
+        if self.workers.len() < PRUNE_ABOVE || now.since(self.pruned) < UNUSED {
             return;
         }
         self.pruned = now;
-        self.workers.retain(|_, hand| now.since(hand.used) < UNUSED);
+        self.workers.retain(|_, conn| now.since(conn.used) < UNUSED);
     }
 
-    fn hand(&mut self, id: &WorkerId, addr: SocketAddr) -> &mut Hand {
+    fn conn(&mut self, id: &WorkerId, addr: SocketAddr) -> &mut WorkerConn {
         let now = self.shared.clock.now();
-        let fresh = || Hand {
+        let fresh = || WorkerConn {
             addr,
             orders: Arc::new(Orders::new(id.clone(), Link::new(addr))),
             lanes: Arc::new(Semaphore::new(LANES)),
@@ -139,62 +139,62 @@
             look: None,
             used: now,
         };
-        let hand = self.workers.entry(id.clone()).or_insert_with(fresh);
-        if hand.addr != addr {
-            *hand = fresh();
+        let conn = self.workers.entry(id.clone()).or_insert_with(fresh);
+        if conn.addr != addr {
+            *conn = fresh();
         }
-        hand.used = now;
-        hand
+        conn.used = now;
+        conn
     }
 
     fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
-        let commander = self.commander.clone();
-        let limit = self.answers.limit().min(LOOK_LIMIT);
-        let hand = self.hand(&worker, addr);
-        hand.fence.fetch_max(order.fence, Ordering::AcqRel);
-        if let Some(before) = hand.look.take() {
+        let sink = self.sink.clone();
+        let limit = self.answers.limit().min(LOOK_TIMEOUT);
+        let conn = self.conn(&worker, addr);
+        conn.fence.fetch_max(order.fence, Ordering::AcqRel);
+        if let Some(before) = conn.look.take() {
             before.abort();
         }
-        let orders = hand.orders.clone();
+        let orders = conn.orders.clone();
         let task = tokio::spawn(async move {
             let answer = orders.hold(&order, limit).await;
-            commander.tell(Report::Looked(worker, look, answer)).await;
+            sink.tell(Report::Looked(worker, look, answer)).await;
         });
-        hand.look = Some(task.abort_handle());
+        conn.look = Some(task.abort_handle());
     }
 
     fn start(&mut self, worker: WorkerId, addr: SocketAddr, order: StartOrder) {
-        let (commander, shared) = (self.commander.clone(), self.shared.clone());
+        let (sink, shared) = (self.sink.clone(), self.shared.clone());
         let (window, answers) = (self.window.clone(), self.answers.clone());
-        let hand = self.hand(&worker, addr);
-        let (orders, lanes) = (hand.orders.clone(), hand.lanes.clone());
-        let fence = hand.fence.clone();
+        let conn = self.conn(&worker, addr);
+        let (orders, lanes) = (conn.orders.clone(), conn.lanes.clone());
+        let fence = conn.fence.clone();
         self.tasks.spawn(async move {
             let (Ok(_lane), Ok(_order)) = (lanes.acquire().await, window.acquire().await) else {
                 return;
             };
             // An order that was overtaken would be refused; not sending it says so sooner.
-            let overtaken = fence.load(Ordering::Acquire) > order.fence || commander.is_gone();
+            let overtaken = fence.load(Ordering::Acquire) > order.fence || sink.is_gone();
             // Failure: an owner is frozen with an order in hand, and wakes when another one has
             // settled that run and the worker has started anew, knowing no fencing token; the
             // task runs twice. Ownership is confirmed more often than it can be claimed.
-            let overtaken = overtaken || !commander.leads();
+            let overtaken = overtaken || !sink.leads();
             let outcome = match overtaken {
                 true => StartOutcome::NotSent,
                 false => start_within(&orders, &order, &answers).await,
             };
             shared.metrics.ordered("start", outcome_name(outcome));
             let report = Report::Started(worker, order.task, order.run, outcome);
-            commander.tell(report).await;
+            sink.tell(report).await;
         });
     }
 
     fn stop(&mut self, worker: &WorkerId, addr: SocketAddr, order: StopOrder) {
         let shared = self.shared.clone();
-        let orders = self.hand(worker, addr).orders.clone();
+        let orders = self.conn(worker, addr).orders.clone();
         let worker = worker.clone();
         self.tasks.spawn(async move {
-            let outcome = orders.stop(&order, ORDER_LIMIT).await;
+            let outcome = orders.stop(&order, ORDER_TIMEOUT).await;
             shared.metrics.ordered("stop", "sent");
             log::info!(
                 task:% = order.task, run = order.run, worker:% = worker, outcome:? = outcome;
@@ -204,26 +204,26 @@
     }
 
     fn pace(&mut self, worker: &WorkerId, addr: SocketAddr, order: PaceOrder) {
-        let (commander, shared) = (self.commander.clone(), self.shared.clone());
-        let orders = self.hand(worker, addr).orders.clone();
+        let (sink, shared) = (self.sink.clone(), self.shared.clone());
+        let orders = self.conn(worker, addr).orders.clone();
         let worker = worker.clone();
         self.tasks.spawn(async move {
-            let outcome = orders.pace(&order, ORDER_LIMIT).await;
+            let outcome = orders.pace(&order, ORDER_TIMEOUT).await;
             shared.metrics.ordered("pace", "sent");
             log::info!(
                 task:% = order.task, run = order.run, worker:% = worker,
                 percent = order.percent, outcome:? = outcome;
                 "pace ordered"
             );
-            commander.tell(Report::Paced(worker, order, outcome)).await;
+            sink.tell(Report::Paced(worker, order, outcome)).await;
         });
     }
 }
 
-impl<C> Drop for Carrier<C> {
+impl<C> Drop for OrderSender<C> {
     fn drop(&mut self) {
-        for hand in self.workers.values() {
-            if let Some(look) = &hand.look {
+        for conn in self.workers.values() {
+            if let Some(look) = &conn.look {
                 look.abort();
             }
         }
@@ -231,7 +231,7 @@
 }
 
 /// Orders a start, and learns from how long its answer takes.
-async fn start_within(orders: &Orders, order: &StartOrder, answers: &Patience) -> StartOutcome {
+async fn start_within(orders: &Orders, order: &StartOrder, answers: &RttEstimator) -> StartOutcome {
     let sent = Instant::now();
     let outcome = orders.start(order, answers.limit()).await;
     match outcome {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,14 +11,14 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::cargo::Report;
+use crate::dispatcher::Dispatcher;
 use crate::event::{Ask, Event};
 use crate::fleet::Fleet;
-use crate::hands::Hands;
+use crate::hand_ins::HandIns;
 use crate::intake_follower::{Intaken, follow_intake, read_intake};
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{JobAnswer, QueueAnswer};
-use crate::reception::Reception;
+use crate::relay_request::Report;
 use crate::role::Role;
 use crate::roster;
 use crate::shared::Shared;
@@ -105,11 +105,11 @@
             taken.orders,
             before,
         ),
-        hands: Hands::new(shared.clone(), events.clone(), epoch),
+        dispatcher: Dispatcher::new(shared.clone(), events.clone(), epoch),
         cell: taken.cell,
         reads: Reads::new(taken.intake),
         parked: Vec::new(),
-        reception: Reception::new(shared.clone()),
+        hand_ins: HandIns::new(shared.clone()),
         events: events.clone(),
         shared: shared.clone(),
     };
@@ -135,12 +135,12 @@
 struct Owner {
     shared: Arc<Shared>,
     cell: Cell,
-    hands: Hands,
+    dispatcher: Dispatcher,
     /// `None` where the platform has no service for instances.
     fleet: Option<Fleet>,
     reads: Reads,
     parked: Vec<Parked>,
-    reception: Reception,
+    hand_ins: HandIns,
     events: mpsc::Sender<Event>,
 }
 
@@ -162,10 +162,10 @@
                 }
             }
             self.take_operators();
-            for report in self.hands.overdue() {
+            for report in self.dispatcher.overdue() {
                 self.take_report(report);
             }
-            self.reception.hand_in(&mut self.cell);
+            self.hand_ins.hand_in(&mut self.cell);
             self.answer_parked();
             if let Some(fleet) = &mut self.fleet {
                 fleet.plan(&mut self.cell);
@@ -180,12 +180,12 @@
                         log::warn!(worker:% = worker; "a worker obeys a newer owner");
                         deposed = true;
                     }
-                    Output::Accepted(jobs) => self.reception.accepted(&jobs),
-                    output => self.hands.carry_out(output),
+                    Output::Accepted(jobs) => self.hand_ins.accepted(&jobs),
+                    output => self.dispatcher.execute(output),
                 }
             }
-            self.hands.flush();
-            self.hands.busy(woken.elapsed());
+            self.dispatcher.flush();
+            self.dispatcher.busy(woken.elapsed());
             if deposed {
                 log::warn!("ownership is over: a newer owner is at work");
                 return;
@@ -208,24 +208,24 @@
     fn take(&mut self, event: Event) -> bool {
         let now = self.shared.clock.now();
         match event {
-            Event::HandIn(handed) => self.reception.take(handed),
+            Event::HandIn(handed) => self.hand_ins.take(handed),
             Event::Intake(read) => self.take_records(read),
             Event::IntakeRead(part) => {
                 self.reads.over(part);
                 self.answer_parked();
             }
             Event::Worker(entry) => {
-                self.hands.place(&entry);
+                self.dispatcher.place(&entry);
                 self.cell.list(now, entry);
             }
             Event::NoWorker(id) => {
                 self.cell.unlist(now, &id);
-                self.hands.forget(&id);
+                self.dispatcher.forget(&id);
             }
-            Event::Listed => self.hands.know_all(),
+            Event::Listed => self.dispatcher.know_all(),
             Event::Report(report) => self.take_report(report),
             Event::Relayed(reports, reply) => {
-                for report in self.hands.reported(reports) {
+                for report in self.dispatcher.reported(reports) {
                     self.take_report(report);
                 }
                 // A relay that has stopped waiting tells it again, which does no harm.
@@ -233,10 +233,10 @@
             }
             Event::Offer(offer, reply) => {
                 // A node that has stopped waiting offers again.
-                let _ = reply.send(self.hands.offer(offer));
+                let _ = reply.send(self.dispatcher.offer(offer));
             }
             Event::RelayLost(node, why) => {
-                for report in self.hands.lose_relay(&node, why) {
+                for report in self.dispatcher.lose_relay(&node, why) {
                     self.take_report(report);
                 }
             }
@@ -254,7 +254,7 @@
                 if outcome == InstanceOutcome::Done
                     && let Some(worker) = &worker
                 {
-                    self.hands.forget(worker);
+                    self.dispatcher.forget(worker);
                 }
             }
             Event::Advised(step, good) => self.cell.advised(now, step, good),
--- a/crates/node/src/hearing.rs
+++ b/crates/node/src/owner_clock.rs
@@ -9,14 +9,14 @@
 /// together. So a node that reads several renewals at once knows how old the newest is, and
 /// takes an ownership over as soon as one that reads each of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Hearing {
+pub struct OwnerClock {
     /// When the newest record came, or the store came back.
     at: Time,
     /// Least difference seen between this node's clock and the owner's, in milliseconds.
     ahead: Option<i64>,
 }
 
-impl Hearing {
+impl OwnerClock {
     /// Nothing was heard yet.
     pub fn new(now: Time) -> Self {
         Self {
@@ -36,7 +36,7 @@
     }
 
     /// A record was read that was sent at `clock` of its owner.
-    pub fn hear(&mut self, now: Time, clock: u64) {
+    pub fn observe(&mut self, now: Time, clock: u64) {
         let ahead = now.get() as i64 - clock as i64;
         let least = self.ahead.map_or(ahead, |before| before.min(ahead));
         self.ahead = Some(least);
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -8,10 +8,10 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::cargo::Reports;
 use crate::clock::Clock;
 use crate::event::{Ask, Event, Handed};
 use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
+use crate::relay_request::Reports;
 
 /// How other tasks reach the owner on this node.
 #[derive(Debug)]
--- a/crates/node/src/tally.rs
+++ b/crates/node/src/owner_stats.rs
@@ -10,7 +10,7 @@
 
 /// Says what an owner takes of its link and processor, a line every five seconds.
 #[derive(Debug)]
-pub(crate) struct Tally {
+pub(crate) struct OwnerStats {
     told: Time,
     /// Time at work since then.
     busy: Duration,
@@ -18,7 +18,7 @@
     before: Map<&'static str, u64>,
 }
 
-impl Tally {
+impl OwnerStats {
     pub(crate) fn new(now: Time) -> Self {
         let before = traffic().map(|t| (t.kind, t.bytes));
         Self {
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -8,7 +8,7 @@
 /// Who owns the cell, as it stands in the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Ownership {
-    /// Rises with each change of hands.
+    /// Rises with each change of owners.
     pub(crate) epoch: u64,
     pub(crate) node: NodeName,
     /// Tells lives of one node apart.
@@ -23,5 +23,5 @@
     /// No owner before this one can be renewing leases any more.
     pub(crate) settled: bool,
     /// Time without a renewal after which it may be claimed, in milliseconds.
-    pub(crate) lapse: u64,
+    pub(crate) expiry: u64,
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -18,15 +18,15 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::cargo::{Cargo, Reports};
-use crate::relay_desk::RelayDesk;
+use crate::relay_request::{RelayRequest, Reports};
+use crate::relay_server::RelayServer;
 use crate::shared::Shared;
 
 /// Largest frame, in bytes; a longer one ends the connection.
 const MAX_FRAME: usize = 256 << 10;
 
 /// Time for a connection to the owner.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -75,23 +75,23 @@
 
 /// Calls between nodes.
 #[tarpc::service]
-pub(crate) trait Desk {
+pub(crate) trait Peer {
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
     /// To the owner: accept this job within `limit` milliseconds.
     async fn hand_in(record: Bytes, limit: u64) -> HandInAnswer;
-    /// To the owner: the caller offers to carry orders, or goes on doing so.
+    /// To the owner: the caller offers to relay orders, or goes on doing so.
     async fn enlist(offer: Offer) -> Reply;
-    /// To a relay: carry these orders out. False if a newer owner's are carried.
-    async fn carry(cargo: Cargo) -> bool;
+    /// To a relay: send these orders to their workers. False if a newer owner's are relayed.
+    async fn submit(request: RelayRequest) -> bool;
     /// To the owner: what became of its orders. False if the caller is no owner any more.
     async fn report(reports: Reports) -> bool;
 }
 
 #[derive(Clone)]
-struct Server(Arc<Shared>, Arc<RelayDesk>);
+struct Server(Arc<Shared>, Arc<RelayServer>);
 
-impl Desk for Server {
+impl Peer for Server {
     async fn job(self, _: Context, id: JobId) -> JobAnswer {
         match self.0.own.load_full() {
             Some(own) => own.job(id).await,
@@ -120,8 +120,8 @@
         }
     }
 
-    async fn carry(self, _: Context, cargo: Cargo) -> bool {
-        self.1.take(cargo)
+    async fn submit(self, _: Context, request: RelayRequest) -> bool {
+        self.1.take(request)
     }
 
     async fn report(self, _: Context, reports: Reports) -> bool {
@@ -134,7 +134,7 @@
 
 /// Answers other nodes until the task is dropped.
 pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let relay = Arc::new(RelayDesk::new(shared.clone()));
+    let relay = Arc::new(RelayServer::new(shared.clone()));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
@@ -157,15 +157,15 @@
 #[derive(Debug, Clone)]
 pub(crate) struct OwnerLink {
     pub(crate) addr: SocketAddr,
-    client: DeskClient,
+    client: PeerClient,
 }
 
 impl OwnerLink {
     pub(crate) async fn connect(addr: SocketAddr) -> Option<Self> {
         let mut connect = tcp::connect(addr, Bincode::default);
         connect.config_mut().max_frame_length(MAX_FRAME);
-        let transport = timeout(CONNECT_LIMIT, connect).await.ok()?.ok()?;
-        let client = DeskClient::new(Config::default(), transport).spawn();
+        let transport = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let client = PeerClient::new(Config::default(), transport).spawn();
         Some(Self { addr, client })
     }
 
@@ -187,8 +187,8 @@
         self.client.enlist(within(limit), offer).await.ok()
     }
 
-    pub(crate) async fn carry(&self, cargo: Cargo, limit: Duration) -> Option<bool> {
-        self.client.carry(within(limit), cargo).await.ok()
+    pub(crate) async fn submit(&self, request: RelayRequest, limit: Duration) -> Option<bool> {
+        self.client.submit(within(limit), request).await.ok()
     }
 
     pub(crate) async fn report(&self, reports: Reports, limit: Duration) -> Option<bool> {
--- a/crates/node/src/record_writer.rs
+++ b/crates/node/src/record_writer.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 
 /// Time for an answer.
-const LIMIT: Duration = Duration::from_millis(900);
+const TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Pause before records are written again.
 const RETRY: Duration = Duration::from_millis(200);
@@ -53,7 +53,7 @@
         while let Ok(next) = queue.try_recv() {
             records.push(next);
         }
-        while let Err(e) = shared.store.append(to, None, None, &records, LIMIT).await {
+        while let Err(e) = shared.store.append(to, None, None, &records, TIMEOUT).await {
             if events.is_closed() {
                 return;
             }
--- a/crates/node/src/courier.rs
+++ b/crates/node/src/relay_client.rs
@@ -1,4 +1,4 @@
-//! Brings orders to one relay.
+//! Forwards orders to one relay.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,16 +8,16 @@
 use cactuswheel_work::NodeName;
 use tokio::sync::{Semaphore, mpsc};
 
-use crate::cargo::{Cargo, Errand};
 use crate::event::Event;
 use crate::peer::OwnerLink;
+use crate::relay_request::{Envelope, RelayRequest};
 use crate::shared::Shared;
 
 /// Time for a relay to say that it has an order.
-const LIMIT: Duration = Duration::from_millis(700);
+const TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Messages to one relay that are under way at a time.
-const SIDE_BY_SIDE: usize = 8;
+const MAX_IN_FLIGHT: usize = 8;
 
 /// Largest message, in bytes.
 const MAX_MESSAGE: usize = 32 << 10;
@@ -25,18 +25,18 @@
 /// Messages that may wait for a relay; one that is so far behind counts as lost.
 const QUEUE: usize = 256;
 
-/// Brings orders to one relay, until it is dropped.
-pub(crate) struct Courier {
+/// Forwards orders to one relay, until it is dropped.
+pub(crate) struct RelayClient {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
     epoch: u64,
     node: NodeName,
     /// What is to go out next.
-    errands: Vec<Errand>,
-    cargos: mpsc::Sender<Cargo>,
+    envelopes: Vec<Envelope>,
+    requests: mpsc::Sender<RelayRequest>,
 }
 
-impl Courier {
+impl RelayClient {
     pub(crate) fn start(
         shared: Arc<Shared>,
         events: mpsc::Sender<Event>,
@@ -44,33 +44,33 @@
         node: NodeName,
         addr: SocketAddr,
     ) -> Self {
-        let (cargos, queue) = mpsc::channel(QUEUE);
-        tokio::spawn(bring(node.clone(), addr, queue, events.clone()));
+        let (requests, queue) = mpsc::channel(QUEUE);
+        tokio::spawn(forward(node.clone(), addr, queue, events.clone()));
         Self {
             shared,
             events,
             epoch,
             node,
-            errands: Vec::new(),
-            cargos,
+            envelopes: Vec::new(),
+            requests,
         }
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.errands.is_empty()
+        self.envelopes.is_empty()
     }
 
-    pub(crate) fn add(&mut self, errand: Errand) {
-        self.errands.push(errand);
+    pub(crate) fn add(&mut self, envelope: Envelope) {
+        self.envelopes.push(envelope);
     }
 
     /// Sends what was added; the ownership was confirmed then, on the relay's clock.
     pub(crate) fn send(&mut self, confirmed: Time) {
         let mut size = 0;
         let mut part = Vec::new();
-        for errand in std::mem::take(&mut self.errands) {
-            size += errand.size();
-            part.push(errand);
+        for envelope in std::mem::take(&mut self.envelopes) {
+            size += envelope.size();
+            part.push(envelope);
             if size >= MAX_MESSAGE {
                 self.send_part(std::mem::take(&mut part), confirmed);
                 size = 0;
@@ -81,17 +81,17 @@
         }
     }
 
-    fn send_part(&self, errands: Vec<Errand>, confirmed: Time) {
-        let mut cargo = Cargo {
+    fn send_part(&self, envelopes: Vec<Envelope>, confirmed: Time) {
+        let mut request = RelayRequest {
             epoch: self.epoch,
             owner: self.shared.settings.listen.peers,
             confirmed,
-            lapse: self.shared.lapse.as_millis() as u64,
+            expiry: self.shared.expiry.as_millis() as u64,
             specs: Vec::new(),
-            errands,
+            envelopes,
         };
-        cargo.fold_specs();
-        if self.cargos.try_send(cargo).is_err() {
+        request.fold_specs();
+        if self.requests.try_send(request).is_err() {
             let lost = Event::RelayLost(self.node.clone(), "far behind");
             if self.events.try_send(lost).is_err() {
                 log::warn!(relay:% = self.node; "relay is far behind, and so is the owner");
@@ -100,11 +100,11 @@
     }
 }
 
-/// Brings each cargo, until one does not arrive or the courier is gone.
-async fn bring(
+/// Forwards each request, until one does not arrive or the client is gone.
+async fn forward(
     node: NodeName,
     addr: SocketAddr,
-    mut queue: mpsc::Receiver<Cargo>,
+    mut queue: mpsc::Receiver<RelayRequest>,
     events: mpsc::Sender<Event>,
 ) {
     let lost = |why| Event::RelayLost(node.clone(), why);
@@ -112,8 +112,8 @@
         let _ = events.send(lost("cannot be reached")).await;
         return;
     };
-    let lanes = Arc::new(Semaphore::new(SIDE_BY_SIDE));
-    while let Some(cargo) = queue.recv().await {
+    let lanes = Arc::new(Semaphore::new(MAX_IN_FLIGHT));
+    while let Some(request) = queue.recv().await {
         let Ok(lane) = lanes.clone().acquire_owned().await else {
             return;
         };
@@ -121,7 +121,7 @@
         let lost = lost("does not take its orders");
         tokio::spawn(async move {
             let _lane = lane;
-            if link.carry(cargo, LIMIT).await != Some(true) {
+            if link.submit(request, TIMEOUT).await != Some(true) {
                 let _ = events.send(lost).await;
             }
         });
--- a/crates/node/src/cargo.rs
+++ b/crates/node/src/relay_request.rs
@@ -26,7 +26,7 @@
 
 /// An order and the worker that it is for.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Errand {
+pub(crate) struct Envelope {
     pub(crate) worker: WorkerId,
     pub(crate) addr: SocketAddr,
     pub(crate) order: Order,
@@ -45,9 +45,9 @@
     Paced(WorkerId, PaceOrder, PlainOutcome),
 }
 
-/// Errands for one relay, sent together.
+/// Orders for one relay, sent together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Cargo {
+pub(crate) struct RelayRequest {
     /// Number of the ownership under which they are given.
     pub(crate) epoch: u64,
     /// Where the owner takes reports.
@@ -55,13 +55,13 @@
     /// When the ownership was confirmed, on the relay's clock.
     pub(crate) confirmed: Time,
     /// Time after that from which no start is ordered, in milliseconds.
-    pub(crate) lapse: u64,
+    pub(crate) expiry: u64,
     /// What each job runs; the orders themselves leave it out.
     pub(crate) specs: Vec<(JobId, Arc<str>)>,
-    pub(crate) errands: Vec<Errand>,
+    pub(crate) envelopes: Vec<Envelope>,
 }
 
-/// What became of a relay's errands, sent together.
+/// What became of a relay's orders, sent together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Reports {
     pub(crate) epoch: u64,
@@ -69,12 +69,12 @@
     pub(crate) reports: Vec<Report>,
 }
 
-impl Cargo {
+impl RelayRequest {
     /// Names what each job runs once, however many of its tasks start.
     pub(crate) fn fold_specs(&mut self) {
         let mut specs: Map<JobId, Arc<str>> = Map::default();
-        for errand in &mut self.errands {
-            if let Order::Start(start) = &mut errand.order {
+        for envelope in &mut self.envelopes {
+            if let Order::Start(start) = &mut envelope.order {
                 let spec = std::mem::replace(&mut start.spec, "".into());
                 specs.insert(start.task.job(), spec);
             }
@@ -85,8 +85,8 @@
     /// Puts what each job runs back into its orders.
     pub(crate) fn unfold_specs(&mut self) {
         let specs: Map<JobId, Arc<str>> = self.specs.drain(..).collect();
-        for errand in &mut self.errands {
-            if let Order::Start(start) = &mut errand.order
+        for envelope in &mut self.envelopes {
+            if let Order::Start(start) = &mut envelope.order
                 && let Some(spec) = specs.get(&start.task.job())
             {
                 start.spec = spec.clone();
@@ -95,8 +95,8 @@
     }
 }
 
-impl Errand {
-    /// About what it takes up in a cargo, in bytes.
+impl Envelope {
+    /// About what it takes up in a request, in bytes.
     pub(crate) fn size(&self) -> usize {
         /// Names, addresses and numbers.
         const BARE: usize = 80;
--- a/crates/node/src/relay_desk.rs
+++ b/crates/node/src/relay_server.rs
@@ -1,4 +1,4 @@
-//! Carries orders for the owner elsewhere: offers to, takes cargo, reports.
+//! Relays orders for an owner on another node: offers to, takes requests, reports.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,9 +11,9 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::cargo::{Cargo, Report, Reports};
-use crate::carrier::{Carrier, Commander};
+use crate::order_sender::{OrderSender, OrderSink};
 use crate::peer::OwnerLink;
+use crate::relay_request::{RelayRequest, Report, Reports};
 use crate::shared::Shared;
 
 /// Time between heartbeats of a relay.
@@ -23,14 +23,14 @@
 const OFFER_AGAIN: Duration = Duration::from_millis(4_000);
 
 /// Wait of a node with one core before its first offer; one with less waits for longer in
-/// proportion, so that those that can carry more come first.
+/// proportion, so that those with more capacity come first.
 const CORE_DELAY: Duration = Duration::from_millis(50);
 
 /// Longest such wait.
 const MAX_DELAY: Duration = Duration::from_millis(800);
 
 /// Time for an answer of the owner.
-const LIMIT: Duration = Duration::from_millis(600);
+const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Reports that may wait.
 const QUEUE: usize = 4_096;
@@ -41,17 +41,17 @@
 /// Times that reports are told before they are left to the owner's own time limit.
 const TRIES: u32 = 3;
 
-/// The owner elsewhere, as a relay knows it.
+/// An owner on another node, as a relay knows it.
 #[derive(Clone)]
-struct Principal {
+struct RemoteOwner {
     shared: Arc<Shared>,
     /// When the ownership was last known to be confirmed, on this node's clock.
     confirmed: Arc<AtomicU64>,
-    lapse: Duration,
+    expiry: Duration,
     reports: mpsc::Sender<Report>,
 }
 
-impl Commander for Principal {
+impl OrderSink for RemoteOwner {
     async fn tell(&self, report: Report) {
         // With another owner at work there is nobody to tell.
         let _ = self.reports.send(report).await;
@@ -63,7 +63,7 @@
 
     fn leads(&self) -> bool {
         let confirmed = Time::new(self.confirmed.load(Ordering::Acquire));
-        self.shared.clock.now().since(confirmed) < self.lapse
+        self.shared.clock.now().since(confirmed) < self.expiry
     }
 }
 
@@ -71,16 +71,16 @@
 struct Service {
     epoch: u64,
     confirmed: Arc<AtomicU64>,
-    carrier: Carrier<Principal>,
+    sender: OrderSender<RemoteOwner>,
 }
 
-/// Carries orders for the owner elsewhere.
-pub(crate) struct RelayDesk {
+/// Relays orders for an owner on another node.
+pub(crate) struct RelayServer {
     shared: Arc<Shared>,
     service: Mutex<Option<Service>>,
 }
 
-impl RelayDesk {
+impl RelayServer {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
@@ -89,43 +89,43 @@
     }
 
     /// Takes orders; false if a newer owner's were taken before.
-    pub(crate) fn take(&self, mut cargo: Cargo) -> bool {
-        cargo.unfold_specs();
+    pub(crate) fn take(&self, mut request: RelayRequest) -> bool {
+        request.unfold_specs();
         let mut service = self.lock();
         let newest = service.as_ref().map_or(0, |s| s.epoch);
-        if newest > cargo.epoch {
+        if newest > request.epoch {
             return false;
         }
-        if newest < cargo.epoch {
-            *service = Some(self.serve(&cargo));
+        if newest < request.epoch {
+            *service = Some(self.serve(&request));
         }
         let Some(service) = service.as_mut() else {
             return false;
         };
-        let confirmed = cargo.confirmed.get();
+        let confirmed = request.confirmed.get();
         service.confirmed.fetch_max(confirmed, Ordering::AcqRel);
-        for errand in cargo.errands {
-            service.carrier.carry(errand);
+        for envelope in request.envelopes {
+            service.sender.submit(envelope);
         }
         true
     }
 
-    fn serve(&self, cargo: &Cargo) -> Service {
-        log::info!(epoch = cargo.epoch, owner:% = cargo.owner; "orders are carried for an owner");
+    fn serve(&self, request: &RelayRequest) -> Service {
+        log::info!(epoch = request.epoch, owner:% = request.owner; "orders are carried for an owner");
         let (reports, told) = mpsc::channel(QUEUE);
         let confirmed = Arc::new(AtomicU64::new(0));
-        let principal = Principal {
+        let principal = RemoteOwner {
             shared: self.shared.clone(),
             confirmed: confirmed.clone(),
-            lapse: Duration::from_millis(cargo.lapse),
+            expiry: Duration::from_millis(request.expiry),
             reports,
         };
-        let teller = tell(self.shared.clone(), cargo.epoch, cargo.owner, told);
+        let teller = tell(self.shared.clone(), request.epoch, request.owner, told);
         tokio::spawn(teller);
         Service {
-            epoch: cargo.epoch,
+            epoch: request.epoch,
             confirmed,
-            carrier: Carrier::new(self.shared.clone(), principal),
+            sender: OrderSender::new(self.shared.clone(), principal),
         }
     }
 
@@ -165,7 +165,7 @@
             let Some(to) = &link else {
                 continue;
             };
-            match to.report(message.clone(), LIMIT).await {
+            match to.report(message.clone(), TIMEOUT).await {
                 Some(done) => {
                     arrived = done;
                     break;
@@ -190,7 +190,7 @@
     }
 }
 
-/// Offers to carry orders to whoever owns the cell, for as long as the node runs.
+/// Offers to relay orders for whoever owns the cell, for as long as the node runs.
 pub(crate) async fn offer(shared: Arc<Shared>) {
     let cores = shared.settings.cores;
     let first = CORE_DELAY.div_f64(cores).min(MAX_DELAY);
@@ -213,7 +213,7 @@
             link = OwnerLink::connect(owner.addr).await;
         }
         let reply = match &link {
-            Some(to) => to.enlist(own_offer(&shared), LIMIT).await,
+            Some(to) => to.enlist(own_offer(&shared), TIMEOUT).await,
             None => None,
         };
         match reply {
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
-use crate::lapse::page_time;
+use crate::expiry::page_time;
 use crate::shared::Shared;
 use crate::topics::WORKERS;
 
@@ -18,7 +18,7 @@
 const READ_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Time for an answer beyond the wait.
-const READ_LIMIT: Duration = Duration::from_millis(900);
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Pause between reads. Every worker writes each second or two, so without it a read would
 /// bring one record; with it, some ten.
@@ -52,7 +52,7 @@
     let mut after: Option<String> = None;
     let mut end = None;
     let mut listed: Set<WorkerId> = Set::default();
-    let limit = READ_LIMIT + page_time(shared.settings.link);
+    let limit = READ_TIMEOUT + page_time(shared.settings.link);
     loop {
         let page = shared.store.newest(WORKERS, after.as_deref(), limit);
         let page = page.await?;
@@ -87,7 +87,7 @@
         }
         let page = shared
             .store
-            .read(WORKERS, next, READ_WAIT, READ_LIMIT)
+            .read(WORKERS, next, READ_WAIT, READ_TIMEOUT)
             .await;
         let page = match page {
             Ok(page) => page,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,12 +6,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cactuswheel_adapter::Store;
 use cactuswheel_model::{Set, Time};
-use cactuswheel_patience::Patience;
+use cactuswheel_rtt::RttEstimator;
 use cactuswheel_work::{FleetConfig, Wave, ZoneName};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::lapse::lapse;
+use crate::expiry::expiry;
 use crate::metrics::Metrics;
 use crate::order_log::OrderLog;
 use crate::owner_handle::OwnerHandle;
@@ -30,7 +30,7 @@
     /// The record of orders to instances.
     pub(crate) orders: OrderLog,
     /// How long the store's answers to appends take.
-    pub(crate) patience: Patience,
+    pub(crate) rtt: RttEstimator,
     pub(crate) metrics: Metrics,
     /// The newest configuration; `None` until the first was read.
     pub(crate) config: ArcSwapOption<FleetConfig>,
@@ -46,13 +46,13 @@
     /// The connection to the owner.
     pub(crate) link: ArcSwapOption<OwnerLink>,
     /// How long the owner takes to accept a job.
-    pub(crate) hand_ins: Patience,
+    pub(crate) hand_ins: RttEstimator,
     /// A connection to the owner is being made.
     pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
     /// Time without a renewal after which an ownership of this node may be claimed.
-    pub(crate) lapse: Duration,
+    pub(crate) expiry: Duration,
     /// The owner that is known does not answer: there may be another one.
     pub(crate) missed: Notify,
     /// When the write was sent that last confirmed this node's ownership.
@@ -75,22 +75,22 @@
 /// Shortest wait for the answer to an append before it is tried again beside. An append takes
 /// some ten milliseconds; a node that has used its processor up stands still for a tenth of a
 /// second.
-const LEAST_PATIENCE: Duration = Duration::from_millis(200);
+const MIN_APPEND_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Shortest and longest wait for the owner to accept a job before its front stores it by itself.
-const LEAST_HAND_IN: Duration = Duration::from_millis(400);
-const MOST_HAND_IN: Duration = Duration::from_millis(1_500);
+const MIN_HAND_IN_TIMEOUT: Duration = Duration::from_millis(400);
+const MAX_HAND_IN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Longest such wait, for a store that takes most of a second.
-const MOST_PATIENCE: Duration = Duration::from_millis(2_000);
+const MAX_APPEND_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 impl Shared {
     pub(crate) fn new(settings: Settings, life: u64, metrics: Metrics) -> Self {
         Self {
             store: Store::new(settings.store),
             orders: OrderLog::new(settings.parts),
-            patience: Patience::new(LEAST_PATIENCE, MOST_PATIENCE),
-            lapse: lapse(settings.link),
+            rtt: RttEstimator::new(MIN_APPEND_TIMEOUT, MAX_APPEND_TIMEOUT),
+            expiry: expiry(settings.link),
             missed: Notify::new(),
             settings,
             life,
@@ -103,7 +103,7 @@
             health: StoreHealth::default(),
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
-            hand_ins: Patience::new(LEAST_HAND_IN, MOST_HAND_IN),
+            hand_ins: RttEstimator::new(MIN_HAND_IN_TIMEOUT, MAX_HAND_IN_TIMEOUT),
             connecting: AtomicBool::new(false),
             own: ArcSwapOption::empty(),
             lead: AtomicU64::new(0),
@@ -167,10 +167,10 @@
 
     /// Whether this node's ownership was confirmed so lately that nobody else can have claimed it.
     pub(crate) fn leads(&self) -> bool {
-        self.lead_age() < self.lapse
+        self.lead_age() < self.expiry
     }
 
-    /// Leaves the ownership to others for a while: this node cannot carry it.
+    /// Leaves the ownership to others for a while: this node cannot hold it.
     pub(crate) fn decline(&self) {
         let until = self.clock.now().after(DECLINED);
         self.declined.store(until.get(), Ordering::Relaxed);
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -10,7 +10,7 @@
 use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
-use crate::lapse::page_time;
+use crate::expiry::page_time;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
@@ -18,14 +18,14 @@
 pub(crate) const OWNER_NAME: &str = "owner";
 
 /// Time without a part of the store's answer, beside what a large page takes on the link.
-const LIMIT: Duration = Duration::from_millis(1_500);
+const TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Partitions that are read at a time.
 ///
 /// Failure: all partitions are read at once over a narrow link, none is through within its time,
 /// and every try begins anew; the takeover never ends. Two at a time hide the way to the store,
 /// and leave the link to the renewals of the ownership.
-const SIDE_BY_SIDE: usize = 2;
+const MAX_IN_FLIGHT: usize = 2;
 
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(50);
@@ -90,7 +90,7 @@
     let parts = (0..shared.settings.parts).map(intake);
     let all = [JOURNAL].into_iter().chain(parts);
     let read = stream::iter(all.map(|part| newest(shared, part)));
-    let mut read: Vec<(Vec<Item>, u64)> = read.buffered(SIDE_BY_SIDE).collect().await;
+    let mut read: Vec<(Vec<Item>, u64)> = read.buffered(MAX_IN_FLIGHT).collect().await;
     let (journal, _) = read.remove(0);
     let (intake, ends): (Vec<Vec<Item>>, Vec<u64>) = read.into_iter().unzip();
     let intake: Vec<Item> = intake.into_iter().flatten().collect();
@@ -247,7 +247,7 @@
     };
     loop {
         let store = &shared.store;
-        let done = store.append(JOURNAL, Some(&producer), None, &[], LIMIT);
+        let done = store.append(JOURNAL, Some(&producer), None, &[], TIMEOUT);
         match done.await {
             Ok(_) => return Ok(()),
             Err(AppendError::Fenced) => return Err(TakeoverError::Deposed),
@@ -266,7 +266,7 @@
 async fn newest(shared: &Shared, of: Partition) -> (Vec<Item>, u64) {
     let mut items: Vec<Item> = Vec::new();
     let mut end = None;
-    let limit = LIMIT + page_time(shared.settings.link);
+    let limit = TIMEOUT + page_time(shared.settings.link);
     loop {
         let after = items.last().map(|i| i.key.clone());
         match shared.store.newest(of, after.as_deref(), limit).await {
--- a/crates/patience/src/lib.rs
+++ b/crates/rtt/src/lib.rs
@@ -27,7 +27,7 @@
 /// Callers on several tasks share one; two answers at the same moment may count as one, which
 /// moves the estimate a little and harms nothing.
 #[derive(Debug)]
-pub struct Patience {
+pub struct RttEstimator {
     /// Least and longest limit.
     bounds: (Duration, Duration),
     /// Smoothed time of an answer in microseconds; 0 before the first.
@@ -38,7 +38,7 @@
     doubled: AtomicU32,
 }
 
-impl Patience {
+impl RttEstimator {
     /// An estimator whose limit stays between `least` and `most`.
     pub fn new(least: Duration, most: Duration) -> Self {
         Self {
