--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -122,7 +122,7 @@
             for (rate, course) in &rates {
                 coming += share(course.at(slot), rate * SLOT_MS as f64 / 1_000.0);
             }
-            let short = load.ahead.at(slot) + coming;
+            let short = load.forecast.at(slot) + coming;
             // What could not start asks for its room all at once, for as long as its tasks run;
             // those that would be running still are in what is known already.
             let over = (slot as f64 - slots).max(0.0) / slot.max(1) as f64;
--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -10,8 +10,8 @@
 use crate::finished::{Finished, Kept};
 use crate::job::Job;
 use crate::journal::JobRecord;
-use crate::pass::held;
 use crate::run_state::Turn;
+use crate::schedule::held;
 
 impl Cell {
     /// Takes over a job that the journal knows; its submission has to be there already.
@@ -29,8 +29,8 @@
             return;
         };
         record.apply(job, now);
-        let copies: Vec<_> = job.copies().map(|(t, c)| (t, c.clone())).collect();
-        for (task, copy) in copies {
+        let attempts: Vec<_> = job.attempts().map(|(t, c)| (t, c.clone())).collect();
+        for (task, attempt) in attempts {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
@@ -38,8 +38,8 @@
             let Some(step) = sub.steps.get(index) else {
                 continue;
             };
-            let worker = self.worker_mut(&copy.worker);
-            worker.hold(task, held(copy.run, step));
+            let worker = self.worker_mut(&attempt.worker);
+            worker.hold(task, held(attempt.run, step));
             self.usage.add(sub.team.as_ref(), step.room);
         }
         let job = self.jobs.get(&id);
@@ -79,7 +79,7 @@
         if job.sub.times == 0 {
             job.turns.push(Turn::new(0, &job.sub.steps));
         }
-        job.beyond = self.is_beyond_share(&job);
+        job.over_share = self.is_over_share(&job);
         if !self.restoring {
             log_accepted(&job);
         }
@@ -93,7 +93,7 @@
         self.stirred = true;
     }
 
-    fn is_beyond_share(&mut self, job: &Job) -> bool {
+    fn is_over_share(&mut self, job: &Job) -> bool {
         let Some(team) = job.sub.team.as_ref().filter(|_| self.policy.shares) else {
             return false;
         };
@@ -133,7 +133,7 @@
         job:% = sub.job, queue:% = sub.queue, team = team, tasks = tasks,
         steps = sub.steps.len() as u64, cpu = first.room.cpu, memory = first.room.memory,
         chain_ms = job.chain(), lasting = sub.lasting(), filler = first.filler,
-        beyond_share = job.beyond, target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
+        over_share = job.over_share, target_ms = first.target.get(), spread = first.spread, budget:? = first.budget;
         "job accepted"
     );
 }
--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -4,8 +4,8 @@
 use cactuswheel_work::{Advice, ServiceName, StepId, WorkerId};
 
 use crate::cell::Cell;
+use crate::free_index::Scope;
 use crate::output::Output;
-use crate::rooms::Scope;
 
 /// Most workers named in one question. Each adds to the time of the answer, and a step seldom
 /// needs more; those with the most room are named first.
@@ -61,8 +61,8 @@
             return Permitted::Only(valid);
         }
         if tickets.asked.is_empty() {
-            let rooms = workers.rooms(service).into_iter();
-            let roomy = rooms.flat_map(|r| r.emptiest(Scope::All, 0));
+            let free_index = workers.free_index(service).into_iter();
+            let roomy = free_index.flat_map(|r| r.emptiest(Scope::All, 0));
             let open = roomy.filter_map(|n| workers.at(n));
             let open = open.filter(|w| w.is_open(now) && !tickets.bad.contains(&w.id));
             tickets.asked = open.take(NAMED).map(|w| w.id.clone()).collect();
--- a/crates/cell/src/copy.rs
+++ b/crates/cell/src/attempt.rs
@@ -20,7 +20,7 @@
 
 /// One run of a task on one worker.
 #[derive(Debug, Clone)]
-pub(crate) struct Copy {
+pub(crate) struct Attempt {
     pub(crate) worker: WorkerId,
     /// The worker's life, as its start in milliseconds since 1970.
     pub(crate) born: u64,
@@ -47,7 +47,7 @@
     pub(crate) pace: Option<u32>,
 }
 
-impl Copy {
+impl Attempt {
     pub(crate) fn new(worker: WorkerId, born: u64, run: u32, phase: Phase, now: Time) -> Self {
         Self {
             worker,
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -10,19 +10,19 @@
 };
 
 use crate::advice::Tickets;
+use crate::attempt::Phase;
 use crate::batch::{Consequences, Mark, PlannedStart};
 use crate::bounds::Bounds;
-use crate::copy::Phase;
 use crate::finished::Kept;
 use crate::job::Job;
 use crate::jobs::Jobs;
 use crate::learned::Learned;
-use crate::lines::Lines;
 use crate::output::Output;
 use crate::policy::WorkPolicy;
 use crate::run_state::Turn;
 use crate::shares::Shares;
 use crate::usage::Usage;
+use crate::wait_queue::WaitQueue;
 use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
 use crate::workers::Workers;
 
@@ -51,7 +51,7 @@
     /// Those that are not in a final state.
     pub(crate) open: Set<JobId>,
     /// Those with a task that waits for a worker.
-    pub(crate) lines: Lines,
+    pub(crate) wait_queue: WaitQueue,
     /// When the next occurrence of each job is due, in milliseconds since 1970.
     pub(crate) timed: BTreeSet<(u64, JobId)>,
     /// Jobs of which nothing is left to do, by the journal.
@@ -110,7 +110,7 @@
             config,
             jobs: Jobs::default(),
             open: Set::default(),
-            lines: Lines::default(),
+            wait_queue: WaitQueue::default(),
             timed: BTreeSet::new(),
             finished: Map::default(),
             oldest: VecDeque::new(),
@@ -279,10 +279,10 @@
     /// Derives anew what follows from the state of jobs and workers that changed.
     pub(crate) fn settle(&mut self) {
         self.workers.settle();
-        let due = self.lines.due(self.now);
+        let due = self.wait_queue.due(self.now);
         for id in self.jobs.take_touched().into_iter().chain(due) {
             let queued = self.jobs.get(&id).and_then(|job| self.queued(job));
-            self.lines.put(id, queued);
+            self.wait_queue.put(id, queued);
         }
     }
 
@@ -334,11 +334,11 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let copies: Vec<_> = job
-            .copies()
+        let attempts: Vec<_> = job
+            .attempts()
             .map(|(t, c)| (t, c.run, c.worker.clone(), c.phase))
             .collect();
-        for (task, run, worker, phase) in copies {
+        for (task, run, worker, phase) in attempts {
             match phase {
                 Phase::Planned => self.release(task, run, &worker),
                 _ => self.stop(task, run, &worker),
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -58,7 +58,7 @@
         let cancelled = job.state == JobState::Cancelled;
         let ended = known.and_then(|j| j.ended).unwrap_or(self.now);
         self.remember(id, Kept { job, ended });
-        self.lines.put(id, None);
+        self.wait_queue.put(id, None);
         self.tickets.retain(|step, _| step.job != id);
         if cancelled || !elsewhere {
             self.unneeded.push(id);
--- a/crates/cell/src/outlook.rs
+++ b/crates/cell/src/demand.rs
@@ -5,9 +5,9 @@
 use cactuswheel_model::Map;
 use cactuswheel_work::{Room, Step, TeamName};
 
-use crate::ahead::{Ahead, SLOT_MS, SLOTS};
+use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
-use crate::copy::{Copy, Phase};
+use crate::forecast::{Forecast, SLOT_MS, SLOTS};
 use crate::job::Job;
 use crate::learned::Learned;
 use crate::run_state::Turn;
@@ -40,10 +40,10 @@
             return;
         }
         let learned = self.learned.entry(job.sub.queue.clone()).or_default();
-        let mut course = Ahead::default();
+        let mut course = Forecast::default();
         for turn in &job.turns {
-            let mut outlook = Outlook::new(&mut course, learned);
-            outlook.add_turn(job, turn, |_, free| free);
+            let mut demand = Demand::new(&mut course, learned);
+            demand.add_turn(job, turn, |_, free| free);
         }
         learned.arrive(&course);
         if self.restoring {
@@ -53,14 +53,14 @@
 
     /// Adds what an open short job asks for now and later; what waits only as far as its team's
     /// limit lets it start, and apart from the rest if it is of no use any more.
-    pub(crate) fn add_ahead(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
+    pub(crate) fn add_forecast(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
         let overdue = self.rank(job).0.is_late();
         let nothing = Learned::default();
         let learned = self.learned.get(&job.sub.queue).unwrap_or(&nothing);
         for turn in &job.turns {
-            let mut outlook = Outlook::new(&mut load.ahead, learned);
-            outlook.now = self.now.get();
-            outlook.add_turn(job, turn, |step, free| {
+            let mut demand = Demand::new(&mut load.forecast, learned);
+            demand.now = self.now.get();
+            demand.add_turn(job, turn, |step, free| {
                 let free = self.startable(job, step, free, left);
                 if overdue {
                     load.overdue += step.reserved() * free;
@@ -76,18 +76,18 @@
 }
 
 /// Adds up what the steps of an occurrence ask for, one after the other.
-struct Outlook<'a> {
-    ahead: &'a mut Ahead,
+struct Demand<'a> {
+    forecast: &'a mut Forecast,
     learned: &'a Learned,
     now: u64,
     /// When each step is done, in milliseconds from now.
     ends: Vec<u64>,
 }
 
-impl<'a> Outlook<'a> {
-    fn new(ahead: &'a mut Ahead, learned: &'a Learned) -> Self {
+impl<'a> Demand<'a> {
+    fn new(forecast: &'a mut Forecast, learned: &'a Learned) -> Self {
         Self {
-            ahead,
+            forecast,
             learned,
             now: 0,
             ends: Vec::new(),
@@ -108,9 +108,9 @@
             }
             let whole = self.learned.run_time(step.estimate);
             let mut end = begin;
-            for copy in run.tasks.iter().flat_map(|t| &t.copies) {
-                let left = self.left(copy, whole);
-                self.ahead.add(step.reserved(), 0, left);
+            for attempt in run.tasks.iter().flat_map(|t| &t.attempts) {
+                let left = self.left(attempt, whole);
+                self.forecast.add(step.reserved(), 0, left);
                 end = end.max(left);
             }
             let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
@@ -118,7 +118,7 @@
                 true => startable(step, free),
                 false => free,
             };
-            self.ahead
+            self.forecast
                 .add(step.reserved() * starting, begin, begin + whole);
             end = match starting < free {
                 true => NEVER,
@@ -130,14 +130,14 @@
     }
 
     /// Time, in milliseconds, that a run has left of a task that takes `whole`.
-    fn left(&self, copy: &Copy, whole: u64) -> u64 {
-        if copy.phase == Phase::Stopping {
+    fn left(&self, attempt: &Attempt, whole: u64) -> u64 {
+        if attempt.phase == Phase::Stopping {
             return SLOT_MS;
         }
-        let begun = copy.started.get();
-        let percent = u64::from(copy.percent);
-        let whole = match percent >= TELLING && copy.phase == Phase::Running {
-            true => copy.moved.get().saturating_sub(begun) * 100 / percent,
+        let begun = attempt.started.get();
+        let percent = u64::from(attempt.percent);
+        let whole = match percent >= TELLING && attempt.phase == Phase::Running {
+            true => attempt.moved.get().saturating_sub(begun) * 100 / percent,
             false => whole,
         };
         let gone = self.now.saturating_sub(begun);
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -3,8 +3,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{End, How, JobState, Step, TaskId, WorkerId};
 
+use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
-use crate::copy::{Copy, Phase};
 use crate::job::Job;
 
 impl Cell {
@@ -14,8 +14,8 @@
         if end.how == How::Done && self.is_redone(task, run) {
             self.bar(id, end);
         }
-        let copy = self.copy_mut(task, run, id);
-        let Some((phase, started)) = copy.map(|c| (c.phase, c.started)) else {
+        let attempt = self.attempt_mut(task, run, id);
+        let Some((phase, started)) = attempt.map(|c| (c.phase, c.started)) else {
             self.take_late_end(id, end);
             return;
         };
@@ -96,7 +96,7 @@
             How::Done => {
                 log::info!(task:% = task, run = run, worker:% = id; "run given up was done");
                 let others: Vec<_> = state
-                    .copies
+                    .attempts
                     .iter()
                     .map(|c| (c.run, c.worker.clone()))
                     .collect();
@@ -153,7 +153,7 @@
                 step.done += 1;
             }
         }
-        let others = step.tasks[index].copies.iter();
+        let others = step.tasks[index].attempts.iter();
         let others: Vec<_> = others.map(|c| (c.run, c.worker.clone())).collect();
         let complete = job.is_open() && job.is_done();
         self.dirty.insert(task.job());
@@ -234,11 +234,11 @@
         let Some(state) = job.task_mut(task) else {
             return;
         };
-        let mut copies = state.copies.iter();
-        let Some(at) = copies.position(|c| c.run == run && c.worker == *id) else {
+        let mut attempts = state.attempts.iter();
+        let Some(at) = attempts.position(|c| c.run == run && c.worker == *id) else {
             return;
         };
-        let phase = state.copies.remove(at).phase;
+        let phase = state.attempts.remove(at).phase;
         let step = sub.steps.get(task.step.step as usize);
         if let Some(step) = step {
             self.usage.remove(sub.team.as_ref(), step.room);
@@ -266,7 +266,7 @@
         }
         let tasks = step.tasks.iter().enumerate();
         let left: Vec<_> = tasks
-            .flat_map(|(i, t)| t.copies.iter().map(move |c| (i, c)))
+            .flat_map(|(i, t)| t.attempts.iter().map(move |c| (i, c)))
             .filter(|(_, c)| c.run == run && c.phase != Phase::Stopping)
             .map(|(i, c)| (i, c.worker.clone(), c.phase))
             .collect();
@@ -285,13 +285,13 @@
     /// Tells a worker to stop a run; its room stays taken until the run is listed as ended.
     pub(crate) fn stop(&mut self, task: TaskId, run: u32, id: &WorkerId) {
         let now = self.now;
-        let Some(copy) = self.copy_mut(task, run, id) else {
+        let Some(attempt) = self.attempt_mut(task, run, id) else {
             return;
         };
-        if copy.phase == Phase::Stopping {
+        if attempt.phase == Phase::Stopping {
             return;
         }
-        copy.enter(Phase::Stopping, now);
+        attempt.enter(Phase::Stopping, now);
         self.send_stop(id, task, run);
     }
 
@@ -338,11 +338,14 @@
         };
         let held: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
         for (task, run) in held {
-            if let Some(copy) = self.copy_mut(task, run, id).filter(|c| !c.listed) {
-                copy.born = born;
+            if let Some(attempt) = self.attempt_mut(task, run, id).filter(|c| !c.listed) {
+                attempt.born = born;
                 continue;
             }
-            if self.copy_mut(task, run, id).is_some_and(|c| c.born == born) {
+            if self
+                .attempt_mut(task, run, id)
+                .is_some_and(|c| c.born == born)
+            {
                 continue;
             }
             log::info!(task:% = task, run = run, worker:% = id, born = born; "run lost");
@@ -375,10 +378,17 @@
         }
     }
 
-    pub(crate) fn copy_mut(&mut self, task: TaskId, run: u32, id: &WorkerId) -> Option<&mut Copy> {
+    pub(crate) fn attempt_mut(
+        &mut self,
+        task: TaskId,
+        run: u32,
+        id: &WorkerId,
+    ) -> Option<&mut Attempt> {
         let job = self.jobs.observe(&task.job())?;
-        let copies = &mut job.task_mut(task)?.copies;
-        copies.iter_mut().find(|c| c.run == run && c.worker == *id)
+        let attempts = &mut job.task_mut(task)?.attempts;
+        attempts
+            .iter_mut()
+            .find(|c| c.run == run && c.worker == *id)
     }
 
     /// A job's objective in milliseconds, by the caller's estimates.
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -6,12 +6,12 @@
 use cactuswheel_model::Set;
 use cactuswheel_work::{Step, TaskId, WorkerId};
 
+use crate::attempt::Attempt;
 use crate::cell::Cell;
-use crate::copy::Copy;
+use crate::free_index::Scope;
 use crate::job::Job;
-use crate::pass::beside;
-use crate::rooms::Scope;
 use crate::run_state::StepRun;
+use crate::schedule::beside;
 
 /// Time between two tries to let lasting work leave: a start elsewhere is seen at work after
 /// some hundred milliseconds, and each try looks at every run that may leave.
@@ -80,11 +80,14 @@
             return true;
         };
         let mine = &run.tasks[task.index as usize];
-        let at_work = |c: &Copy| c.is_at_work() && self.is_telling(c);
-        let running = mine.copies.iter().all(|c| c.worker != *from || at_work(c));
+        let at_work = |c: &Attempt| c.is_at_work() && self.is_telling(c);
+        let running = mine
+            .attempts
+            .iter()
+            .all(|c| c.worker != *from || at_work(c));
         let others = run.tasks.iter().enumerate();
         let others = others.filter(|(i, _)| *i != task.index as usize);
-        let away = others.filter(|(_, t)| !t.copies.iter().any(at_work));
+        let away = others.filter(|(_, t)| !t.attempts.iter().any(at_work));
         let budget = step.budget.unwrap_or(1).max(1);
         running && (away.count() as u32) < budget && self.has_place(job, step, run)
     }
@@ -94,13 +97,13 @@
     /// What a silent worker said last is no word on what runs there now. Nor is what one lists of
     /// an earlier owner's run until a stop which that one may have ordered would be through: the
     /// run is listed as before meanwhile, and a step with a budget of two would lose three tasks.
-    fn is_telling(&self, copy: &Copy) -> bool {
-        let Some(worker) = self.workers.get(&copy.worker) else {
+    fn is_telling(&self, attempt: &Attempt) -> bool {
+        let Some(worker) = self.workers.get(&attempt.worker) else {
             return false;
         };
         let stop = self.bounds.stop.duration();
         let met = worker.met.is_some_and(|at| self.now.since(at) > stop);
-        worker.missed == 0 && (copy.is_own() || met)
+        worker.missed == 0 && (attempt.is_own() || met)
     }
 
     /// Whether a worker could take one more task of a step now.
@@ -111,10 +114,10 @@
     fn has_place(&self, job: &Job, step: &Step, run: &StepRun) -> bool {
         let service = self.service_of(job);
         let beside = beside(run);
-        let Some(rooms) = self.workers.rooms(&service) else {
+        let Some(free_index) = self.workers.free_index(&service) else {
             return false;
         };
-        let roomy = rooms.emptiest(Scope::All, step.reserved().cpu);
+        let roomy = free_index.emptiest(Scope::All, step.reserved().cpu);
         let mut open = roomy.filter_map(|n| self.workers.at(n));
         open.any(|w| {
             let Some(entry) = w.entry.as_ref().filter(|_| w.is_open(self.now)) else {
--- a/crates/cell/src/ahead.rs
+++ b/crates/cell/src/forecast.rs
@@ -10,11 +10,11 @@
 
 /// Room that is asked for in each slot from now on, if there is room for everything.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Ahead {
+pub struct Forecast {
     slots: [Room; SLOTS],
 }
 
-impl Ahead {
+impl Forecast {
     /// The same room in every slot.
     pub fn steady(room: Room) -> Self {
         Self {
--- a/crates/cell/src/rooms.rs
+++ b/crates/cell/src/free_index.rs
@@ -35,7 +35,7 @@
 ///
 /// Finding the fullest worker with room costs the same among fifty workers and among thousands.
 #[derive(Debug, Default)]
-pub(crate) struct Rooms {
+pub(crate) struct FreeIndex {
     all: BTreeSet<Slot>,
     zones: Map<ZoneName, Zone>,
 }
@@ -46,7 +46,7 @@
     racks: Map<Arc<str>, BTreeSet<Slot>>,
 }
 
-impl Rooms {
+impl FreeIndex {
     pub(crate) fn is_empty(&self) -> bool {
         self.all.is_empty()
     }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -27,7 +27,7 @@
     /// Whether any task was ever seen to start.
     pub(crate) started: bool,
     /// Whether it is beyond its team's share: with the fleet full it waits for the others.
-    pub(crate) beyond: bool,
+    pub(crate) over_share: bool,
     /// Whether this owner has planned a run of it.
     pub(crate) begun: bool,
     /// Tasks that were started anew after a run had been given up unseen.
@@ -36,7 +36,7 @@
     pub(crate) in_intake: bool,
     /// The journal holds its submission.
     pub(crate) in_journal: bool,
-    /// It changed since it was last put in line.
+    /// It changed since it was last queued.
     pub(crate) touched: bool,
 }
 
@@ -52,7 +52,7 @@
             ended: None,
             tails,
             started: false,
-            beyond: false,
+            over_share: false,
             begun: false,
             redone: Vec::new(),
             in_intake: true,
@@ -63,7 +63,7 @@
 
     /// What is kept of it once it is in a final state and no run of it is left.
     pub(crate) fn finished(&self) -> Option<Finished> {
-        let over = self.state.is_final() && self.copies().next().is_none();
+        let over = self.state.is_final() && self.attempts().next().is_none();
         over.then(|| Finished {
             state: self.state,
             team: self.sub.team.clone(),
@@ -126,14 +126,14 @@
     }
 
     /// Tasks with a run somewhere, with the run's worker.
-    pub(crate) fn copies(&self) -> impl Iterator<Item = (TaskId, &crate::copy::Copy)> {
+    pub(crate) fn attempts(&self) -> impl Iterator<Item = (TaskId, &crate::attempt::Attempt)> {
         let job = self.sub.job;
         self.turns.iter().flat_map(move |turn| {
             turn.steps.iter().enumerate().flat_map(move |(s, step)| {
                 let tasks = step.tasks.iter().enumerate();
                 tasks.flat_map(move |(i, task)| {
                     let id = task_id(job, turn.number, s, i);
-                    task.copies.iter().map(move |c| (id, c))
+                    task.attempts.iter().map(move |c| (id, c))
                 })
             })
         })
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -5,7 +5,7 @@
 
 use crate::job::Job;
 
-/// The jobs of a cell, and which of them changed since they were last put in line.
+/// The jobs of a cell, and which of them changed since they were last queued.
 #[derive(Debug, Default)]
 pub(crate) struct Jobs {
     all: Map<JobId, Job>,
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::copy::{Copy, Phase};
+use crate::attempt::{Attempt, Phase};
 use crate::finished::{Finished, Redone};
 use crate::job::Job;
 use crate::run_state::{StepRun, Task, Turn};
@@ -89,7 +89,7 @@
     checkpoint: String,
     given_up: bool,
     /// Places and numbers of runs.
-    copies: Vec<(u32, u32)>,
+    attempts: Vec<(u32, u32)>,
 }
 
 /// Encodes a [`JobRecord`] or a [`Submission`].
@@ -167,10 +167,16 @@
 
 impl Places<'_> {
     /// A run at a place; `None` if the record names no such place.
-    fn copy(&self, place: u32, run: u32) -> Option<Copy> {
+    fn attempt(&self, place: u32, run: u32) -> Option<Attempt> {
         let place = self.known.get(place as usize)?;
         let worker = place.worker.clone();
-        Some(Copy::new(worker, place.born, run, Phase::Unknown, self.now))
+        Some(Attempt::new(
+            worker,
+            place.born,
+            run,
+            Phase::Unknown,
+            self.now,
+        ))
     }
 }
 
@@ -212,13 +218,13 @@
 
 impl TaskRecord {
     fn new(task: &Task, places: &mut Vec<PlaceRecord>) -> Self {
-        if task.done && task.copies.is_empty() {
+        if task.done && task.attempts.is_empty() {
             return Self::Done;
         }
         let bare = task.fails.is_empty() && task.checkpoint.is_empty() && !task.given_up;
-        match (task.run, task.copies.as_slice()) {
+        match (task.run, task.attempts.as_slice()) {
             (0, []) if bare => Self::Fresh,
-            (1, [copy]) if bare && !task.done => Self::First(place(copy, places)),
+            (1, [attempt]) if bare && !task.done => Self::First(place(attempt, places)),
             _ => Self::Other(OtherRecord::new(task, places)),
         }
     }
@@ -235,7 +241,7 @@
             Self::First(place) => Task {
                 run: 1,
                 started: true,
-                copies: places.copy(place, 1).into_iter().collect(),
+                attempts: places.attempt(place, 1).into_iter().collect(),
                 ..Task::default()
             },
             Self::Other(record) => record.task(places),
@@ -245,19 +251,19 @@
 
 impl OtherRecord {
     fn new(task: &Task, places: &mut Vec<PlaceRecord>) -> Self {
-        let copies = task.copies.iter();
+        let attempts = task.attempts.iter();
         Self {
             run: task.run,
             fails: task.fails.clone(),
             done: task.done,
             checkpoint: task.checkpoint.clone(),
             given_up: task.given_up,
-            copies: copies.map(|c| (place(c, places), c.run)).collect(),
+            attempts: attempts.map(|c| (place(c, places), c.run)).collect(),
         }
     }
 
     fn task(self, places: &Places<'_>) -> Task {
-        let copies = self.copies.into_iter();
+        let attempts = self.attempts.into_iter();
         Task {
             run: self.run,
             fails: self.fails,
@@ -265,8 +271,8 @@
             started: self.run > 0,
             checkpoint: self.checkpoint,
             given_up: self.given_up,
-            copies: copies
-                .filter_map(|(at, run)| places.copy(at, run))
+            attempts: attempts
+                .filter_map(|(at, run)| places.attempt(at, run))
                 .collect(),
             failed_on: None,
         }
@@ -274,13 +280,13 @@
 }
 
 /// Number of a run's place in the record.
-fn place(copy: &Copy, places: &mut Vec<PlaceRecord>) -> u32 {
+fn place(attempt: &Attempt, places: &mut Vec<PlaceRecord>) -> u32 {
     let mut known = places.iter();
-    let at = known.position(|p| p.worker == copy.worker && p.born == copy.born);
+    let at = known.position(|p| p.worker == attempt.worker && p.born == attempt.born);
     let at = at.unwrap_or_else(|| {
         places.push(PlaceRecord {
-            worker: copy.worker.clone(),
-            born: copy.born,
+            worker: attempt.worker.clone(),
+            born: attempt.born,
         });
         places.len() - 1
     });
--- a/crates/cell/src/learned.rs
+++ b/crates/cell/src/learned.rs
@@ -4,7 +4,7 @@
 
 use cactuswheel_model::{Millis, Time};
 
-use crate::ahead::Ahead;
+use crate::forecast::Forecast;
 
 /// Jobs over which the mean course of a job is taken: sizes within a queue differ by a factor of
 /// ten, so that fewer say little, and a queue whose jobs change is known anew within seconds.
@@ -24,7 +24,7 @@
     /// When those among them arrived that an earlier owner has taken in.
     pub earlier: Vec<Time>,
     /// What a job asks for from its arrival on, on average.
-    pub course: Ahead,
+    pub course: Forecast,
 }
 
 /// Times that were taken and what had been guessed of them, older ones counting less.
@@ -64,7 +64,7 @@
 
 impl Learned {
     /// A job has arrived that asks for this from now on.
-    pub(crate) fn arrive(&mut self, course: &Ahead) {
+    pub(crate) fn arrive(&mut self, course: &Forecast) {
         let arrivals = &mut self.arrivals;
         arrivals.jobs += 1;
         let count = arrivals.jobs.min(MEAN_OVER);
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -38,7 +38,7 @@
     /// Adds what a job's tasks ask for, as far as its team's limit lets them start.
     fn add_waiting(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
         if !job.sub.lasting() {
-            return self.add_ahead(job, load, left);
+            return self.add_forecast(job, load, left);
         }
         for turn in &job.turns {
             for (run, step) in turn.steps.iter().zip(job.sub.steps.iter()) {
@@ -109,12 +109,12 @@
         let job = self.jobs.get(&id)?;
         let steps = job.turns.iter().flat_map(|t| &t.steps);
         let tasks: Vec<_> = steps.flat_map(|s| &s.tasks).collect();
-        let runs = job.copies().map(|(task, copy)| RunView {
+        let runs = job.attempts().map(|(task, attempt)| RunView {
             task,
-            worker: copy.worker.clone(),
-            run: copy.run,
-            phase: format!("{:?}", copy.phase).to_lowercase(),
-            percent: copy.percent,
+            worker: attempt.worker.clone(),
+            run: attempt.run,
+            phase: format!("{:?}", attempt.phase).to_lowercase(),
+            percent: attempt.percent,
         });
         Some(JobView {
             queue: job.sub.queue.clone(),
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -5,8 +5,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{HoldOrder, How, Look, LookError, StopOrder, TaskId, WorkerId};
 
+use crate::attempt::Phase;
 use crate::cell::{Cell, RETRY_LOOK};
-use crate::copy::Phase;
 use crate::output::Output;
 use crate::worker::Looking;
 
@@ -180,26 +180,26 @@
         let absent: Vec<(TaskId, u32)> = absent.collect();
         let mut doubtful = false;
         for (task, run) in absent {
-            let Some(copy) = self.copy_mut(task, run, id) else {
+            let Some(attempt) = self.attempt_mut(task, run, id) else {
                 // The job is gone: nothing else will ever release the room.
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.drop_run(task, run);
                 }
                 continue;
             };
-            let gone = match copy.phase {
+            let gone = match attempt.phase {
                 Phase::Planned | Phase::Ordered => false,
                 // Older orders do nothing any more, so it will not start either.
-                Phase::Unknown => copy.fence < fence,
-                Phase::Running => copy.since < sent,
-                Phase::Stopping if copy.sure => copy.since < sent,
+                Phase::Unknown => attempt.fence < fence,
+                Phase::Running => attempt.since < sent,
+                Phase::Stopping if attempt.sure => attempt.since < sent,
                 Phase::Stopping => {
-                    doubtful |= copy.since < sent;
-                    copy.fence < fence
+                    doubtful |= attempt.since < sent;
+                    attempt.fence < fence
                 }
             };
             if gone {
-                let phase = format!("{:?}", copy.phase);
+                let phase = format!("{:?}", attempt.phase);
                 log::info!(
                     task:% = task, run = run, worker:% = id, phase:% = phase, fence = fence;
                     "run is not there"
--- a/crates/cell/src/pacing.rs
+++ b/crates/cell/src/pacing.rs
@@ -9,8 +9,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{PaceOrder, PlainOutcome, TaskId, WorkerId};
 
+use crate::attempt::Phase;
 use crate::cell::Cell;
-use crate::copy::Phase;
 use crate::output::Output;
 
 /// Share of its target from which a serving task is in danger.
@@ -90,14 +90,14 @@
             return;
         };
         for (task, run) in fillers {
-            let Some(copy) = self.copy_mut(task, run, id) else {
+            let Some(attempt) = self.attempt_mut(task, run, id) else {
                 continue;
             };
             // A run starts at full pace, whatever the others beside it were told.
-            if copy.phase != Phase::Running || copy.pace == Some(percent) {
+            if attempt.phase != Phase::Running || attempt.pace == Some(percent) {
                 continue;
             }
-            copy.pace = Some(percent);
+            attempt.pace = Some(percent);
             self.out.push(Output::Pace {
                 worker: id.clone(),
                 addr,
@@ -120,8 +120,8 @@
         if outcome == PlainOutcome::Done {
             return;
         }
-        if let Some(copy) = self.copy_mut(order.task, order.run, id) {
-            copy.pace = None;
+        if let Some(attempt) = self.attempt_mut(order.task, order.run, id) {
+            attempt.pace = None;
         }
         if outcome == PlainOutcome::Unknown {
             self.doubt(id, "throttle order without an answer");
@@ -133,8 +133,8 @@
         let job = self.jobs.get(&task.job())?;
         let target = job.step(task)?.target.get() as f64;
         let tasks = &job.step_run(task)?.tasks;
-        let mut copies = tasks.get(task.index as usize)?.copies.iter();
-        let copy = copies.find(|c| c.run == run && c.worker == *id)?;
-        Some(copy.gauge as f64 / target.max(1.0))
+        let mut attempts = tasks.get(task.index as usize)?.attempts.iter();
+        let attempt = attempts.find(|c| c.run == run && c.worker == *id)?;
+        Some(attempt.gauge as f64 / target.max(1.0))
     }
 }
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -8,7 +8,7 @@
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{ServiceName, Step, WorkerEntry, WorkerId, ZoneName};
 
-use crate::rooms::{Rooms, Scope};
+use crate::free_index::{FreeIndex, Scope};
 use crate::worker::Worker;
 use crate::workers::Workers;
 
@@ -19,12 +19,12 @@
 /// for it until its lease has run out. With its tasks in one data centre, and in one rack of it
 /// as far as there is room, three jobs in four are not touched.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Home {
+pub(crate) struct Affinity {
     pub(crate) zone: ZoneName,
     pub(crate) rack: Option<String>,
 }
 
-impl Home {
+impl Affinity {
     pub(crate) fn of(entry: &WorkerEntry) -> Self {
         Self {
             zone: entry.zone.clone(),
@@ -35,7 +35,7 @@
 
 /// What is asked of a place.
 #[derive(Debug)]
-pub(crate) struct Wish<'a> {
+pub(crate) struct Constraints<'a> {
     pub(crate) step: &'a Step,
     /// Tasks of the step on each worker.
     pub(crate) beside: &'a Map<WorkerId, u32>,
@@ -44,7 +44,7 @@
     /// Rack on which the rest of the step runs, where that matters.
     pub(crate) rack: Option<&'a str>,
     /// Where the job's other tasks are, if any runs.
-    pub(crate) home: Option<&'a Home>,
+    pub(crate) home: Option<&'a Affinity>,
     /// Workers that the queue's policy allows; `None` if it has none.
     pub(crate) allowed: Option<&'a [WorkerId]>,
     /// Workers on instances that are to be maintained before long.
@@ -54,17 +54,17 @@
 }
 
 /// The best worker of a service for a task, if any can take it.
-pub(crate) fn choose(
+pub(crate) fn pick_worker(
     workers: &Workers,
     service: &ServiceName,
-    wish: &Wish<'_>,
+    constraints: &Constraints<'_>,
     now: Time,
 ) -> Option<WorkerId> {
-    let rooms = workers.rooms(service)?;
-    let step = wish.step;
+    let free_index = workers.free_index(service)?;
+    let step = constraints.step;
     let found = match step.lasting || step.filler || step.serves() {
-        true => cheapest(workers, rooms, wish, now),
-        false => nearest(workers, rooms, wish, now),
+        true => cheapest(workers, free_index, constraints, now),
+        false => nearest(workers, free_index, constraints, now),
     };
     found.map(|w| w.id.clone())
 }
@@ -73,12 +73,12 @@
 /// anywhere; one on which it failed comes last.
 fn nearest<'a>(
     workers: &'a Workers,
-    rooms: &Rooms,
-    wish: &Wish<'_>,
+    free_index: &FreeIndex,
+    constraints: &Constraints<'_>,
     now: Time,
 ) -> Option<&'a Worker> {
-    let near = wish.rack.or(wish.step.near.as_deref());
-    let home = wish.home;
+    let near = constraints.rack.or(constraints.step.near.as_deref());
+    let home = constraints.home;
     let rack = home.and_then(|h| Some(Scope::Rack(&h.zone, h.rack.as_deref()?)));
     let scopes = [
         near.map(Scope::Named),
@@ -86,50 +86,50 @@
         home.map(|h| Scope::Zone(&h.zone)),
         Some(Scope::All),
     ];
-    let sound = |w: &Worker| wish.avoid != Some(&w.id) && fits(w, wish, now);
+    let sound = |w: &Worker| constraints.avoid != Some(&w.id) && fits(w, constraints, now);
     let mut scopes = scopes.into_iter().flatten();
-    let found = scopes.find_map(|scope| first(workers, rooms, scope, wish, &sound));
+    let found = scopes.find_map(|scope| first(workers, free_index, scope, constraints, &sound));
     found.or_else(|| {
-        let failed = workers.get(wish.avoid?)?;
-        let any = |w: &Worker| w.id == failed.id && fits(w, wish, now);
-        first(workers, rooms, Scope::All, wish, &any)
+        let failed = workers.get(constraints.avoid?)?;
+        let any = |w: &Worker| w.id == failed.id && fits(w, constraints, now);
+        first(workers, free_index, Scope::All, constraints, &any)
     })
 }
 
 fn first<'a>(
     workers: &'a Workers,
-    rooms: &Rooms,
+    free_index: &FreeIndex,
     scope: Scope<'_>,
-    wish: &Wish<'_>,
+    constraints: &Constraints<'_>,
     wanted: &impl Fn(&Worker) -> bool,
 ) -> Option<&'a Worker> {
-    let need = wish.step.reserved().cpu;
+    let need = constraints.step.reserved().cpu;
     let worker = |number| workers.at(number).filter(|w| wanted(w));
-    match wish.pack {
-        true => rooms.fullest(scope, need).find_map(worker),
-        false => rooms.emptiest(scope, need).find_map(worker),
+    match constraints.pack {
+        true => free_index.fullest(scope, need).find_map(worker),
+        false => free_index.emptiest(scope, need).find_map(worker),
     }
 }
 
 /// The worker where the least speaks against the task, all of them compared.
 fn cheapest<'a>(
     workers: &'a Workers,
-    rooms: &Rooms,
-    wish: &Wish<'_>,
+    free_index: &FreeIndex,
+    constraints: &Constraints<'_>,
     now: Time,
 ) -> Option<&'a Worker> {
-    let roomy = rooms.fullest(Scope::All, wish.step.reserved().cpu);
+    let roomy = free_index.fullest(Scope::All, constraints.step.reserved().cpu);
     let fitting = roomy.filter_map(|n| workers.at(n));
-    let fitting = fitting.filter(|w| fits(w, wish, now));
-    fitting.min_by_key(|w| cost(w, wish))
+    let fitting = fitting.filter(|w| fits(w, constraints, now));
+    fitting.min_by_key(|w| cost(w, constraints))
 }
 
-fn fits(w: &Worker, wish: &Wish<'_>, now: Time) -> bool {
-    let step = wish.step;
+fn fits(w: &Worker, constraints: &Constraints<'_>, now: Time) -> bool {
+    let step = constraints.step;
     let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
     let labelled = |label: &String| labels.is_some_and(|l| l.contains(label));
     let apart = || {
-        let beside = wish.beside.get(&w.id).copied().unwrap_or_default();
+        let beside = constraints.beside.get(&w.id).copied().unwrap_or_default();
         step.spread == 0 || beside < step.spread
     };
     step.reserved().fits(w.free())
@@ -137,28 +137,28 @@
         && (!w.health.is_on_trial() || w.held.is_empty())
         && step.label.as_ref().is_none_or(labelled)
         && apart()
-        && wish.allowed.is_none_or(|a| a.contains(&w.id))
+        && constraints.allowed.is_none_or(|a| a.contains(&w.id))
 }
 
 /// Lower is better; earlier parts decide.
 type Cost = (bool, bool, bool, bool, std::cmp::Reverse<usize>, u64);
 
-fn cost(w: &Worker, wish: &Wish<'_>) -> Cost {
-    let step = wish.step;
-    let failed = wish.avoid == Some(&w.id);
-    let near = wish.rack.or(step.near.as_deref());
+fn cost(w: &Worker, constraints: &Constraints<'_>) -> Cost {
+    let step = constraints.step;
+    let failed = constraints.avoid == Some(&w.id);
+    let near = constraints.rack.or(step.near.as_deref());
     let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
     let here = |rack: &str| labels.is_some_and(|l| l.iter().any(|l| l == rack));
     let far = near.is_some_and(|rack| !here(rack));
     let disturbs = (step.filler && w.serving > 0) || (step.serves() && w.fillers > 0);
     // Failure: lasting work that leaves for a wave goes to an instance of the same wave, and has
     // to leave again; its budget lets one task move at a time, so the wave is late.
-    let moves_again = step.lasting && wish.due.contains(&w.id);
+    let moves_again = step.lasting && constraints.due.contains(&w.id);
     let company = match step.lasting {
         true => w.lasting,
         false => 0,
     };
-    let left = match wish.pack {
+    let left = match constraints.pack {
         true => w.free().cpu,
         false => u64::MAX - w.free().cpu,
     };
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -4,7 +4,7 @@
 
 use cactuswheel_model::Time;
 
-use crate::copy::Copy;
+use crate::attempt::Attempt;
 
 /// Time without progress after which a run stands still. A worker that works shows progress of a
 /// hundredth several times within it, for runs of up to a minute.
@@ -18,10 +18,10 @@
 ///
 /// How slow a run is says nothing: callers' guesses are off by two and more, and a bound of four
 /// times the guess moved 71 sound runs in half a minute without any fault.
-pub(crate) fn stands_still(copy: &Copy, lasting: bool, now: Time) -> bool {
-    let still = now.since(copy.moved);
+pub(crate) fn stands_still(attempt: &Attempt, lasting: bool, now: Time) -> bool {
+    let still = now.since(attempt.moved);
     match lasting {
-        true => copy.percent < 100 && still >= IDLE,
+        true => attempt.percent < 100 && still >= IDLE,
         false => still >= STILL,
     }
 }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -37,9 +37,9 @@
     /// Can be done while it is of some use.
     Late,
     /// Is beyond its team's share, and can meet its objective.
-    TimelyBeyond,
+    TimelyOverShare,
     /// Is beyond its team's share, and can be done while it is of some use.
-    LateBeyond,
+    LateOverShare,
     /// Is of no use any more, but was accepted.
     Overdue,
 }
@@ -55,7 +55,10 @@
 
     /// Whether the job cannot meet its objective any more, or is of no use at all.
     pub(crate) fn is_late(self) -> bool {
-        matches!(self.class, Class::Late | Class::LateBeyond | Class::Overdue)
+        matches!(
+            self.class,
+            Class::Late | Class::LateOverShare | Class::Overdue
+        )
     }
 }
 
@@ -80,8 +83,8 @@
     if slack >= 0.0 {
         let at = Time::new(now.get() + slack as u64);
         let rank = Rank {
-            class: match job.beyond {
-                true => Class::TimelyBeyond,
+            class: match job.over_share {
+                true => Class::TimelyOverShare,
                 false => Class::Timely,
             },
             priority,
@@ -91,9 +94,9 @@
         return (rank, Time::new(at.get() + 1));
     }
     let useful = waited + left <= objective * LATE_FACTOR;
-    let class = match (useful, job.beyond) {
+    let class = match (useful, job.over_share) {
         (true, false) => Class::Late,
-        (true, true) => Class::LateBeyond,
+        (true, true) => Class::LateOverShare,
         (false, _) => Class::Overdue,
     };
     let rank = Rank {
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -4,7 +4,7 @@
 
 use cactuswheel_work::Step;
 
-use crate::copy::Copy;
+use crate::attempt::Attempt;
 
 /// One occurrence of a job.
 #[derive(Debug, Clone)]
@@ -39,7 +39,7 @@
     /// Runs that are, or may be, somewhere.
     ///
     /// Invariant: at most one unless the step is speculative; all on different workers.
-    pub(crate) copies: Vec<Copy>,
+    pub(crate) attempts: Vec<Attempt>,
     /// Its last run was given up while its worker was silent, and may have been done.
     pub(crate) given_up: bool,
     /// Worker of the last run that failed.
@@ -80,6 +80,6 @@
 impl Task {
     /// Whether it should run and has no run anywhere.
     pub(crate) fn is_free(&self) -> bool {
-        !self.done && self.copies.is_empty()
+        !self.done && self.attempts.is_empty()
     }
 }
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -5,8 +5,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{Running, TaskId, WorkerId};
 
+use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
-use crate::copy::{Copy, Phase};
 use crate::progress::stands_still;
 
 /// Time after which an order to stop is repeated if the run is still listed.
@@ -60,23 +60,23 @@
         let Some(task) = job.task_mut(row.task) else {
             return Some(Need::Unwanted);
         };
-        let mut copies = task.copies.iter_mut();
-        let copy = copies.find(|c| c.worker == *id && c.run == row.run);
-        let Some(copy) = copy else {
+        let mut attempts = task.attempts.iter_mut();
+        let attempt = attempts.find(|c| c.worker == *id && c.run == row.run);
+        let Some(attempt) = attempt else {
             return Some(Need::Unwanted);
         };
         task.started = true;
         if !row.checkpoint.is_empty() {
             task.checkpoint.clone_from(&row.checkpoint);
         }
-        see(copy, row, now);
-        if copy.phase == Phase::Stopping && now.since(copy.since) >= STOP_AGAIN {
-            copy.since = now;
+        see(attempt, row, now);
+        if attempt.phase == Phase::Stopping && now.since(attempt.since) >= STOP_AGAIN {
+            attempt.since = now;
             return Some(Need::StopAgain);
         }
         let still = self.policy.progress
-            && copy.phase == Phase::Running
-            && stands_still(copy, lasting, now);
+            && attempt.phase == Phase::Running
+            && stands_still(attempt, lasting, now);
         still.then_some(Need::Leave)
     }
 
@@ -96,17 +96,20 @@
 }
 
 /// Notes what a row says of a run.
-fn see(copy: &mut Copy, row: &Running, now: Time) {
-    copy.sure = true;
-    copy.listed = true;
-    if matches!(copy.phase, Phase::Planned | Phase::Ordered | Phase::Unknown) {
-        copy.enter(Phase::Running, now);
-        copy.started = now;
-        copy.moved = now;
+fn see(attempt: &mut Attempt, row: &Running, now: Time) {
+    attempt.sure = true;
+    attempt.listed = true;
+    if matches!(
+        attempt.phase,
+        Phase::Planned | Phase::Ordered | Phase::Unknown
+    ) {
+        attempt.enter(Phase::Running, now);
+        attempt.started = now;
+        attempt.moved = now;
     }
-    if row.percent > copy.percent || row.percent >= 100 {
-        copy.moved = now;
+    if row.percent > attempt.percent || row.percent >= 100 {
+        attempt.moved = now;
     }
-    copy.percent = row.percent;
-    copy.gauge = row.gauge;
+    attempt.percent = row.percent;
+    attempt.gauge = row.gauge;
 }
--- a/crates/cell/src/pass.rs
+++ b/crates/cell/src/schedule.rs
@@ -1,4 +1,4 @@
-//! One round of scheduling: waiting tasks meet workers with room.
+//! A scheduling cycle: waiting tasks meet workers with room.
 
 use std::time::Duration;
 
@@ -6,23 +6,23 @@
 use cactuswheel_work::{Cap, JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
 
 use crate::advice::Permitted;
+use crate::attempt::{Attempt, Phase};
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
-use crate::copy::{Copy, Phase};
 use crate::finished::Redone;
 use crate::job::Job;
 use crate::learned::Learned;
-use crate::lines::Queued;
-use crate::place::{Home, Wish, choose};
+use crate::place::{Affinity, Constraints, pick_worker};
 use crate::rank::{Rank, rank};
 use crate::run_state::{StepRun, Task};
+use crate::wait_queue::QueuedJob;
 use crate::worker::Held;
 
 /// Tasks without a place after which a round leaves a service: those behind seldom fit either.
-const MISSES: usize = 24;
+const MAX_MISSES: usize = 24;
 
 /// Longest time for which a rank is believed: what is learnt of run times shifts it.
-const RANKED: Duration = Duration::from_millis(500);
+const RANK_TTL: Duration = Duration::from_millis(500);
 
 /// Tasks of a step that wait for a worker.
 struct OpenStep {
@@ -55,13 +55,13 @@
 struct Misses {
     count: usize,
     /// Room that no worker of the service has.
-    rooms: Vec<Room>,
+    free_index: Vec<Room>,
 }
 
 impl Misses {
     /// Whether a task that asks for this much cannot have a place either.
     fn cover(&self, room: Room) -> bool {
-        self.rooms.iter().any(|missed| missed.fits(room))
+        self.free_index.iter().any(|missed| missed.fits(room))
     }
 }
 
@@ -69,8 +69,8 @@
     /// Finds places for waiting tasks, best jobs first.
     pub(crate) fn schedule(&mut self) {
         self.settle();
-        for service in self.lines.services() {
-            if self.workers.rooms(&service).is_some() {
+        for service in self.wait_queue.services() {
+            if self.workers.free_index(&service).is_some() {
                 self.fill(&service);
             }
         }
@@ -80,10 +80,10 @@
     fn fill(&mut self, service: &ServiceName) {
         let mut misses = Misses::default();
         let mut last = None;
-        while let Some(next) = self.lines.next(service, last) {
+        while let Some(next) = self.wait_queue.next(service, last) {
             last = Some(next);
             self.place_job(next.1, service, &mut misses);
-            if misses.count >= MISSES {
+            if misses.count >= MAX_MISSES {
                 return;
             }
         }
@@ -101,16 +101,16 @@
         }
     }
 
-    /// A job's place in line; `None` if no task of it waits for a worker.
-    pub(crate) fn queued(&self, job: &Job) -> Option<Queued> {
+    /// A job's place in its queue; `None` if no task of it waits for a worker.
+    pub(crate) fn queued(&self, job: &Job) -> Option<QueuedJob> {
         if !job.is_open() || !has_free_task(job) {
             return None;
         }
         let (rank, until) = self.rank(job);
-        Some(Queued {
+        Some(QueuedJob {
             service: self.service_of(job),
             rank,
-            until: until.min(self.now.after(RANKED)),
+            until: until.min(self.now.after(RANK_TTL)),
         })
     }
 
@@ -148,7 +148,7 @@
             Permitted::Only(workers) => Some(workers),
             Permitted::Asked => return,
         };
-        let choices = self.choose_all(&at, step, service, allowed.as_deref(), misses);
+        let choices = self.pick_workers(&at, step, service, allowed.as_deref(), misses);
         if step.gang && choices.len() < step.count as usize {
             for choice in &choices {
                 self.workers.let_go(&choice.worker, choice.task, choice.run);
@@ -177,7 +177,7 @@
     }
 
     /// Places for the step's tasks, until one has none.
-    fn choose_all(
+    fn pick_workers(
         &mut self,
         at: &OpenStep,
         step: &Step,
@@ -208,7 +208,7 @@
                 misses.count += 1;
                 return choices;
             }
-            let wish = Wish {
+            let constraints = Constraints {
                 step,
                 beside: &beside,
                 avoid: run.tasks[index].failed_on.as_ref(),
@@ -218,10 +218,10 @@
                 due: &self.due,
                 pack: self.policy.pack,
             };
-            let Some(worker) = choose(&self.workers, service, &wish, self.now) else {
+            let Some(worker) = pick_worker(&self.workers, service, &constraints, self.now) else {
                 misses.count += 1;
                 if plain {
-                    misses.rooms.push(step.reserved());
+                    misses.free_index.push(step.reserved());
                 }
                 return choices;
             };
@@ -230,7 +230,7 @@
                 .hold(&choice.worker, choice.task, held(choice.run, step));
             let place = self.workers.get(&choice.worker);
             if let Some(entry) = place.and_then(|w| w.entry.as_ref()) {
-                home.get_or_insert_with(|| Home::of(entry));
+                home.get_or_insert_with(|| Affinity::of(entry));
                 if step.tight && rack.is_none() {
                     rack = entry.rack().map(str::to_owned);
                 }
@@ -253,10 +253,10 @@
     }
 
     /// Where a job has a run already.
-    fn home(&self, job: &Job) -> Option<Home> {
-        let (_, copy) = job.copies().next()?;
-        let entry = self.workers.get(&copy.worker)?.entry.as_ref()?;
-        Some(Home::of(entry))
+    fn home(&self, job: &Job) -> Option<Affinity> {
+        let (_, attempt) = job.attempts().next()?;
+        let entry = self.workers.get(&attempt.worker)?.entry.as_ref()?;
+        Some(Affinity::of(entry))
     }
 
     /// Rack that a step which should stay on one rack has begun on.
@@ -264,8 +264,8 @@
         if !step.tight {
             return None;
         }
-        let copy = run.tasks.iter().flat_map(|t| &t.copies).next()?;
-        let entry = self.workers.get(&copy.worker)?.entry.as_ref()?;
+        let attempt = run.tasks.iter().flat_map(|t| &t.attempts).next()?;
+        let entry = self.workers.get(&attempt.worker)?.entry.as_ref()?;
         entry.rack().map(str::to_owned)
     }
 
@@ -293,9 +293,9 @@
         };
         state.run = run;
         let given_up = std::mem::take(&mut state.given_up);
-        let mut copy = Copy::new(worker.clone(), place.born, run, Phase::Planned, now);
-        copy.fence = place.fence;
-        state.copies.push(copy);
+        let mut attempt = Attempt::new(worker.clone(), place.born, run, Phase::Planned, now);
+        attempt.fence = place.fence;
+        state.attempts.push(attempt);
         if given_up {
             job.redone.push(Redone { task, run });
         }
@@ -336,8 +336,8 @@
 /// Runs of a step on each worker.
 pub(crate) fn beside(run: &StepRun) -> Map<WorkerId, u32> {
     let mut found: Map<WorkerId, u32> = Map::default();
-    for copy in run.tasks.iter().flat_map(|t| &t.copies) {
-        *found.entry(copy.worker.clone()).or_default() += 1;
+    for attempt in run.tasks.iter().flat_map(|t| &t.attempts) {
+        *found.entry(attempt.worker.clone()).or_default() += 1;
     }
     found
 }
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -5,9 +5,9 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{StartOrder, StartOutcome, StartRefusal, TaskId, WorkerId};
 
+use crate::attempt::Phase;
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
-use crate::copy::Phase;
 use crate::output::Output;
 use crate::worker::Looking;
 
@@ -19,13 +19,13 @@
     pub(crate) fn order(&mut self, start: PlannedStart) {
         let (now, lease) = (self.now, self.bounds.lease);
         let PlannedStart { task, run, worker } = start;
-        let Some(copy) = self.copy_mut(task, run, &worker) else {
+        let Some(attempt) = self.attempt_mut(task, run, &worker) else {
             return;
         };
-        if copy.phase != Phase::Planned {
+        if attempt.phase != Phase::Planned {
             return;
         }
-        let born = copy.born;
+        let born = attempt.born;
         let place = self.workers.get_mut(&worker);
         let place = place.filter(|w| w.born == born && !w.is_draining() && !w.evacuated);
         let Some((place, entry)) = place
@@ -50,9 +50,9 @@
             return;
         };
         let checkpoint = state.checkpoint.clone();
-        if let Some(copy) = self.copy_mut(task, run, &worker) {
-            copy.enter(Phase::Ordered, now);
-            copy.fence = fence;
+        if let Some(attempt) = self.attempt_mut(task, run, &worker) {
+            attempt.enter(Phase::Ordered, now);
+            attempt.fence = fence;
         }
         self.out.push(Output::Start {
             worker,
@@ -79,17 +79,17 @@
         outcome: StartOutcome,
     ) {
         self.now = now;
-        let Some(copy) = self.copy_mut(task, run, id) else {
+        let Some(attempt) = self.attempt_mut(task, run, id) else {
             return;
         };
-        let phase = copy.phase;
+        let phase = attempt.phase;
         match outcome {
             StartOutcome::Started => {
-                copy.sure = true;
+                attempt.sure = true;
                 if phase == Phase::Ordered {
-                    copy.enter(Phase::Running, now);
-                    copy.started = now;
-                    copy.moved = now;
+                    attempt.enter(Phase::Running, now);
+                    attempt.started = now;
+                    attempt.moved = now;
                     self.watch(id, task);
                 }
                 let job = self.jobs.get(&task.job());
@@ -106,7 +106,7 @@
             StartOutcome::Refused(refusal) => self.refused(task, run, id, phase, refusal),
             StartOutcome::Unknown => {
                 if phase == Phase::Ordered {
-                    copy.enter(Phase::Unknown, now);
+                    attempt.enter(Phase::Unknown, now);
                 }
                 log::warn!(task:% = task, run = run, worker:% = id; "start order without an answer");
                 self.doubt(id, "no answer");
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::Map;
 use cactuswheel_work::{JobState, QueueName, Room, ServiceName, TaskId, WorkerId};
 
-use crate::ahead::Ahead;
+use crate::forecast::Forecast;
 use crate::learned::Arrivals;
 
 /// A worker, for those who decide about instances.
@@ -83,7 +83,7 @@
     /// Work that waits, in core-milliseconds of processor, by what is known of its run time.
     pub work: u64,
     /// Room that known short jobs will ask for; not what waits in vain for its objective.
-    pub ahead: Ahead,
+    pub forecast: Forecast,
     /// What has come in, by queue.
     pub arrivals: Map<QueueName, Arrivals>,
 }
--- a/crates/cell/src/lines.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -8,9 +8,9 @@
 
 use crate::rank::Rank;
 
-/// A job's place in the line of its service.
+/// A job's place in the queue of its service.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Queued {
+pub(crate) struct QueuedJob {
     pub(crate) service: ServiceName,
     pub(crate) rank: Rank,
     /// Until then its rank stays the same, if nothing happens to it.
@@ -19,29 +19,29 @@
 
 /// Jobs with a task that should run and has no run, by service, best first.
 #[derive(Debug, Default)]
-pub(crate) struct Lines {
-    lines: Map<ServiceName, BTreeSet<(Rank, JobId)>>,
-    queued: Map<JobId, Queued>,
+pub(crate) struct WaitQueue {
+    queues: Map<ServiceName, BTreeSet<(Rank, JobId)>>,
+    queued: Map<JobId, QueuedJob>,
     /// When each has to be ranked again.
     due: BTreeSet<(Time, JobId)>,
 }
 
-impl Lines {
-    /// Puts a job in line, or takes it out.
-    pub(crate) fn put(&mut self, id: JobId, now: Option<Queued>) {
+impl WaitQueue {
+    /// Puts a job into its queue, or takes it out.
+    pub(crate) fn put(&mut self, id: JobId, now: Option<QueuedJob>) {
         let before = self.queued.get(&id);
         if before == now.as_ref() {
             return;
         }
         if let Some(before) = self.queued.remove(&id) {
             self.due.remove(&(before.until, id));
-            if let Some(line) = self.lines.get_mut(&before.service) {
+            if let Some(line) = self.queues.get_mut(&before.service) {
                 line.remove(&(before.rank, id));
             }
         }
         if let Some(now) = now {
             self.due.insert((now.until, id));
-            let line = self.lines.entry(now.service.clone()).or_default();
+            let line = self.queues.entry(now.service.clone()).or_default();
             line.insert((now.rank, id));
             self.queued.insert(id, now);
         }
@@ -53,20 +53,20 @@
         due.map(|(_, id)| *id).collect()
     }
 
-    /// Services with a job in line.
+    /// Services with a job that waits.
     pub(crate) fn services(&self) -> Vec<ServiceName> {
-        let busy = self.lines.iter().filter(|(_, line)| !line.is_empty());
+        let busy = self.queues.iter().filter(|(_, line)| !line.is_empty());
         busy.map(|(service, _)| service.clone()).collect()
     }
 
-    /// The job after `last` in the line of a service; the first one after none.
+    /// The job after `last` in the queue of a service; the first one after none.
     pub(crate) fn next(
         &self,
         service: &ServiceName,
         last: Option<(Rank, JobId)>,
     ) -> Option<(Rank, JobId)> {
         let from = last.map_or(Bound::Unbounded, Bound::Excluded);
-        let line = self.lines.get(service)?;
+        let line = self.queues.get(service)?;
         line.range((from, Bound::Unbounded)).next().copied()
     }
 }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{ServiceName, TaskId, WorkerId};
 
-use crate::rooms::{Place, Rooms};
+use crate::free_index::{FreeIndex, Place};
 use crate::worker::{Held, Looking, Worker};
 
 /// What a worker was last entered under.
@@ -32,7 +32,7 @@
     /// By number; numbers are not used again.
     names: Vec<WorkerId>,
     touched: Vec<WorkerId>,
-    rooms: Map<ServiceName, Rooms>,
+    free_index: Map<ServiceName, FreeIndex>,
     /// When each is to be looked at next.
     looks: BTreeSet<(Time, u32)>,
     /// Those that left a look unanswered, or are listed no more.
@@ -74,9 +74,9 @@
         };
         let marks = worker.marks;
         if let Some((service, place)) = marks.place
-            && let Some(rooms) = self.rooms.get_mut(&service)
+            && let Some(free_index) = self.free_index.get_mut(&service)
         {
-            rooms.remove(worker.number, &place);
+            free_index.remove(worker.number, &place);
         }
         if let Some(at) = marks.look {
             self.looks.remove(&(at, worker.number));
@@ -95,14 +95,14 @@
         self.all.keys().cloned().collect()
     }
 
-    /// The worker of a number that [`Rooms`] gave.
+    /// The worker of a number that [`FreeIndex`] gave.
     pub(crate) fn at(&self, number: u32) -> Option<&Worker> {
         self.all.get(self.names.get(number as usize)?)
     }
 
     /// Workers of a service that may take work.
-    pub(crate) fn rooms(&self, service: &ServiceName) -> Option<&Rooms> {
-        self.rooms.get(service).filter(|r| !r.is_empty())
+    pub(crate) fn free_index(&self, service: &ServiceName) -> Option<&FreeIndex> {
+        self.free_index.get(service).filter(|r| !r.is_empty())
     }
 
     /// A run takes room on a worker, seen by the next choice of a place.
@@ -165,12 +165,12 @@
         if place != worker.marks.place {
             let before = std::mem::replace(&mut worker.marks.place, place.clone());
             if let Some((service, place)) = before
-                && let Some(rooms) = self.rooms.get_mut(&service)
+                && let Some(free_index) = self.free_index.get_mut(&service)
             {
-                rooms.remove(number, &place);
+                free_index.remove(number, &place);
             }
             if let Some((service, place)) = place {
-                self.rooms
+                self.free_index
                     .entry(service)
                     .or_default()
                     .insert(number, &place);
