--- a/crates/capacity/src/duty.rs
+++ b/crates/capacity/src/action.rs
@@ -4,7 +4,7 @@
 
 /// What a planner asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Duty {
+pub enum Action {
     /// Give an instance an order. Answer: [`crate::Planner::ordered`].
     Order {
         /// The order.
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -26,7 +26,7 @@
 
 /// What may be done with an instance.
 #[derive(Debug, Clone)]
-pub(crate) enum Standing<'a> {
+pub(crate) enum Eligibility<'a> {
     /// Off, at no cost.
     Spare,
     /// Its worker takes work.
@@ -45,7 +45,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Member<'a> {
     pub(crate) instance: &'a Instance,
-    pub(crate) standing: Standing<'a>,
+    pub(crate) eligibility: Eligibility<'a>,
 }
 
 /// Since when each instance is up without a worker that can be used.
@@ -60,31 +60,31 @@
     let instances = snapshot.instances.iter();
     let members = instances.map(|instance| Member {
         instance,
-        standing: standing(snapshot, instance, ordered, unseen),
+        eligibility: eligibility(snapshot, instance, ordered, unseen),
     });
     members.collect()
 }
 
-fn standing<'a>(
+fn eligibility<'a>(
     snapshot: &'a Snapshot<'_>,
     instance: &Instance,
     ordered: &Map<InstanceName, Ordered>,
     unseen: &mut Unseen,
-) -> Standing<'a> {
+) -> Eligibility<'a> {
     if let Some(given) = ordered.get(&instance.name) {
         return on_the_way(snapshot, instance, &given.order);
     }
     let coming = match snapshot.spare.contains(&instance.pool) {
-        true => Standing::Away,
-        false => Standing::Coming(instance.pool.clone()),
+        true => Eligibility::Away,
+        false => Eligibility::Coming(instance.pool.clone()),
     };
     match instance.state {
         InstanceState::Moving | InstanceState::Maintained => return coming,
-        InstanceState::Down => return Standing::Dark,
+        InstanceState::Down => return Eligibility::Dark,
         InstanceState::Up => {}
     }
     if snapshot.spare.contains(&instance.pool) {
-        return Standing::Spare;
+        return Eligibility::Spare;
     }
     let worker = instance
         .worker
@@ -93,14 +93,14 @@
     if let Some(view) = worker.filter(|v| v.open || v.closing) {
         unseen.remove(&instance.name);
         return match view.closing {
-            true => Standing::Closing(view),
-            false => Standing::Serving(view),
+            true => Eligibility::Closing(view),
+            false => Eligibility::Serving(view),
         };
     }
     let since = *unseen.entry(instance.name.clone()).or_insert(snapshot.now);
     match snapshot.now.since(since) < ARRIVAL {
-        true => Standing::Coming(instance.pool.clone()),
-        false => Standing::Dark,
+        true => Eligibility::Coming(instance.pool.clone()),
+        false => Eligibility::Dark,
     }
 }
 
@@ -108,13 +108,13 @@
     snapshot: &Snapshot<'_>,
     instance: &Instance,
     order: &InstanceOrder,
-) -> Standing<'a> {
+) -> Eligibility<'a> {
     let pool = match order {
         InstanceOrder::Move { pool, .. } => pool,
         InstanceOrder::Maintain { .. } => &instance.pool,
     };
     match snapshot.spare.contains(pool) {
-        true => Standing::Away,
-        false => Standing::Coming(pool.clone()),
+        true => Eligibility::Away,
+        false => Eligibility::Coming(pool.clone()),
     }
 }
--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -4,7 +4,7 @@
 use cactuswheel_model::{Map, Set};
 use cactuswheel_work::{InstanceName, InstanceOrder, ServiceName, WorkerId};
 
-use crate::duty::Duty;
+use crate::action::Action;
 use crate::fleet::Member;
 use crate::planner::Planner;
 use crate::pool::Pool;
@@ -22,7 +22,7 @@
         pools: &mut Map<&ServiceName, Pool<'a>>,
         spare: &mut Vec<&'a Member<'a>>,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) {
         let short = pools.iter().filter(|(_, p)| p.target > p.have());
         let mut short: Vec<(bool, usize, ServiceName)> = short
@@ -30,7 +30,7 @@
             .collect();
         short.sort_by(|a, b| b.cmp(a));
         for (_, mut missing, service) in short {
-            missing -= self.reopen(pools.get_mut(&service), missing, taken, duties);
+            missing -= self.reopen(pools.get_mut(&service), missing, taken, actions);
             while missing > 0 {
                 // What another pool is about to send away goes there by one move instead of two.
                 let member = self
@@ -42,7 +42,7 @@
                 };
                 taken.insert(member.instance.name.clone());
                 missing -= 1;
-                duties.push(Duty::Order {
+                actions.push(Action::Order {
                     order: InstanceOrder::Move {
                         instance: member.instance.name.clone(),
                         pool: service.clone(),
@@ -69,7 +69,7 @@
         pool: Option<&mut Pool<'_>>,
         most: usize,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) -> usize {
         let Some(pool) = pool else {
             return 0;
@@ -82,7 +82,7 @@
         let chosen: Vec<_> = leaving.take(most).map(|(m, v)| (*m, *v)).collect();
         for (member, view) in &chosen {
             taken.insert(member.instance.name.clone());
-            duties.push(Duty::Reopen(view.worker.clone()));
+            actions.push(Action::Reopen(view.worker.clone()));
         }
         chosen.len()
     }
@@ -128,7 +128,7 @@
         snapshot: &Snapshot<'_>,
         idle: Idle,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) {
         let off = snapshot.spare.first();
         if off.is_none() && pools.values().all(|p| p.target <= p.have()) {
@@ -139,8 +139,8 @@
             room: idle.may_leave(pools, self.policy.leaving),
         };
         for pool in pools.values() {
-            self.let_closing_go(pool, &mut leaving, taken, duties);
-            self.let_surplus_go(pool, &mut leaving, taken, duties);
+            self.let_closing_go(pool, &mut leaving, taken, actions);
+            self.let_surplus_go(pool, &mut leaving, taken, actions);
         }
     }
 
@@ -150,7 +150,7 @@
         pool: &Pool<'_>,
         leaving: &mut Leaving<'_>,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) {
         let Some(off) = leaving.off else {
             return;
@@ -163,7 +163,7 @@
                 && taken.insert(name.clone())
             {
                 leaving.room -= 1;
-                duties.push(move_order(name, off, view));
+                actions.push(move_order(name, off, view));
             }
         }
     }
@@ -174,7 +174,7 @@
         pool: &Pool<'_>,
         leaving: &mut Leaving<'_>,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) {
         let mut surplus = pool.have().saturating_sub(pool.keep);
         let idle = pool.serving.iter().filter(|(_, v)| v.lasting == 0);
@@ -197,20 +197,20 @@
             if !fits || taken.contains(name) {
                 continue;
             }
-            let duty = match leaving.off.filter(|_| view.runs == 0) {
+            let action = match leaving.off.filter(|_| view.runs == 0) {
                 Some(_) if leaving.room == 0 => return,
                 Some(off) => {
                     leaving.room -= 1;
                     move_order(name, off, view)
                 }
-                None => Duty::Close {
+                None => Action::Close {
                     worker: view.worker.clone(),
                     evacuate: false,
                 },
             };
             surplus -= 1;
             taken.insert(name.clone());
-            duties.push(duty);
+            actions.push(action);
         }
     }
 
@@ -253,8 +253,8 @@
     }
 }
 
-fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Duty {
-    Duty::Order {
+fn move_order(name: &InstanceName, pool: &ServiceName, view: &WorkerView) -> Action {
+    Action::Order {
         order: InstanceOrder::Move {
             instance: name.clone(),
             pool: pool.clone(),
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -7,26 +7,26 @@
     InstanceName, InstanceOrder, InstanceOutcome, InstanceState, ServiceName, WorkerId,
 };
 
-use crate::duty::Duty;
-use crate::fleet::{Member, Ordered, Standing, Unseen, members};
+use crate::action::Action;
+use crate::fleet::{Eligibility, Member, Ordered, Unseen, members};
 use crate::moves::Idle;
 use crate::policy::PoolPolicy;
-use crate::pool::{Pool, tell_pools};
+use crate::pool::{Pool, log_pools};
 use crate::snapshot::Snapshot;
 use crate::trend::Trend;
-use crate::waves::{Scene, WaveMembers, Waves};
+use crate::waves::{WaveContext, WaveMembers, Waves};
 
 /// Age of the list of instances after which nothing is ordered: an instance may be elsewhere.
-const LIST_LIMIT: Duration = Duration::from_millis(2_500);
+const LIST_TTL: Duration = Duration::from_millis(2_500);
 
 /// Time after which an order that was never seen through is no longer waited for.
-const ORDER_LIMIT: Duration = Duration::from_secs(20);
+const ORDER_TTL: Duration = Duration::from_secs(20);
 
 /// Pause before an order without an answer is given again.
-const REPEAT: Duration = Duration::from_millis(400);
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time between lines in the log on every pool.
-const TELL_EVERY: Duration = Duration::from_millis(1_000);
+const LOG_EVERY: Duration = Duration::from_millis(1_000);
 
 /// Times that the platform sets.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,7 +37,7 @@
 
 /// What earlier planners have had remembered.
 #[derive(Debug, Default)]
-pub struct Past {
+pub struct History {
     /// Instances that had their maintenance, by wave.
     pub maintained: Vec<(u64, InstanceName)>,
     /// When each wave was first seen.
@@ -63,12 +63,12 @@
     /// When it planned first, and whether the pools were at work then.
     pub(crate) first: Option<(Time, bool)>,
     /// When the pools were last told of in the log.
-    told: Time,
+    logged: Time,
 }
 
 impl Planner {
     /// A planner that knows nothing but what earlier ones have had remembered.
-    pub fn new(times: Times, past: Past) -> Self {
+    pub fn new(times: Times, past: History) -> Self {
         let mut waves = Waves::default();
         for (wave, instance) in past.maintained {
             waves.note(wave, instance);
@@ -86,7 +86,7 @@
             unfit: Map::default(),
             due: Set::default(),
             first: None,
-            told: Time::default(),
+            logged: Time::default(),
         }
     }
 
@@ -134,13 +134,13 @@
     }
 
     /// What is to be done now.
-    pub fn plan(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+    pub fn plan(&mut self, snapshot: &Snapshot<'_>) -> Vec<Action> {
         let now = snapshot.now;
-        if now.since(snapshot.listed) > LIST_LIMIT || snapshot.instances.is_empty() {
+        if now.since(snapshot.listed) > LIST_TTL || snapshot.instances.is_empty() {
             return Vec::new();
         }
-        let mut duties = self.see_through(snapshot);
-        duties.extend(self.waves.begin_all(snapshot));
+        let mut actions = self.track_orders(snapshot);
+        actions.extend(self.waves.begin_all(snapshot));
         let all = members(snapshot, &self.ordered, &mut self.unseen);
         let waves = self.waves.members(snapshot.waves, &all);
         let targets = self.targets(snapshot);
@@ -153,44 +153,44 @@
         let mut spare = Vec::new();
         for member in &all {
             let pool = pools.entry(&member.instance.pool);
-            match &member.standing {
+            match &member.eligibility {
                 // Work could not start there: it stays where it is off.
-                Standing::Spare if snapshot.evacuated.contains(&member.instance.zone) => {}
-                Standing::Spare => spare.push(member),
-                Standing::Serving(view) => pool.or_default().serving.push((member, view)),
-                Standing::Closing(view) => pool.or_default().closing.push((member, view)),
-                Standing::Coming(to) => {
+                Eligibility::Spare if snapshot.evacuated.contains(&member.instance.zone) => {}
+                Eligibility::Spare => spare.push(member),
+                Eligibility::Serving(view) => pool.or_default().serving.push((member, view)),
+                Eligibility::Closing(view) => pool.or_default().closing.push((member, view)),
+                Eligibility::Coming(to) => {
                     if let Some(to) = targets.get_key_value(to).map(|(s, _)| s) {
                         pools.entry(to).or_default().coming += 1;
                     }
                 }
-                Standing::Away | Standing::Dark => {}
+                Eligibility::Away | Eligibility::Dark => {}
             }
         }
-        let tell = now.since(self.told) >= TELL_EVERY;
+        let tell = now.since(self.logged) >= LOG_EVERY;
         if tell {
-            self.told = now;
-            tell_pools(&pools, spare.len());
+            self.logged = now;
+            log_pools(&pools, spare.len());
         }
-        let mut taken: Set<InstanceName> = duties.iter().filter_map(ordered_instance).collect();
+        let mut taken: Set<InstanceName> = actions.iter().filter_map(ordered_instance).collect();
         taken.extend(snapshot.reserved.keys().cloned());
-        self.maintain(true, snapshot, &waves, &pools, &mut taken, &mut duties);
+        self.maintain(true, snapshot, &waves, &pools, &mut taken, &mut actions);
         spare.retain(|m| !taken.contains(&m.instance.name));
         // Those that a wave still wants stay where their maintenance is free.
         let left = waves.iter().flat_map(|w| &w.left);
         let wanted: Set<&InstanceName> = left.map(|m| &m.instance.name).collect();
         spare.sort_by_cached_key(|m| wanted.contains(&m.instance.name));
-        self.grow(&mut pools, &mut spare, &mut taken, &mut duties);
-        self.maintain(false, snapshot, &waves, &pools, &mut taken, &mut duties);
+        self.grow(&mut pools, &mut spare, &mut taken, &mut actions);
+        self.maintain(false, snapshot, &waves, &pools, &mut taken, &mut actions);
         let idle = Idle {
             spare: spare.len(),
             leaving: self.leaving(snapshot, &all),
         };
-        self.shrink(&mut pools, snapshot, idle, &mut taken, &mut duties);
-        for duty in &duties {
-            self.note(now, duty);
+        self.shrink(&mut pools, snapshot, idle, &mut taken, &mut actions);
+        for action in &actions {
+            self.note(now, action);
         }
-        duties
+        actions
     }
 
     /// Instances on their way to where they are off.
@@ -217,11 +217,11 @@
         waves: &[WaveMembers<'_>],
         pools: &Map<&ServiceName, Pool<'_>>,
         taken: &mut Set<InstanceName>,
-        duties: &mut Vec<Duty>,
+        actions: &mut Vec<Action>,
     ) {
         let short = pools.iter().filter(|(_, p)| p.target > p.have());
         let short: Set<&ServiceName> = short.map(|(s, _)| *s).collect();
-        let scene = Scene {
+        let context = WaveContext {
             now: snapshot.now,
             maintaining: self.times.maintaining.duration(),
             ordered: &self.ordered,
@@ -235,21 +235,21 @@
             if pressing {
                 self.due.extend(Waves::due(wave));
             }
-            if pressing && self.told == snapshot.now {
+            if pressing && self.logged == snapshot.now {
                 self.waves.log(wave, snapshot.now);
             }
-            if self.waves.is_pressing(wave, &scene) == pressing {
-                let wanted = self.waves.plan(wave, &scene, pressing, taken);
+            if self.waves.is_pressing(wave, &context) == pressing {
+                let wanted = self.waves.plan(wave, &context, pressing, taken);
                 taken.extend(wanted.iter().filter_map(ordered_instance));
-                duties.extend(wanted);
+                actions.extend(wanted);
             }
         }
     }
 
     /// Orders that the list shows as carried out, and those to repeat.
-    fn see_through(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+    fn track_orders(&mut self, snapshot: &Snapshot<'_>) -> Vec<Action> {
         let now = snapshot.now;
-        let mut duties = Vec::new();
+        let mut actions = Vec::new();
         let mut over = Vec::new();
         let listed: Map<&InstanceName, InstanceState> = match self.ordered.is_empty() {
             true => Map::default(),
@@ -268,9 +268,9 @@
                 continue;
             }
             if !given.certain {
-                if now.since(given.at) >= REPEAT {
+                if now.since(given.at) >= RETRY_PAUSE {
                     given.flying = true;
-                    duties.push(Duty::Order {
+                    actions.push(Action::Order {
                         order: given.order.clone(),
                         worker: given.worker.clone(),
                     });
@@ -279,10 +279,10 @@
             }
             let settled = snapshot.listed > given.at
                 && matches!(state, InstanceState::Up | InstanceState::Down);
-            if settled || now.since(given.at) > ORDER_LIMIT {
+            if settled || now.since(given.at) > ORDER_TTL {
                 over.push(name.clone());
                 if let InstanceOrder::Maintain { instance, wave } = &given.order {
-                    duties.push(Duty::Maintained {
+                    actions.push(Action::Maintained {
                         wave: *wave,
                         instance: instance.clone(),
                     });
@@ -293,17 +293,17 @@
             self.ordered.remove(&name);
             self.unseen.remove(&name);
         }
-        for duty in &duties {
-            if let Duty::Maintained { wave, instance } = duty {
+        for action in &actions {
+            if let Action::Maintained { wave, instance } = action {
                 self.waves.note(*wave, instance.clone());
             }
         }
-        duties
+        actions
     }
 
     /// Remembers what is ordered, so that it is not ordered twice.
-    fn note(&mut self, now: Time, duty: &Duty) {
-        let Duty::Order { order, worker } = duty else {
+    fn note(&mut self, now: Time, action: &Action) {
+        let Action::Order { order, worker } = action else {
             return;
         };
         let name = match order {
@@ -324,9 +324,9 @@
     }
 }
 
-fn ordered_instance(duty: &Duty) -> Option<InstanceName> {
-    match duty {
-        Duty::Order {
+fn ordered_instance(action: &Action) -> Option<InstanceName> {
+    match action {
+        Action::Order {
             order: InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. },
             ..
         } => Some(instance.clone()),
--- a/crates/capacity/src/pool.rs
+++ b/crates/capacity/src/pool.rs
@@ -41,7 +41,7 @@
 }
 
 /// Says what the pools are like.
-pub(crate) fn tell_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
+pub(crate) fn log_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
     for (service, pool) in pools {
         let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
         let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -9,8 +9,8 @@
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{InstanceName, InstanceOrder, InstanceState, ServiceName, Wave, WorkerId};
 
-use crate::duty::Duty;
-use crate::fleet::{Member, Ordered, Standing};
+use crate::action::Action;
+use crate::fleet::{Eligibility, Member, Ordered};
 use crate::snapshot::Snapshot;
 
 /// Time from closing a worker to the end of its instance's maintenance, beside the maintenance
@@ -18,7 +18,7 @@
 const LEAVING: Duration = Duration::from_millis(4_000);
 
 /// Instances of one wave that are emptied at a time while there is time enough.
-const GENTLE: usize = 2;
+const MIN_EMPTYING: usize = 2;
 
 /// Time between two instances' maintenance, for orders and lists to go their way.
 const TURN: Duration = Duration::from_millis(700);
@@ -27,10 +27,10 @@
 const EARLIER: f64 = 1.6;
 
 /// Instances of a wave that a line in the log names.
-const NAMED: usize = 4;
+const MAX_NAMED: usize = 4;
 
 /// What a wave is planned from.
-pub(crate) struct Scene<'a> {
+pub(crate) struct WaveContext<'a> {
     pub(crate) now: Time,
     /// Time that maintenance takes.
     pub(crate) maintaining: Duration,
@@ -41,7 +41,7 @@
     pub(crate) short: &'a Set<&'a ServiceName>,
 }
 
-impl Scene<'_> {
+impl WaveContext<'_> {
     /// Whether an instance's pool wants more instances than it has.
     fn is_short(&self, member: &Member<'_>) -> bool {
         self.short.contains(&member.instance.pool)
@@ -61,11 +61,11 @@
     ///
     /// Failure: a new owner counts its own orders only, and with those of the earlier one too many
     /// instances of the wave are down at once.
-    fn foreign(&self, scene: &Scene<'_>) -> usize {
+    fn foreign(&self, context: &WaveContext<'_>) -> usize {
         let members = self.members.iter().map(|m| m.instance);
-        let others = members.filter(|i| !scene.ordered.contains_key(&i.name));
+        let others = members.filter(|i| !context.ordered.contains_key(&i.name));
         let down = others.filter(|i| {
-            let ordered = scene.reserved.get(&i.name) == Some(&Some(self.wave.number));
+            let ordered = context.reserved.get(&i.name) == Some(&Some(self.wave.number));
             i.state == InstanceState::Maintained || ordered
         });
         down.count()
@@ -100,10 +100,10 @@
     }
 
     /// The time of waves that were not seen before begins.
-    pub(crate) fn begin_all(&mut self, snapshot: &Snapshot<'_>) -> Vec<Duty> {
+    pub(crate) fn begin_all(&mut self, snapshot: &Snapshot<'_>) -> Vec<Action> {
         let numbers = snapshot.waves.iter().map(|w| w.number);
         let fresh = numbers.filter(|n| self.begin(*n, snapshot.now));
-        fresh.map(|wave| Duty::Began { wave }).collect()
+        fresh.map(|wave| Action::Began { wave }).collect()
     }
 
     /// The instances of each wave.
@@ -129,41 +129,41 @@
     }
 
     /// Whether a wave has so little time left that it goes before what pools want.
-    pub(crate) fn is_pressing(&self, of: &WaveMembers<'_>, scene: &Scene<'_>) -> bool {
+    pub(crate) fn is_pressing(&self, of: &WaveMembers<'_>, context: &WaveContext<'_>) -> bool {
         let (wave, left) = (of.wave, of.left.len());
         let rounds = left.div_ceil(wave.cap.max(1) as usize) as u32;
-        let needed = (scene.maintaining + TURN) * rounds + LEAVING;
-        left > 0 && self.time(wave, scene.now) < needed.mul_f64(EARLIER)
+        let needed = (context.maintaining + TURN) * rounds + LEAVING;
+        left > 0 && self.time(wave, context.now) < needed.mul_f64(EARLIER)
     }
 
     /// What a wave needs now.
     pub(crate) fn plan(
         &mut self,
         of: &WaveMembers<'_>,
-        scene: &Scene<'_>,
+        context: &WaveContext<'_>,
         pressing: bool,
         taken: &Set<InstanceName>,
-    ) -> Vec<Duty> {
+    ) -> Vec<Action> {
         let (wave, left) = (of.wave, &of.left);
-        let mut duties = self.tell(wave, left.is_empty());
+        let mut actions = self.tell(wave, left.is_empty());
         let of_wave = |o: &&Ordered| match &o.order {
             InstanceOrder::Maintain { wave: number, .. } => *number == wave.number,
             InstanceOrder::Move { .. } => false,
         };
-        let under_way = scene.ordered.values().filter(of_wave).count();
-        let under_way = under_way + of.foreign(scene);
+        let under_way = context.ordered.values().filter(of_wave).count();
+        let under_way = under_way + of.foreign(context);
         let mut room = (wave.cap as usize).saturating_sub(under_way);
         for member in left {
             if room == 0 {
-                return duties;
+                return actions;
             }
             if taken.contains(&member.instance.name) {
                 continue;
             }
-            let worker = match &member.standing {
-                Standing::Spare => None,
-                Standing::Serving(_) if !pressing && scene.is_short(member) => continue,
-                Standing::Serving(view) | Standing::Closing(view) if view.runs == 0 => {
+            let worker = match &member.eligibility {
+                Eligibility::Spare => None,
+                Eligibility::Serving(_) if !pressing && context.is_short(member) => continue,
+                Eligibility::Serving(view) | Eligibility::Closing(view) if view.runs == 0 => {
                     Some(view.worker.clone())
                 }
                 _ => continue,
@@ -173,11 +173,11 @@
                 instance: member.instance.name.clone(),
                 wave: wave.number,
             };
-            duties.push(Duty::Order { order, worker });
+            actions.push(Action::Order { order, worker });
         }
-        let time = self.time(wave, scene.now);
-        duties.extend(self.empty_some(wave, scene, time, left, room, pressing));
-        duties
+        let time = self.time(wave, context.now);
+        actions.extend(self.empty_workers(wave, context, time, left, room, pressing));
+        actions
     }
 
     /// Time until the wave has to be done.
@@ -188,8 +188,8 @@
 
     /// Workers on instances that a wave has yet to maintain.
     pub(crate) fn due(of: &WaveMembers<'_>) -> Vec<WorkerId> {
-        let workers = of.left.iter().filter_map(|m| match &m.standing {
-            Standing::Serving(view) | Standing::Closing(view) => Some(view.worker.clone()),
+        let workers = of.left.iter().filter_map(|m| match &m.eligibility {
+            Eligibility::Serving(view) | Eligibility::Closing(view) => Some(view.worker.clone()),
             _ => None,
         });
         workers.collect()
@@ -201,66 +201,69 @@
         if left.is_empty() {
             return;
         }
-        let count = |of: fn(&Standing<'_>) -> bool| {
-            let found = left.iter().filter(|m| of(&m.standing));
+        let count = |of: fn(&Eligibility<'_>) -> bool| {
+            let found = left.iter().filter(|m| of(&m.eligibility));
             found.count() as u64
         };
         let first = left.iter().map(|m| m.instance.name.as_str());
-        let first: Vec<&str> = first.take(NAMED).collect();
+        let first: Vec<&str> = first.take(MAX_NAMED).collect();
         log::info!(
             wave = wave.number, left = left.len() as u64,
             ms = self.time(wave, now).as_millis() as u64,
-            spare = count(|s| matches!(s, Standing::Spare)),
-            serving = count(|s| matches!(s, Standing::Serving(_))),
-            closing = count(|s| matches!(s, Standing::Closing(_))),
-            coming = count(|s| matches!(s, Standing::Coming(_) | Standing::Away)),
-            dark = count(|s| matches!(s, Standing::Dark)), first:? = first;
+            spare = count(|s| matches!(s, Eligibility::Spare)),
+            serving = count(|s| matches!(s, Eligibility::Serving(_))),
+            closing = count(|s| matches!(s, Eligibility::Closing(_))),
+            coming = count(|s| matches!(s, Eligibility::Coming(_) | Eligibility::Away)),
+            dark = count(|s| matches!(s, Eligibility::Dark)), first:? = first;
             "wave"
         );
     }
 
     /// Tells the operators when a wave begins and when it is complete.
-    fn tell(&mut self, wave: &Wave, complete: bool) -> Vec<Duty> {
+    fn tell(&mut self, wave: &Wave, complete: bool) -> Vec<Action> {
         if self.told.insert(wave.number, complete) == Some(complete) {
             return Vec::new();
         }
-        vec![Duty::Status {
+        vec![Action::Status {
             wave: wave.number,
             complete,
         }]
     }
 
     /// Workers that get no more work, so that their instances can have their maintenance.
-    fn empty_some(
+    fn empty_workers(
         &mut self,
         wave: &Wave,
-        scene: &Scene<'_>,
+        context: &WaveContext<'_>,
         time: Duration,
         left: &[&Member<'_>],
         room: usize,
         pressing: bool,
-    ) -> Vec<Duty> {
-        let emptying = left.iter().filter(|m| match &m.standing {
-            Standing::Closing(view) => self.emptying.contains(&view.worker),
+    ) -> Vec<Action> {
+        let emptying = left.iter().filter(|m| match &m.eligibility {
+            Eligibility::Closing(view) => self.emptying.contains(&view.worker),
             _ => false,
         });
         let emptying = emptying.count();
         // Workers without lasting work are left to their pools as long as there is time: most are
         // empty before the wave is over, and their maintenance then takes nothing from anybody.
-        let slow = |m: &&&Member<'_>| match &m.standing {
-            Standing::Serving(view) | Standing::Closing(view) => pressing || view.lasting > 0,
+        let slow = |m: &&&Member<'_>| match &m.eligibility {
+            Eligibility::Serving(view) | Eligibility::Closing(view) => pressing || view.lasting > 0,
             _ => false,
         };
-        let round = (LEAVING + scene.maintaining).as_millis() as f64;
+        let round = (LEAVING + context.maintaining).as_millis() as f64;
         let rounds = (time.as_millis() as f64 / round).max(1.0);
         let pace = (left.iter().filter(slow).count() as f64 / rounds).ceil() as usize;
-        let wanted = pace.max(GENTLE).min(wave.cap as usize).min(room + emptying);
+        let wanted = pace
+            .max(MIN_EMPTYING)
+            .min(wave.cap as usize)
+            .min(room + emptying);
         // A pool that is short keeps its workers as long as there is time.
-        let free = |m: &Member<'_>| pressing || !scene.is_short(m);
+        let free = |m: &Member<'_>| pressing || !context.is_short(m);
         let busy = left.iter().filter(slow).filter(|m| free(m));
         let mut busy: Vec<_> = busy
-            .filter_map(|m| match &m.standing {
-                Standing::Serving(view) => Some(*view),
+            .filter_map(|m| match &m.eligibility {
+                Eligibility::Serving(view) => Some(*view),
                 _ => None,
             })
             .collect();
@@ -269,13 +272,13 @@
         busy.sort_by_key(|v| (std::cmp::Reverse(v.lasting), v.used.cpu));
         let chosen = busy.into_iter().take(wanted.saturating_sub(emptying));
         let chosen: Vec<WorkerId> = chosen.map(|v| v.worker.clone()).collect();
-        let duties = chosen.into_iter().map(|worker| {
+        let actions = chosen.into_iter().map(|worker| {
             self.emptying.insert(worker.clone());
-            Duty::Close {
+            Action::Close {
                 worker,
                 evacuate: true,
             }
         });
-        duties.collect()
+        actions.collect()
     }
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use cactuswheel_adapter::{Instances, Keyed, Partition, STATUS_TOPIC, wave_status};
 use cactuswheel_capacity::{
-    Duty, LastOwner, OrderRecord, Past, Planner, Reserved, Snapshot, Times, reserved,
+    Action, History, LastOwner, OrderRecord, Planner, Reserved, Snapshot, Times, reserved,
 };
 use cactuswheel_cell::{Cell, encode};
 use cactuswheel_model::{Map, Time};
@@ -69,7 +69,7 @@
     shared: Arc<Shared>,
     planner: Planner,
     /// Each instance has one order under way at the most, so there are never many.
-    orders: mpsc::UnboundedSender<Vec<Given>>,
+    orders: mpsc::UnboundedSender<Vec<Issued>>,
     /// When each wave began.
     waves: RecordWriter,
     /// Instances that had their maintenance.
@@ -98,7 +98,7 @@
         shared: Arc<Shared>,
         events: mpsc::Sender<Event>,
         epoch: u64,
-        past: Past,
+        past: History,
         orders: Option<Vec<(InstanceName, OrderRecord)>>,
         last: Option<LastOwner>,
     ) -> Option<Self> {
@@ -200,8 +200,8 @@
             evacuated: &evacuated,
         };
         let mut orders = Vec::new();
-        for duty in self.planner.plan(&snapshot) {
-            self.execute(cell, duty, &mut orders);
+        for action in self.planner.plan(&snapshot) {
+            self.execute(cell, action, &mut orders);
         }
         cell.expect_maintenance(self.planner.due());
         if !orders.is_empty() && self.orders.send(orders).is_err() {
@@ -217,9 +217,9 @@
         spare.map(|s| s.name.clone()).collect()
     }
 
-    fn execute(&mut self, cell: &mut Cell, duty: Duty, orders: &mut Vec<Given>) {
-        match duty {
-            Duty::Order { order, worker } => {
+    fn execute(&mut self, cell: &mut Cell, action: Action, orders: &mut Vec<Issued>) {
+        match action {
+            Action::Order { order, worker } => {
                 // Nothing starts there between now and the order's arrival.
                 if let Some(worker) = &worker {
                     cell.close(worker, false);
@@ -227,7 +227,7 @@
                 // Each order has a token of its own: an earlier one that is carried out late is
                 // shut out by the later, and cannot take the instance back.
                 self.token += 1;
-                orders.push(Given {
+                orders.push(Issued {
                     order,
                     worker,
                     token: OrderToken {
@@ -236,18 +236,18 @@
                     },
                 });
             }
-            Duty::Close { worker, evacuate } => cell.close(&worker, evacuate),
-            Duty::Reopen(worker) => cell.reopen(&worker),
-            Duty::Began { wave } => {
+            Action::Close { worker, evacuate } => cell.close(&worker, evacuate),
+            Action::Reopen(worker) => cell.reopen(&worker),
+            Action::Began { wave } => {
                 let at = encode(&self.shared.clock.wall());
                 self.waves.write(Keyed::new(wave.to_string(), at));
             }
-            Duty::Maintained { wave, instance } => {
+            Action::Maintained { wave, instance } => {
                 log::info!(wave = wave, instance:% = instance; "instance maintained");
                 let key = format!("{wave}/{instance}");
                 self.maintained.write(Keyed::new(key, vec![1]));
             }
-            Duty::Status { wave, complete } => {
+            Action::Status { wave, complete } => {
                 log::info!(wave = wave, complete = complete; "wave told of");
                 let (key, value) = wave_status(wave, complete);
                 self.status.write(Keyed::new(key, value));
@@ -265,7 +265,7 @@
     shared: Arc<Shared>,
     service: Arc<Instances>,
     events: mpsc::Sender<Event>,
-    mut queue: mpsc::UnboundedReceiver<Vec<Given>>,
+    mut queue: mpsc::UnboundedReceiver<Vec<Issued>>,
 ) {
     while let Some(mut orders) = queue.recv().await {
         while let Ok(more) = queue.try_recv() {
@@ -300,7 +300,7 @@
 }
 
 /// An order that is to be given.
-struct Given {
+struct Issued {
     order: InstanceOrder,
     worker: Option<WorkerId>,
     token: OrderToken,
@@ -311,7 +311,7 @@
     shared: &Shared,
     service: &Instances,
     events: &mpsc::Sender<Event>,
-    given: &Given,
+    given: &Issued,
     recorded: bool,
 ) -> InstanceOutcome {
     let owner = !events.is_closed() && shared.leads();
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer};
-use cactuswheel_capacity::{OrderRecord, Past};
+use cactuswheel_capacity::{History, OrderRecord};
 use cactuswheel_cell::{BadRecord, Bounds, Cell, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
@@ -74,7 +74,7 @@
     pub(crate) cell: Cell,
     pub(crate) intake: Vec<u64>,
     /// What planners of earlier owners have had remembered.
-    pub(crate) past: Past,
+    pub(crate) past: History,
     /// Last orders to instances; `None` if they cannot be read.
     pub(crate) orders: Option<Vec<(InstanceName, OrderRecord)>>,
 }
@@ -186,14 +186,14 @@
 }
 
 /// What earlier owners have had remembered of instances: maintenance, and their last orders.
-async fn instances(shared: &Shared) -> (Past, Option<Vec<(InstanceName, OrderRecord)>>) {
+async fn instances(shared: &Shared) -> (History, Option<Vec<(InstanceName, OrderRecord)>>) {
     let ((maintained, _), (begun, _)) =
         tokio::join!(newest(shared, MAINTAINED), newest(shared, WAVES));
     // Only now: while the whole store is away each partition of the orders would count as
     // unreadable, and no instance be moved for seconds after its return.
     let orders = shared.orders.read(&shared.store).await;
     let maintained = maintained.iter().filter_map(|i| read_maintained(&i.key));
-    let past = Past {
+    let past = History {
         maintained: maintained.collect(),
         begun: begun.iter().filter_map(|i| read_begun(shared, i)).collect(),
     };
