--- a/crates/node/src/hand_ins.rs
+++ b/crates/node/src/hand_ins.rs
@@ -1,9 +1,10 @@
 //! Jobs that fronts hand to the owner, until the journal holds them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactuswheel_cell::{Cell, HandIn, decode};
-use cactuswheel_model::Map;
+use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{JobId, Submission};
 use tokio::sync::oneshot;
 
@@ -50,18 +51,27 @@
         }
         let now = self.shared.clock.now();
         if let Some(writing) = cell.writing(now) {
-            let stuck = writing > stuck_after(&self.shared);
-            let over = |h: &Handed| stuck || h.until <= now;
-            for handed in self.waiting.extract_if(.., |h| over(h)) {
-                answer(handed.reply, HandInAnswer::Refused);
-            }
-            return;
+            return self.refuse_overdue(now, writing);
         }
         for handed in std::mem::take(&mut self.waiting) {
             self.hand_one_in(cell, handed);
         }
     }
 
+    fn refuse_overdue(&mut self, now: Time, writing: Duration) {
+        let stuck = writing > stuck_after(&self.shared);
+        let over = |h: &mut Handed| stuck || h.until <= now;
+        let mut refused = 0;
+        for handed in self.waiting.extract_if(.., over) {
+            answer(handed.reply, HandInAnswer::Refused);
+            refused += 1;
+        }
+        if refused > 0 {
+            let ms = writing.as_millis() as u64;
+            log::warn!(jobs = refused, writing_ms = ms; "hand-ins refused: the journal is late");
+        }
+    }
+
     fn hand_one_in(&mut self, cell: &mut Cell, handed: Handed) {
         let now = self.shared.clock.now();
         let sub = match decode::<Submission>(&handed.record) {
