--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -176,7 +176,7 @@
             actions.push(Action::Order { order, worker });
         }
         let time = self.time(wave, context.now);
-        actions.extend(self.empty_workers(wave, context, time, left, room, pressing));
+        actions.extend(self.empty_workers(wave, context, time, left, pressing));
         actions
     }
 
@@ -237,7 +237,6 @@
         context: &WaveContext<'_>,
         time: Duration,
         left: &[&Member<'_>],
-        room: usize,
         pressing: bool,
     ) -> Vec<Action> {
         let emptying = left.iter().filter(|m| match &m.eligibility {
@@ -254,13 +253,10 @@
         let round = (LEAVING + context.maintaining).as_millis() as f64;
         let rounds = (time.as_millis() as f64 / round).max(1.0);
         let pace = (left.iter().filter(slow).count() as f64 / rounds).ceil() as usize;
-        let wanted = pace
-            .max(MIN_EMPTYING)
-            .min(wave.cap as usize)
-            .min(room + emptying);
-        // A pool that is short keeps its workers as long as there is time.
-        let free = |m: &Member<'_>| pressing || !context.is_short(m);
-        let busy = left.iter().filter(slow).filter(|m| free(m));
+        // Lasting work takes seconds to leave, so it begins whatever is under maintenance now, and
+        // also in a pool that is short: a worker that holds it has little room for other work.
+        let wanted = pace.max(MIN_EMPTYING).min(wave.cap as usize);
+        let busy = left.iter().filter(slow);
         let mut busy: Vec<_> = busy
             .filter_map(|m| match &m.eligibility {
                 Eligibility::Serving(view) => Some(*view),
