--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::claim::{Claim, Claims};
-use crate::expiry::{EXPIRY, page_time};
+use crate::expiry::{EXPIRY, expiry_for, page_time};
 use crate::owner_clock::OwnerClock;
 use crate::ownership::Ownership;
 use crate::peer::OwnerAt;
@@ -26,7 +26,7 @@
 use crate::topics::OWNER;
 
 /// Time between renewals, from sending to sending.
-const RENEW: Duration = Duration::from_millis(300);
+const RENEW: Duration = Duration::from_millis(220);
 
 /// Time between two reads of the ownership by nodes that are weaker than the owner.
 ///
@@ -84,6 +84,8 @@
     claims: Claims,
     /// When this node's last record was sent.
     sent: Time,
+    /// Time that the last renewal took.
+    took: Duration,
 }
 
 impl Lead {
@@ -99,6 +101,7 @@
             since: heard,
             claims: Claims::default(),
             sent: heard,
+            took: Duration::ZERO,
         }
     }
 
@@ -278,6 +281,8 @@
         let settings = &self.shared.settings;
         let epoch = self.last.as_ref().map_or(0, |o| o.epoch) + u64::from(claim);
         let now = self.shared.clock.now();
+        let renewal = if claim { Duration::ZERO } else { self.took };
+        let expiry = expiry_for(self.shared.least_expiry, renewal);
         if claim {
             // Who gives the ownership up has stopped renewing leases before.
             let alone = self.last.as_ref().is_none_or(|o| o.released && o.settled);
@@ -300,8 +305,11 @@
             clock: now.get(),
             released: false,
             settled: alone || now.since(since) >= RENEW_WITHOUT_STORE,
-            expiry: self.shared.expiry.as_millis() as u64,
+            expiry: expiry.as_millis() as u64,
         };
+        if expiry < self.shared.expiry() {
+            self.shared.set_expiry(expiry);
+        }
         let records = [Keyed::new(KEY, encode(&record))];
         let store = &self.shared.store;
         let sent = self.shared.clock.now();
@@ -311,7 +319,9 @@
         let done = store.append(OWNER, None, Some(self.end), &records, limit);
         match done.await {
             Ok(done) => {
+                self.shared.set_expiry(expiry);
                 self.shared.confirm_lead(sent);
+                self.took = self.shared.clock.now().since(sent);
                 self.end = done.end;
                 self.accept(record);
             }
--- a/crates/node/src/expiry.rs
+++ b/crates/node/src/expiry.rs
@@ -6,10 +6,15 @@
 
 use crate::link_rate::LinkRate;
 
-/// Time without a renewal after which the ownership may be claimed. Three renewals have to be
-/// missed, or one answer lost and another renewal with it; a store that takes half a second for
-/// an answer still carries them.
-pub(crate) const EXPIRY: Duration = Duration::from_millis(1_100);
+/// Least time without a renewal after which the ownership may be claimed. Three renewals have to
+/// be missed, or one answer lost and another renewal with it.
+pub(crate) const EXPIRY: Duration = Duration::from_millis(800);
+
+/// Times as long as its last renewal took that an ownership holds at least.
+///
+/// Failure: the store turns slow by a factor of a hundred, a renewal and the read that tells
+/// others of it take longer than the ownership holds, and it goes from node to node.
+const RENEWALS: u32 = 4;
 
 /// Largest answer of the store that a renewal may have to wait behind on the node's own link, in
 /// bytes: a page of five hundred records.
@@ -24,6 +29,11 @@
     EXPIRY + page_time(link)
 }
 
+/// Time for which an ownership holds whose last renewal took that long; at least `least`.
+pub fn expiry_for(least: Duration, renewal: Duration) -> Duration {
+    (renewal * RENEWALS).min(MAX_EXPIRY).max(least)
+}
+
 /// Time that a large answer of the store takes on such a link, as far as anything waits for it.
 pub(crate) fn page_time(link: LinkRate) -> Duration {
     link.time_of(LARGE_PAGE).min(MAX_EXPIRY - EXPIRY)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,6 +53,7 @@
 pub use claim::{Claim, Claims};
 pub use clock::Clock;
 pub use error::NodeError;
+pub use expiry::expiry_for;
 pub use link_rate::{BadRate, LinkRate};
 pub use logging::{init_log, record_fields};
 pub use node::run;
--- a/crates/node/src/relay_client.rs
+++ b/crates/node/src/relay_client.rs
@@ -86,7 +86,7 @@
             epoch: self.epoch,
             owner: self.shared.settings.listen.peers,
             confirmed,
-            expiry: self.shared.expiry.as_millis() as u64,
+            expiry: self.shared.expiry().as_millis() as u64,
             specs: Vec::new(),
             envelopes,
         };
--- a/crates/node/src/relay_server.rs
+++ b/crates/node/src/relay_server.rs
@@ -47,7 +47,8 @@
     shared: Arc<Shared>,
     /// When the ownership was last known to be confirmed, on this node's clock.
     confirmed: Arc<AtomicU64>,
-    expiry: Duration,
+    /// Time after that from which no start is ordered, in milliseconds.
+    expiry: Arc<AtomicU64>,
     reports: mpsc::Sender<Report>,
 }
 
@@ -63,7 +64,8 @@
 
     fn leads(&self) -> bool {
         let confirmed = Time::new(self.confirmed.load(Ordering::Acquire));
-        self.shared.clock.now().since(confirmed) < self.expiry
+        let expiry = Duration::from_millis(self.expiry.load(Ordering::Acquire));
+        self.shared.clock.now().since(confirmed) < expiry
     }
 }
 
@@ -71,6 +73,7 @@
 struct Service {
     epoch: u64,
     confirmed: Arc<AtomicU64>,
+    expiry: Arc<AtomicU64>,
     sender: OrderSender<RemoteOwner>,
 }
 
@@ -104,6 +107,7 @@
         };
         let confirmed = request.confirmed.get();
         service.confirmed.fetch_max(confirmed, Ordering::AcqRel);
+        service.expiry.store(request.expiry, Ordering::Release);
         for envelope in request.envelopes {
             service.sender.submit(envelope);
         }
@@ -114,10 +118,11 @@
         log::info!(epoch = request.epoch, owner:% = request.owner; "orders are carried for an owner");
         let (reports, told) = mpsc::channel(QUEUE);
         let confirmed = Arc::new(AtomicU64::new(0));
+        let expiry = Arc::new(AtomicU64::new(request.expiry));
         let principal = RemoteOwner {
             shared: self.shared.clone(),
             confirmed: confirmed.clone(),
-            expiry: Duration::from_millis(request.expiry),
+            expiry: expiry.clone(),
             reports,
         };
         let teller = tell(self.shared.clone(), request.epoch, request.owner, told);
@@ -125,6 +130,7 @@
         Service {
             epoch: request.epoch,
             confirmed,
+            expiry,
             sender: OrderSender::new(self.shared.clone(), principal),
         }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -51,8 +51,10 @@
     pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
-    /// Time without a renewal after which an ownership of this node may be claimed.
-    pub(crate) expiry: Duration,
+    /// Least time without a renewal after which an ownership of this node may be claimed.
+    pub(crate) least_expiry: Duration,
+    /// That time as this node's newest record has it, in milliseconds.
+    expiry: AtomicU64,
     /// The owner that is known does not answer: there may be another one.
     pub(crate) missed: Notify,
     /// When the write was sent that last confirmed this node's ownership.
@@ -90,7 +92,8 @@
             store: Store::new(settings.store),
             orders: OrderLog::new(settings.parts),
             rtt: RttEstimator::new(MIN_APPEND_TIMEOUT, MAX_APPEND_TIMEOUT),
-            expiry: expiry(settings.link),
+            least_expiry: expiry(settings.link),
+            expiry: AtomicU64::new(expiry(settings.link).as_millis() as u64),
             missed: Notify::new(),
             settings,
             life,
@@ -159,6 +162,17 @@
         Time::new(self.lead.load(Ordering::Relaxed)) >= time
     }
 
+    /// Time without a renewal after which an ownership of this node may be claimed.
+    pub(crate) fn expiry(&self) -> Duration {
+        Duration::from_millis(self.expiry.load(Ordering::Relaxed))
+    }
+
+    /// Another time goes on record: a shorter one before it is written, a longer one after.
+    pub(crate) fn set_expiry(&self, time: Duration) {
+        self.expiry
+            .store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Age of that confirmation.
     pub(crate) fn lead_age(&self) -> Duration {
         let confirmed = Time::new(self.lead.load(Ordering::Relaxed));
@@ -167,7 +181,7 @@
 
     /// Whether this node's ownership was confirmed so lately that nobody else can have claimed it.
     pub(crate) fn leads(&self) -> bool {
-        self.lead_age() < self.expiry
+        self.lead_age() < self.expiry()
     }
 
     /// Leaves the ownership to others for a while: this node cannot hold it.
