--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -85,59 +85,24 @@
     /// Puts what changed into a batch.
     pub(crate) fn write(&mut self) {
         if self.dirty.is_empty() {
-            // Ends of runs that no job knows change nothing; they need no journal.
-            self.workers.settle();
-            let fresh: Vec<WorkerId> = self.workers.fresh().map(|w| w.id.clone()).collect();
-            for id in fresh {
-                if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.note(worker.notable());
-                }
-            }
-            return;
+            return self.note_ends();
         }
-        let mut submissions = Vec::new();
-        let mut records = Vec::new();
-        let mut done = Consequences::default();
-        let mut size = 0;
+        let mut draft = Draft::default();
         for id in std::mem::take(&mut self.dirty) {
-            if size >= self.bounds.batch {
+            if draft.size >= self.bounds.batch {
                 self.dirty.insert(id);
                 continue;
             }
-            if self.finished.contains_key(&id) {
-                // Its record is the last one already.
-                continue;
-            }
-            let record = self.jobs.get(&id).map(JobRecord::new);
-            if let Some(handed) = self.handed.remove(&id) {
-                done.accepted.push(id);
-                // The last record stands by itself.
-                if matches!(record, Some(JobRecord::Open(_))) {
-                    size += handed.len();
-                    submissions.push((id, Some(handed)));
-                }
-            }
-            if let Some(job) = self.jobs.get(&id).filter(|j| j.state.is_final()) {
-                done.states.push((id, job.state));
-            }
-            if let Some(JobRecord::Finished(job)) = &record {
-                if self.jobs.get(&id).is_some_and(|j| j.in_journal) {
-                    submissions.push((id, None));
-                }
-                done.finished.push((id, job.clone()));
-            }
-            let record = record.map(|r| encode(&r));
-            size += record.as_ref().map_or(0, Vec::len);
-            records.push((id, record));
+            self.write_job(id, &mut draft);
         }
         let left = &self.dirty;
         let planned = std::mem::take(&mut self.planned).into_iter();
         let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
         self.planned = later;
-        done.starts = now;
+        draft.done.starts = now;
         if self.dirty.is_empty() {
             self.workers.settle();
-            done.ends = self
+            draft.done.ends = self
                 .workers
                 .fresh()
                 .map(|w| (w.id.clone(), w.born, w.notable()))
@@ -146,11 +111,61 @@
         self.written = self.now;
         let mark = Mark(self.next_mark);
         self.next_mark += 1;
-        self.flying = Some((mark, done));
+        self.flying = Some((mark, draft.done));
         self.out.push(Output::Append(Batch {
             mark,
-            submissions,
-            records,
+            submissions: draft.submissions,
+            records: draft.records,
         }));
     }
+
+    /// Ends of runs that no job knows change nothing; they need no journal.
+    fn note_ends(&mut self) {
+        self.workers.settle();
+        let fresh: Vec<WorkerId> = self.workers.fresh().map(|w| w.id.clone()).collect();
+        for id in fresh {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.note(worker.notable());
+            }
+        }
+    }
+
+    fn write_job(&mut self, id: JobId, draft: &mut Draft) {
+        if self.finished.contains_key(&id) {
+            // Its record is the last one already.
+            return;
+        }
+        let job = self.jobs.get(&id);
+        let record = job.map(JobRecord::new);
+        if let Some(handed) = self.handed.remove(&id) {
+            draft.done.accepted.push(id);
+            // The last record stands by itself.
+            if matches!(record, Some(JobRecord::Open(_))) {
+                draft.size += handed.len();
+                draft.submissions.push((id, Some(handed)));
+            }
+        }
+        if let Some(job) = job.filter(|j| j.state.is_final()) {
+            draft.done.states.push((id, job.state));
+        }
+        if let Some(JobRecord::Finished(last)) = &record {
+            if job.is_some_and(|j| j.in_journal) {
+                draft.submissions.push((id, None));
+            }
+            draft.done.finished.push((id, last.clone()));
+        }
+        let record = record.map(|r| encode(&r));
+        draft.size += record.as_ref().map_or(0, Vec::len);
+        draft.records.push((id, record));
+    }
+}
+
+/// A batch in the making.
+#[derive(Debug, Default)]
+struct Draft {
+    submissions: Vec<(JobId, Option<Vec<u8>>)>,
+    records: Vec<(JobId, Option<Vec<u8>>)>,
+    done: Consequences,
+    /// Bytes so far.
+    size: usize,
 }
