--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -12,7 +12,13 @@
 
 /// Longest time that a look waits for an end. Leases are renewed as often, and what stands
 /// still shows as late.
-const LOOK_WAIT: Duration = Duration::from_millis(500);
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The same where there are few workers: a lost answer shows sooner.
+const SHORT_WAIT: Duration = Duration::from_millis(500);
+
+/// Workers with work up to which looks are cheap enough to come twice as often.
+const FEW_WORKERS: usize = 500;
 
 /// The same for a worker with nothing on it.
 const IDLE_WAIT: Duration = Duration::from_millis(2_000);
@@ -35,6 +41,10 @@
     pub(crate) fn look_around(&mut self) {
         let (now, lease) = (self.now, self.bounds.lease);
         let renewing = self.renewing;
+        let busy_wait = match self.workers.len() <= FEW_WORKERS {
+            true => SHORT_WAIT,
+            false => LOOK_WAIT,
+        };
         self.workers.settle();
         for id in self.workers.due(now) {
             let Some(worker) = self.workers.get_mut(&id) else {
@@ -49,7 +59,7 @@
                 _ if worker.is_spent() => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
                 (true, false) if worker.waking => WAKING_WAIT,
-                (true, false) => LOOK_WAIT,
+                (true, false) => busy_wait,
             };
             let order = HoldOrder {
                 // Failure: each look at a silent worker moves the end of its lease, which then
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -90,6 +90,10 @@
         self.all.values()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+
     /// Identifiers of all workers.
     pub(crate) fn ids(&self) -> Vec<WorkerId> {
         self.all.keys().cloned().collect()
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -94,10 +94,11 @@
             events: events.clone(),
         };
         let link = shared.settings.link.bytes_in(Duration::from_secs(1));
+        let cores = shared.settings.cores;
         Self {
             journal: JournalWriter::new(shared.clone(), events.clone(), epoch),
             sender: OrderSender::new(shared.clone(), own),
-            relays: Relays::new(Capacity::by_link(link as f64)),
+            relays: Relays::new(Capacity::of_owner(link as f64, cores)),
             clients: Map::default(),
             known: Known::default(),
             zones: Map::default(),
--- a/crates/relay/src/capacity.rs
+++ b/crates/relay/src/capacity.rs
@@ -14,6 +14,10 @@
 /// Busy workers for which a whole core carries orders, beside a node's other work.
 const PER_CORE: f64 = 300.0;
 
+/// Workers for which a whole core carries orders beside scheduling. An owner has its own orders
+/// at hand and needs less time for them than a relay, to which they come as messages.
+const OWNED_PER_CORE: f64 = 1_000.0;
+
 /// For how many workers a node can carry orders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -26,6 +30,15 @@
         Self(most.min(cores * PER_CORE).max(1.0) as u32)
     }
 
+    /// Of an owner with such a link and so many cores; at least one worker.
+    ///
+    /// Failure: a wide link lets an owner with half a core send to a thousand workers by itself;
+    /// its processor is used up, and jobs wait for a second while dozens of nodes idle.
+    pub fn of_owner(link: f64, cores: f64) -> Self {
+        let most = Self::by_link(link).0 as f64;
+        Self(most.min(cores * OWNED_PER_CORE).max(1.0) as u32)
+    }
+
     /// As far as the link goes; at least one worker.
     pub fn by_link(link: f64) -> Self {
         Self((link * LINK_SHARE / WORKER_BYTES).clamp(1.0, u32::MAX as f64) as u32)
--- a/crates/relay/tests/relays.rs
+++ b/crates/relay/tests/relays.rs
@@ -193,3 +193,14 @@
         assert!(told.get() <= there(now) - 250, "{told}");
     }
 }
+
+/// Guards against an owner whose processor is used up by orders to a thousand workers while its
+/// link is wide: it takes relays by its processor, too.
+#[test]
+fn processor_counts() {
+    let mut small = Relays::new(Capacity::of_owner(25_000_000.0, 0.5));
+    small.expect(350);
+    assert_eq!(small.offer(NOW, offer("n1", "a")), Reply::Enough);
+    small.expect(1_100);
+    assert_eq!(small.offer(NOW, offer("n1", "a")), Reply::Wanted);
+}
