--- a/crates/cell/src/attempt.rs
+++ b/crates/cell/src/attempt.rs
@@ -28,6 +28,8 @@
     pub(crate) phase: Phase,
     /// Since when it is in this phase.
     pub(crate) since: Time,
+    /// When this owner ordered it; `None` before that, and of an earlier owner's run.
+    pub(crate) ordered: Option<Time>,
     /// Highest fencing token that its order may carry; 0 if an earlier owner gave it.
     pub(crate) fence: u64,
     /// Whether it surely started: if so, no order can start it again.
@@ -55,6 +57,7 @@
             run,
             phase,
             since: now,
+            ordered: None,
             fence: 0,
             sure: false,
             listed: false,
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -21,6 +21,7 @@
 use crate::policy::WorkPolicy;
 use crate::run_state::Turn;
 use crate::shares::Shares;
+use crate::tallies::Tallies;
 use crate::usage::Usage;
 use crate::wait_queue::WaitQueue;
 use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
@@ -92,6 +93,7 @@
     /// Something changed that may let a task start.
     pub(crate) stirred: bool,
     pub(crate) now: Time,
+    pub(crate) tallies: Tallies,
     /// What an earlier owner has told in the log already is taken in.
     pub(crate) restoring: bool,
     /// How long an earlier owner may go on renewing leases after this one has taken over.
@@ -134,6 +136,7 @@
             learned: Map::default(),
             stirred: true,
             now: Time::default(),
+            tallies: Tallies::default(),
             restoring: true,
             others: Duration::ZERO,
             renewing: true,
@@ -155,6 +158,11 @@
         self.others = RENEW_WITHOUT_STORE;
     }
 
+    /// What was counted since this was last asked.
+    pub fn take_tallies(&mut self) -> Tallies {
+        std::mem::take(&mut self.tallies)
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> u64 {
         self.config.version
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -315,9 +315,47 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let runs: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        let runs = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        self.lose(id, runs, why);
+    }
+
+    /// A worker's life has ended, and no order of ours had ended it.
+    pub(crate) fn worker_ended(&mut self, id: &WorkerId, runs: Vec<(TaskId, u32)>, why: &str) {
+        let Some(worker) = self.workers.get(id).filter(|_| !runs.is_empty()) else {
+            return;
+        };
+        let alive = worker.alive;
+        let planned = worker.closing || worker.is_draining();
+        let silent = self.now.since(alive).as_millis() as u64;
+        let attempts = runs
+            .iter()
+            .filter_map(|(t, run)| self.attempt(*t, *run, id));
+        let unproven = attempts.filter(|a| !a.is_proven(alive)).count() as u64;
+        log::warn!(
+            worker:% = id, why:% = why, runs = runs.len() as u64, unproven = unproven,
+            silent_ms = silent, planned = planned;
+            "worker ended"
+        );
+        if !planned {
+            self.tallies.ended += 1;
+            self.tallies.lost += runs.len() as u64;
+        }
+        self.lose(id, runs, why);
+    }
+
+    /// Runs on a worker are gone without an end.
+    fn lose(&mut self, id: &WorkerId, runs: Vec<(TaskId, u32)>, why: &str) {
+        let alive = self.workers.get(id).map(|w| w.alive).unwrap_or_default();
         for (task, run) in runs {
-            log::info!(task:% = task, run = run, worker:% = id, why:% = why; "run lost");
+            let attempt = self.attempt(task, run, id);
+            let ordered = attempt.and_then(|a| a.ordered);
+            let age = ordered.map(|at| self.now.since(at).as_millis() as u64);
+            let proven = attempt.is_some_and(|a| a.is_proven(alive));
+            log::info!(
+                task:% = task, run = run, worker:% = id, why:% = why, age_ms:? = age,
+                proven = proven;
+                "run lost"
+            );
             self.release(task, run, id);
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.drop_run(task, run);
@@ -337,6 +375,7 @@
             return;
         };
         let held: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        let mut gone = Vec::new();
         for (task, run) in held {
             if let Some(attempt) = self.attempt_mut(task, run, id).filter(|c| !c.listed) {
                 attempt.born = born;
@@ -348,12 +387,9 @@
             {
                 continue;
             }
-            log::info!(task:% = task, run = run, worker:% = id, born = born; "run lost");
-            self.release(task, run, id);
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.drop_run(task, run);
-            }
+            gone.push((task, run));
         }
+        self.worker_ended(id, gone, "another life under its name");
     }
 
     /// Lasting runs leave a worker that leaves.
@@ -378,6 +414,12 @@
         }
     }
 
+    pub(crate) fn attempt(&self, task: TaskId, run: u32, id: &WorkerId) -> Option<&Attempt> {
+        let job = self.jobs.get(&task.job())?;
+        let mut attempts = job.task(task)?.attempts.iter();
+        attempts.find(|c| c.run == run && c.worker == *id)
+    }
+
     pub(crate) fn attempt_mut(
         &mut self,
         task: TaskId,
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -120,6 +120,10 @@
         turn.steps.get_mut(id.step.step as usize)
     }
 
+    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
+        self.step_run(id)?.tasks.get(id.index as usize)
+    }
+
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         let step = self.step_run_mut(id)?;
         step.tasks.get_mut(id.index as usize)
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -127,7 +127,8 @@
             }),
             LookError::OtherLife => {
                 worker.entry = None;
-                self.lose_all(id, "another life at its address");
+                let runs = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+                self.worker_ended(id, runs, "another life at its address");
             }
             LookError::Refused(_) | LookError::NotSent | LookError::Unknown(_) => {}
         }
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -52,6 +52,7 @@
         let checkpoint = state.checkpoint.clone();
         if let Some(attempt) = self.attempt_mut(task, run, &worker) {
             attempt.enter(Phase::Ordered, now);
+            attempt.ordered = Some(now);
             attempt.fence = fence;
         }
         self.out.push(Output::Start {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -75,6 +75,8 @@
     fix: Option<ClockFix>,
     /// Latest expiry of a lease that any order may have set, on the worker's clock.
     expiry: u64,
+    /// When it last answered.
+    pub(crate) alive: Time,
     /// Since when this owner knows it.
     since: Time,
     /// When this owner's first look at its life was answered.
@@ -135,6 +137,7 @@
             settled: 0,
             fix: None,
             expiry: 0,
+            alive: Time::default(),
             since: now,
             met: None,
             seen: 0,
@@ -273,6 +276,7 @@
             self.expiry = self.expiry.max(clock + lease.get());
         }
         self.fix = Some(ClockFix { clock, at: now });
+        self.alive = now;
     }
 
     /// A new life began: nothing of the old one counts.
--- /dev/null
+++ b/crates/cell/tests/worker_ends.rs
@@ -0,0 +1,37 @@
+//! Workers whose life ends under their runs.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_cell::Tallies;
+use world::{World, job, steps};
+
+/// Guards against a crash that operators cannot tell from a worker out of reach.
+#[test]
+fn crash_counted() {
+    let mut world = World::new(1, 1);
+    world.submit(job(1, steps(1, 3, 700)));
+    world.run(Duration::from_millis(300));
+    assert_eq!(world.worker(0).count(), 3);
+    world.cell().take_tallies();
+    let now = world.now;
+    world.worker(0).reborn(now);
+    world.run(Duration::from_secs(1));
+    let expected = Tallies { ended: 1, lost: 3 };
+    assert_eq!(world.cell().take_tallies(), expected);
+    assert_eq!(world.cell().take_tallies(), Tallies::default());
+}
+
+/// Guards against a worker that is only cut off being counted as crashed.
+#[test]
+fn cut_not_counted() {
+    let mut world = World::new(2, 1);
+    world.submit(job(1, steps(1, 3, 700)));
+    world.run(Duration::from_millis(300));
+    world.worker(0).linked = false;
+    world.run(Duration::from_secs(8));
+    world.worker(0).linked = true;
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.cell().take_tallies(), Tallies::default());
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::traffic;
+use cactuswheel_cell::Tallies;
 use cactuswheel_model::Code;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -28,6 +29,8 @@
     orders: Counter<u64>,
     looks: Counter<u64>,
     duties: Counter<u64>,
+    ended: Counter<u64>,
+    lost: Counter<u64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
     busy: Gauge<u64>,
@@ -71,6 +74,8 @@
             orders: counter("cactuswheel_node_orders"),
             looks: counter("cactuswheel_node_looks"),
             duties: counter("cactuswheel_node_instance_orders"),
+            ended: counter("cactuswheel_node_worker_ends"),
+            lost: counter("cactuswheel_node_runs_lost"),
             busy: meter
                 .u64_gauge("cactuswheel_node_owner_busy_percent")
                 .build(),
@@ -119,6 +124,12 @@
         self.duties.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// What the cell has counted since it was last asked.
+    pub(crate) fn tallied(&self, since: Tallies) {
+        self.ended.add(since.ended, &[]);
+        self.lost.add(since.lost, &[]);
+    }
+
     /// Share of the time for which the owner was at work, in percent.
     pub(crate) fn busy(&self, percent: u64) {
         self.busy.record(percent, &[]);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -186,6 +186,7 @@
             }
             self.dispatcher.flush();
             self.dispatcher.busy(woken.elapsed());
+            self.shared.metrics.tallied(self.cell.take_tallies());
             if deposed {
                 log::warn!("ownership is over: a newer owner is at work");
                 return;
