--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -28,6 +28,8 @@
     Late(Duration),
     /// Never sent.
     Unreachable,
+    /// Another worker has its address, and refuses.
+    OtherLife,
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +84,10 @@
     stops: Vec<(Time, TaskId, u32)>,
     /// Jobs whose tasks last.
     pub lasting: Vec<u64>,
+    /// Tasks that take the worker down, a moment after they have begun.
+    pub lethal: Vec<TaskId>,
+    /// When it went down.
+    pub crashed: Option<Time>,
     pub zone: &'static str,
 }
 
@@ -114,6 +120,8 @@
             late: Vec::new(),
             stops: Vec::new(),
             lasting: Vec::new(),
+            lethal: Vec::new(),
+            crashed: None,
             zone: "dc",
         }
     }
@@ -161,6 +169,7 @@
             start: now,
             stepped: now,
             lasting: self.lasting.clone(),
+            lethal: self.lethal.clone(),
             acknowledged: self.acknowledged.clone(),
             begun: self.begun.clone(),
             work: self.work,
@@ -169,6 +178,25 @@
         *self = fresh;
     }
 
+    /// It goes down with all that runs there, without a word.
+    pub fn crash(&mut self, now: Time) {
+        self.up = false;
+        self.crashed = Some(now);
+        self.running.clear();
+        self.late.clear();
+        self.stops.clear();
+    }
+
+    /// The life that follows a crash: another name at the same address.
+    pub fn successor(&self, now: Time) -> Self {
+        let mut next = self.clone();
+        next.reborn(now);
+        next.id = format!("{}'", self.id).into();
+        next.acknowledged.clear();
+        next.begun.clear();
+        next
+    }
+
     pub fn step(&mut self, now: Time) {
         let passed = now.since(self.stepped).as_millis() as f64;
         self.stepped = now;
@@ -197,6 +225,11 @@
             }
             self.end_all(How::Expired);
         }
+        let lethal = |task: &TaskId| self.lethal.contains(task);
+        if self.running.iter().any(|(t, r)| lethal(t) && r.work > 0) {
+            self.crash(now);
+            return;
+        }
         let mut over = Vec::new();
         for (task, run) in &mut self.running {
             if self.still {
@@ -220,6 +253,7 @@
                 self.late.push((now.after(wait), order.clone()));
                 StartOutcome::Unknown
             }
+            Fate::OtherLife => StartOutcome::Refused(StartRefusal::OtherLife),
             Fate::Lost | Fate::Unreachable => StartOutcome::Unknown,
         }
     }
