--- a/crates/cell/src/attempt.rs
+++ b/crates/cell/src/attempt.rs
@@ -3,6 +3,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::WorkerId;
 
+use crate::crash::Crash;
+
 /// How far a run is, as far as its owner knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -28,8 +30,6 @@
     pub(crate) phase: Phase,
     /// Since when it is in this phase.
     pub(crate) since: Time,
-    /// When this owner ordered it; `None` before that, and of an earlier owner's run.
-    pub(crate) ordered: Option<Time>,
     /// Highest fencing token that its order may carry; 0 if an earlier owner gave it.
     pub(crate) fence: u64,
     /// Whether it surely started: if so, no order can start it again.
@@ -37,7 +37,9 @@
     /// Whether the worker has listed it, in the life that is noted here. An answer to its order
     /// does not tell which life gave it.
     pub(crate) listed: bool,
-    /// When the run was seen to start.
+    /// Another life of the worker was met before it was listed. Counts if the run is not in that one.
+    pub(crate) crash: Option<Crash>,
+    /// When the run was seen to start; before that, since when it is known.
     pub(crate) started: Time,
     /// Share of its work that was done at the last look.
     pub(crate) percent: u32,
@@ -57,10 +59,10 @@
             run,
             phase,
             since: now,
-            ordered: None,
             fence: 0,
             sure: false,
             listed: false,
+            crash: None,
             started: now,
             percent: 0,
             moved: now,
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! The cell itself: its state, what it is told and what it asks for.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use crate::advice::Tickets;
 use crate::attempt::Phase;
 use crate::batch::{Consequences, Mark, PlannedStart};
+use crate::blame::GivenUp;
 use crate::bounds::Bounds;
 use crate::finished::Kept;
 use crate::job::Job;
@@ -94,6 +96,10 @@
     pub(crate) stirred: bool,
     pub(crate) now: Time,
     pub(crate) tallies: Tallies,
+    /// Runs that were given up of late with their silent workers.
+    pub(crate) given_up: Map<WorkerId, GivenUp>,
+    /// Where workers have crashed of late, and when last.
+    pub(crate) crashed: Map<SocketAddr, Time>,
     /// What an earlier owner has told in the log already is taken in.
     pub(crate) restoring: bool,
     /// How long an earlier owner may go on renewing leases after this one has taken over.
@@ -137,6 +143,8 @@
             stirred: true,
             now: Time::default(),
             tallies: Tallies::default(),
+            given_up: Map::default(),
+            crashed: Map::default(),
             restoring: true,
             others: Duration::ZERO,
             renewing: true,
@@ -299,6 +307,7 @@
         self.now = now;
         self.begin_turns(wall);
         self.expire();
+        self.stirred |= self.workers.end_reservations(now);
         self.evacuate();
         self.forget();
         if self.flying.is_none() {
--- a/crates/cell/src/free_index.rs
+++ b/crates/cell/src/free_index.rs
@@ -51,6 +51,10 @@
         self.all.is_empty()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+
     pub(crate) fn insert(&mut self, number: u32, place: &Place) {
         let slot = (place.free, number);
         self.all.insert(slot);
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -7,12 +7,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::attempt::{Attempt, Phase};
+use crate::crash::Crash;
 use crate::finished::{Finished, Redone};
 use crate::job::Job;
 use crate::run_state::{StepRun, Task, Turn};
 
 /// First byte of every record. A reader refuses a version that it does not know.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Largest record that is read, in bytes: a declared length is not to be trusted.
 const MAX_RECORD: u64 = 1 << 20;
@@ -88,6 +89,7 @@
     done: bool,
     checkpoint: String,
     given_up: bool,
+    crashes: Vec<Crash>,
     /// Places and numbers of runs.
     attempts: Vec<(u32, u32)>,
 }
@@ -221,7 +223,8 @@
         if task.done && task.attempts.is_empty() {
             return Self::Done;
         }
-        let bare = task.fails.is_empty() && task.checkpoint.is_empty() && !task.given_up;
+        let blameless = task.fails.is_empty() && task.crashes.is_empty();
+        let bare = blameless && task.checkpoint.is_empty() && !task.given_up;
         match (task.run, task.attempts.as_slice()) {
             (0, []) if bare => Self::Fresh,
             (1, [attempt]) if bare && !task.done => Self::First(place(attempt, places)),
@@ -258,6 +261,7 @@
             done: task.done,
             checkpoint: task.checkpoint.clone(),
             given_up: task.given_up,
+            crashes: task.crashes.clone(),
             attempts: attempts.map(|c| (place(c, places), c.run)).collect(),
         }
     }
@@ -271,6 +275,7 @@
             started: self.run > 0,
             checkpoint: self.checkpoint,
             given_up: self.given_up,
+            crashes: self.crashes,
             attempts: attempts
                 .filter_map(|(at, run)| places.attempt(at, run))
                 .collect(),
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -30,6 +30,9 @@
 /// takes twice as long as it has to, and the wave is late. It costs a few looks each time.
 const WAKING_WAIT: Duration = Duration::from_millis(200);
 
+/// Time between looks at a worker that is kept for a task which may take it down.
+const TRIAL_LOOK: Duration = Duration::from_millis(50);
+
 /// Longest pause between looks at a worker that does not answer.
 const MAX_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -57,6 +60,7 @@
                 (false, _) => Duration::ZERO,
                 // It lists the same ends each time.
                 _ if worker.is_spent() => Duration::ZERO,
+                _ if worker.is_reserved(now) => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
                 (true, false) if worker.waking => WAKING_WAIT,
                 (true, false) => busy_wait,
@@ -128,7 +132,7 @@
             LookError::OtherLife => {
                 worker.entry = None;
                 let runs = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
-                self.worker_ended(id, runs, "another life at its address");
+                self.worker_ended(id, runs, &[], "another life at its address");
             }
             LookError::Refused(_) | LookError::NotSent | LookError::Unknown(_) => {}
         }
@@ -150,12 +154,17 @@
             worker.begin_life(look.born);
             self.lose_older(id, look.born);
         }
+        self.take_back_crash(id, look.born);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.fix_clock(look.clock, lease, now);
+        worker.alive = sent;
         worker.met.get_or_insert(now);
-        worker.looking = Looking::Due(now);
+        worker.looking = Looking::Due(match worker.is_reserved(now) {
+            true => now.after(TRIAL_LOOK),
+            false => now,
+        });
         let fence = worker.settle_fence();
         let seen = worker.seen;
         let lapsed = look.ended.iter().filter(|e| e.how == How::Expired);
@@ -168,6 +177,7 @@
             worker.seen = worker.seen.max(last.unwrap_or_default());
         }
         self.take_running(id, &look.running);
+        self.end_trial(id);
         if let Some(worker) = self.workers.get_mut(id).filter(|w| w.is_spent()) {
             worker.looking = Looking::Due(now.after(MAX_RETRY));
         }
@@ -190,6 +200,7 @@
         let absent = absent.filter(|(t, run)| !listed(t, *run));
         let absent: Vec<(TaskId, u32)> = absent.collect();
         let mut doubtful = false;
+        let mut blamed = Vec::new();
         for (task, run) in absent {
             let Some(attempt) = self.attempt_mut(task, run, id) else {
                 // The job is gone: nothing else will ever release the room.
@@ -215,9 +226,11 @@
                     task:% = task, run = run, worker:% = id, phase:% = phase, fence = fence;
                     "run is not there"
                 );
+                blamed.extend(self.confirm_crash(task, run, id));
                 self.release(task, run, id);
             }
         }
+        self.give_up_jobs(&blamed);
         if doubtful {
             self.doubt(id, "stopped before it was seen");
         }
--- /dev/null
+++ b/crates/cell/src/losses.rs
@@ -0,0 +1,139 @@
+//! Runs that are gone without an end: their worker ended, or is out of reach for longer than any lease.
+
+use cactuswheel_work::{TaskId, WorkerId};
+
+use crate::cell::Cell;
+
+impl Cell {
+    /// Every lease on a silent worker has run out; what was done there before may still be listed.
+    pub(crate) fn give_up(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        for (task, _) in &runs {
+            let job = self.jobs.get_mut(&task.job());
+            if let Some(state) = job.and_then(|j| j.task_mut(*task)) {
+                state.given_up = true;
+            }
+        }
+        let blamed = self.count_crash(id, &runs, &[], false);
+        self.remember_given_up(id, &runs);
+        self.lose(id, runs, "lease expired");
+        self.give_up_jobs(&blamed);
+    }
+
+    /// Everything on a worker is gone.
+    pub(crate) fn lose_all(&mut self, id: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        self.lose(id, runs, why);
+    }
+
+    /// A worker's life has ended under these runs; those in `doubtful` may be in its next one.
+    pub(crate) fn worker_ended(
+        &mut self,
+        id: &WorkerId,
+        runs: Vec<(TaskId, u32)>,
+        doubtful: &[(TaskId, u32)],
+        why: &str,
+    ) {
+        if runs.is_empty() && doubtful.is_empty() {
+            return;
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let alive = worker.alive;
+        // Its end was ordered, or announced.
+        let planned = worker.closing || worker.is_draining();
+        let silent = self.now.since(alive).as_millis() as u64;
+        let held = runs.iter().chain(doubtful);
+        let attempts = held.filter_map(|(t, run)| self.attempt(*t, *run, id));
+        let unproven = attempts.filter(|a| !a.is_proven(alive)).count() as u64;
+        log::warn!(
+            worker:% = id, why:% = why, runs = runs.len() as u64,
+            doubtful = doubtful.len() as u64, unproven = unproven, silent_ms = silent,
+            planned = planned;
+            "worker ended"
+        );
+        if !planned {
+            self.tallies.ended += 1;
+            self.tallies.lost += runs.len() as u64;
+            if let Some(addr) = worker.addr {
+                self.note_crashed(addr);
+            }
+        }
+        let blamed = match planned {
+            true => Vec::new(),
+            false => self.count_crash(id, &runs, doubtful, true),
+        };
+        self.lose(id, runs, why);
+        self.give_up_jobs(&blamed);
+    }
+
+    /// Runs on a worker are gone without an end.
+    fn lose(&mut self, id: &WorkerId, runs: Vec<(TaskId, u32)>, why: &str) {
+        let alive = self.workers.get(id).map(|w| w.alive).unwrap_or_default();
+        for (task, run) in runs {
+            let attempt = self.attempt(task, run, id);
+            let age = attempt.map(|a| self.now.since(a.started).as_millis() as u64);
+            let proven = attempt.is_some_and(|a| a.is_proven(alive));
+            log::info!(
+                task:% = task, run = run, worker:% = id, why:% = why, age_ms:? = age,
+                proven = proven;
+                "run lost"
+            );
+            self.release(task, run, id);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.drop_run(task, run);
+            }
+        }
+    }
+
+    /// A worker's life is newer than what is believed of it: runs that were listed in an earlier
+    /// life are gone.
+    ///
+    /// Failure: a worker starts again under its name, and orders that were meant for its
+    /// earlier life are carried out in the new one. Given up as lost with that life, their
+    /// tasks would run a second time beside them. A run that was never listed may be there, so it
+    /// counts as the new life's until the lists or the order's answer settle it.
+    pub(crate) fn lose_older(&mut self, id: &WorkerId, born: u64) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let held: Vec<(TaskId, u32)> = worker.held.iter().map(|(t, h)| (*t, h.run)).collect();
+        let (mut gone, mut doubtful) = (Vec::new(), Vec::new());
+        for (task, run) in held {
+            if let Some(attempt) = self.attempt_mut(task, run, id).filter(|c| !c.listed) {
+                if std::mem::replace(&mut attempt.born, born) != born {
+                    doubtful.push((task, run));
+                }
+                continue;
+            }
+            if self
+                .attempt_mut(task, run, id)
+                .is_some_and(|c| c.born == born)
+            {
+                continue;
+            }
+            gone.push((task, run));
+        }
+        self.worker_ended(id, gone, &doubtful, "another life under its name");
+    }
+
+    /// Lasting runs leave a worker that leaves.
+    pub(crate) fn leave(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let lasting = worker.held.iter().filter(|(_, h)| h.lasting);
+        let lasting: Vec<(TaskId, u32)> = lasting.map(|(t, h)| (*t, h.run)).collect();
+        for (task, run) in lasting {
+            log::info!(task:% = task, run = run, worker:% = id; "run leaves a leaving worker");
+            self.stop(task, run, id);
+        }
+    }
+}
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -39,6 +39,8 @@
     pub(crate) step: &'a Step,
     /// Tasks of the step on each worker.
     pub(crate) beside: &'a Map<WorkerId, u32>,
+    /// The task may take its worker down.
+    pub(crate) suspect: bool,
     /// Worker on which the task failed.
     pub(crate) avoid: Option<&'a WorkerId>,
     /// Rack on which the rest of the step runs, where that matters.
@@ -124,7 +126,7 @@
     fitting.min_by_key(|w| cost(w, constraints))
 }
 
-fn fits(w: &Worker, constraints: &Constraints<'_>, now: Time) -> bool {
+pub(crate) fn fits(w: &Worker, constraints: &Constraints<'_>, now: Time) -> bool {
     let step = constraints.step;
     let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
     let labelled = |label: &String| labels.is_some_and(|l| l.contains(label));
@@ -134,22 +136,28 @@
     };
     step.reserved().fits(w.free())
         && w.is_open(now)
+        && (constraints.suspect || !w.is_reserved(now))
         && (!w.health.is_on_trial() || w.held.is_empty())
         && step.label.as_ref().is_none_or(labelled)
         && apart()
         && constraints.allowed.is_none_or(|a| a.contains(&w.id))
 }
 
+/// Whether the task's data, or the rack that its step has begun on, is elsewhere.
+pub(crate) fn is_far(w: &Worker, constraints: &Constraints<'_>) -> bool {
+    let near = constraints.rack.or(constraints.step.near.as_deref());
+    let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
+    let here = |rack: &str| labels.is_some_and(|l| l.iter().any(|l| l == rack));
+    near.is_some_and(|rack| !here(rack))
+}
+
 /// Lower is better; earlier parts decide.
 type Cost = (bool, bool, bool, bool, std::cmp::Reverse<usize>, u64);
 
 fn cost(w: &Worker, constraints: &Constraints<'_>) -> Cost {
     let step = constraints.step;
     let failed = constraints.avoid == Some(&w.id);
-    let near = constraints.rack.or(step.near.as_deref());
-    let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
-    let here = |rack: &str| labels.is_some_and(|l| l.iter().any(|l| l == rack));
-    let far = near.is_some_and(|rack| !here(rack));
+    let far = is_far(w, constraints);
     let disturbs = (step.filler && w.serving > 0) || (step.serves() && w.fillers > 0);
     // Failure: lasting work that leaves for a wave goes to an instance of the same wave, and has
     // to leave again; its budget lets one task move at a time, so the wave is late.
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -5,6 +5,7 @@
 use cactuswheel_work::Step;
 
 use crate::attempt::Attempt;
+use crate::crash::Crash;
 
 /// One occurrence of a job.
 #[derive(Debug, Clone)]
@@ -42,6 +43,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Its last run was given up while its worker was silent, and may have been done.
     pub(crate) given_up: bool,
+    /// Workers that ended under it, oldest first; none once it has been at work for long.
+    pub(crate) crashes: Vec<Crash>,
     /// Worker of the last run that failed.
     pub(crate) failed_on: Option<cactuswheel_work::WorkerId>,
 }
@@ -78,6 +81,11 @@
 }
 
 impl Task {
+    /// Whether its last run may have taken its worker down: it starts apart from other starts.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.crashes.last().is_some_and(|c| c.fresh)
+    }
+
     /// Whether it should run and has no run anywhere.
     pub(crate) fn is_free(&self) -> bool {
         !self.done && self.attempts.is_empty()
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -99,6 +99,7 @@
 fn see(attempt: &mut Attempt, row: &Running, now: Time) {
     attempt.sure = true;
     attempt.listed = true;
+    attempt.crash = None;
     if matches!(
         attempt.phase,
         Phase::Planned | Phase::Ordered | Phase::Unknown
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -204,13 +204,16 @@
                 // The team's limit says nothing about room: another team's tasks may fit.
                 return choices;
             }
-            if plain && misses.cover(step.reserved()) {
+            // A gang starts at once on several workers.
+            let suspect = run.tasks[index].is_suspect() && !step.gang;
+            if !suspect && plain && misses.cover(step.reserved()) {
                 misses.count += 1;
                 return choices;
             }
             let constraints = Constraints {
                 step,
                 beside: &beside,
+                suspect,
                 avoid: run.tasks[index].failed_on.as_ref(),
                 rack: rack.as_deref(),
                 home: home.as_ref().filter(|_| self.policy.home),
@@ -218,7 +221,19 @@
                 due: &self.due,
                 pack: self.policy.pack,
             };
-            let Some(worker) = pick_worker(&self.workers, service, &constraints, self.now) else {
+            let picked = match suspect {
+                false => pick_worker(&self.workers, service, &constraints, self.now),
+                true => {
+                    let place = self.place_suspect(service, &constraints);
+                    let at = self.workers.reserve_for(place, self.now);
+                    if at.is_none() {
+                        // That says nothing of room for other tasks.
+                        continue;
+                    }
+                    at
+                }
+            };
+            let Some(worker) = picked else {
                 misses.count += 1;
                 if plain {
                     misses.free_index.push(step.reserved());
@@ -293,12 +308,16 @@
         };
         state.run = run;
         let given_up = std::mem::take(&mut state.given_up);
+        let suspect = state.is_suspect() && !step.gang;
         let mut attempt = Attempt::new(worker.clone(), place.born, run, Phase::Planned, now);
         attempt.fence = place.fence;
         state.attempts.push(attempt);
         if given_up {
             job.redone.push(Redone { task, run });
         }
+        if suspect {
+            self.begin_trial(&worker, task);
+        }
         self.usage.add(sub.team.as_ref(), step.room);
         self.dirty.insert(task.job());
         self.planned.push(PlannedStart { task, run, worker });
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -52,7 +52,6 @@
         let checkpoint = state.checkpoint.clone();
         if let Some(attempt) = self.attempt_mut(task, run, &worker) {
             attempt.enter(Phase::Ordered, now);
-            attempt.ordered = Some(now);
             attempt.fence = fence;
         }
         self.out.push(Output::Start {
@@ -168,13 +167,16 @@
         log::info!(worker:% = id, why:% = why, fence = worker.fence; "worker in doubt");
     }
 
-    /// A lasting run has started: looks show soon when it is at work.
+    /// A run has started: looks show soon when lasting work is at work, and whether a suspect has
+    /// taken the worker down.
     fn watch(&mut self, id: &WorkerId, task: TaskId) {
         let now = self.now;
-        let worker = self.workers.get_mut(id);
-        let worker = worker.filter(|w| w.held.get(&task).is_some_and(|h| h.lasting));
-        if let Some(worker) = worker {
-            worker.waking = true;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let lasting = worker.held.get(&task).is_some_and(|h| h.lasting);
+        worker.waking |= lasting;
+        if lasting || worker.trial == Some(task) {
             worker.looking = Looking::Due(now);
         }
     }
--- a/crates/cell/src/tallies.rs
+++ b/crates/cell/src/tallies.rs
@@ -7,4 +7,6 @@
     pub ended: u64,
     /// Runs that were lost with such a worker.
     pub lost: u64,
+    /// Jobs that were given up since a task of theirs takes its workers down.
+    pub given_up: u64,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Millis, Set, Time};
-use cactuswheel_work::{Presence, Room, TaskId, WorkerEntry, WorkerId, ZoneName};
+use cactuswheel_work::{Presence, Room, ServiceName, TaskId, WorkerEntry, WorkerId, ZoneName};
 
 use crate::health::Health;
 use crate::pacing::Throttle;
@@ -75,7 +75,7 @@
     fix: Option<ClockFix>,
     /// Latest expiry of a lease that any order may have set, on the worker's clock.
     expiry: u64,
-    /// When it last answered.
+    /// When the last look that it answered was sent: it was still there then.
     pub(crate) alive: Time,
     /// Since when this owner knows it.
     since: Time,
@@ -119,6 +119,10 @@
     pub(crate) evacuating: bool,
     /// A lasting run there has started and is not at work yet, as far as is known.
     pub(crate) waking: bool,
+    /// Until then it is kept for a task that may take it down.
+    pub(crate) reserved: Time,
+    /// That task, once it has started here.
+    pub(crate) trial: Option<TaskId>,
     /// No new work until then: it said that it had no room.
     pub(crate) full_until: Time,
     pub(crate) marks: Marks,
@@ -158,6 +162,8 @@
             evacuated: false,
             evacuating: false,
             waking: false,
+            reserved: Time::default(),
+            trial: None,
             full_until: Time::default(),
             marks: Marks::default(),
         }
@@ -210,6 +216,16 @@
         self.missed == 0 && self.born != 0
     }
 
+    /// Whether it is kept for a task that may take it down.
+    pub(crate) fn is_reserved(&self, now: Time) -> bool {
+        self.reserved > now
+    }
+
+    /// Whether it is in the pool of this service.
+    pub(crate) fn serves(&self, service: &ServiceName) -> bool {
+        self.entry.as_ref().is_some_and(|e| e.service == *service)
+    }
+
     /// Room that is left.
     pub(crate) fn free(&self) -> Room {
         let all = self.entry.as_ref().map(|e| e.room).unwrap_or_default();
@@ -276,7 +292,6 @@
             self.expiry = self.expiry.max(clock + lease.get());
         }
         self.fix = Some(ClockFix { clock, at: now });
-        self.alive = now;
     }
 
     /// A new life began: nothing of the old one counts.
@@ -288,6 +303,8 @@
         self.seen = 0;
         self.noted = 0;
         self.barred = None;
+        self.reserved = Time::default();
+        self.trial = None;
         self.health = Health::default();
     }
 
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -1,6 +1,7 @@
 //! The workers that a cell knows, and which of them have something to be done.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{ServiceName, TaskId, WorkerId};
@@ -8,6 +9,9 @@
 use crate::free_index::{FreeIndex, Place};
 use crate::worker::{Held, Looking, Worker};
 
+/// Longest time for which a worker is kept for a task that may take it down.
+const RESERVATION: Duration = Duration::from_secs(1);
+
 /// What a worker was last entered under.
 #[derive(Debug, Default)]
 pub(crate) struct Marks {
@@ -41,6 +45,8 @@
     evacuating: Set<WorkerId>,
     /// Those with ends that the journal does not reflect yet.
     fresh: Set<WorkerId>,
+    /// Those that are kept for tasks which may take them down.
+    reserved: Vec<WorkerId>,
 }
 
 impl Workers {
@@ -125,6 +131,32 @@
         }
     }
 
+    /// Keeps a worker free of other starts for a task that may take it down.
+    pub(crate) fn reserve(&mut self, id: &WorkerId, now: Time) {
+        let Some(worker) = self.get_mut(id) else {
+            return;
+        };
+        worker.reserved = now.after(RESERVATION);
+        worker.looking = Looking::Due(now);
+        if !self.reserved.contains(id) {
+            self.reserved.push(id.clone());
+        }
+    }
+
+    /// Those that are kept for tasks which may take them down.
+    pub(crate) fn reserved(&self) -> impl Iterator<Item = &Worker> {
+        self.reserved.iter().filter_map(|id| self.all.get(id))
+    }
+
+    /// Drops reservations that are over; true if there were any.
+    pub(crate) fn end_reservations(&mut self, now: Time) -> bool {
+        let before = self.reserved.len();
+        let all = &self.all;
+        self.reserved
+            .retain(|id| all.get(id).is_some_and(|w| w.is_reserved(now)));
+        self.reserved.len() < before
+    }
+
     /// Those that left a look unanswered, or are listed no more.
     pub(crate) fn silent(&self) -> impl Iterator<Item = &Worker> {
         self.silent.iter().filter_map(|id| self.all.get(id))
--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_work::{JobId, JobState, StepId, TaskId};
-use world::{World, job, steps};
+use world::{World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -66,3 +66,112 @@
     assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
     world.assert_clean();
 }
+
+/// Guards against a crash that comes late: the run has outlived its start, so nothing tells it from its
+/// neighbours but the number of crashes.
+#[test]
+fn slow_crashes() {
+    let mut world = lethal(3, 6, &[1]);
+    for number in 0..6 {
+        world.worker(number).fuse = 500;
+    }
+    world.submit(job(1, steps(1, 1, 2_000)));
+    world.run(60 * SECOND);
+    let count = starts(&world, first(1));
+    assert!(count <= MOST_STARTS, "{count} starts");
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
+}
+
+/// Guards against lasting work that takes its workers down for ever.
+#[test]
+fn lasting_crashes() {
+    let mut world = lethal(4, 4, &[1]);
+    for number in 0..4 {
+        world.worker(number).lasting = vec![1, 2];
+    }
+    world.submit(lasting(1, 2, 1));
+    world.submit(lasting(2, 2, 1));
+    world.run(60 * SECOND);
+    let count = starts(&world, first(1));
+    assert!(count <= MOST_STARTS, "{count} starts");
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Running));
+    world.assert_clean();
+}
+
+/// Pattern: a busy pool, one job in twenty crashes its workers. Guards against neighbours of such tasks
+/// that are given up with them, and against their starting together again and again.
+#[test]
+fn flood_of_crashes() {
+    let bad: Vec<u64> = (0..100).filter(|n| n % 20 == 7).collect();
+    let mut world = lethal(5, 12, &bad);
+    for id in 0..100 {
+        world.submit(job(id, steps(1, 3, 700)));
+        world.run(SECOND / 10);
+    }
+    world.run(30 * SECOND);
+    for id in 0..100 {
+        let expected = match bad.contains(&id) {
+            true => JobState::Failed,
+            false => JobState::Complete,
+        };
+        assert_eq!(world.state(JobId::new(id)), Some(expected), "job {id}");
+    }
+    let count: usize = bad.iter().map(|id| starts(&world, first(*id))).sum();
+    assert!(
+        count <= MOST_STARTS * bad.len(),
+        "{count} starts of {}",
+        bad.len()
+    );
+    world.assert_clean();
+}
+
+/// Guards against sound work that is given up since its workers crash by themselves.
+#[test]
+fn crashes_by_themselves() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 6);
+        for id in 0..30 {
+            world.submit(job(id, steps(2, 4, 700)));
+            world.run(SECOND / 2);
+            let now = world.now;
+            let number = world.rng.below(6) as usize;
+            if world.worker(number).up {
+                world.worker(number).crash(now);
+            }
+        }
+        world.run(40 * SECOND);
+        for id in 0..30 {
+            let state = world.state(JobId::new(id));
+            assert_eq!(state, Some(JobState::Complete), "job {id} of seed {seed}");
+        }
+        world.assert_clean();
+    }
+}
+
+/// Guards against sound work that is given up since its workers are cut off.
+#[test]
+fn cut_off_again() {
+    let mut world = World::new(6, 3);
+    for number in 0..3 {
+        world.worker(number).lasting = vec![1];
+    }
+    world.submit(lasting(1, 1, 1));
+    for _ in 0..6 {
+        world.run(SECOND / 2);
+        let busy = (0..3).find(|&n| world.worker(n).count() == 1);
+        let busy = busy.expect("the task runs somewhere");
+        world.worker(busy).linked = false;
+        let now = world.now;
+        let id = world.worker(busy).id.clone();
+        world.cell().unlist(now, &id);
+        world.run(6 * SECOND);
+        world.worker(busy).linked = true;
+        let entry = world.worker(busy).entry();
+        let now = world.now;
+        world.cell().list(now, entry);
+        world.run(2 * SECOND);
+    }
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Running));
+    world.assert_clean();
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,7 @@
     duties: Counter<u64>,
     ended: Counter<u64>,
     lost: Counter<u64>,
+    given_up: Counter<u64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
     busy: Gauge<u64>,
@@ -76,6 +77,7 @@
             duties: counter("cactuswheel_node_instance_orders"),
             ended: counter("cactuswheel_node_worker_ends"),
             lost: counter("cactuswheel_node_runs_lost"),
+            given_up: counter("cactuswheel_node_jobs_given_up"),
             busy: meter
                 .u64_gauge("cactuswheel_node_owner_busy_percent")
                 .build(),
@@ -128,6 +130,7 @@
     pub(crate) fn tallied(&self, since: Tallies) {
         self.ended.add(since.ended, &[]);
         self.lost.add(since.lost, &[]);
+        self.given_up.add(since.given_up, &[]);
     }
 
     /// Share of the time for which the owner was at work, in percent.
