--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// A worker's instance is ordered away: it gets no more work, and its end is no crash.
+    pub fn send_away(&mut self, id: &WorkerId) {
+        self.close(id, false);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.ordered = true;
+        }
+    }
+
     /// The instances of these workers are to be maintained before long.
     pub fn expect_maintenance(&mut self, due: &Set<WorkerId>) {
         if self.due != *due {
@@ -40,6 +48,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             log::info!(worker:% = id; "worker reopened");
             worker.closing = false;
+            worker.ordered = false;
             worker.evacuating = false;
             self.stirred = true;
         }
--- a/crates/cell/src/losses.rs
+++ b/crates/cell/src/losses.rs
@@ -47,8 +47,8 @@
             return;
         };
         let alive = worker.alive;
-        // Its end was ordered, or announced.
-        let planned = worker.closing || worker.is_draining();
+        // A worker that is only closed goes on until its instance is ordered away.
+        let planned = worker.ordered || worker.is_draining();
         let silent = self.now.since(alive).as_millis() as u64;
         let held = runs.iter().chain(doubtful);
         let attempts = held.filter_map(|(t, run)| self.attempt(*t, *run, id));
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -113,6 +113,8 @@
     pub(crate) throttle: Throttle,
     /// Gets no new work: its instance is wanted elsewhere.
     pub(crate) closing: bool,
+    /// Its instance is ordered away, or may be.
+    pub(crate) ordered: bool,
     /// Gets no new work: its data centre is evacuated.
     pub(crate) evacuated: bool,
     /// Lasting work leaves it too.
@@ -159,6 +161,7 @@
             health: Health::default(),
             throttle: Throttle::default(),
             closing: false,
+            ordered: false,
             evacuated: false,
             evacuating: false,
             waking: false,
--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -175,3 +175,22 @@
     assert_eq!(world.state(JobId::new(1)), Some(JobState::Running));
     world.assert_clean();
 }
+
+/// Guards against a crash that counts for nothing since the worker was closed meanwhile: its pool had one
+/// too many, and a closed worker looks like one that was sent away.
+#[test]
+fn crash_on_closed() {
+    let mut world = lethal(7, 8, &[1]);
+    world.submit(job(1, steps(1, 1, 700)));
+    for _ in 0..6_000 {
+        world.run(SECOND / 100);
+        let hosts = world.workers.values().filter(|w| w.crashed.is_some());
+        let hosts: Vec<_> = hosts.map(|w| w.id.clone()).collect();
+        for id in hosts {
+            world.cell().close(&id, false);
+        }
+    }
+    let count = starts(&world, first(1));
+    assert!(count <= MOST_STARTS, "{count} starts");
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
+}
