--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -28,6 +28,9 @@
 /// Time that a move or maintenance takes.
 const AWAY: Duration = Duration::from_millis(400);
 
+/// Time after which a worker that its work has taken down is followed by another life.
+const BACK: Duration = Duration::from_millis(800);
+
 /// A pool of the platform.
 #[derive(Debug, Clone)]
 pub struct Pool {
@@ -152,7 +155,7 @@
         tokio::spawn(async move {
             sleep(pause).await;
             if reborn {
-                let _ = platform.begin_life_as(place, id).await;
+                let _ = platform.begin_life_as(place, id, 0).await;
             } else {
                 let _ = platform.begin_life(place).await;
             }
@@ -193,15 +196,39 @@
     }
 
     async fn begin_life(&self, place: usize) -> std::io::Result<()> {
-        let id = {
-            let mut state = self.lock();
-            state.lives += 1;
-            format!("i-{}", state.lives)
-        };
-        self.begin_life_as(place, id).await
+        let id = self.fresh_name();
+        self.begin_life_as(place, id, 0).await
+    }
+
+    fn fresh_name(&self) -> String {
+        let mut state = self.lock();
+        state.lives += 1;
+        format!("i-{}", state.lives)
     }
 
-    async fn begin_life_as(&self, place: usize, id: String) -> std::io::Result<()> {
+    /// Ends the lives of workers that their work takes down; each is followed by another at its address.
+    fn end_crashed(&self, state: &mut State) {
+        for place in 0..state.stock.len() {
+            let number = state.stock[place].worker;
+            let Some((_, addr)) = number
+                .map(|n| &state.workers[n])
+                .filter(|(w, _)| w.crashes())
+            else {
+                continue;
+            };
+            let port = addr.port();
+            state.end_life(place);
+            let platform = self.clone();
+            tokio::spawn(async move {
+                sleep(BACK).await;
+                let id = platform.fresh_name();
+                // With its port taken the instance stays away.
+                let _ = platform.begin_life_as(place, id, port).await;
+            });
+        }
+    }
+
+    async fn begin_life_as(&self, place: usize, id: String, port: u16) -> std::io::Result<()> {
         let spare = {
             let mut state = self.lock();
             state.stock[place].state = "up";
@@ -210,7 +237,7 @@
         if spare {
             return Ok(());
         }
-        let listener = TcpListener::bind((self.inner.host, 0)).await?;
+        let listener = TcpListener::bind((self.inner.host, port)).await?;
         let addr = listener.local_addr()?;
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let born = since.unwrap_or_default().as_millis() as u64;
@@ -248,6 +275,7 @@
             for (worker, _) in state.workers.iter_mut().filter(|(w, _)| !w.dead) {
                 ended |= worker.step(&mut state.ledger);
             }
+            self.end_crashed(state);
             let beats = beat.elapsed() >= HEARTBEAT || number == 0;
             if beats {
                 beat = Instant::now();
@@ -350,7 +378,15 @@
                 let ended = timeout(wait, self.inner.changed.notified());
                 // Either way the lists are told as they are then.
                 let _ = ended.await;
-                answer(self.lock().workers[number].0.lists())
+                let lists = {
+                    let state = self.lock();
+                    let worker = &state.workers[number].0;
+                    (!worker.dead).then(|| worker.lists())
+                };
+                match lists {
+                    Some(lists) => answer(lists),
+                    None => std::future::pending().await,
+                }
             }
         }
     }
--- a/crates/local/src/worker.rs
+++ b/crates/local/src/worker.rs
@@ -22,6 +22,8 @@
     since: Instant,
     /// `None` for a run that lasts.
     work: Option<Duration>,
+    /// Time after which it takes the worker down.
+    fuse: Option<Duration>,
 }
 
 /// One life of a worker.
@@ -95,6 +97,12 @@
         self.ended.len() > before
     }
 
+    /// Whether a run takes the worker down now.
+    pub(crate) fn crashes(&self) -> bool {
+        let mut runs = self.running.values();
+        runs.any(|r| r.fuse.is_some_and(|fuse| r.since.elapsed() >= fuse))
+    }
+
     /// Everything here is gone, without an end that anybody hears of.
     pub(crate) fn die(&mut self, ledger: &mut Ledger) {
         self.dead = true;
@@ -150,14 +158,29 @@
             return self.refused("old");
         }
         let spec = order["spec"].as_str().unwrap_or_default();
-        let work = match spec.split_once('=') {
+        let spec = spec.split_once('=');
+        // Of such a job it is the first task.
+        let fuse = match spec {
+            Some(("crash_ms", ms)) if task.ends_with(".0.0.0") => ms.parse().ok(),
+            _ => None,
+        };
+        let work = match spec {
             Some(("work_ms", ms)) => ms.parse().ok().map(Duration::from_millis),
             Some(("lasts", _)) => None,
             _ => Some(WORK),
         };
         ledger.started(&task, run, &self.id);
         let since = Instant::now();
-        self.running.insert(task, Run { run, since, work });
+        let fuse = fuse.map(Duration::from_millis);
+        self.running.insert(
+            task,
+            Run {
+                run,
+                since,
+                work,
+                fuse,
+            },
+        );
         (StatusCode::OK, json!({ "clock_ms": self.clock() }))
     }
 
--- a/crates/soak/tests/path.rs
+++ b/crates/soak/tests/path.rs
@@ -70,6 +70,34 @@
     );
 }
 
+/// Guards against a task that takes its workers down for ever, and its neighbours with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_work() {
+    let mut world = World::start(3, 6).await;
+    let mut caller = world.caller(0);
+    let crashing = caller.submit("/a/", 1, &steps(), "crash_ms=10").await;
+    let mut others = Vec::new();
+    for id in 2..8 {
+        others.push(caller.submit("/a/", id, &steps(), "work_ms=300").await);
+    }
+    sleep(Duration::from_secs(2)).await;
+    let owner = world.owner().expect("a node owns the cell");
+    world.nodes[owner].signal("KILL");
+    assert_eq!(caller.wait(&crashing).await.as_deref(), Ok("failed"));
+    for job in &others {
+        assert_eq!(caller.wait(job).await.as_deref(), Ok("complete"));
+    }
+    let task = format!("{}.0.0.0", crashing.id);
+    let starts = world.platform.ledger(|l| l.starts[&task]);
+    let lost = world.log("run lost");
+    assert!(starts <= 5, "{starts} starts: {lost:#?}");
+    let story = world.log("job given up: it takes its workers down");
+    assert!(
+        story.iter().any(|l| l["task"] == task.as_str()),
+        "{story:?}"
+    );
+}
+
 /// A planned stop of the owner: it gives the ownership up and ends in its grace, callers are
 /// served by others within a second.
 #[tokio::test(flavor = "multi_thread")]
