--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -36,6 +36,11 @@
             self.release(task, run, &worker);
             return;
         };
+        if place.is_overfull() {
+            log::info!(task:% = task, run = run, worker:% = worker; "start dropped: the room has shrunk");
+            self.release(task, run, &worker);
+            return;
+        }
         let fence = place.fence;
         let Some(expiry) = place.renew(lease, now) else {
             self.release(task, run, &worker);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -235,6 +235,12 @@
         all - self.used
     }
 
+    /// Whether more is taken up, or planned, than it has by now.
+    pub(crate) fn is_overfull(&self) -> bool {
+        let all = self.entry.as_ref().map(|e| e.room).unwrap_or_default();
+        !self.used.fits(all)
+    }
+
     /// Whether its data centre is one of these.
     pub(crate) fn is_within(&self, zones: &Set<ZoneName>) -> bool {
         let listed = self.entry.as_ref();
--- /dev/null
+++ b/crates/cell/tests/rooms.rs
@@ -0,0 +1,66 @@
+//! Workers whose room changes; those of this world guard nothing.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_work::{JobId, JobState, Room};
+use world::{World, job, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn room(cores: u64) -> Room {
+    Room {
+        cpu: cores * 1_000,
+        memory: 64_000,
+        gpu: 0,
+    }
+}
+
+/// The worker says that it has this room now.
+fn set_room(world: &mut World, cores: u64) {
+    world.worker(0).room = room(cores);
+    let entry = world.worker(0).entry();
+    let now = world.now;
+    world.cell().list(now, entry);
+}
+
+/// Guards against starts beyond a room that shrank while they waited for the journal.
+#[test]
+fn shrinks_meanwhile() {
+    let mut world = World::new(1, 1);
+    world.run(SECOND);
+    world.store_down = true;
+    world.submit(job(1, steps(1, 8, 700)));
+    world.run(SECOND);
+    set_room(&mut world, 16);
+    world.store_down = false;
+    world.run(3 * SECOND);
+    world.assert_clean();
+    assert_eq!(world.worker(0).peak, 4);
+    world.run(3 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+}
+
+/// Guards against starts beside runs that go on in a room that has become too small for them.
+#[test]
+fn shrinks_under_work() {
+    let mut world = World::new(2, 1);
+    world.worker(0).work = 3_000;
+    world.submit(job(1, steps(1, 6, 3_000)));
+    world.run(SECOND);
+    assert_eq!(world.worker(0).count(), 6);
+    set_room(&mut world, 16);
+    world.submit(job(2, steps(1, 4, 700)));
+    world.run(SECOND);
+    assert_eq!(world.worker(0).count(), 6);
+    set_room(&mut world, 32);
+    world.run(SECOND / 2);
+    assert_eq!(
+        world.worker(0).count(),
+        8,
+        "the room that came back is used"
+    );
+    world.run(8 * SECOND);
+    assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
+}
