--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -30,6 +30,7 @@
             let mut lasting = running.iter().filter(lasting);
             worker.waking = lasting.any(|r| r.percent < 100);
         }
+        let mut stray = false;
         for row in running {
             let (task, run) = (row.task, row.run);
             match self.take_row(id, row) {
@@ -37,11 +38,16 @@
                 Some(Need::Leave) => self.leave_sick(id, task, run),
                 Some(Need::StopAgain) => self.send_stop(id, task, run),
                 Some(Need::Unwanted) => {
+                    stray = true;
                     log::warn!(task:% = task, run = run, worker:% = id; "unwanted run is stopped");
                     self.send_stop(id, task, run);
                 }
             }
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            self.stirred |= worker.stray && !stray;
+            worker.stray = stray;
+        }
     }
 
     fn take_row(&mut self, id: &WorkerId, row: &Running) -> Option<Need> {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -119,6 +119,8 @@
     pub(crate) evacuated: bool,
     /// Lasting work leaves it too.
     pub(crate) evacuating: bool,
+    /// It listed a run at the last look that no attempt stands for: what that takes up is not known.
+    pub(crate) stray: bool,
     /// A lasting run there has started and is not at work yet, as far as is known.
     pub(crate) waking: bool,
     /// Until then it is kept for a task that may take it down.
@@ -164,6 +166,7 @@
             ordered: false,
             evacuated: false,
             evacuating: false,
+            stray: false,
             waking: false,
             reserved: Time::default(),
             trial: None,
@@ -182,6 +185,7 @@
             && self.fence_settled()
             && self.born != 0
             && self.barred.is_none()
+            && !self.stray
     }
 
     /// Whether it may get new work.
@@ -312,6 +316,7 @@
         self.seen = 0;
         self.noted = 0;
         self.barred = None;
+        self.stray = false;
         self.reserved = Time::default();
         self.trial = None;
         self.health = Health::default();
--- a/crates/cell/tests/rooms.rs
+++ b/crates/cell/tests/rooms.rs
@@ -1,10 +1,10 @@
-//! Workers whose room changes; those of this world guard nothing.
+//! Workers whose room changes, and runs there that nobody wants; workers of this world guard nothing.
 
 mod world;
 
 use std::time::Duration;
 
-use cactuswheel_work::{JobId, JobState, Room};
+use cactuswheel_work::{JobId, JobState, Room, StepId, TaskId};
 use world::{World, job, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -64,3 +64,30 @@
     world.run(8 * SECOND);
     assert_eq!(world.state(JobId::new(2)), Some(JobState::Complete));
 }
+
+/// Guards against starts beside a run that the owner knows nothing of, while it is being stopped.
+#[test]
+fn strays_count() {
+    let mut world = World::new(3, 1);
+    world.run(SECOND);
+    let stray = TaskId {
+        step: StepId {
+            job: JobId::new(99),
+            turn: 0,
+            step: 0,
+        },
+        index: 0,
+    };
+    world.worker(0).stopping = SECOND;
+    world.worker(0).work = 5_000;
+    world.worker(0).add_stray(stray);
+    world.run(SECOND / 2);
+    world.submit(job(1, steps(1, 8, 5_000)));
+    world.run(3 * SECOND);
+    world.assert_clean();
+    assert_eq!(
+        world.worker(0).count(),
+        8,
+        "it is used once the stray is gone"
+    );
+}
