--- a/crates/cell/tests/histories.rs
+++ b/crates/cell/tests/histories.rs
@@ -109,7 +109,9 @@
             world.worker(number).lethal = vec![lethal];
         }
         world.submit(sub);
+        close_some(world);
     });
+    reopen_all(&mut world);
     world.run(Duration::from_secs(30));
     world.assert_clean();
     let begun = world.workers.values().flat_map(|w| &w.begun);
@@ -131,6 +133,26 @@
     true
 }
 
+/// Pools shrink and grow: closes workers, or opens them again.
+fn close_some(world: &mut World) {
+    let mut ids: Vec<_> = world.workers.keys().cloned().collect();
+    ids.sort();
+    for id in ids {
+        match world.rng.below(4) {
+            0 => world.cell().close(&id, false),
+            1 => world.cell().reopen(&id),
+            _ => {}
+        }
+    }
+}
+
+fn reopen_all(world: &mut World) {
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    for id in ids {
+        world.cell().reopen(&id);
+    }
+}
+
 /// Whether three workers ended under a task of the job.
 fn ended_under(world: &World, job: JobId) -> bool {
     let lost = world.workers.values().flat_map(|w| &w.lost);
