--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -17,6 +17,15 @@
 /// some hundred milliseconds, and each try looks at every run that may leave.
 const EVACUATE_EVERY: Duration = Duration::from_millis(20);
 
+/// What a step allows when one of its lasting tasks is stopped.
+#[derive(Default)]
+struct Disruption {
+    /// Other tasks of the step that are not at work, as far as is known.
+    away: u32,
+    /// Tasks of the step that may be away at a time.
+    budget: u32,
+}
+
 impl Cell {
     /// Gives a worker no more work; with `evacuate` lasting work leaves it, within its budget.
     pub fn close(&mut self, id: &WorkerId, evacuate: bool) {
@@ -73,20 +82,25 @@
             lasting.extend(runs.map(|(t, h)| (worker.id.clone(), *t, h.run)));
         }
         for (id, task, run) in lasting {
-            if self.may_stop(task, &id) {
-                log::info!(task:% = task, run = run, worker:% = id; "run leaves its worker");
-                self.stop(task, run, &id);
-            }
+            let Some(disruption) = self.may_stop(task, &id) else {
+                continue;
+            };
+            log::info!(
+                task:% = task, run = run, worker:% = id, away = disruption.away,
+                budget = disruption.budget;
+                "run leaves its worker"
+            );
+            self.stop(task, run, &id);
         }
     }
 
     /// Whether a lasting task may be stopped: its step's budget has room, and so has a worker.
-    fn may_stop(&self, task: TaskId, from: &WorkerId) -> bool {
+    fn may_stop(&self, task: TaskId, from: &WorkerId) -> Option<Disruption> {
         let Some(job) = self.jobs.get(&task.job()) else {
-            return true;
+            return Some(Disruption::default());
         };
         let (Some(step), Some(run)) = (job.step(task), job.step_run(task)) else {
-            return true;
+            return Some(Disruption::default());
         };
         let mine = &run.tasks[task.index as usize];
         let at_work = |c: &Attempt| c.is_at_work() && self.is_telling(c);
@@ -97,8 +111,10 @@
         let others = run.tasks.iter().enumerate();
         let others = others.filter(|(i, _)| *i != task.index as usize);
         let away = others.filter(|(_, t)| !t.attempts.iter().any(at_work));
+        let away = away.count() as u32;
         let budget = step.budget.unwrap_or(1).max(1);
-        running && (away.count() as u32) < budget && self.has_place(job, step, run)
+        let allowed = running && away < budget && self.has_place(job, step, run);
+        allowed.then_some(Disruption { away, budget })
     }
 
     /// Whether what a worker lists of a run says that it goes on.
