--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -120,14 +120,15 @@
     /// Whether what a worker lists of a run says that it goes on.
     ///
     /// What a silent worker said last is no word on what runs there now. Nor is what one lists of
-    /// an earlier owner's run until a stop which that one may have ordered would be through: the
-    /// run is listed as before meanwhile, and a step with a budget of two would lose three tasks.
+    /// an earlier owner's run, unless the look was sent after a stop which that one may have ordered
+    /// would be through: the run is listed as before meanwhile, and a step with a budget of two
+    /// would lose three tasks.
     fn is_telling(&self, attempt: &Attempt) -> bool {
         let Some(worker) = self.workers.get(&attempt.worker) else {
             return false;
         };
         let stop = self.bounds.stop.duration();
-        let met = worker.met.is_some_and(|at| self.now.since(at) > stop);
+        let met = worker.met.is_some_and(|at| worker.alive > at.after(stop));
         worker.missed == 0 && (attempt.is_own() || met)
     }
 
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cactuswheel_cell::{Batch, Bounds, Cell, JobRecord, Mark, Output, ShareRule, decode, encode};
-use cactuswheel_model::{Map, Millis, Time};
+use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_testkit::Rng;
 use cactuswheel_work::{
     FleetConfig, JobId, JobState, Look, LookError, PaceOrder, PlainOutcome, StartOutcome,
@@ -66,6 +66,10 @@
     pub accepted: Vec<JobId>,
     /// Jobs that wait to be handed to the newest owner.
     handed: Vec<Submission>,
+    /// Lasting tasks that an order may keep away at a time; checked if it is there.
+    pub budget: Option<usize>,
+    /// Lasting tasks that an order has ended and that are not at work again.
+    away: Set<TaskId>,
     /// Crashed workers that are listed until then.
     gone: Vec<(Time, WorkerId)>,
     /// Highest epoch that the journal has seen.
@@ -107,6 +111,8 @@
             held: Map::default(),
             accepted: Vec::new(),
             handed: Vec::new(),
+            budget: None,
+            away: Set::default(),
             gone: Vec::new(),
             epoch: 0,
             broken: Vec::new(),
@@ -221,6 +227,9 @@
                 worker.step(now);
             }
             self.bring_back();
+            let workers = &self.workers;
+            self.away
+                .retain(|t| !workers.values().any(|w| w.is_at_work(*t)));
             self.check();
             let mut owners = std::mem::take(&mut self.owners);
             for owner in &mut owners {
@@ -366,6 +375,10 @@
             } => {
                 let fate = self.fate(&worker, addr);
                 let now = self.now;
+                let fake = self.workers.get(&worker);
+                if fake.is_some_and(|w| w.would_end(&order, fate)) {
+                    self.count_away(order.task, owner.epoch);
+                }
                 if let Some(fake) = self.workers.get_mut(&worker) {
                     fake.stop(&order, fate, now);
                 }
@@ -386,6 +399,16 @@
         }
     }
 
+    /// An order ends a lasting run that is at work: its step's budget has to allow it.
+    fn count_away(&mut self, task: TaskId, epoch: u64) {
+        let others = self.away.iter().filter(|t| **t != task).count();
+        if self.budget.is_some_and(|most| others >= most) {
+            let line = format!("owner {epoch} ends {task} with {others} others away");
+            self.broken.push(line);
+        }
+        self.away.insert(task);
+    }
+
     fn append(&mut self, owner: &mut Owner, batch: Batch) {
         if owner.epoch < self.epoch {
             // Shut out: this owner hears no more of its journal.
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -340,6 +340,20 @@
         }
     }
 
+    /// Whether an order ends a lasting run that is at work.
+    pub fn would_end(&self, order: &StopOrder, fate: Fate) -> bool {
+        let obeyed = matches!(fate, Fate::Answered | Fate::Done) && order.fence >= self.fence;
+        let run = self.running.get(&order.task);
+        obeyed && run.is_some_and(|r| r.run == order.run) && self.is_at_work(order.task)
+    }
+
+    /// Whether a lasting task is at work here, and was not told to stop.
+    pub fn is_at_work(&self, task: TaskId) -> bool {
+        let run = self.running.get(&task);
+        let run = run.filter(|r| self.up && r.lasting && r.work >= 300 && !self.still);
+        run.is_some_and(|r| !self.stops.iter().any(|(_, t, n)| *t == task && *n == r.run))
+    }
+
     fn end_stopped(&mut self, task: TaskId, run: u32) {
         if self.running.get(&task).is_some_and(|r| r.run == run) {
             self.end(task, run, How::Stopped);
