--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -9,6 +9,9 @@
 use crate::free_index::{FreeIndex, Place};
 use crate::worker::{Held, Looking, Worker};
 
+/// Pause between looks at a worker with ends that the journal does not reflect yet.
+const UNTOLD_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Longest time for which a worker is kept for a task that may take it down.
 const RESERVATION: Duration = Duration::from_secs(1);
 
@@ -256,13 +259,18 @@
     /// When it is to be looked at next; `None` while nothing would come of it.
     ///
     /// One that is listed no more may live; what runs there ends as it says. An end is
-    /// acknowledged once the journal reflects it; until then the answer would list it again.
+    /// acknowledged once the journal reflects it; until then the answer would list it again, so
+    /// looks come only as often as leases need.
     fn next_look(&self) -> Option<Time> {
         let Looking::Due(at) = self.looking else {
             return None;
         };
         let wanted = self.entry.is_some() || !self.held.is_empty();
         let told = self.notable() == self.noted;
-        (wanted && self.addr.is_some() && told).then_some(at)
+        let at = match told {
+            true => at,
+            false => at.after(UNTOLD_PAUSE),
+        };
+        (wanted && self.addr.is_some()).then_some(at)
     }
 }
