--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -82,6 +82,8 @@
     pub(crate) handed: Map<JobId, Vec<u8>>,
     /// Jobs whose state the journal does not hold yet.
     pub(crate) dirty: Set<JobId>,
+    /// Those of them that the last batch had no room for.
+    pub(crate) late: Set<JobId>,
     /// Runs that wait for the journal.
     pub(crate) planned: Vec<PlannedStart>,
     /// The batch under way, and what holds once it is in the journal.
@@ -134,6 +136,7 @@
             cancelled: Set::default(),
             handed: Map::default(),
             dirty: Set::default(),
+            late: Set::default(),
             planned: Vec::new(),
             flying: None,
             written: Time::default(),
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Time;
+use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{JobId, JobState, WorkerId};
 
 use crate::batch::{Batch, Consequences, Mark};
@@ -11,6 +11,9 @@
 use crate::journal::{JobRecord, encode};
 use crate::output::Output;
 
+/// About what an order to start takes beside what the job runs, in bytes.
+const ORDER_SIZE: usize = 300;
+
 /// Time between two requests to drop submissions. A takeover in between reads those of two
 /// seconds, some hundred; each request takes an append for each partition of the intake.
 const DROP_EVERY: Duration = Duration::from_millis(2_000);
@@ -88,12 +91,15 @@
             return self.note_ends();
         }
         let mut draft = Draft::default();
-        for id in std::mem::take(&mut self.dirty) {
+        let orders = self.order_sizes();
+        for id in self.in_order() {
             if draft.size >= self.bounds.batch {
                 self.dirty.insert(id);
+                self.late.insert(id);
                 continue;
             }
             self.write_job(id, &mut draft);
+            draft.size += orders.get(&id).copied().unwrap_or_default();
         }
         let left = &self.dirty;
         let planned = std::mem::take(&mut self.planned).into_iter();
@@ -119,6 +125,34 @@
         }));
     }
 
+    /// What changed, in the order in which it is written: lasting work that is about to start earns by
+    /// the second, and what a full batch has left out before goes ahead of the rest.
+    fn in_order(&mut self) -> Vec<JobId> {
+        let late = std::mem::take(&mut self.late);
+        let planned = self.planned.iter().map(|p| p.task.job());
+        let lasting = planned.filter(|id| self.jobs.get(id).is_some_and(|j| j.sub.lasting()));
+        let lasting: Set<JobId> = lasting.collect();
+        let mut dirty: Vec<JobId> = std::mem::take(&mut self.dirty).into_iter().collect();
+        dirty.sort_by_key(|id| (!lasting.contains(id), !late.contains(id)));
+        dirty
+    }
+
+    /// About how many bytes the orders to start take that follow once each job is in the journal.
+    ///
+    /// Failure: a queue's work starts all at once, the orders with all that they run are ten times
+    /// what the journal takes, and on a narrow link renewals, looks and answers wait behind
+    /// them for longer than their time limits: sound workers and relays are given up. What is
+    /// under way with a batch is bounded as a whole, orders included.
+    fn order_sizes(&self) -> Map<JobId, usize> {
+        let mut sizes: Map<JobId, usize> = Map::default();
+        for start in &self.planned {
+            let id = start.task.job();
+            let spec = self.jobs.get(&id).map_or(0, |j| j.sub.spec.len());
+            *sizes.entry(id).or_default() += ORDER_SIZE + spec;
+        }
+        sizes
+    }
+
     /// Ends of runs that no job knows change nothing; they need no journal.
     fn note_ends(&mut self) {
         self.workers.settle();
--- /dev/null
+++ b/crates/cell/tests/batches.rs
@@ -0,0 +1,76 @@
+//! Pattern: a queue's work starts all at once on an owner with a narrow link.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_model::Map;
+use cactuswheel_work::{JobId, JobState, Submission};
+use world::{World, job, lasting, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Bytes that may be under way with a batch: what a link of 2 Mbit/s carries in 0.15 s.
+const BATCH: usize = 37_500;
+
+/// What each job runs, in bytes.
+const SPEC: usize = 4_000;
+
+/// A world whose owner has a narrow link.
+fn narrow(seed: u64, workers: usize) -> World {
+    let mut world = World::new(seed, workers);
+    world.batch = BATCH;
+    world.take_over();
+    world.bury_others();
+    world.run(SECOND);
+    world
+}
+
+fn large(sub: Submission) -> Submission {
+    Submission {
+        team: None,
+        spec: "x".repeat(SPEC).into(),
+        ..sub
+    }
+}
+
+/// Guards against starts that fill a narrow link: renewals, looks and answers wait behind them for longer
+/// than their time limits, and sound workers are given up.
+#[test]
+fn starts_within_budget() {
+    let mut world = narrow(1, 20);
+    for id in 0..40 {
+        world.submit(large(job(id, steps(1, 4, 700))));
+    }
+    world.run(SECOND);
+    let mut sent: Map<u64, usize> = Map::default();
+    for (at, _) in &world.ordered {
+        *sent.entry(at.get()).or_default() += SPEC;
+    }
+    let most = sent.values().max().copied().unwrap_or_default();
+    // The last job of a batch may go beyond it.
+    assert!(most <= BATCH + 4 * SPEC, "{most} bytes of orders at once");
+    world.run(10 * SECOND);
+    for id in 0..40 {
+        let state = world.state(JobId::new(id));
+        assert_eq!(state, Some(JobState::Complete), "job {id}");
+    }
+    world.assert_clean();
+}
+
+/// Guards against lasting work that waits behind short work's batches.
+#[test]
+fn lasting_goes_first() {
+    let mut world = narrow(2, 20);
+    for number in 0..20 {
+        world.worker(number).lasting = vec![99];
+    }
+    for id in 0..40 {
+        world.submit(large(job(id, steps(1, 4, 700))));
+    }
+    world.submit(large(lasting(99, 2, 1)));
+    world.run(SECOND / 10);
+    let first = world.ordered.iter().take(2);
+    let first: Vec<u64> = first.map(|(_, t)| t.job().get()).collect();
+    assert_eq!(first, [99, 99]);
+}
