--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -106,14 +106,11 @@
         let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
         self.planned = later;
         draft.done.starts = now;
-        if self.dirty.is_empty() {
-            self.workers.settle();
-            draft.done.ends = self
-                .workers
-                .fresh()
-                .map(|w| (w.id.clone(), w.born, w.notable()))
-                .collect();
-        }
+        self.workers.settle();
+        let left = &self.dirty;
+        let fresh = self.workers.fresh();
+        let ends = fresh.map(|w| (w.id.clone(), w.born, w.written(left)));
+        draft.done.ends = ends.collect();
         self.written = self.now;
         let mark = Mark(self.next_mark);
         self.next_mark += 1;
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -173,6 +173,10 @@
             self.take_end(id, end);
         }
         if let Some(worker) = self.workers.get_mut(id) {
+            let fresh = look.ended.iter().filter(|e| e.number > seen);
+            worker
+                .unwritten
+                .extend(fresh.map(|e| (e.number, e.task.job())));
             let last = look.ended.iter().map(|e| e.number).max();
             worker.seen = worker.seen.max(last.unwrap_or_default());
         }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -1,11 +1,14 @@
 //! A worker as its cell knows it.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Millis, Set, Time};
-use cactuswheel_work::{Presence, Room, ServiceName, TaskId, WorkerEntry, WorkerId, ZoneName};
+use cactuswheel_work::{
+    JobId, Presence, Room, ServiceName, TaskId, WorkerEntry, WorkerId, ZoneName,
+};
 
 use crate::health::Health;
 use crate::pacing::Throttle;
@@ -85,6 +88,8 @@
     pub(crate) seen: u64,
     /// Highest end that the journal reflects: it may be acknowledged.
     pub(crate) noted: u64,
+    /// Jobs of ends that the journal may not reflect yet, by the ends' numbers.
+    pub(crate) unwritten: VecDeque<(u64, JobId)>,
     /// First end that may never be acknowledged, if there is one.
     ///
     /// Failure: a worker is silent for longer than its lease, its runs are given up and started
@@ -150,6 +155,7 @@
             met: None,
             seen: 0,
             noted: 0,
+            unwritten: VecDeque::new(),
             barred: None,
             lapsed: 0,
             held: Map::default(),
@@ -210,6 +216,16 @@
     /// The journal reflects its ends up to `number`.
     pub(crate) fn note(&mut self, number: u64) {
         self.noted = self.noted.max(number.min(self.notable()));
+        let noted = self.noted;
+        self.unwritten.retain(|(n, _)| *n > noted);
+    }
+
+    /// Highest end up to which the journal reflects all, once it holds every job but those `left`.
+    pub(crate) fn written(&self, left: &Set<JobId>) -> u64 {
+        let first = self.unwritten.iter().find(|(_, job)| left.contains(job));
+        first.map_or(self.notable(), |(number, _)| {
+            (number - 1).min(self.notable())
+        })
     }
 
     /// Whether its life is of no use any more: it takes no work, and can never be told that all
@@ -315,6 +331,7 @@
         self.met = None;
         self.seen = 0;
         self.noted = 0;
+        self.unwritten.clear();
         self.barred = None;
         self.stray = false;
         self.reserved = Time::default();
--- a/crates/cell/tests/batches.rs
+++ b/crates/cell/tests/batches.rs
@@ -74,3 +74,23 @@
     let first: Vec<u64> = first.map(|(_, t)| t.job().get()).collect();
     assert_eq!(first, [99, 99]);
 }
+
+/// Guards against ends that are acknowledged only once every change is written, which on a link in full use
+/// is never: workers list them again with each look.
+#[test]
+fn acks_flow() {
+    let mut world = narrow(3, 20);
+    world.store_down = true;
+    world.outage = Duration::from_millis(150);
+    for id in 0..250 {
+        world.submit(large(job(id, steps(1, 4, 700))));
+        world.run(SECOND / 50);
+    }
+    let done: usize = world.workers.values().map(|w| w.acknowledged.len()).sum();
+    let waiting: usize = world.workers.values().map(|w| w.listed()).sum();
+    assert!(
+        done >= waiting,
+        "{done} ends acknowledged, {waiting} still listed"
+    );
+    world.assert_clean();
+}
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -165,6 +165,11 @@
         self.running.iter().map(|(t, r)| (*t, r.run))
     }
 
+    /// Ends that were not acknowledged yet.
+    pub fn listed(&self) -> usize {
+        self.ended.len()
+    }
+
     pub fn count(&self) -> usize {
         self.running.len()
     }
