--- a/crates/cell/src/blame.rs
+++ b/crates/cell/src/blame.rs
@@ -10,9 +10,8 @@
 use crate::cell::Cell;
 use crate::crash::{Crash, is_to_blame};
 use crate::free_index::Scope;
-use crate::place::{Constraints, fits, is_far};
+use crate::place::{Constraints, Placement, fits, is_far};
 use crate::worker::Worker;
-use crate::workers::Workers;
 
 /// Part of a service's open workers that may be reserved for suspects: the rest goes on with other work.
 const RESERVED_PART: usize = 2;
@@ -36,16 +35,6 @@
     runs: Vec<(TaskId, u32)>,
 }
 
-/// Where a task starts that may take its worker down.
-pub(crate) enum SuspectPlace {
-    /// On this worker.
-    At(WorkerId),
-    /// Nowhere yet. This worker is to be kept free of other starts, until those there are outlived.
-    Reserve(WorkerId),
-    /// Nowhere yet: enough workers are reserved.
-    Wait,
-}
-
 /// A run that was, or may have been, on a worker that ended.
 struct Witness {
     task: TaskId,
@@ -56,23 +45,6 @@
     cleared: bool,
 }
 
-impl Workers {
-    /// Keeps a suspect's place free of other starts; gives the worker if it can start there now.
-    pub(crate) fn reserve_for(&mut self, place: SuspectPlace, now: Time) -> Option<WorkerId> {
-        match place {
-            SuspectPlace::At(worker) => {
-                self.reserve(&worker, now);
-                Some(worker)
-            }
-            SuspectPlace::Reserve(worker) => {
-                self.reserve(&worker, now);
-                None
-            }
-            SuspectPlace::Wait => None,
-        }
-    }
-}
-
 impl Witness {
     /// What the worker's end says, with so many fresh runs there.
     fn crash(&self, fresh: usize, proven: bool) -> Crash {
@@ -218,10 +190,10 @@
         &self,
         service: &ServiceName,
         constraints: &Constraints<'_>,
-    ) -> SuspectPlace {
+    ) -> Placement {
         let now = self.now;
         let Some(free_index) = self.workers.free_index(service) else {
-            return SuspectPlace::Wait;
+            return Placement::Wait;
         };
         let roomy = free_index.emptiest(Scope::All, constraints.step.reserved().cpu);
         let fitting = roomy.filter_map(|n| self.workers.at(n));
@@ -233,14 +205,14 @@
         };
         let settled = fitting.iter().copied().filter(|w| self.is_settled(w));
         if let Some(worker) = settled.min_by_key(cost) {
-            return SuspectPlace::At(worker.id.clone());
+            return Placement::At(worker.id.clone());
         }
         let most = (free_index.len() / RESERVED_PART).max(1);
         let kept = self.workers.reserved().filter(|w| w.serves(service));
         let free = fitting.into_iter().filter(|w| !w.is_reserved(now));
         match free.min_by_key(cost) {
-            Some(worker) if kept.count() < most => SuspectPlace::Reserve(worker.id.clone()),
-            _ => SuspectPlace::Wait,
+            Some(worker) if kept.count() < most => Placement::Reserve(worker.id.clone()),
+            _ => Placement::Wait,
         }
     }
 
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -33,6 +33,19 @@
     }
 }
 
+/// Where a task starts.
+pub(crate) enum Placement {
+    /// On this worker.
+    At(WorkerId),
+    /// Nowhere: no worker that may take it has room.
+    Nowhere,
+    /// Nowhere yet, since it may take its worker down. This worker is to be kept free of other
+    /// starts until it has outlived those that are there.
+    Reserve(WorkerId),
+    /// The same, and enough workers are reserved.
+    Wait,
+}
+
 /// What is asked of a place.
 #[derive(Debug)]
 pub(crate) struct Constraints<'a> {
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -12,7 +12,7 @@
 use crate::finished::Redone;
 use crate::job::Job;
 use crate::learned::Learned;
-use crate::place::{Affinity, Constraints, pick_worker};
+use crate::place::{Affinity, Constraints, Placement, pick_worker};
 use crate::rank::{Rank, rank};
 use crate::run_state::{StepRun, Task};
 use crate::wait_queue::QueuedJob;
@@ -59,6 +59,12 @@
 }
 
 impl Misses {
+    /// A task found no place; `room` if no worker has that much.
+    fn add(&mut self, room: Option<Room>) {
+        self.count += 1;
+        self.free_index.extend(room);
+    }
+
     /// Whether a task that asks for this much cannot have a place either.
     fn cover(&self, room: Room) -> bool {
         self.free_index.iter().any(|missed| missed.fits(room))
@@ -221,25 +227,22 @@
                 due: &self.due,
                 pack: self.policy.pack,
             };
-            let picked = match suspect {
-                false => pick_worker(&self.workers, service, &constraints, self.now),
-                true => {
-                    let place = self.place_suspect(service, &constraints);
-                    let at = self.workers.reserve_for(place, self.now);
-                    if at.is_none() {
-                        // That says nothing of room for other tasks.
-                        continue;
-                    }
-                    at
+            let worker = match self.place(service, &constraints) {
+                Placement::At(worker) => worker,
+                // These say nothing of room for other tasks.
+                Placement::Wait => continue,
+                Placement::Reserve(worker) => {
+                    self.workers.reserve(&worker, self.now);
+                    continue;
                 }
-            };
-            let Some(worker) = picked else {
-                misses.count += 1;
-                if plain {
-                    misses.free_index.push(step.reserved());
+                Placement::Nowhere => {
+                    misses.add(plain.then(|| step.reserved()));
+                    return choices;
                 }
-                return choices;
             };
+            if suspect {
+                self.workers.reserve(&worker, self.now);
+            }
             let choice = Choice::new(at.id, index, &run.tasks[index], worker);
             self.workers
                 .hold(&choice.worker, choice.task, held(choice.run, step));
@@ -259,6 +262,14 @@
         choices
     }
 
+    fn place(&self, service: &ServiceName, constraints: &Constraints<'_>) -> Placement {
+        if constraints.suspect {
+            return self.place_suspect(service, constraints);
+        }
+        let worker = pick_worker(&self.workers, service, constraints, self.now);
+        worker.map_or(Placement::Nowhere, Placement::At)
+    }
+
     /// What a job's team has running, and its limit.
     fn quota(&self, job: &Job) -> (Room, Cap) {
         let team = job.sub.team.as_ref();
