--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,7 +7,7 @@
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{
-    FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerEntry, WorkerId, ZoneName,
+    FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerId, ZoneName,
 };
 
 use crate::advice::Tickets;
@@ -26,7 +26,7 @@
 use crate::tallies::Tallies;
 use crate::usage::Usage;
 use crate::wait_queue::WaitQueue;
-use crate::worker::{Looking, RENEW_WITHOUT_STORE, Worker};
+use crate::worker::{RENEW_WITHOUT_STORE, Worker};
 use crate::workers::Workers;
 
 /// Bits of a fencing token below the owner's epoch. Within one ownership a worker's token rises
@@ -212,57 +212,6 @@
         self.stirred = true;
     }
 
-    /// The platform lists a worker.
-    pub fn list(&mut self, now: Time, entry: WorkerEntry) {
-        self.now = now;
-        let known = self.workers.get(&entry.id);
-        if known.is_some_and(|w| w.entry.as_ref() == Some(&entry)) {
-            // Every worker repeats its entry each second or two.
-            return;
-        }
-        let id = entry.id.clone();
-        let worker = self.workers.get_or_add(&id, self.fence, now);
-        let reborn = entry.born > worker.born && worker.born != 0;
-        self.stirred = true;
-        let changed = worker.entry.as_ref().is_none_or(|before| {
-            before.presence != entry.presence || before.addr != entry.addr || reborn
-        });
-        if changed {
-            log::info!(
-                worker:% = id, service:% = entry.service, presence:? = entry.presence,
-                born = entry.born, known_born = worker.born;
-                "worker listed"
-            );
-            if !matches!(worker.looking, Looking::Flying(_)) {
-                worker.looking = Looking::Due(now);
-            }
-        }
-        let draining = entry.presence == cactuswheel_work::Presence::Draining;
-        worker.addr = Some(entry.addr);
-        worker.rack = entry.rack().map(Into::into);
-        worker.entry = Some(entry);
-        worker.evacuated = worker.is_within(&self.evacuated);
-        if changed && draining {
-            self.leave(&id);
-        }
-    }
-
-    /// The platform lists a worker no more.
-    pub fn unlist(&mut self, now: Time, id: &WorkerId) {
-        self.now = now;
-        if let Some(worker) = self.workers.get_mut(id) {
-            let runs = worker.held.len() as u64;
-            log::info!(worker:% = id, runs = runs; "worker no longer listed");
-            worker.entry = None;
-        }
-    }
-
-    /// Workers that are known to be listed.
-    pub fn listed(&self) -> impl Iterator<Item = &WorkerId> {
-        let listed = self.workers.values().filter(|w| w.entry.is_some());
-        listed.map(|w| &w.id)
-    }
-
     /// The state of a job that callers see; `None` if there is no such job.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         let kept = self.finished.get(&id).map(|k| k.job.state);
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -14,8 +14,8 @@
 /// About what an order to start takes beside what the job runs, in bytes.
 const ORDER_SIZE: usize = 300;
 
-/// Time between two requests to drop submissions. A takeover in between reads those of two
-/// seconds, some hundred; each request takes an append for each partition of the intake.
+/// Time between two requests to drop submissions: each takes an append for each partition of the
+/// intake, and a takeover reads what was not dropped.
 const DROP_EVERY: Duration = Duration::from_millis(2_000);
 
 impl Cell {
--- a/crates/cell/src/health.rs
+++ b/crates/cell/src/health.rs
@@ -7,12 +7,11 @@
 
 /// Failures in a row, of different jobs, after which a worker gets no work.
 ///
-/// Three in a hundred jobs of the customers fail wherever they run, each with all its tasks, so
-/// failures of one job say nothing of a worker; of two jobs in a row with nothing done between
-/// them, on one of some fifty workers, they nearly always do.
+/// A job that fails wherever it runs fails with all its tasks, so failures of one job say nothing
+/// of a worker.
 const SUSPECT_JOBS: usize = 2;
 
-/// First time without work; doubles each time. The customers' sick workers recover in seconds.
+/// First time without work; doubles each time.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Longest time without work.
@@ -40,7 +39,7 @@
         if !self.failed.contains(&job) {
             self.failed.push(job);
         }
-        // After a pause one failure is enough: the worker was given the benefit of the doubt.
+        // After a pause one failure is enough.
         if self.failed.len() < SUSPECT_JOBS && self.pauses == 0 {
             return false;
         }
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -3,18 +3,19 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Cap, JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
+use cactuswheel_work::{Cap, JobId, Room, ServiceName, Step, StepId, WorkerId};
 
 use crate::advice::Permitted;
 use crate::attempt::{Attempt, Phase};
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
+use crate::choices::{Choice, Choices};
 use crate::finished::Redone;
 use crate::job::Job;
 use crate::learned::Learned;
 use crate::place::{Affinity, Constraints, Placement, pick_worker};
 use crate::rank::{Rank, rank};
-use crate::run_state::{StepRun, Task};
+use crate::run_state::StepRun;
 use crate::wait_queue::QueuedJob;
 use crate::worker::Held;
 
@@ -32,24 +33,6 @@
     free: Vec<usize>,
 }
 
-/// A task and the worker that takes it; its room is taken already.
-struct Choice {
-    task: TaskId,
-    run: u32,
-    worker: WorkerId,
-}
-
-impl Choice {
-    fn new(step: StepId, index: usize, task: &Task, worker: WorkerId) -> Self {
-        let index = index as u32;
-        Self {
-            task: TaskId { step, index },
-            run: task.run + 1,
-            worker,
-        }
-    }
-}
-
 /// Tasks of one round that found no place.
 #[derive(Default)]
 struct Misses {
@@ -191,38 +174,31 @@
         allowed: Option<&[WorkerId]>,
         misses: &mut Misses,
     ) -> Vec<Choice> {
-        let mut choices = Vec::new();
         let Some(job) = self.jobs.get(&at.id.job) else {
-            return choices;
+            return Vec::new();
         };
         let run = &job.turns[at.turn].steps[at.id.step as usize];
-        let mut beside = match step.spread {
-            0 => Map::default(),
-            _ => beside(run),
-        };
-        let mut rack = self.begun_rack(run, step);
-        let mut home = self.home(job);
-        let (mut used, cap) = self.quota(job);
+        let mut chosen = self.begin_choices(job, run, step);
         // What no worker has room for, none has for the rest either.
         let plain = allowed.is_none() && step.label.is_none() && step.spread == 0;
         for &index in &at.free {
-            if !cap.admits(used, step.room) {
+            if !chosen.cap.admits(chosen.used, step.room) {
                 // The team's limit says nothing about room: another team's tasks may fit.
-                return choices;
+                break;
             }
             // A gang starts at once on several workers.
             let suspect = run.tasks[index].is_suspect() && !step.gang;
             if !suspect && plain && misses.cover(step.reserved()) {
-                misses.count += 1;
-                return choices;
+                misses.add(None);
+                break;
             }
             let constraints = Constraints {
                 step,
-                beside: &beside,
+                beside: &chosen.beside,
                 suspect,
                 avoid: run.tasks[index].failed_on.as_ref(),
-                rack: rack.as_deref(),
-                home: home.as_ref().filter(|_| self.policy.home),
+                rack: chosen.rack.as_deref(),
+                home: chosen.home.as_ref().filter(|_| self.policy.home),
                 allowed,
                 due: &self.due,
                 pack: self.policy.pack,
@@ -237,7 +213,7 @@
                 }
                 Placement::Nowhere => {
                     misses.add(plain.then(|| step.reserved()));
-                    return choices;
+                    break;
                 }
             };
             if suspect {
@@ -247,19 +223,24 @@
             self.workers
                 .hold(&choice.worker, choice.task, held(choice.run, step));
             let place = self.workers.get(&choice.worker);
-            if let Some(entry) = place.and_then(|w| w.entry.as_ref()) {
-                home.get_or_insert_with(|| Affinity::of(entry));
-                if step.tight && rack.is_none() {
-                    rack = entry.rack().map(str::to_owned);
-                }
-            }
-            used += step.room;
-            if step.spread > 0 {
-                *beside.entry(choice.worker.clone()).or_default() += 1;
-            }
-            choices.push(choice);
+            chosen.add(choice, step, place.and_then(|w| w.entry.as_ref()));
+        }
+        chosen.made
+    }
+
+    fn begin_choices(&self, job: &Job, run: &StepRun, step: &Step) -> Choices {
+        let (used, cap) = self.quota(job);
+        Choices {
+            made: Vec::new(),
+            beside: match step.spread {
+                0 => Map::default(),
+                _ => beside(run),
+            },
+            rack: self.begun_rack(run, step),
+            home: self.home(job),
+            used,
+            cap,
         }
-        choices
     }
 
     fn place(&self, service: &ServiceName, constraints: &Constraints<'_>) -> Placement {
