--- a/crates/cell/src/losses.rs
+++ b/crates/cell/src/losses.rs
@@ -78,14 +78,14 @@
     fn lose(&mut self, id: &WorkerId, runs: Vec<(TaskId, u32)>, why: &str) {
         let alive = self.workers.get(id).map(|w| w.alive).unwrap_or_default();
         for (task, run) in runs {
-            let attempt = self.attempt(task, run, id);
-            let age = attempt.map(|a| self.now.since(a.started).as_millis() as u64);
-            let proven = attempt.is_some_and(|a| a.is_proven(alive));
-            log::info!(
-                task:% = task, run = run, worker:% = id, why:% = why, age_ms:? = age,
-                proven = proven;
-                "run lost"
-            );
+            if let Some(attempt) = self.attempt(task, run, id) {
+                let age = self.now.since(attempt.started).as_millis() as u64;
+                log::info!(
+                    task:% = task, run = run, worker:% = id, why:% = why, age_ms = age,
+                    proven = attempt.is_proven(alive);
+                    "run lost"
+                );
+            }
             self.release(task, run, id);
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.drop_run(task, run);
