--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -12,6 +12,7 @@
 
 use crate::advice::Tickets;
 use crate::attempt::Phase;
+use crate::backlog::Backlog;
 use crate::batch::{Consequences, Mark, PlannedStart};
 use crate::blame::GivenUp;
 use crate::bounds::Bounds;
@@ -98,6 +99,7 @@
     pub(crate) stirred: bool,
     pub(crate) now: Time,
     pub(crate) tallies: Tallies,
+    pub(crate) backlog: Backlog,
     /// Runs that were given up of late with their silent workers.
     pub(crate) given_up: Map<WorkerId, GivenUp>,
     /// Where workers have crashed of late, and when last.
@@ -146,6 +148,7 @@
             stirred: true,
             now: Time::default(),
             tallies: Tallies::default(),
+            backlog: Backlog::default(),
             given_up: Map::default(),
             crashed: Map::default(),
             restoring: true,
@@ -271,6 +274,7 @@
         }
         self.drop_submissions();
         self.look_around();
+        self.log_backlog();
         std::mem::take(&mut self.out)
     }
 
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -25,6 +25,7 @@
         let Some((_, done)) = self.flying.take_if(|(m, _)| *m == mark) else {
             return;
         };
+        self.backlog.appended(now.since(self.written));
         for id in &done.accepted {
             if let Some(job) = self.jobs.observe(id) {
                 job.in_journal = true;
@@ -105,6 +106,7 @@
         let planned = std::mem::take(&mut self.planned).into_iter();
         let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
         self.planned = later;
+        self.backlog.wrote(now.len(), draft.size);
         draft.done.starts = now;
         self.workers.settle();
         let left = &self.dirty;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod accept;
 mod advice;
 mod attempt;
+mod backlog;
 mod batch;
 mod blame;
 mod bounds;
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Number of jobs in all queues.
+    pub(crate) fn len(&self) -> usize {
+        self.queued.len()
+    }
+
     /// Jobs that have to be ranked again by `now`.
     pub(crate) fn due(&self, now: Time) -> Vec<JobId> {
         let due = self.due.iter().take_while(|(at, _)| *at <= now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod owner_stats;
 mod ownership;
 mod peer;
+mod peer_traffic;
 mod policies;
 mod ready;
 mod record_writer;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::peer_traffic::link_use;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY: [f64; 12] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
@@ -61,8 +63,11 @@
         calls.build();
         let bytes = meter.u64_observable_counter("cactuswheel_node_call_bytes");
         let bytes = bytes.with_callback(|seen| {
-            for t in traffic() {
-                seen.observe(t.bytes, &[KeyValue::new("kind", t.kind)]);
+            for t in link_use() {
+                let kind = KeyValue::new("kind", t.kind);
+                let direction = |name: &'static str| KeyValue::new("direction", name);
+                seen.observe(t.sent, &[kind.clone(), direction("out")]);
+                seen.observe(t.received, &[kind, direction("in")]);
             }
         });
         bytes.build();
--- a/crates/node/src/owner_stats.rs
+++ b/crates/node/src/owner_stats.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use cactuswheel_adapter::traffic;
 use cactuswheel_model::{Map, Time};
 
+use crate::peer_traffic::link_use;
+
 /// Time between two lines.
 const EVERY: Duration = Duration::from_secs(5);
 
@@ -14,13 +15,13 @@
     told: Time,
     /// Time at work since then.
     busy: Duration,
-    /// Bytes by kind of call, as of then.
-    before: Map<&'static str, u64>,
+    /// Bytes out and in by kind of call, as of then.
+    before: Map<&'static str, (u64, u64)>,
 }
 
 impl OwnerStats {
     pub(crate) fn new(now: Time) -> Self {
-        let before = traffic().map(|t| (t.kind, t.bytes));
+        let before = link_use().map(|t| (t.kind, (t.sent, t.received)));
         Self {
             told: now,
             busy: Duration::ZERO,
@@ -42,18 +43,27 @@
         self.told = now;
         let busy = std::mem::take(&mut self.busy);
         let percent = (busy.as_millis() * 100 / passed.as_millis().max(1)) as u64;
-        let mut rates: Vec<(u64, &str)> = Vec::new();
-        for t in traffic() {
-            let before = self.before.insert(t.kind, t.bytes).unwrap_or_default();
-            let rate = (t.bytes - before) * 1_000 / passed.as_millis().max(1) as u64;
-            rates.push((rate, t.kind));
+        let mut rates: Vec<(u64, u64, &str)> = Vec::new();
+        let per_second = |bytes: u64| bytes * 1_000 / passed.as_millis().max(1) as u64;
+        for t in link_use() {
+            let now = (t.sent, t.received);
+            let (sent, received) = self.before.insert(t.kind, now).unwrap_or_default();
+            rates.push((
+                per_second(t.sent - sent),
+                per_second(t.received - received),
+                t.kind,
+            ));
         }
-        rates.sort_unstable();
-        let all: u64 = rates.iter().map(|(rate, _)| rate).sum();
-        let most = rates.iter().rev().filter(|(rate, _)| *rate > 0);
-        let most: Vec<String> = most.map(|(rate, kind)| format!("{kind}: {rate}")).collect();
+        rates.sort_unstable_by_key(|(out, back, _)| std::cmp::Reverse(out + back));
+        let out: u64 = rates.iter().map(|(out, ..)| out).sum();
+        let back: u64 = rates.iter().map(|(_, back, _)| back).sum();
+        let most = rates.iter().filter(|(out, back, _)| out + back > 0);
+        let most: Vec<String> = most
+            .map(|(out, back, kind)| format!("{kind}: {out}+{back}"))
+            .collect();
         log::info!(
-            busy_percent = percent, bytes_per_s = all, relays = relays as u64, by = most.join(", ");
+            busy_percent = percent, sent_per_s = out, received_per_s = back,
+            relays = relays as u64, by = most.join(", ");
             "owner's calls"
         );
         Some(percent)
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -11,13 +11,14 @@
 use serde::{Deserialize, Serialize};
 use tarpc::client::Config;
 use tarpc::context::{self, Context};
-use tarpc::serde_transport::{new, tcp};
+use tarpc::serde_transport::new;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::peer_traffic::CountedStream;
 use crate::relay_request::{RelayRequest, Reports};
 use crate::relay_server::RelayServer;
 use crate::shared::Shared;
@@ -144,7 +145,7 @@
         let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME)
-            .new_framed(stream);
+            .new_framed(CountedStream::new(stream));
         let channel = BaseChannel::with_defaults(new(framed, Bincode::default()));
         let server = Server(shared.clone(), relay.clone());
         tokio::spawn(channel.execute(server.serve()).for_each(|answer| async {
@@ -162,9 +163,12 @@
 
 impl OwnerLink {
     pub(crate) async fn connect(addr: SocketAddr) -> Option<Self> {
-        let mut connect = tcp::connect(addr, Bincode::default);
-        connect.config_mut().max_frame_length(MAX_FRAME);
-        let transport = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let connect = TcpStream::connect(addr);
+        let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME)
+            .new_framed(CountedStream::new(stream));
+        let transport = new(framed, Bincode::default());
         let client = PeerClient::new(Config::default(), transport).spawn();
         Some(Self { addr, client })
     }
