--- a/crates/relay/src/capacity.rs
+++ b/crates/relay/src/capacity.rs
@@ -44,6 +44,11 @@
         Self((link * LINK_SHARE / WORKER_BYTES).clamp(1.0, u32::MAX as f64) as u32)
     }
 
+    /// Share of it that so many workers take up; above 1 if it is exceeded.
+    pub fn load(self, workers: usize) -> f64 {
+        workers as f64 / f64::from(self.0.max(1))
+    }
+
     /// Number of workers.
     pub const fn workers(self) -> usize {
         self.0 as usize
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,9 +14,11 @@
 mod pending;
 mod relays;
 mod rows;
+mod site;
 
 pub use capacity::Capacity;
 pub use offer::{Offer, Reply};
 pub use pending::Pending;
 pub use relays::{Lost, Relays, Way};
 pub use rows::{Known, Row, SeenLook, Told};
+pub use site::Site;
--- a/crates/relay/src/relays.rs
+++ b/crates/relay/src/relays.rs
@@ -1,12 +1,13 @@
 //! The relays of one owner.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{NodeName, WorkerId, ZoneName};
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{NodeName, WorkerId};
 
-use crate::{Capacity, Offer, Pending, Reply};
+use crate::{Capacity, Offer, Pending, Reply, Site};
 
 /// Time without a heartbeat after which a relay counts as lost: three of them, and the way.
 const SILENCE: Duration = Duration::from_millis(1_300);
@@ -16,7 +17,7 @@
 const ENOUGH: f64 = 1.5;
 
 /// How orders reach a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Way {
     /// From the owner itself.
     Direct,
@@ -42,10 +43,18 @@
     /// Workers that orders go to; `None` until they are known.
     workers: Option<usize>,
     relays: Map<NodeName, Relay>,
-    /// The relay of each worker.
+    /// The relay of each worker, and the worker's rack.
     ///
     /// Invariant: it is one of `relays`.
-    chosen: Map<WorkerId, NodeName>,
+    chosen: Map<WorkerId, Chosen>,
+    /// Workers that the owner sends orders to itself.
+    direct: Set<WorkerId>,
+}
+
+#[derive(Debug)]
+struct Chosen {
+    node: NodeName,
+    rack: Option<String>,
 }
 
 #[derive(Debug)]
@@ -55,6 +64,8 @@
     heard: Time,
     /// Workers that have it as their relay.
     assigned: usize,
+    /// The same by rack.
+    racks: Map<String, usize>,
     pending: Map<WorkerId, Vec<(Pending, Time)>>,
 }
 
@@ -67,6 +78,31 @@
     fn takes_more(&self, now: Time) -> bool {
         !self.offer.leaving && now.since(self.heard) < SILENCE
     }
+
+    /// Share of its capacity in use with one more worker.
+    fn load(&self) -> f64 {
+        self.offer.capacity.load(self.assigned + 1)
+    }
+
+    fn has_rack(&self, rack: Option<&String>) -> bool {
+        rack.is_some_and(|r| self.racks.contains_key(r))
+    }
+
+    fn assign(&mut self, rack: Option<&String>) {
+        self.assigned += 1;
+        if let Some(rack) = rack {
+            *self.racks.entry(rack.clone()).or_default() += 1;
+        }
+    }
+
+    fn unassign(&mut self, rack: Option<&String>) {
+        self.assigned -= 1;
+        let Some(count) = rack.and_then(|r| self.racks.get_mut(r)) else {
+            return;
+        };
+        *count -= 1;
+        self.racks.retain(|_, count| *count > 0);
+    }
 }
 
 impl Relays {
@@ -77,6 +113,7 @@
             workers: None,
             relays: Map::default(),
             chosen: Map::default(),
+            direct: Set::default(),
         }
     }
 
@@ -114,6 +151,7 @@
         let relay = Relay {
             heard: now,
             assigned: 0,
+            racks: Map::default(),
             pending: Map::default(),
             offer,
         };
@@ -131,36 +169,71 @@
         self.relays.len()
     }
 
-    /// How the next order reaches a worker: through the relay that it has, else through one of its
-    /// data centre with room, else through any with room, else directly.
-    pub fn choose(&mut self, now: Time, worker: &WorkerId, zone: Option<&ZoneName>) -> Way {
-        if let Some(node) = self.chosen.get(worker) {
+    /// How the next order reaches a worker: through the relay that it has, else through one with
+    /// room, else by whoever is the least loaded for its capacity, the owner included.
+    ///
+    /// A relay that has a worker of the same rack goes first, then one of the same data centre:
+    /// tasks of one job start in one rack where they can, and what the job runs goes to each of its
+    /// relays once.
+    pub fn choose(&mut self, now: Time, worker: &WorkerId, site: Option<&Site>) -> Way {
+        if let Some(chosen) = self.chosen.get(worker) {
+            let node = &chosen.node;
             if self.relays.get(node).is_some_and(|r| r.takes_more(now)) {
                 return Way::Relay(node.clone());
             }
             self.forget(worker);
         }
-        let fit = self.relays.iter().filter(|(_, r)| r.takes_more(now));
-        let fit = fit.filter(|(_, r)| r.room() > 0);
-        let best = fit.max_by_key(|(name, r)| {
-            let here = Some(&r.offer.zone) == zone;
-            (here, r.room(), std::cmp::Reverse((*name).clone()))
-        });
-        let Some(node) = best.map(|(node, _)| node.clone()) else {
+        let rack = site.and_then(|s| s.rack.as_ref());
+        let roomy = self.roomy(now, site);
+        let Some(node) = roomy.or_else(|| self.least_loaded(now, worker)) else {
+            self.direct.insert(worker.clone());
             return Way::Direct;
         };
         if let Some(relay) = self.relays.get_mut(&node) {
-            relay.assigned += 1;
+            relay.assign(rack);
         }
-        self.chosen.insert(worker.clone(), node.clone());
+        self.direct.remove(worker);
+        let chosen = Chosen {
+            node: node.clone(),
+            rack: rack.cloned(),
+        };
+        self.chosen.insert(worker.clone(), chosen);
         Way::Relay(node)
     }
 
+    /// The best relay with room for one more worker.
+    fn roomy(&self, now: Time, site: Option<&Site>) -> Option<NodeName> {
+        let fit = self.relays.iter().filter(|(_, r)| r.takes_more(now));
+        let fit = fit.filter(|(_, r)| r.room() > 0);
+        let best = fit.max_by_key(|(name, r)| {
+            let same_rack = r.has_rack(site.and_then(|s| s.rack.as_ref()));
+            let same_zone = site.is_some_and(|s| r.offer.zone == s.zone);
+            (same_rack, same_zone, r.room(), Reverse((*name).clone()))
+        });
+        best.map(|(node, _)| node.clone())
+    }
+
+    /// The relay that is the least loaded for its capacity; `None` if the owner is less loaded.
+    ///
+    /// Failure: relays together have room for three workers in four, the owner takes all the
+    /// others itself, and their start orders fill its link while the relays' are idle.
+    fn least_loaded(&self, now: Time, worker: &WorkerId) -> Option<NodeName> {
+        let others = self.direct.len() - usize::from(self.direct.contains(worker));
+        let own = self.own.load(others + 1);
+        let relays = self.relays.iter().filter(|(_, r)| r.takes_more(now));
+        let least = relays.min_by(|(a, x), (b, y)| x.load().total_cmp(&y.load()).then(a.cmp(b)));
+        let (node, _) = least.filter(|(_, r)| r.load() < own)?;
+        Some(node.clone())
+    }
+
     /// A worker is gone, or has to have another relay.
     pub fn forget(&mut self, worker: &WorkerId) {
-        let node = self.chosen.remove(worker);
-        if let Some(relay) = node.and_then(|n| self.relays.get_mut(&n)) {
-            relay.assigned -= 1;
+        self.direct.remove(worker);
+        let Some(chosen) = self.chosen.remove(worker) else {
+            return;
+        };
+        if let Some(relay) = self.relays.get_mut(&chosen.node) {
+            relay.unassign(chosen.rack.as_ref());
         }
     }
 
@@ -192,7 +265,7 @@
         let Some(relay) = self.relays.remove(node) else {
             return Vec::new();
         };
-        self.chosen.retain(|_, n| n != node);
+        self.chosen.retain(|_, chosen| chosen.node != *node);
         let lost = relay.pending.into_iter().flat_map(|(worker, orders)| {
             let orders = orders.into_iter();
             orders.map(move |(order, _)| Lost {
