--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -108,6 +108,8 @@
     pub(crate) restoring: bool,
     /// How long an earlier owner may go on renewing leases after this one has taken over.
     others: Duration,
+    /// Orders to start leave out what the job runs.
+    pub(crate) named: bool,
     /// Leases are renewed: the ownership was confirmed of late.
     pub(crate) renewing: bool,
 }
@@ -153,6 +155,7 @@
             crashed: Map::default(),
             restoring: true,
             others: Duration::ZERO,
+            named: false,
             renewing: true,
         }
     }
@@ -247,6 +250,11 @@
         self.renewing = age < RENEW_WITHOUT_STORE;
     }
 
+    /// Whether orders to start name what the job runs instead of carrying it.
+    pub fn name_specs(&mut self, named: bool) {
+        self.named = named;
+    }
+
     /// Derives anew what follows from the state of jobs and workers that changed.
     pub(crate) fn settle(&mut self) {
         self.workers.settle();
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -146,7 +146,8 @@
         let mut sizes: Map<JobId, usize> = Map::default();
         for start in &self.planned {
             let id = start.task.job();
-            let spec = self.jobs.get(&id).map_or(0, |j| j.sub.spec.len());
+            let job = self.jobs.get(&id).filter(|_| !self.named);
+            let spec = job.map_or(0, |j| j.sub.spec.len());
             *sizes.entry(id).or_default() += ORDER_SIZE + spec;
         }
         sizes
--- a/crates/cell/tests/batches.rs
+++ b/crates/cell/tests/batches.rs
@@ -94,3 +94,20 @@
     );
     world.assert_clean();
 }
+
+/// Guards against jobs that wait for batches on a link that is not full: orders name what a job runs, and
+/// batches count it all the same.
+#[test]
+fn named_specs_are_small() {
+    let begun = [false, true].map(|named| {
+        let mut world = narrow(4, 20);
+        world.cell().name_specs(named);
+        for id in 0..40 {
+            world.submit(large(job(id, steps(1, 4, 700))));
+        }
+        world.run(SECOND / 10);
+        world.ordered.len()
+    });
+    assert_eq!(begun[1], 160, "all begin at once");
+    assert!(begun[0] < 160, "{begun:?} starts in a tenth of a second");
+}
--- a/crates/local/src/ledger.rs
+++ b/crates/local/src/ledger.rs
@@ -13,12 +13,20 @@
     done: Map<String, Instant>,
     /// Starts of each task.
     pub starts: Map<String, u64>,
+    /// What each job's first start ran, by job.
+    pub specs: Map<String, String>,
     /// Rules that were broken.
     pub broken: Vec<String>,
 }
 
 impl Ledger {
-    pub(crate) fn started(&mut self, task: &str, run: u64, worker: &str) {
+    pub(crate) fn started(&mut self, task: &str, run: u64, worker: &str, spec: &str) {
+        let job = task.split('.').next().unwrap_or_default().to_owned();
+        let first = self.specs.entry(job).or_insert_with(|| spec.to_owned());
+        if first != spec {
+            let line = format!("{task} run {run} on {worker}: started with another spec");
+            self.broken.push(line);
+        }
         *self.starts.entry(task.to_owned()).or_default() += 1;
         if self.done.contains_key(task) {
             let line =
--- a/crates/local/src/worker.rs
+++ b/crates/local/src/worker.rs
@@ -157,8 +157,8 @@
         if self.barred.get(&task).is_some_and(|b| *b >= run) {
             return self.refused("old");
         }
-        let spec = order["spec"].as_str().unwrap_or_default();
-        let spec = spec.split_once('=');
+        let text = order["spec"].as_str().unwrap_or_default();
+        let spec = text.split_once('=');
         // Of such a job it is the first task.
         let fuse = match spec {
             Some(("crash_ms", ms)) if task.ends_with(".0.0.0") => ms.parse().ok(),
@@ -169,7 +169,7 @@
             Some(("lasts", _)) => None,
             _ => Some(WORK),
         };
-        ledger.started(&task, run, &self.id);
+        ledger.started(&task, run, &self.id, text);
         let since = Instant::now();
         let fuse = fuse.map(Duration::from_millis);
         self.running.insert(
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -69,15 +69,16 @@
 /// Nothing waits for a connection here: without the owner the front stores the job by itself.
 pub(crate) async fn hand_in(shared: &Arc<Shared>, record: Bytes, limit: Duration) -> HandInAnswer {
     let limit = limit.min(shared.hand_ins.limit());
+    let origin = shared.settings.listen.peers;
     if let Some(own) = shared.own.load_full() {
-        let answer = timeout(limit, own.hand_in(record, limit)).await;
+        let answer = timeout(limit, own.hand_in(record, origin, limit)).await;
         return answer.unwrap_or(HandInAnswer::Unknown);
     }
     let Some(link) = link_at_hand(shared) else {
         return HandInAnswer::Refused;
     };
     let sent = shared.clock.now();
-    let answer = link.hand_in(record, limit).await;
+    let answer = link.hand_in(record, origin, limit).await;
     let took = shared.clock.now().since(sent);
     match answer {
         Some(_) => shared.hand_ins.answered(took),
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -7,7 +7,9 @@
 use cactuswheel_adapter::PolicyService;
 use cactuswheel_cell::{Batch, Output};
 use cactuswheel_model::{Map, Time};
-use cactuswheel_relay::{Capacity, Known, Lost, Offer, Pending, Relays, Reply, Site, Way};
+use cactuswheel_relay::{
+    Capacity, Known, Lost, Offer, Pending, Relays, Reply, Site, SpecOrigins, Way,
+};
 use cactuswheel_work::{
     JobId, LookError, NodeName, PlainOutcome, StartOutcome, StepId, WorkerEntry, WorkerId,
 };
@@ -17,8 +19,10 @@
 
 use crate::event::Event;
 use crate::journal_writer::JournalWriter;
+use crate::link_load::LinkLoad;
 use crate::order_sender::{LOOK_TIMEOUT, ORDER_TIMEOUT, OrderSender, OrderSink};
 use crate::owner_stats::OwnerStats;
+use crate::peer_traffic::bytes_sent;
 use crate::relay_client::RelayClient;
 use crate::relay_request::{Envelope, Order, Report, Reports};
 use crate::shared::Shared;
@@ -77,6 +81,10 @@
     listed: bool,
     checked: Time,
     stats: OwnerStats,
+    /// How much of the link this node's own sending takes.
+    load: LinkLoad,
+    /// Relays are told what a job runs by its digest.
+    named: bool,
     policy: Option<Arc<PolicyService>>,
     /// Questions to the policy service that are under way.
     questions: Arc<Semaphore>,
@@ -105,6 +113,8 @@
             listed: false,
             checked: shared.clock.now(),
             stats: OwnerStats::new(shared.clock.now()),
+            load: LinkLoad::new(shared.clock.now(), bytes_sent()),
+            named: false,
             shared,
             events,
             epoch,
@@ -146,15 +156,20 @@
     }
 
     /// Sends what was collected for relays since the last call.
-    pub(crate) fn flush(&mut self) {
+    pub(crate) fn flush(&mut self, origins: &SpecOrigins) {
         let now = self.shared.clock.now();
+        self.named = self
+            .load
+            .is_high(now, bytes_sent(), self.shared.settings.link);
+        let named = self.named;
+        let origin = |job: &JobId| origins.get(job).filter(|_| named);
         let age = self.shared.lead_age();
         for (node, client) in &mut self.clients {
             if client.is_empty() {
                 continue;
             }
             if let Some(confirmed) = self.relays.confirmed(now, node, age) {
-                client.send(confirmed);
+                client.send(confirmed, origin);
             }
         }
     }
@@ -164,6 +179,11 @@
         self.stats.busy(time);
     }
 
+    /// Whether most orders to start leave out what the job runs.
+    pub(crate) fn names_specs(&self) -> bool {
+        self.named && self.relays.count() > 0
+    }
+
     /// A node offers to relay orders.
     pub(crate) fn offer(&mut self, offer: Offer) -> Reply {
         let now = self.shared.clock.now();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,5 +1,7 @@
 //! What happens to the cell.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use cactuswheel_cell::Mark;
 use cactuswheel_model::Time;
@@ -57,6 +59,8 @@
 pub(crate) struct Handed {
     /// Its submission.
     pub(crate) record: Bytes,
+    /// The front, which keeps what the job runs.
+    pub(crate) origin: SocketAddr,
     /// Until then the front waits for the answer.
     pub(crate) until: Time,
     pub(crate) reply: oneshot::Sender<HandInAnswer>,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -256,6 +256,7 @@
             times: job.times,
             accepted: self.shared.clock.wall(),
         };
+        self.shared.specs().insert(&sub.spec);
         let record = encode(&sub);
         if record.len() > MAX_RECORD {
             return Err(Refusal::new(Code::BodyTooLarge, "the job's record"));
--- a/crates/node/src/hand_ins.rs
+++ b/crates/node/src/hand_ins.rs
@@ -5,6 +5,7 @@
 
 use cactuswheel_cell::{Cell, HandIn, decode};
 use cactuswheel_model::{Map, Time};
+use cactuswheel_relay::SpecOrigins;
 use cactuswheel_work::{JobId, Submission};
 use tokio::sync::oneshot;
 
@@ -23,6 +24,8 @@
     waiting: Vec<Handed>,
     /// Whom to tell when the journal holds a job.
     replies: Map<JobId, Vec<oneshot::Sender<HandInAnswer>>>,
+    /// Which fronts have accepted jobs of late.
+    origins: SpecOrigins,
 }
 
 impl HandIns {
@@ -31,6 +34,7 @@
             shared,
             waiting: Vec::new(),
             replies: Map::default(),
+            origins: SpecOrigins::default(),
         }
     }
 
@@ -83,6 +87,7 @@
             }
         };
         let id = sub.job;
+        self.origins.insert(now, id, handed.origin);
         match cell.hand_in(now, sub, handed.record.to_vec()) {
             HandIn::Accepted => answer(handed.reply, HandInAnswer::Accepted),
             HandIn::Journaling => self.replies.entry(id).or_default().push(handed.reply),
@@ -90,6 +95,11 @@
         }
     }
 
+    /// Which fronts have accepted jobs of late.
+    pub(crate) fn origins(&mut self) -> &mut SpecOrigins {
+        &mut self.origins
+    }
+
     /// The journal holds these jobs.
     pub(crate) fn accepted(&mut self, jobs: &[JobId]) {
         for reply in jobs.iter().flat_map(|id| self.replies.remove(id)).flatten() {
--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -121,6 +121,17 @@
         }
     }
 
+    /// A start order cannot be sent.
+    pub(crate) fn reject(&self, envelope: Envelope) {
+        let Order::Start(order) = envelope.order else {
+            return;
+        };
+        let sink = self.sink.clone();
+        let (task, run) = (order.task, order.run);
+        let report = Report::Started(envelope.worker, task, run, StartOutcome::NotSent);
+        self.tasks.spawn(async move { sink.tell(report).await });
+    }
+
     /// A worker is listed no more: its connections go.
     pub(crate) fn forget(&mut self, id: &WorkerId) {
         self.workers.remove(id);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,7 +7,7 @@
 use cactuswheel_capacity::LastOwner;
 use cactuswheel_cell::{Cell, Known, Output, Reads};
 use cactuswheel_model::Time;
-use cactuswheel_work::{InstanceOutcome, JobId};
+use cactuswheel_work::{InstanceOutcome, JobId, StartOutcome};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
@@ -171,6 +171,7 @@
                 fleet.plan(&mut self.cell);
             }
             self.cell.confirmed(self.shared.lead_age());
+            self.cell.name_specs(self.dispatcher.names_specs());
             let outputs = self
                 .cell
                 .poll(self.shared.clock.now(), self.shared.clock.wall());
@@ -184,7 +185,7 @@
                     output => self.dispatcher.execute(output),
                 }
             }
-            self.dispatcher.flush();
+            self.dispatcher.flush(self.hand_ins.origins());
             self.dispatcher.busy(woken.elapsed());
             self.shared.metrics.tallied(self.cell.take_tallies());
             if deposed {
@@ -227,6 +228,10 @@
             Event::Report(report) => self.take_report(report),
             Event::Relayed(reports, reply) => {
                 for report in self.dispatcher.reported(reports) {
+                    // Its relay may not have come by what the job runs.
+                    if let Report::Started(_, task, _, StartOutcome::NotSent) = &report {
+                        self.hand_ins.origins().remove(&task.job());
+                    }
                     self.take_report(report);
                 }
                 // A relay that has stopped waiting tells it again, which does no harm.
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -1,5 +1,6 @@
 //! How other tasks of a node reach its owner.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -60,11 +61,17 @@
     }
 
     /// Without an answer the job may be in a batch that is under way.
-    pub(crate) async fn hand_in(&self, record: Bytes, limit: Duration) -> HandInAnswer {
+    pub(crate) async fn hand_in(
+        &self,
+        record: Bytes,
+        origin: SocketAddr,
+        limit: Duration,
+    ) -> HandInAnswer {
         let (reply, answer) = oneshot::channel();
         let until = Clock.now().after(limit);
         let handed = Handed {
             record,
+            origin,
             until,
             reply,
         };
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactuswheel_relay::{Offer, Reply};
+use cactuswheel_relay::{Offer, Reply, SpecDigest};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -80,7 +80,10 @@
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
     /// To the owner: accept this job within `limit` milliseconds.
-    async fn hand_in(record: Bytes, limit: u64) -> HandInAnswer;
+    /// The front at `origin` keeps what the job runs.
+    async fn hand_in(record: Bytes, origin: SocketAddr, limit: u64) -> HandInAnswer;
+    /// What a job runs, if it is kept here.
+    async fn spec(digest: SpecDigest) -> Option<Arc<str>>;
     /// To the owner: the caller offers to relay orders, or goes on doing so.
     async fn enlist(offer: Offer) -> Reply;
     /// To a relay: send these orders to their workers. False if a newer owner's are relayed.
@@ -107,13 +110,24 @@
         }
     }
 
-    async fn hand_in(self, _: Context, record: Bytes, limit: u64) -> HandInAnswer {
+    async fn hand_in(
+        self,
+        _: Context,
+        record: Bytes,
+        origin: SocketAddr,
+        limit: u64,
+    ) -> HandInAnswer {
+        let limit = Duration::from_millis(limit);
         match self.0.own.load_full() {
-            Some(own) => own.hand_in(record, Duration::from_millis(limit)).await,
+            Some(own) => own.hand_in(record, origin, limit).await,
             None => HandInAnswer::Refused,
         }
     }
 
+    async fn spec(self, _: Context, digest: SpecDigest) -> Option<Arc<str>> {
+        self.0.specs().get(&digest)
+    }
+
     async fn enlist(self, _: Context, offer: Offer) -> Reply {
         match self.0.own.load_full() {
             Some(own) => own.enlist(offer).await,
@@ -182,9 +196,20 @@
     }
 
     /// `None` if the answer did not come: the job may be accepted, now or later.
-    pub(crate) async fn hand_in(&self, record: Bytes, limit: Duration) -> Option<HandInAnswer> {
+    pub(crate) async fn hand_in(
+        &self,
+        record: Bytes,
+        origin: SocketAddr,
+        limit: Duration,
+    ) -> Option<HandInAnswer> {
         let ms = limit.as_millis() as u64;
-        self.client.hand_in(within(limit), record, ms).await.ok()
+        let answer = self.client.hand_in(within(limit), record, origin, ms);
+        answer.await.ok()
+    }
+
+    /// `None` if it is not kept there, or no answer came.
+    pub(crate) async fn spec(&self, digest: SpecDigest, limit: Duration) -> Option<Arc<str>> {
+        self.client.spec(within(limit), digest).await.ok()?
     }
 
     pub(crate) async fn enlist(&self, offer: Offer, limit: Duration) -> Option<Reply> {
--- a/crates/node/src/peer_traffic.rs
+++ b/crates/node/src/peer_traffic.rs
@@ -23,6 +23,11 @@
     traffic().chain([peers])
 }
 
+/// All that this process has sent, in bytes.
+pub(crate) fn bytes_sent() -> u64 {
+    link_use().map(|t| t.sent).sum()
+}
+
 /// A connection between nodes, whose bytes are counted.
 #[derive(Debug)]
 pub(crate) struct CountedStream(TcpStream);
--- a/crates/node/src/relay_client.rs
+++ b/crates/node/src/relay_client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::NodeName;
+use cactuswheel_work::{JobId, NodeName};
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::event::Event;
@@ -64,24 +64,30 @@
         self.envelopes.push(envelope);
     }
 
-    /// Sends what was added; the ownership was confirmed then, on the relay's clock.
-    pub(crate) fn send(&mut self, confirmed: Time) {
+    /// Sends what was added; the ownership was confirmed then, on the relay's clock. What a job
+    /// runs is left out where `origin` knows a front that has it.
+    pub(crate) fn send(&mut self, confirmed: Time, origin: impl Fn(&JobId) -> Option<SocketAddr>) {
         let mut size = 0;
         let mut part = Vec::new();
         for envelope in std::mem::take(&mut self.envelopes) {
             size += envelope.size();
             part.push(envelope);
             if size >= MAX_MESSAGE {
-                self.send_part(std::mem::take(&mut part), confirmed);
+                self.send_part(std::mem::take(&mut part), confirmed, &origin);
                 size = 0;
             }
         }
         if !part.is_empty() {
-            self.send_part(part, confirmed);
+            self.send_part(part, confirmed, &origin);
         }
     }
 
-    fn send_part(&self, envelopes: Vec<Envelope>, confirmed: Time) {
+    fn send_part(
+        &self,
+        envelopes: Vec<Envelope>,
+        confirmed: Time,
+        origin: impl Fn(&JobId) -> Option<SocketAddr>,
+    ) {
         let mut request = RelayRequest {
             epoch: self.epoch,
             owner: self.shared.settings.listen.peers,
@@ -90,7 +96,7 @@
             specs: Vec::new(),
             envelopes,
         };
-        request.fold_specs();
+        request.fold_specs(origin);
         if self.requests.try_send(request).is_err() {
             let lost = Event::RelayLost(self.node.clone(), "far behind");
             if self.events.try_send(lost).is_err() {
--- a/crates/node/src/relay_request.rs
+++ b/crates/node/src/relay_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_relay::SeenLook;
+use cactuswheel_relay::{SeenLook, SpecCache, SpecDigest};
 use cactuswheel_work::{
     HoldOrder, JobId, Look, LookError, NodeName, PaceOrder, PlainOutcome, StartOrder, StartOutcome,
     StopOrder, TaskId, WorkerId,
@@ -57,10 +57,19 @@
     /// Time after that from which no start is ordered, in milliseconds.
     pub(crate) expiry: u64,
     /// What each job runs; the orders themselves leave it out.
-    pub(crate) specs: Vec<(JobId, Arc<str>)>,
+    pub(crate) specs: Vec<(JobId, SpecSource)>,
     pub(crate) envelopes: Vec<Envelope>,
 }
 
+/// How a relay comes by what a job runs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum SpecSource {
+    /// It is here.
+    Text(Arc<str>),
+    /// The front at this address has it, and the relay may have it from there already.
+    Cached(SpecDigest, SocketAddr),
+}
+
 /// What became of a relay's orders, sent together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Reports {
@@ -70,8 +79,9 @@
 }
 
 impl RelayRequest {
-    /// Names what each job runs once, however many of its tasks start.
-    pub(crate) fn fold_specs(&mut self) {
+    /// Names what each job runs once, however many of its tasks start; by its digest where
+    /// `origin` knows a front that has it.
+    pub(crate) fn fold_specs(&mut self, origin: impl Fn(&JobId) -> Option<SocketAddr>) {
         let mut specs: Map<JobId, Arc<str>> = Map::default();
         for envelope in &mut self.envelopes {
             if let Order::Start(start) = &mut envelope.order {
@@ -79,22 +89,58 @@
                 specs.insert(start.task.job(), spec);
             }
         }
-        self.specs = specs.into_iter().collect();
+        let specs = specs.into_iter().map(|(job, spec)| {
+            let source = match origin(&job) {
+                Some(addr) => SpecSource::Cached(SpecDigest::of(&spec), addr),
+                None => SpecSource::Text(spec),
+            };
+            (job, source)
+        });
+        self.specs = specs.collect();
     }
 
-    /// Puts what each job runs back into its orders.
-    pub(crate) fn unfold_specs(&mut self) {
-        let specs: Map<JobId, Arc<str>> = self.specs.drain(..).collect();
-        for envelope in &mut self.envelopes {
-            if let Order::Start(start) = &mut envelope.order
-                && let Some(spec) = specs.get(&start.task.job())
-            {
-                start.spec = spec.clone();
+    /// Puts what each job runs back into its orders, as far as it is at hand here; gives the
+    /// orders for which it has to be fetched first.
+    pub(crate) fn unfold_specs(&mut self, specs: &SpecCache) -> Vec<Incomplete> {
+        let sources: Map<JobId, SpecSource> = self.specs.drain(..).collect();
+        let mut incomplete = Vec::new();
+        let mut whole = Vec::with_capacity(self.envelopes.len());
+        for mut envelope in self.envelopes.drain(..) {
+            let Order::Start(start) = &mut envelope.order else {
+                whole.push(envelope);
+                continue;
+            };
+            match sources.get(&start.task.job()) {
+                Some(SpecSource::Text(spec)) => start.spec = spec.clone(),
+                Some(SpecSource::Cached(digest, origin)) => match specs.get(digest) {
+                    Some(spec) => start.spec = spec,
+                    None => {
+                        incomplete.push(Incomplete {
+                            envelope,
+                            digest: *digest,
+                            origin: *origin,
+                        });
+                        continue;
+                    }
+                },
+                None => {}
             }
+            whole.push(envelope);
         }
+        self.envelopes = whole;
+        incomplete
     }
 }
 
+/// A start order for which what the job runs has to be fetched.
+#[derive(Debug)]
+pub(crate) struct Incomplete {
+    pub(crate) envelope: Envelope,
+    pub(crate) digest: SpecDigest,
+    /// The front that has it.
+    pub(crate) origin: SocketAddr,
+}
+
 impl Envelope {
     /// About what it takes up in a request, in bytes.
     pub(crate) fn size(&self) -> usize {
--- a/crates/node/src/relay_server.rs
+++ b/crates/node/src/relay_server.rs
@@ -5,16 +5,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cactuswheel_model::Time;
-use cactuswheel_relay::{Capacity, Offer, Reply, Told};
+use cactuswheel_model::{Map, Time};
+use cactuswheel_relay::{Capacity, Offer, Reply, SpecDigest, Told};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::order_sender::{OrderSender, OrderSink};
 use crate::peer::OwnerLink;
-use crate::relay_request::{RelayRequest, Report, Reports};
+use crate::relay_request::{Incomplete, Order, RelayRequest, Report, Reports};
 use crate::shared::Shared;
+use crate::spec_fetcher::SpecFetcher;
 
 /// Time between heartbeats of a relay.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -81,19 +82,21 @@
 pub(crate) struct RelayServer {
     shared: Arc<Shared>,
     service: Mutex<Option<Service>>,
+    fetcher: SpecFetcher,
 }
 
 impl RelayServer {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
+            fetcher: SpecFetcher::new(shared.clone()),
             shared,
             service: Mutex::new(None),
         }
     }
 
     /// Takes orders; false if a newer owner's were taken before.
-    pub(crate) fn take(&self, mut request: RelayRequest) -> bool {
-        request.unfold_specs();
+    pub(crate) fn take(self: &Arc<Self>, mut request: RelayRequest) -> bool {
+        let incomplete = request.unfold_specs(&self.shared.specs());
         let mut service = self.lock();
         let newest = service.as_ref().map_or(0, |s| s.epoch);
         if newest > request.epoch {
@@ -111,9 +114,34 @@
         for envelope in request.envelopes {
             service.sender.submit(envelope);
         }
+        for (digest, orders) in by_digest(incomplete) {
+            tokio::spawn(self.clone().complete(request.epoch, digest, orders));
+        }
         true
     }
 
+    /// Submits start orders once what their jobs run was fetched.
+    async fn complete(self: Arc<Self>, epoch: u64, digest: SpecDigest, orders: Vec<Incomplete>) {
+        let Some(origin) = orders.first().map(|o| o.origin) else {
+            return;
+        };
+        let spec = self.fetcher.fetch(digest, origin).await;
+        let mut service = self.lock();
+        // A newer owner settles by itself what became of these.
+        let Some(service) = service.as_mut().filter(|s| s.epoch == epoch) else {
+            return;
+        };
+        for mut order in orders {
+            match (&spec, &mut order.envelope.order) {
+                (Some(spec), Order::Start(start)) => {
+                    start.spec = spec.clone();
+                    service.sender.submit(order.envelope);
+                }
+                _ => service.sender.reject(order.envelope),
+            }
+        }
+    }
+
     fn serve(&self, request: &RelayRequest) -> Service {
         log::info!(epoch = request.epoch, owner:% = request.owner; "orders are carried for an owner");
         let (reports, told) = mpsc::channel(QUEUE);
@@ -140,6 +168,15 @@
     }
 }
 
+/// Orders by what their jobs run.
+fn by_digest(incomplete: Vec<Incomplete>) -> Map<SpecDigest, Vec<Incomplete>> {
+    let mut orders: Map<SpecDigest, Vec<Incomplete>> = Map::default();
+    for order in incomplete {
+        orders.entry(order.digest).or_default().push(order);
+    }
+    orders
+}
+
 /// Tells the owner what became of its orders, all that waits in one message.
 async fn tell(
     shared: Arc<Shared>,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,11 +1,13 @@
-//! What the parts of a node share. Everything on the way of a request is read without a lock.
+//! What the parts of a node share. Beliefs on the way of a request are read without a lock.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cactuswheel_adapter::Store;
 use cactuswheel_model::{Set, Time};
+use cactuswheel_relay::SpecCache;
 use cactuswheel_rtt::RttEstimator;
 use cactuswheel_work::{FleetConfig, Wave, ZoneName};
 use tokio::sync::Notify;
@@ -51,6 +53,8 @@
     pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
+    /// What jobs run, as this node has accepted or relayed them.
+    specs: Mutex<SpecCache>,
     /// Least time without a renewal after which an ownership of this node may be claimed.
     pub(crate) least_expiry: Duration,
     /// That time as this node's newest record has it, in milliseconds.
@@ -86,6 +90,9 @@
 /// Longest such wait, for a store that takes most of a second.
 const MAX_APPEND_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Bytes of what jobs run that a node keeps.
+const SPECS_KEPT: usize = 4 << 20;
+
 impl Shared {
     pub(crate) fn new(settings: Settings, life: u64, metrics: Metrics) -> Self {
         Self {
@@ -109,6 +116,7 @@
             hand_ins: RttEstimator::new(MIN_HAND_IN_TIMEOUT, MAX_HAND_IN_TIMEOUT),
             connecting: AtomicBool::new(false),
             own: ArcSwapOption::empty(),
+            specs: Mutex::new(SpecCache::new(SPECS_KEPT)),
             lead: AtomicU64::new(0),
             declined: AtomicU64::new(0),
             reclaim: AtomicBool::new(false),
@@ -116,6 +124,11 @@
         }
     }
 
+    /// What jobs run, as this node has accepted or relayed them.
+    pub(crate) fn specs(&self) -> MutexGuard<'_, SpecCache> {
+        self.specs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration was confirmed by a read that was sent at `sent`.
     pub(crate) fn confirm(&self, sent: Time) {
         self.confirmed.fetch_max(sent.get(), Ordering::Relaxed);
--- /dev/null
+++ b/crates/node/tests/link_load.rs
@@ -0,0 +1,40 @@
+//! How much of its link a node takes.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_node::{LinkLoad, LinkRate};
+
+const NOW: Time = Time::new(50_000);
+
+fn narrow() -> LinkRate {
+    LinkRate::new(2.0).expect("it is a rate")
+}
+
+/// Guards against a burst that fills a narrow link before anything is done about it.
+#[test]
+fn burst_shows() {
+    let mut load = LinkLoad::new(NOW, 0);
+    let soon = NOW.after(Duration::from_millis(10));
+    assert!(!load.is_high(soon, 1_000, narrow()));
+    assert!(load.is_high(soon, 40_000, narrow()));
+}
+
+/// Guards against a load that is forgotten, or believed for ever: 100 kB a second are high on 250, 20 are not.
+#[test]
+fn follows_rate() {
+    let mut load = LinkLoad::new(NOW, 0);
+    let (mut now, mut sent) = (NOW, 0);
+    let mut run = |rate: u64, load: &mut LinkLoad| {
+        let mut high = false;
+        for _ in 0..20 {
+            now = now.after(Duration::from_millis(100));
+            sent += rate / 10;
+            high = load.is_high(now, sent, narrow());
+        }
+        high
+    };
+    assert!(run(100_000, &mut load));
+    assert!(!run(20_000, &mut load));
+    assert!(run(100_000, &mut load));
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,9 @@
 mod relays;
 mod rows;
 mod site;
+mod spec_cache;
+mod spec_digest;
+mod spec_origins;
 
 pub use capacity::Capacity;
 pub use offer::{Offer, Reply};
@@ -22,3 +25,6 @@
 pub use relays::{Lost, Relays, Way};
 pub use rows::{Known, Row, SeenLook, Told};
 pub use site::Site;
+pub use spec_cache::SpecCache;
+pub use spec_digest::SpecDigest;
+pub use spec_origins::SpecOrigins;
--- /dev/null
+++ b/crates/relay/src/spec_origins.rs
@@ -0,0 +1,44 @@
+//! Where relays can get what jobs run.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::JobId;
+
+/// Time for which a front is believed to have what a job runs.
+const ORIGIN_TTL: Duration = Duration::from_secs(60);
+
+/// Which front has accepted a job, and so has what it runs.
+#[derive(Debug, Default)]
+pub struct SpecOrigins {
+    fronts: Map<JobId, SocketAddr>,
+    /// Oldest first.
+    order: VecDeque<(Time, JobId)>,
+}
+
+impl SpecOrigins {
+    /// The front at `addr` has accepted a job.
+    pub fn insert(&mut self, now: Time, job: JobId, addr: SocketAddr) {
+        if self.fronts.insert(job, addr).is_none() {
+            self.order.push_back((now, job));
+        }
+        while let Some((at, job)) = self.order.front()
+            && now.since(*at) > ORIGIN_TTL
+        {
+            self.fronts.remove(job);
+            self.order.pop_front();
+        }
+    }
+
+    /// A relay did not get it there.
+    pub fn remove(&mut self, job: &JobId) {
+        self.fronts.remove(job);
+    }
+
+    /// Where to get what a job runs; `None` if nobody is known to have it.
+    pub fn get(&self, job: &JobId) -> Option<SocketAddr> {
+        self.fronts.get(job).copied()
+    }
+}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -105,6 +105,11 @@
         self.platform.put("wave/1", &wave);
     }
 
+    /// A caller of one node only.
+    pub fn caller_of(&self, node: usize) -> Caller {
+        Caller::new(vec![self.nodes[node].callers], 0)
+    }
+
     /// A caller of all nodes.
     pub fn caller(&self, first: usize) -> Caller {
         Caller::new(self.nodes.iter().map(|n| n.callers).collect(), first)
--- a/crates/soak/tests/narrow.rs
+++ b/crates/soak/tests/narrow.rs
@@ -103,3 +103,42 @@
     let job = caller.submit("/b/", 900, &short(), "work_ms=100").await;
     assert_eq!(caller.wait(&job).await.as_deref(), Ok("complete"));
 }
+
+/// Guards against work that never starts, or starts as something else, when the front that keeps what it
+/// runs is gone: the owner's link is loaded, so it names that front to the relays.
+#[tokio::test(flavor = "multi_thread")]
+async fn origin_killed() {
+    let mut world = World::with_settings(4, 23, |_| json!({ "link_mbps": 0.2 })).await;
+    let start = Instant::now();
+    while world.log("relay taken").is_empty() {
+        assert!(start.elapsed() < Duration::from_secs(10), "no relay");
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let front = (0..4).find(|n| *n != owner).expect("there are four");
+    let wide = json!([{ "count": 9, "cpu": 8_000, "mem_mb": 100, "estimate_ms": 2_000 }]);
+    let mut caller = world.caller(owner);
+    let first = caller.submit("/a/", 1, &wide, "work_ms=2500").await;
+    let mut jobs = Vec::new();
+    let mut specs = Vec::new();
+    for id in 10..14 {
+        let spec = format!("{id}={}", "x".repeat(3_000));
+        let mut own = world.caller_of(front);
+        jobs.push(own.submit("/a/", id, &wide, &spec).await);
+        specs.push(spec);
+    }
+    world.nodes[front].signal("KILL");
+    for job in [&first].into_iter().chain(&jobs) {
+        assert_eq!(caller.wait(job).await.as_deref(), Ok("complete"));
+    }
+    let missing = world.log("what a job runs did not come");
+    assert!(!missing.is_empty(), "the front was not named");
+    let (started, broken) = world
+        .platform
+        .ledger(|l| (l.specs.clone(), l.broken.clone()));
+    for (job, spec) in jobs.iter().zip(&specs) {
+        assert_eq!(started.get(&job.id), Some(spec));
+    }
+    assert_eq!(broken, Vec::<String>::new());
+}
