--- /dev/null
+++ b/crates/cell/src/admission.rs
@@ -0,0 +1,156 @@
+//! Which jobs a cell takes: those that can begin while they are of use.
+
+use std::time::Duration;
+
+use cactuswheel_model::Time;
+use cactuswheel_work::{Queue, Submission};
+use serde::{Deserialize, Serialize};
+
+use crate::cell::Cell;
+use crate::rank::LATE_FACTOR;
+
+/// Weight of the newest batch in the mean time of one.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Time between two counts of what all workers have.
+const COUNT_EVERY: Duration = Duration::from_millis(500);
+
+/// Guess of what a start takes of a batch and its orders before one was seen, in bytes.
+const START_SIZE: f64 = 400.0;
+
+/// What a new job waits for before it begins.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    /// Mean time for which a batch is under way.
+    batch: Duration,
+    /// Mean of what a start takes of a batch and its orders, in bytes.
+    start: f64,
+    /// Processor that all workers have, in thousandths of a core.
+    cpu: u64,
+    counted: Time,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            batch: Duration::ZERO,
+            start: START_SIZE,
+            cpu: 0,
+            counted: Time::default(),
+        }
+    }
+}
+
+impl Admission {
+    /// A batch was under way for `took`.
+    pub(crate) fn appended(&mut self, took: Duration) {
+        self.batch = match self.batch.is_zero() {
+            true => took,
+            false => self.batch.mul_f64(1.0 - NEWEST_WEIGHT) + took.mul_f64(NEWEST_WEIGHT),
+        };
+    }
+
+    /// A batch with so many starts takes so many bytes, orders included.
+    pub(crate) fn wrote(&mut self, starts: usize, bytes: usize) {
+        if starts > 0 {
+            let start = bytes as f64 / starts as f64;
+            self.start = self.start * (1.0 - NEWEST_WEIGHT) + start * NEWEST_WEIGHT;
+        }
+    }
+}
+
+/// Times from a job's acceptance until it has to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Slack {
+    /// To be done within its objective.
+    pub timely: Duration,
+    /// To be of any use.
+    pub useful: Duration,
+}
+
+impl Slack {
+    /// Of a job that is accepted; `None` for work that lasts or that has a time of its own.
+    pub fn of(sub: &Submission, queue: Option<&Queue>) -> Option<Self> {
+        if sub.lasting() || sub.times > 0 {
+            return None;
+        }
+        let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
+        let chain = sub.chain() as f64;
+        let objective = chain * stretch + allowance as f64;
+        let within = |limit: f64| Duration::from_millis((limit - chain).max(0.0) as u64);
+        Some(Self {
+            timely: within(objective),
+            useful: within(objective * LATE_FACTOR),
+        })
+    }
+}
+
+/// How long a job that comes now waits before it begins.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waits {
+    /// For the journal and the link, as far as work goes that can meet its objective.
+    pub link: Duration,
+    /// For workers at the least: all work that is of use goes first and is spread over all.
+    pub room: Duration,
+}
+
+impl Waits {
+    /// By how much a job with this slack would begin too late; `None` if it begins in time.
+    ///
+    /// What the link carries is known well, so it decides whether a job can meet its objective.
+    /// What workers have room for is a bound only, and decides whether it can be of any use.
+    pub fn excess(&self, slack: Slack) -> Option<Duration> {
+        let link = self.link.saturating_sub(slack.timely);
+        let room = self.room.saturating_sub(slack.useful);
+        let late = link.max(room);
+        (!late.is_zero()).then_some(late)
+    }
+
+    /// The same after a while, if nothing more has come.
+    pub fn after(&self, time: Duration) -> Self {
+        Self {
+            link: self.link.saturating_sub(time),
+            room: self.room.saturating_sub(time),
+        }
+    }
+}
+
+impl Cell {
+    /// How long a job that comes now waits before it begins.
+    pub fn waits(&self) -> Waits {
+        let ahead = self.wait_queue.timely_tasks() as usize + self.planned.len();
+        let batches = ahead as f64 * self.admission.start / self.bounds.batch.max(1) as f64;
+        let work = self.wait_queue.useful_work() as f64;
+        let room = match self.admission.cpu {
+            0 => 0.0,
+            cpu => work / 1_000.0 / cpu as f64,
+        };
+        Waits {
+            link: self.admission.batch.mul_f64(batches),
+            room: Duration::from_secs_f64(room),
+        }
+    }
+
+    /// Whether a job is refused, since it would begin too late; tells what it would wait for.
+    ///
+    /// Failure: far more is accepted than can begin, all of it is late, and the last of it stands
+    /// still for a minute.
+    pub fn refuses(&self, sub: &Submission) -> Option<Waits> {
+        if self.jobs.contains(&sub.job) || self.finished.contains_key(&sub.job) {
+            return None;
+        }
+        let slack = Slack::of(sub, self.config.queues.get(&sub.queue))?;
+        let waits = self.waits();
+        waits.excess(slack).map(|_| waits)
+    }
+
+    /// Counts what all workers have, if it is time.
+    pub(crate) fn count_room(&mut self) {
+        if self.now.since(self.admission.counted) < COUNT_EVERY {
+            return;
+        }
+        self.admission.counted = self.now;
+        let listed = self.workers.values().filter_map(|w| w.entry.as_ref());
+        self.admission.cpu = listed.map(|e| e.room.cpu).sum();
+    }
+}
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -10,6 +10,7 @@
     FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerId, ZoneName,
 };
 
+use crate::admission::Admission;
 use crate::advice::Tickets;
 use crate::attempt::Phase;
 use crate::backlog::Backlog;
@@ -100,6 +101,7 @@
     pub(crate) now: Time,
     pub(crate) tallies: Tallies,
     pub(crate) backlog: Backlog,
+    pub(crate) admission: Admission,
     /// Runs that were given up of late with their silent workers.
     pub(crate) given_up: Map<WorkerId, GivenUp>,
     /// Where workers have crashed of late, and when last.
@@ -151,6 +153,7 @@
             now: Time::default(),
             tallies: Tallies::default(),
             backlog: Backlog::default(),
+            admission: Admission::default(),
             given_up: Map::default(),
             crashed: Map::default(),
             restoring: true,
@@ -282,6 +285,7 @@
         }
         self.drop_submissions();
         self.look_around();
+        self.count_room();
         self.log_backlog();
         std::mem::take(&mut self.out)
     }
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -25,7 +25,9 @@
         let Some((_, done)) = self.flying.take_if(|(m, _)| *m == mark) else {
             return;
         };
-        self.backlog.appended(now.since(self.written));
+        let took = now.since(self.written);
+        self.backlog.appended(took);
+        self.admission.appended(took);
         for id in &done.accepted {
             if let Some(job) = self.jobs.observe(id) {
                 job.in_journal = true;
@@ -106,6 +108,7 @@
         let planned = std::mem::take(&mut self.planned).into_iter();
         let (later, now): (Vec<_>, Vec<_>) = planned.partition(|p| left.contains(&p.task.job()));
         self.planned = later;
+        self.admission.wrote(now.len(), draft.size);
         self.backlog.wrote(now.len(), draft.size);
         draft.done.starts = now;
         self.workers.settle();
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -42,7 +42,7 @@
 
 impl Job {
     pub(crate) fn new(sub: Arc<Submission>, arrived: Time) -> Self {
-        let tails = tails(&sub.steps);
+        let tails = sub.tails();
         Self {
             sub,
             state: JobState::Queued,
@@ -160,16 +160,3 @@
         index: index as u32,
     }
 }
-
-fn tails(steps: &[Step]) -> Vec<u64> {
-    let mut tails: Vec<u64> = steps.iter().map(|s| s.estimate.get()).collect();
-    // A step waits for lower ones only, so going down sees every successor first.
-    for later in (0..steps.len()).rev() {
-        for &earlier in &steps[later].after {
-            let earlier = earlier as usize;
-            let through = steps[earlier].estimate.get() + tails[later];
-            tails[earlier] = tails[earlier].max(through);
-        }
-    }
-    tails
-}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - a task has one run at a time, unless its step is speculative.
 
 mod accept;
+mod admission;
 mod advice;
 mod attempt;
 mod backlog;
@@ -58,6 +59,7 @@
 mod worker;
 mod workers;
 
+pub use admission::{Slack, Waits};
 pub use batch::{Batch, Mark};
 pub use bounds::Bounds;
 pub use cell::Cell;
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -12,7 +12,7 @@
 use crate::job::Job;
 
 /// Multiple of its objective after which a job is worth nothing to its caller any more.
-const LATE_FACTOR: f64 = 3.0;
+pub(crate) const LATE_FACTOR: f64 = 3.0;
 
 /// A rank with this end does not change by the time alone.
 const NEVER: Time = Time::new(u64::MAX);
@@ -53,6 +53,16 @@
         }
     }
 
+    /// Whether the job can meet its objective.
+    pub(crate) fn is_timely(&self) -> bool {
+        matches!(self.class, Class::Timely | Class::TimelyOverShare)
+    }
+
+    /// Whether the job ends by itself, and can be done while it is of some use.
+    pub(crate) fn is_useful(&self) -> bool {
+        !matches!(self.class, Class::Lasting | Class::Overdue)
+    }
+
     /// Whether the job cannot meet its objective any more, or is of no use at all.
     pub(crate) fn is_late(self) -> bool {
         matches!(
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -96,10 +96,13 @@
             return None;
         }
         let (rank, until) = self.rank(job);
+        let (tasks, work) = free_work(job);
         Some(QueuedJob {
             service: self.service_of(job),
             rank,
             until: until.min(self.now.after(RANK_TTL)),
+            work,
+            tasks,
         })
     }
 
@@ -334,6 +337,17 @@
     })
 }
 
+/// Tasks of a job that have no run, and their work in thousandths of a core times milliseconds.
+fn free_work(job: &Job) -> (u64, u64) {
+    let steps = job.turns.iter();
+    let steps = steps.flat_map(|turn| turn.steps.iter().zip(job.sub.steps.iter()));
+    steps.fold((0, 0), |(tasks, work), (run, step)| {
+        let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
+        let each = step.room.cpu * step.estimate.get();
+        (tasks + free, work + free * each)
+    })
+}
+
 fn free_tasks(run: &StepRun, step: &Step) -> Vec<usize> {
     let free = run.tasks.iter().enumerate().filter(|(_, t)| t.is_free());
     let free: Vec<usize> = free.map(|(i, _)| i).collect();
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -15,6 +15,26 @@
     pub(crate) rank: Rank,
     /// Until then its rank stays the same, if nothing happens to it.
     pub(crate) until: Time,
+    /// Work of its tasks that wait, in thousandths of a core times milliseconds.
+    pub(crate) work: u64,
+    /// Number of those tasks.
+    pub(crate) tasks: u64,
+}
+
+impl QueuedJob {
+    fn useful_work(&self) -> u64 {
+        match self.rank.is_useful() {
+            true => self.work,
+            false => 0,
+        }
+    }
+
+    fn timely_tasks(&self) -> u64 {
+        match self.rank.is_timely() {
+            true => self.tasks,
+            false => 0,
+        }
+    }
 }
 
 /// Jobs with a task that should run and has no run, by service, best first.
@@ -24,6 +44,10 @@
     queued: Map<JobId, QueuedJob>,
     /// When each has to be ranked again.
     due: BTreeSet<(Time, JobId)>,
+    /// Work of all jobs that can be done while they are of use.
+    useful: u64,
+    /// Tasks of all jobs that can meet their objective.
+    timely: u64,
 }
 
 impl WaitQueue {
@@ -35,18 +59,33 @@
         }
         if let Some(before) = self.queued.remove(&id) {
             self.due.remove(&(before.until, id));
+            self.useful -= before.useful_work();
+            self.timely -= before.timely_tasks();
             if let Some(line) = self.queues.get_mut(&before.service) {
                 line.remove(&(before.rank, id));
             }
         }
         if let Some(now) = now {
             self.due.insert((now.until, id));
+            self.useful += now.useful_work();
+            self.timely += now.timely_tasks();
             let line = self.queues.entry(now.service.clone()).or_default();
             line.insert((now.rank, id));
             self.queued.insert(id, now);
         }
     }
 
+    /// Work that waits for workers, of jobs that can be done while they are of use, in
+    /// thousandths of a core times milliseconds.
+    pub(crate) fn useful_work(&self) -> u64 {
+        self.useful
+    }
+
+    /// Tasks that wait for workers, of jobs that can meet their objective.
+    pub(crate) fn timely_tasks(&self) -> u64 {
+        self.timely
+    }
+
     /// Number of jobs in all queues.
     pub(crate) fn len(&self) -> usize {
         self.queued.len()
--- /dev/null
+++ b/crates/cell/tests/admission.rs
@@ -0,0 +1,143 @@
+//! Pattern: far more is handed in than an owner's link can start, or than workers have room for.
+
+mod world;
+
+use std::time::Duration;
+
+use cactuswheel_cell::Slack;
+use cactuswheel_model::Millis;
+use cactuswheel_work::{JobId, JobState, Submission};
+use world::{World, job, lasting, queue, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time after the last job in which all that was accepted has to be done.
+const FINISH: Duration = Duration::from_secs(14);
+
+/// Bytes that may be under way with a batch, and the time that one takes: a link of 2 Mbit/s.
+const BATCH: usize = 37_500;
+const BATCH_TIME: Duration = Duration::from_millis(150);
+
+/// Times in a second at which jobs come.
+const ROUNDS: u64 = 50;
+
+fn narrow(seed: u64, workers: usize) -> World {
+    let mut world = World::new(seed, workers);
+    world.batch = BATCH;
+    world.take_over();
+    world.bury_others();
+    world.run(SECOND);
+    world.store_down = true;
+    world.outage = BATCH_TIME;
+    world
+}
+
+fn without_team(sub: Submission) -> Submission {
+    Submission { team: None, ..sub }
+}
+
+/// Hands in `rate` jobs a second, and counts those that were accepted.
+fn flood(world: &mut World, seconds: u64, rate: u64) -> Vec<JobId> {
+    let mut accepted = Vec::new();
+    for id in 0..seconds * rate {
+        if id % (rate / ROUNDS) == 0 {
+            world.run(SECOND / ROUNDS as u32);
+        }
+        let sub = without_team(job(id, steps(1, 8, 300)));
+        if world.cell().refuses(&sub).is_none() {
+            accepted.push(sub.job);
+            world.submit(sub);
+        }
+    }
+    accepted
+}
+
+/// Guards against accepted jobs that stand still at the end of a day, and against a burst in which all are
+/// late since all are accepted.
+#[test]
+fn backlog_is_bounded() {
+    let mut world = narrow(1, 400);
+    let accepted = flood(&mut world, 10, 200);
+    assert!(accepted.len() > 200, "{} accepted", accepted.len());
+    assert!(accepted.len() < 2_000, "none was refused");
+    // Three objectives after the last one was accepted all are done, or have been of no use.
+    let objective = Duration::from_millis(300 * 16 / 10 + 600);
+    world.run(3 * objective);
+    let done = accepted.iter();
+    let done = done.filter(|id| world.state(**id) == Some(JobState::Complete));
+    let done = done.count();
+    assert!(
+        done * 10 >= accepted.len() * 9,
+        "{done} of {} done",
+        accepted.len()
+    );
+    world.run(FINISH);
+    for id in &accepted {
+        assert_eq!(world.state(*id), Some(JobState::Complete), "job {id}");
+    }
+    world.assert_clean();
+}
+
+/// Guards against refusals where the link carries all that comes.
+#[test]
+fn wide_link_takes_all() {
+    let mut world = World::new(2, 400);
+    world.run(SECOND);
+    let accepted = flood(&mut world, 3, 100);
+    assert_eq!(accepted.len(), 300);
+}
+
+/// Guards against work that waits for workers until it is of no use, and against the refusal of work that
+/// could still be of some.
+#[test]
+fn full_pool_refuses() {
+    let mut world = World::new(3, 4);
+    world.run(SECOND);
+    let mut refused = 0;
+    for id in 0..200 {
+        let sub = without_team(job(id, steps(1, 4, 1_000)));
+        match world.cell().refuses(&sub) {
+            Some(_) => refused += 1,
+            None => world.submit(sub),
+        }
+        world.run(SECOND / 50);
+    }
+    let objective = Duration::from_millis(1_000 * 16 / 10 + 600);
+    let waits = world.cell().waits();
+    assert!(refused > 0, "room for all, it seems: {waits:?}");
+    assert!(
+        waits.room >= objective,
+        "refused though it waits only {waits:?}"
+    );
+}
+
+/// Guards against a refusal of what was accepted before, or of work that lasts.
+#[test]
+fn never_refused() {
+    let mut world = World::new(4, 1);
+    world.run(SECOND);
+    for id in 0..300 {
+        world.submit(without_team(job(id, steps(1, 4, 1_000))));
+    }
+    world.run(SECOND);
+    let next = without_team(job(999, steps(1, 1, 1_000)));
+    assert!(world.cell().refuses(&next).is_some());
+    let known = without_team(job(7, steps(1, 4, 1_000)));
+    assert_eq!(world.cell().refuses(&known), None);
+    assert_eq!(world.cell().refuses(&lasting(1_000, 2, 1)), None);
+}
+
+#[test]
+fn slack_of_job() {
+    let short = job(1, steps(2, 3, 500));
+    let slack = Slack::of(&short, Some(&queue())).expect("it ends by itself");
+    assert_eq!(slack.timely, Duration::from_millis(1_200));
+    assert_eq!(slack.useful, Duration::from_millis(5_600));
+    assert_eq!(Slack::of(&lasting(2, 1, 1), Some(&queue())), None);
+    let timed = Submission {
+        times: 3,
+        interval: Millis::new(1_000),
+        ..short
+    };
+    assert_eq!(Slack::of(&timed, Some(&queue())), None);
+}
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -1,10 +1,13 @@
 //! Answers to callers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cactuswheel_model::Code;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use rand::Rng;
 use serde_json::json;
 
 /// An answer to a caller.
@@ -13,6 +16,9 @@
 /// Least time after which a caller may come back, in seconds: the header has no smaller unit.
 const SOON_S: u64 = 1;
 
+/// Longest such time.
+const LATEST_S: u64 = 10;
+
 /// A JSON body with status 200.
 pub(crate) fn found(body: Vec<u8>) -> Answer {
     let mut answer = Response::new(Full::new(Bytes::from(body)));
@@ -22,7 +28,9 @@
 }
 
 /// A refusal or an error, with its code and what happened in particular.
-pub(crate) fn refused(code: Code, detail: &str) -> Answer {
+///
+/// Callers that may come back are told to after `pause`, spread over a second more.
+pub(crate) fn refused(code: Code, detail: &str, pause: Duration) -> Answer {
     let body = json!({
         "code": code.number(),
         "ran": code.ran().to_string(),
@@ -35,7 +43,16 @@
     if matches!(code.status(), 429 | 503) {
         answer
             .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(SOON_S));
+            .insert(RETRY_AFTER, HeaderValue::from(retry_after(pause)));
     }
     answer
 }
+
+fn retry_after(pause: Duration) -> u64 {
+    if pause.is_zero() {
+        return SOON_S;
+    }
+    let spread = rand::rng().random_range(0.0..1.0);
+    let seconds = (pause.as_secs_f64() + spread).round() as u64;
+    seconds.clamp(SOON_S, LATEST_S)
+}
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -64,6 +64,19 @@
     }
 }
 
+/// Whether the owner knows a job, as far as it tells at once; `None` if none answers.
+pub(crate) async fn is_known(shared: &Arc<Shared>, id: JobId) -> Option<bool> {
+    if let Some(own) = shared.own.load_full() {
+        return own.is_known(id).await;
+    }
+    let link = link_at_hand(shared)?;
+    let answer = link.is_known(id, TRY_TIMEOUT).await;
+    if answer.is_none() {
+        lose_link(shared);
+    }
+    answer?
+}
+
 /// Hands a job to the owner if one is connected, within `limit`.
 ///
 /// Nothing waits for a connection here: without the owner the front stores the job by itself.
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/call_health.rs
@@ -1,23 +1,23 @@
-//! Whether the store answers this node.
+//! Whether calls of one kind are answered.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cactuswheel_model::Time;
 
-/// Time without an answer after which the store counts as out of reach: one lost answer or one
+/// Time without an answer after which whoever is called counts as out of reach: one lost answer or one
 /// refusal says little.
 const LOST_AFTER: Duration = Duration::from_millis(300);
 
-/// Whether the store answers this node.
+/// Whether calls of one kind, such as those to the store, are answered.
 #[derive(Debug, Default)]
-pub struct StoreHealth {
+pub struct CallHealth {
     /// When the first of the newest failures in a row was seen, in milliseconds; 0 if the last
     /// call was answered.
     failing: AtomicU64,
 }
 
-impl StoreHealth {
+impl CallHealth {
     /// A call has failed; true if it is the first in a row.
     pub fn failed(&self, now: Time) -> bool {
         let first =
@@ -32,9 +32,16 @@
         (since != 0).then(|| now.since(Time::new(since)))
     }
 
+    /// For how long calls have failed; zero if the last one was answered.
+    pub fn failing_for(&self, now: Time) -> Duration {
+        match self.failing.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            since => now.since(Time::new(since)),
+        }
+    }
+
     /// Whether calls have failed for so long that callers are served better by other nodes.
     pub fn is_lost(&self, now: Time) -> bool {
-        let since = self.failing.load(Ordering::Relaxed);
-        since != 0 && now.since(Time::new(since)) > LOST_AFTER
+        self.failing_for(now) > LOST_AFTER
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -71,6 +71,8 @@
 pub(crate) enum Ask {
     /// Somebody asks for a job.
     Job(JobId, oneshot::Sender<JobAnswer>),
+    /// A front asks whether a job is known.
+    Known(JobId, oneshot::Sender<bool>),
     /// An operator asks for the cell.
     View(oneshot::Sender<Value>),
     /// An operator asks for a job.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -63,6 +63,8 @@
 struct Refusal {
     code: Code,
     detail: String,
+    /// When to come back.
+    pause: Duration,
 }
 
 /// What a request is about.
@@ -78,8 +80,13 @@
         Self {
             code,
             detail: detail.into(),
+            pause: Duration::ZERO,
         }
     }
+
+    fn with_pause(self, pause: Duration) -> Self {
+        Self { pause, ..self }
+    }
 }
 
 /// Accepts callers until `stop`, each on a task that `open` tracks.
@@ -146,7 +153,7 @@
             Ok(answer) => answer,
             Err(refusal) => {
                 self.shared.metrics.refused(refusal.code);
-                refused(refusal.code, &refusal.detail)
+                refused(refusal.code, &refusal.detail, refusal.pause)
             }
         };
         self.busy.fetch_sub(1, Ordering::AcqRel);
@@ -267,7 +274,7 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.time.saturating_sub(spent + WAY_BACK);
-        match self.intake.accept(&self.shared, id, record, left).await {
+        match self.intake.accept(&self.shared, &sub, record, left).await {
             Ok(()) => Ok(found(Vec::new())),
             Err(e) => Err(self.not_stored(id, "submit", e)),
         }
@@ -278,6 +285,14 @@
         log::warn!(job:% = id, what = what, outcome:? = error, age_ms = age; "not stored");
         match error {
             NotStored::Refused => Refusal::new(Code::StoreAway, ""),
+            NotStored::NoOwner(excess) => {
+                let detail = format!("nobody takes jobs, {} ms too long", excess.as_millis());
+                Refusal::new(Code::NoScheduler, detail).with_pause(excess)
+            }
+            NotStored::Overloaded(excess) => {
+                let detail = format!("it would begin {} ms too late", excess.as_millis());
+                Refusal::new(Code::QueueFull, detail).with_pause(excess)
+            }
             NotStored::Doubt => Refusal::new(Code::StoreDoubt, ""),
         }
     }
--- a/crates/node/src/hand_ins.rs
+++ b/crates/node/src/hand_ins.rs
@@ -21,7 +21,7 @@
 pub(crate) struct HandIns {
     shared: Arc<Shared>,
     /// The cell knows nothing of these: they can be refused.
-    waiting: Vec<Handed>,
+    waiting: Vec<(Submission, Handed)>,
     /// Whom to tell when the journal holds a job.
     replies: Map<JobId, Vec<oneshot::Sender<HandInAnswer>>>,
     /// Which fronts have accepted jobs of late.
@@ -38,11 +38,22 @@
         }
     }
 
-    pub(crate) fn take(&mut self, handed: Handed) {
+    /// Takes a job, unless it surely cannot begin in time.
+    pub(crate) fn take(&mut self, cell: &Cell, handed: Handed) {
         if self.waiting.len() >= MAX_WAITING {
             return answer(handed.reply, HandInAnswer::Refused);
         }
-        self.waiting.push(handed);
+        let sub = match decode::<Submission>(&handed.record) {
+            Ok(sub) => sub,
+            Err(e) => {
+                log::error!(error:% = e; "submission cannot be read");
+                return answer(handed.reply, HandInAnswer::Refused);
+            }
+        };
+        if let Some(waits) = cell.refuses(&sub) {
+            return answer(handed.reply, HandInAnswer::Overloaded(waits));
+        }
+        self.waiting.push((sub, handed));
     }
 
     /// Hands the cell what waits, unless a batch is under way.
@@ -57,16 +68,16 @@
         if let Some(writing) = cell.writing(now) {
             return self.refuse_overdue(now, writing);
         }
-        for handed in std::mem::take(&mut self.waiting) {
-            self.hand_one_in(cell, handed);
+        for (sub, handed) in std::mem::take(&mut self.waiting) {
+            self.hand_one_in(cell, sub, handed);
         }
     }
 
     fn refuse_overdue(&mut self, now: Time, writing: Duration) {
         let stuck = writing > stuck_after(&self.shared);
-        let over = |h: &mut Handed| stuck || h.until <= now;
+        let over = |(_, h): &mut (Submission, Handed)| stuck || h.until <= now;
         let mut refused = 0;
-        for handed in self.waiting.extract_if(.., over) {
+        for (_, handed) in self.waiting.extract_if(.., over) {
             answer(handed.reply, HandInAnswer::Refused);
             refused += 1;
         }
@@ -76,22 +87,17 @@
         }
     }
 
-    fn hand_one_in(&mut self, cell: &mut Cell, handed: Handed) {
+    fn hand_one_in(&mut self, cell: &mut Cell, sub: Submission, handed: Handed) {
         let now = self.shared.clock.now();
-        let sub = match decode::<Submission>(&handed.record) {
-            Ok(sub) if handed.until > now => sub,
-            Ok(_) => return answer(handed.reply, HandInAnswer::Refused),
-            Err(e) => {
-                log::error!(error:% = e; "submission cannot be read");
-                return answer(handed.reply, HandInAnswer::Refused);
-            }
-        };
+        if handed.until <= now {
+            return answer(handed.reply, HandInAnswer::Refused);
+        }
         let id = sub.job;
         self.origins.insert(now, id, handed.origin);
-        match cell.hand_in(now, sub, handed.record.to_vec()) {
+        match cell.hand_in(now, sub.clone(), handed.record.to_vec()) {
             HandIn::Accepted => answer(handed.reply, HandInAnswer::Accepted),
             HandIn::Journaling => self.replies.entry(id).or_default().push(handed.reply),
-            HandIn::Busy => self.waiting.push(handed),
+            HandIn::Busy => self.waiting.push((sub, handed)),
         }
     }
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -6,13 +6,15 @@
 
 use bytes::Bytes;
 use cactuswheel_adapter::{AppendError, Keyed, Partition, Producer, records_size};
+use cactuswheel_cell::Slack;
 use cactuswheel_model::Time;
-use cactuswheel_work::JobId;
+use cactuswheel_work::Submission;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use crate::appending::append;
 use crate::ask;
+use crate::overload::silence_excess;
 use crate::peer::HandInAnswer;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, intake, part_of};
@@ -52,10 +54,27 @@
 pub(crate) enum NotStored {
     /// It is not there and never will be.
     Refused,
+    /// The same: it would begin too late, by so much.
+    Overloaded(Duration),
+    /// The same: nobody has taken jobs for so long that it would begin too late, by so much.
+    NoOwner(Duration),
     /// It may be there, now or later.
     Doubt,
 }
 
+/// Why a job is refused here, as far as this front knows what it would wait for.
+fn refusal(shared: &Shared, now: Time, slack: Slack) -> Option<NotStored> {
+    if let Some(excess) = shared.overload.excess(now, slack) {
+        return Some(NotStored::Overloaded(excess));
+    }
+    let silence = shared.hand_in_health.failing_for(now);
+    let usual = TAKEOVER + shared.least_expiry;
+    silence_excess(silence, usual, slack).map(NotStored::NoOwner)
+}
+
+/// Time in which a node takes the cell over once it may claim it, with little to read.
+const TAKEOVER: Duration = Duration::from_millis(1_500);
+
 /// Where a record is on its way.
 #[derive(Debug, Default)]
 struct Stage(AtomicU8);
@@ -101,15 +120,42 @@
     pub(crate) async fn accept(
         &self,
         shared: &Arc<Shared>,
-        id: JobId,
+        sub: &Submission,
         record: Vec<u8>,
         limit: Duration,
     ) -> Result<(), NotStored> {
+        let id = sub.job;
+        let config = shared.config.load();
+        let queue = config.as_ref().and_then(|c| c.queues.get(&sub.queue));
+        let slack = Slack::of(sub, queue);
         let start = shared.clock.now();
+        if let Some(slack) = slack
+            && let Some(refusal) = refusal(shared, start, slack)
+        {
+            // It may be a repeat of a job that was accepted before.
+            match (ask::is_known(shared, id).await, refusal) {
+                (Some(true), _) => return Ok(()),
+                // An owner is there again.
+                (Some(false), NotStored::NoOwner(_)) => {}
+                (_, refusal) => return Err(refusal),
+            }
+        }
         let record = Bytes::from(record);
         let handed = ask::hand_in(shared, record.clone(), limit).await;
-        if handed == HandInAnswer::Accepted {
-            return Ok(());
+        match handed {
+            HandInAnswer::Accepted => {
+                shared.hand_in_health.answered(shared.clock.now());
+                return Ok(());
+            }
+            HandInAnswer::Overloaded(waits) => {
+                shared.hand_in_health.answered(shared.clock.now());
+                shared.overload.learn(shared.clock.now(), waits);
+                let excess = slack.and_then(|s| waits.excess(s));
+                return Err(NotStored::Overloaded(excess.unwrap_or_default()));
+            }
+            HandInAnswer::Refused | HandInAnswer::Unknown => {
+                shared.hand_in_health.failed(shared.clock.now());
+            }
         }
         let left = limit.saturating_sub(shared.clock.now().since(start));
         let stored = self
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -210,7 +210,7 @@
     fn take(&mut self, event: Event) -> bool {
         let now = self.shared.clock.now();
         match event {
-            Event::HandIn(handed) => self.hand_ins.take(handed),
+            Event::HandIn(handed) => self.hand_ins.take(&self.cell, handed),
             Event::Intake(read) => self.take_records(read),
             Event::IntakeRead(part) => {
                 self.reads.over(part);
@@ -273,6 +273,7 @@
     fn answer(&mut self, ask: Ask) {
         match ask {
             Ask::Job(id, reply) => self.answer_job(id, self.shared.clock.now(), reply),
+            Ask::Known(id, reply) => drop(reply.send(self.cell.state(id).is_some())),
             Ask::View(reply) => drop(reply.send(cell_view(&self.cell))),
             Ask::Story(id, reply) => drop(reply.send(job_view(&self.cell, id))),
             Ask::Queue(name, reply) => {
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -38,6 +38,13 @@
         answer.await.unwrap_or(QueueAnswer::NotOwner)
     }
 
+    /// `None` if the owner is gone.
+    pub(crate) async fn is_known(&self, id: JobId) -> Option<bool> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::Known(id, reply)).await;
+        answer.await.ok()
+    }
+
     /// The cell, for operators; `None` if the owner is gone.
     pub(crate) async fn view(&self) -> Option<Value> {
         let (reply, answer) = oneshot::channel();
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cactuswheel_cell::Waits;
 use cactuswheel_relay::{Offer, Reply, SpecDigest};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
 use futures::StreamExt;
@@ -70,6 +71,8 @@
     Accepted,
     /// It left no trace and never will.
     Refused,
+    /// The same: it would begin too late.
+    Overloaded(Waits),
     /// It may be accepted, now or later.
     Unknown,
 }
@@ -79,6 +82,9 @@
 pub(crate) trait Peer {
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
+    /// Whether the owner knows a job, without a look at what was accepted elsewhere; `None` from
+    /// a node that is no owner.
+    async fn is_known(id: JobId) -> Option<bool>;
     /// To the owner: accept this job within `limit` milliseconds.
     /// The front at `origin` keeps what the job runs.
     async fn hand_in(record: Bytes, origin: SocketAddr, limit: u64) -> HandInAnswer;
@@ -110,6 +116,10 @@
         }
     }
 
+    async fn is_known(self, _: Context, id: JobId) -> Option<bool> {
+        self.0.own.load_full()?.is_known(id).await
+    }
+
     async fn hand_in(
         self,
         _: Context,
@@ -195,6 +205,10 @@
         self.client.queue(within(limit), name).await.ok()
     }
 
+    pub(crate) async fn is_known(&self, id: JobId, limit: Duration) -> Option<Option<bool>> {
+        self.client.is_known(within(limit), id).await.ok()
+    }
+
     /// `None` if the answer did not come: the job may be accepted, now or later.
     pub(crate) async fn hand_in(
         &self,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,14 +12,15 @@
 use cactuswheel_work::{FleetConfig, Wave, ZoneName};
 use tokio::sync::Notify;
 
+use crate::call_health::CallHealth;
 use crate::clock::Clock;
 use crate::expiry::expiry;
 use crate::metrics::Metrics;
 use crate::order_log::OrderLog;
+use crate::overload::Overload;
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{OwnerAt, OwnerLink};
 use crate::settings::Settings;
-use crate::store_health::StoreHealth;
 
 /// What the parts of a node share.
 #[derive(Debug)]
@@ -42,7 +43,7 @@
     pub(crate) evacuated: ArcSwap<Set<ZoneName>>,
     /// When the read was sent that last confirmed the configuration.
     confirmed: AtomicU64,
-    health: StoreHealth,
+    health: CallHealth,
     /// Where the cell's owner is, as far as the store has told.
     pub(crate) owner: ArcSwapOption<OwnerAt>,
     /// The connection to the owner.
@@ -53,6 +54,10 @@
     pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
+    /// Whether an owner takes the jobs that this node hands in.
+    pub(crate) hand_in_health: CallHealth,
+    /// How long jobs wait, as the owner has told last.
+    pub(crate) overload: Overload,
     /// What jobs run, as this node has accepted or relayed them.
     specs: Mutex<SpecCache>,
     /// Least time without a renewal after which an ownership of this node may be claimed.
@@ -110,12 +115,14 @@
             waves: ArcSwapOption::empty(),
             evacuated: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
-            health: StoreHealth::default(),
+            health: CallHealth::default(),
             owner: ArcSwapOption::empty(),
             link: ArcSwapOption::empty(),
             hand_ins: RttEstimator::new(MIN_HAND_IN_TIMEOUT, MAX_HAND_IN_TIMEOUT),
             connecting: AtomicBool::new(false),
             own: ArcSwapOption::empty(),
+            hand_in_health: CallHealth::default(),
+            overload: Overload::default(),
             specs: Mutex::new(SpecCache::new(SPECS_KEPT)),
             lead: AtomicU64::new(0),
             declined: AtomicU64::new(0),
--- a/crates/work/src/submission.rs
+++ b/crates/work/src/submission.rs
@@ -40,6 +40,25 @@
         self.steps.iter().any(|s| s.lasting)
     }
 
+    /// Longest chain of work from each step on, in milliseconds by the caller's estimates.
+    pub fn tails(&self) -> Vec<u64> {
+        let mut tails: Vec<u64> = self.steps.iter().map(|s| s.estimate.get()).collect();
+        // A step waits for lower ones only, so going down sees every successor first.
+        for later in (0..self.steps.len()).rev() {
+            for &earlier in &self.steps[later].after {
+                let earlier = earlier as usize;
+                let through = self.steps[earlier].estimate.get() + tails[later];
+                tails[earlier] = tails[earlier].max(through);
+            }
+        }
+        tails
+    }
+
+    /// Longest chain of work of an occurrence, in milliseconds by the caller's estimates.
+    pub fn chain(&self) -> u64 {
+        self.tails().into_iter().max().unwrap_or_default()
+    }
+
     /// Number of occurrences.
     pub fn turns(&self) -> u32 {
         self.times.max(1)
