--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -156,20 +156,27 @@
     }
 
     /// Sends what was collected for relays since the last call.
-    pub(crate) fn flush(&mut self, origins: &SpecOrigins) {
+    pub(crate) fn flush(&mut self, origins: &mut SpecOrigins) {
         let now = self.shared.clock.now();
         self.named = self
             .load
             .is_high(now, bytes_sent(), self.shared.settings.link);
         let named = self.named;
-        let origin = |job: &JobId| origins.get(job).filter(|_| named);
         let age = self.shared.lead_age();
         for (node, client) in &mut self.clients {
             if client.is_empty() {
                 continue;
             }
             if let Some(confirmed) = self.relays.confirmed(now, node, age) {
-                client.send(confirmed, origin);
+                let addr = client.addr();
+                client.send(confirmed, |job| {
+                    let known = origins.get(&job).filter(|_| named);
+                    // The next relay gets it from this one.
+                    if named && known.is_none() {
+                        origins.insert(now, job, addr);
+                    }
+                    known
+                });
             }
         }
     }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -33,6 +33,12 @@
 /// Pause after a failed `accept`, so that running out of descriptors does not spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time that a node waits for what a job runs: the owner may have sent it just now.
+const SPEC_WAIT: Duration = Duration::from_millis(300);
+
+/// Pause between two looks for it.
+const SPEC_PAUSE: Duration = Duration::from_millis(20);
+
 /// Where the cell's owner is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct OwnerAt {
@@ -135,7 +141,14 @@
     }
 
     async fn spec(self, _: Context, digest: SpecDigest) -> Option<Arc<str>> {
-        self.0.specs().get(&digest)
+        let until = self.0.clock.now().after(SPEC_WAIT);
+        loop {
+            let spec = self.0.specs().get(&digest);
+            if spec.is_some() || self.0.clock.now() >= until {
+                return spec;
+            }
+            sleep(SPEC_PAUSE).await;
+        }
     }
 
     async fn enlist(self, _: Context, offer: Offer) -> Reply {
--- a/crates/node/src/relay_client.rs
+++ b/crates/node/src/relay_client.rs
@@ -31,6 +31,7 @@
     events: mpsc::Sender<Event>,
     epoch: u64,
     node: NodeName,
+    addr: SocketAddr,
     /// What is to go out next.
     envelopes: Vec<Envelope>,
     requests: mpsc::Sender<RelayRequest>,
@@ -51,6 +52,7 @@
             events,
             epoch,
             node,
+            addr,
             envelopes: Vec::new(),
             requests,
         }
@@ -64,21 +66,30 @@
         self.envelopes.push(envelope);
     }
 
+    /// Where the relay takes orders, and what it has been sent.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Sends what was added; the ownership was confirmed then, on the relay's clock. What a job
-    /// runs is left out where `origin` knows a front that has it.
-    pub(crate) fn send(&mut self, confirmed: Time, origin: impl Fn(&JobId) -> Option<SocketAddr>) {
+    /// runs is left out where `origin` knows a node that has it.
+    pub(crate) fn send(
+        &mut self,
+        confirmed: Time,
+        mut origin: impl FnMut(JobId) -> Option<SocketAddr>,
+    ) {
         let mut size = 0;
         let mut part = Vec::new();
         for envelope in std::mem::take(&mut self.envelopes) {
             size += envelope.size();
             part.push(envelope);
             if size >= MAX_MESSAGE {
-                self.send_part(std::mem::take(&mut part), confirmed, &origin);
+                self.send_part(std::mem::take(&mut part), confirmed, &mut origin);
                 size = 0;
             }
         }
         if !part.is_empty() {
-            self.send_part(part, confirmed, &origin);
+            self.send_part(part, confirmed, &mut origin);
         }
     }
 
@@ -86,7 +97,7 @@
         &self,
         envelopes: Vec<Envelope>,
         confirmed: Time,
-        origin: impl Fn(&JobId) -> Option<SocketAddr>,
+        origin: impl FnMut(JobId) -> Option<SocketAddr>,
     ) {
         let mut request = RelayRequest {
             epoch: self.epoch,
--- a/crates/node/src/relay_request.rs
+++ b/crates/node/src/relay_request.rs
@@ -66,7 +66,7 @@
 pub(crate) enum SpecSource {
     /// It is here.
     Text(Arc<str>),
-    /// The front at this address has it, and the relay may have it from there already.
+    /// The node at this address has it, and the relay may have it from there already.
     Cached(SpecDigest, SocketAddr),
 }
 
@@ -80,8 +80,8 @@
 
 impl RelayRequest {
     /// Names what each job runs once, however many of its tasks start; by its digest where
-    /// `origin` knows a front that has it.
-    pub(crate) fn fold_specs(&mut self, origin: impl Fn(&JobId) -> Option<SocketAddr>) {
+    /// `origin` knows a node that has it.
+    pub(crate) fn fold_specs(&mut self, mut origin: impl FnMut(JobId) -> Option<SocketAddr>) {
         let mut specs: Map<JobId, Arc<str>> = Map::default();
         for envelope in &mut self.envelopes {
             if let Order::Start(start) = &mut envelope.order {
@@ -90,7 +90,7 @@
             }
         }
         let specs = specs.into_iter().map(|(job, spec)| {
-            let source = match origin(&job) {
+            let source = match origin(job) {
                 Some(addr) => SpecSource::Cached(SpecDigest::of(&spec), addr),
                 None => SpecSource::Text(spec),
             };
@@ -101,8 +101,13 @@
 
     /// Puts what each job runs back into its orders, as far as it is at hand here; gives the
     /// orders for which it has to be fetched first.
-    pub(crate) fn unfold_specs(&mut self, specs: &SpecCache) -> Vec<Incomplete> {
+    pub(crate) fn unfold_specs(&mut self, specs: &mut SpecCache) -> Vec<Incomplete> {
         let sources: Map<JobId, SpecSource> = self.specs.drain(..).collect();
+        for source in sources.values() {
+            if let SpecSource::Text(spec) = source {
+                specs.insert(spec);
+            }
+        }
         let mut incomplete = Vec::new();
         let mut whole = Vec::with_capacity(self.envelopes.len());
         for mut envelope in self.envelopes.drain(..) {
@@ -137,7 +142,7 @@
 pub(crate) struct Incomplete {
     pub(crate) envelope: Envelope,
     pub(crate) digest: SpecDigest,
-    /// The front that has it.
+    /// The node that has it.
     pub(crate) origin: SocketAddr,
 }
 
--- a/crates/node/src/relay_server.rs
+++ b/crates/node/src/relay_server.rs
@@ -96,7 +96,7 @@
 
     /// Takes orders; false if a newer owner's were taken before.
     pub(crate) fn take(self: &Arc<Self>, mut request: RelayRequest) -> bool {
-        let incomplete = request.unfold_specs(&self.shared.specs());
+        let incomplete = request.unfold_specs(&mut self.shared.specs());
         let mut service = self.lock();
         let newest = service.as_ref().map_or(0, |s| s.epoch);
         if newest > request.epoch {
--- a/crates/node/src/spec_fetcher.rs
+++ b/crates/node/src/spec_fetcher.rs
@@ -1,4 +1,4 @@
-//! Fetches what jobs run from the fronts that have accepted them.
+//! Fetches what jobs run from the nodes that have it.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,13 +10,13 @@
 use crate::peer::OwnerLink;
 use crate::shared::Shared;
 
-/// Time for a front to send what a job runs; the owner sends it by itself after that.
-const TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for another node to send what a job runs; the owner sends it by itself after that.
+const TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Fetches what jobs run from the fronts that have accepted them.
+/// Fetches what jobs run from the nodes that have it.
 pub(crate) struct SpecFetcher {
     shared: Arc<Shared>,
-    /// Connections to other fronts.
+    /// Connections to other nodes.
     links: Mutex<Map<SocketAddr, OwnerLink>>,
 }
 
@@ -28,7 +28,7 @@
         }
     }
 
-    /// What a job runs, which the front at `origin` keeps; `None` if it does not come in time.
+    /// What a job runs, which the node at `origin` keeps; `None` if it does not come in time.
     pub(crate) async fn fetch(&self, digest: SpecDigest, origin: SocketAddr) -> Option<Arc<str>> {
         if let Some(spec) = self.shared.specs().get(&digest) {
             return Some(spec);
