--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -112,6 +112,8 @@
     others: Duration,
     /// Orders to start leave out what the job runs.
     pub(crate) named: bool,
+    /// Answers may be late since the owner's link is full.
+    pub(crate) full: bool,
     /// Leases are renewed: the ownership was confirmed of late.
     pub(crate) renewing: bool,
 }
@@ -159,6 +161,7 @@
             restoring: true,
             others: Duration::ZERO,
             named: false,
+            full: false,
             renewing: true,
         }
     }
@@ -258,6 +261,11 @@
         self.named = named;
     }
 
+    /// Whether answers may be late since the owner's link is full.
+    pub fn link_is_full(&mut self, full: bool) {
+        self.full = full;
+    }
+
     /// Derives anew what follows from the state of jobs and workers that changed.
     pub(crate) fn settle(&mut self) {
         self.workers.settle();
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -33,6 +33,9 @@
 /// Time between looks at a worker that is kept for a task which may take it down.
 const TRIAL_LOOK: Duration = Duration::from_millis(50);
 
+/// For how long leases of a worker without an answer are renewed while the owner's link is full.
+const RENEW_UNHEARD: Duration = Duration::from_secs(4);
+
 /// Longest pause between looks at a worker that does not answer.
 const MAX_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -43,7 +46,7 @@
     /// Looks at every worker that is due.
     pub(crate) fn look_around(&mut self) {
         let (now, lease) = (self.now, self.bounds.lease);
-        let renewing = self.renewing;
+        let (renewing, full) = (self.renewing, self.full);
         let busy_wait = match self.workers.len() <= FEW_WORKERS {
             true => SHORT_WAIT,
             false => LOOK_WAIT,
@@ -65,11 +68,14 @@
                 (true, false) if worker.waking => WAKING_WAIT,
                 (true, false) => busy_wait,
             };
+            // Failure: each look at a silent worker moves the end of its lease, which then never
+            // comes, and what ran there is not started elsewhere. A look without a renewal finds
+            // it again just as well. With the owner's own link full, though, most answers are
+            // late, and without renewals sound workers lose all that they run.
+            let late = full && now.since(worker.alive) < RENEW_UNHEARD;
+            let heard = worker.missed == 0 || late;
             let order = HoldOrder {
-                // Failure: each look at a silent worker moves the end of its lease, which then
-                // never comes, and what ran there is not started elsewhere. A look without a
-                // renewal finds it again just as well.
-                expiry: match renewing && worker.missed == 0 && !worker.is_spent() {
+                expiry: match renewing && heard && !worker.is_spent() {
                     true => worker.renew(lease, now),
                     false => None,
                 },
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -55,6 +55,8 @@
     pub config: Arc<FleetConfig>,
     /// In percent: how often an order gets no answer, whatever becomes of it.
     pub loss: u32,
+    /// Orders are carried out, and no answer comes.
+    pub deaf: bool,
     /// Appends are held up.
     pub store_down: bool,
     /// Bytes that a batch and its orders may take.
@@ -110,6 +112,7 @@
             workers: Map::default(),
             config: Arc::new(config()),
             loss: 0,
+            deaf: false,
             store_down: false,
             batch: bounds().batch,
             ordered: Vec::new(),
@@ -462,6 +465,9 @@
                 false => Fate::Unreachable,
             };
         }
+        if self.deaf {
+            return Fate::Done;
+        }
         if !self.rng.chance(self.loss) {
             return Fate::Answered;
         }
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -22,7 +22,7 @@
 use crate::link_load::LinkLoad;
 use crate::order_sender::{LOOK_TIMEOUT, ORDER_TIMEOUT, OrderSender, OrderSink};
 use crate::owner_stats::OwnerStats;
-use crate::peer_traffic::bytes_sent;
+use crate::peer_traffic::link_bytes;
 use crate::relay_client::RelayClient;
 use crate::relay_request::{Envelope, Order, Report, Reports};
 use crate::shared::Shared;
@@ -40,6 +40,12 @@
 /// Time for the way to a relay and back, and for its own queue, beside the order's own limit.
 const RELAY_WAY: Duration = Duration::from_millis(700);
 
+/// Share of the link that goes out above which orders to start leave out what the job runs.
+const LOADED_SHARE: f64 = 0.25;
+
+/// Share of the link that comes in above which answers queue on it.
+const FULL_SHARE: f64 = 0.6;
+
 /// Time between looks for relays that are silent and orders that are overdue.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 
@@ -81,8 +87,10 @@
     listed: bool,
     checked: Time,
     stats: OwnerStats,
-    /// How much of the link this node's own sending takes.
-    load: LinkLoad,
+    /// How much of the link goes out.
+    outward: LinkLoad,
+    /// How much of it comes in.
+    inward: LinkLoad,
     /// Relays are told what a job runs by its digest.
     named: bool,
     policy: Option<Arc<PolicyService>>,
@@ -113,7 +121,8 @@
             listed: false,
             checked: shared.clock.now(),
             stats: OwnerStats::new(shared.clock.now()),
-            load: LinkLoad::new(shared.clock.now(), bytes_sent()),
+            outward: LinkLoad::new(shared.clock.now(), link_bytes().0, LOADED_SHARE),
+            inward: LinkLoad::new(shared.clock.now(), link_bytes().1, FULL_SHARE),
             named: false,
             shared,
             events,
@@ -158,9 +167,9 @@
     /// Sends what was collected for relays since the last call.
     pub(crate) fn flush(&mut self, origins: &mut SpecOrigins) {
         let now = self.shared.clock.now();
-        self.named = self
-            .load
-            .is_high(now, bytes_sent(), self.shared.settings.link);
+        let (sent, _) = link_bytes();
+        let link = self.shared.settings.link;
+        self.named = self.outward.is_high(now, sent, link);
         let named = self.named;
         let age = self.shared.lead_age();
         for (node, client) in &mut self.clients {
@@ -186,6 +195,14 @@
         self.stats.busy(time);
     }
 
+    /// Whether so much comes in that answers may be late for that alone.
+    pub(crate) fn is_link_full(&mut self) -> bool {
+        let (_, received) = link_bytes();
+        let now = self.shared.clock.now();
+        self.inward
+            .is_high(now, received, self.shared.settings.link)
+    }
+
     /// Whether most orders to start leave out what the job runs.
     pub(crate) fn names_specs(&self) -> bool {
         self.named && self.relays.count() > 0
@@ -286,7 +303,8 @@
             return self.sender.submit(envelope);
         };
         if let Some((order, limit)) = waits_for(&envelope.order) {
-            let until = now.after(limit + RELAY_WAY);
+            let queued = self.shared.settings.link.queue_time();
+            let until = now.after(limit + RELAY_WAY + queued);
             self.relays.sent(&node, &envelope.worker, order, until);
         }
         client.add(envelope);
--- a/crates/node/src/link_rate.rs
+++ b/crates/node/src/link_rate.rs
@@ -15,6 +15,12 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LinkRate(f64);
 
+/// Bytes that may be queued on a link ahead of an answer.
+///
+/// Failure: on a narrow link an answer queues behind others for longer than its time limit, and a
+/// sound worker or relay counts as lost.
+const QUEUED: usize = 128 << 10;
+
 /// A number that is no rate.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("a link's rate is a positive number of megabits a second")]
@@ -34,6 +40,11 @@
         Duration::from_secs_f64(bytes as f64 / (self.0 * MEGABIT))
     }
 
+    /// Time for which an answer may be queued on the link.
+    pub fn queue_time(self) -> Duration {
+        self.time_of(QUEUED)
+    }
+
     /// Bytes that go through in a time.
     pub fn bytes_in(self, time: Duration) -> usize {
         (time.as_secs_f64() * self.0 * MEGABIT) as usize
--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -42,12 +42,6 @@
 /// of a second.
 const MIN_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// What may be ahead of a look's answer on this node's link, in bytes.
-///
-/// Failure: on a narrow link answers to looks queue behind those to others, count as lost, and
-/// leases that were not renewed run out.
-const AHEAD_OF_LOOK: usize = 128 << 10;
-
 /// Time without an order after which a worker's connections go.
 const UNUSED: Duration = Duration::from_secs(20);
 
@@ -166,7 +160,7 @@
 
     fn look(&mut self, worker: WorkerId, addr: SocketAddr, look: u64, order: HoldOrder) {
         let sink = self.sink.clone();
-        let queued = self.shared.settings.link.time_of(AHEAD_OF_LOOK);
+        let queued = self.shared.settings.link.queue_time();
         let limit = (self.answers.limit() + queued).min(LOOK_TIMEOUT);
         let conn = self.conn(&worker, addr);
         conn.fence.fetch_max(order.fence, Ordering::AcqRel);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -171,6 +171,7 @@
                 fleet.plan(&mut self.cell);
             }
             self.cell.confirmed(self.shared.lead_age());
+            self.cell.link_is_full(self.dispatcher.is_link_full());
             self.cell.name_specs(self.dispatcher.names_specs());
             let outputs = self
                 .cell
--- a/crates/node/src/peer_traffic.rs
+++ b/crates/node/src/peer_traffic.rs
@@ -23,9 +23,10 @@
     traffic().chain([peers])
 }
 
-/// All that this process has sent, in bytes.
-pub(crate) fn bytes_sent() -> u64 {
-    link_use().map(|t| t.sent).sum()
+/// All that this process has sent and received, in bytes.
+pub(crate) fn link_bytes() -> (u64, u64) {
+    let add = |(sent, received): (u64, u64), t: Traffic| (sent + t.sent, received + t.received);
+    link_use().fold((0, 0), add)
 }
 
 /// A connection between nodes, whose bytes are counted.
--- a/crates/node/src/relay_client.rs
+++ b/crates/node/src/relay_client.rs
@@ -46,7 +46,8 @@
         addr: SocketAddr,
     ) -> Self {
         let (requests, queue) = mpsc::channel(QUEUE);
-        tokio::spawn(forward(node.clone(), addr, queue, events.clone()));
+        let limit = TIMEOUT + shared.settings.link.queue_time();
+        tokio::spawn(forward(node.clone(), addr, limit, queue, events.clone()));
         Self {
             shared,
             events,
@@ -121,6 +122,7 @@
 async fn forward(
     node: NodeName,
     addr: SocketAddr,
+    limit: Duration,
     mut queue: mpsc::Receiver<RelayRequest>,
     events: mpsc::Sender<Event>,
 ) {
@@ -138,7 +140,7 @@
         let lost = lost("does not take its orders");
         tokio::spawn(async move {
             let _lane = lane;
-            if link.submit(request, TIMEOUT).await != Some(true) {
+            if link.submit(request, limit).await != Some(true) {
                 let _ = events.send(lost).await;
             }
         });
--- a/crates/node/src/relay_server.rs
+++ b/crates/node/src/relay_server.rs
@@ -184,6 +184,7 @@
     owner: SocketAddr,
     mut told: mpsc::Receiver<Report>,
 ) {
+    let limit = TIMEOUT + shared.settings.link.queue_time();
     let mut link = None;
     let mut known = Told::default();
     while let Some(first) = told.recv().await {
@@ -208,7 +209,7 @@
             let Some(to) = &link else {
                 continue;
             };
-            match to.report(message.clone(), TIMEOUT).await {
+            match to.report(message.clone(), limit).await {
                 Some(done) => {
                     arrived = done;
                     break;
