--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -129,7 +129,9 @@
         };
         let stop = self.bounds.stop.duration();
         let met = worker.met.is_some_and(|at| worker.alive > at.after(stop));
-        worker.missed == 0 && (attempt.is_own() || met)
+        // A worker that was silent answers a look that renews nothing first.
+        let holds = worker.is_assured(self.now);
+        holds && worker.missed == 0 && (attempt.is_own() || met)
     }
 
     /// Whether a worker could take one more task of a step now.
--- a/crates/cell/src/looks.rs
+++ b/crates/cell/src/looks.rs
@@ -84,6 +84,7 @@
                 born: worker.born,
                 wait,
             };
+            worker.asked = order.expiry;
             worker.look += 1;
             worker.looking = Looking::Flying(now);
             self.out.push(Output::Look {
@@ -165,6 +166,7 @@
             return;
         };
         worker.fix_clock(look.clock, lease, now);
+        worker.assure();
         worker.alive = sent;
         worker.met.get_or_insert(now);
         worker.looking = Looking::Due(match worker.is_reserved(now) {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -20,6 +20,10 @@
 /// Margin on every bound of a lease, for the way of an answer.
 const LEASE_SLACK: u64 = 100;
 
+/// Time that a lease has to go on for work under it to count as at work, in milliseconds: that of
+/// another task's move.
+const MIN_LEFT: u64 = 1_000;
+
 /// For how long an owner whose ownership is not confirmed goes on renewing leases.
 ///
 /// With the lease itself it covers outages of the whole store of up to eight seconds, which
@@ -78,6 +82,10 @@
     fix: Option<ClockFix>,
     /// Latest expiry of a lease that any order may have set, on the worker's clock.
     expiry: u64,
+    /// Expiry that the look under way asks for, if it renews.
+    pub(crate) asked: Option<u64>,
+    /// Latest expiry that an answered look has set, on the worker's clock.
+    assured: u64,
     /// When the last look that it answered was sent: it was still there then.
     pub(crate) alive: Time,
     /// Since when this owner knows it.
@@ -150,6 +158,8 @@
             settled: 0,
             fix: None,
             expiry: 0,
+            asked: None,
+            assured: 0,
             alive: Time::default(),
             since: now,
             met: None,
@@ -328,6 +338,8 @@
         self.born = born;
         self.fix = None;
         self.expiry = 0;
+        self.asked = None;
+        self.assured = 0;
         self.met = None;
         self.seen = 0;
         self.noted = 0;
@@ -348,6 +360,20 @@
         Some(expiry)
     }
 
+    /// The look under way was answered: its renewal holds.
+    pub(crate) fn assure(&mut self) {
+        self.assured = self.assured.max(self.asked.take().unwrap_or_default());
+    }
+
+    /// Whether the leases there surely go on for a while yet.
+    pub(crate) fn is_assured(&self, now: Time) -> bool {
+        let Some(fix) = self.fix else {
+            return false;
+        };
+        let there = fix.clock + now.since(fix.at).as_millis() as u64;
+        there + MIN_LEFT < self.assured
+    }
+
     /// Whether every lease there has surely expired, if nothing more was heard.
     ///
     /// An earlier owner that is cut off with the worker may go on renewing for `others` after
--- a/crates/cell/tests/silence.rs
+++ b/crates/cell/tests/silence.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cactuswheel_cell::Output;
-use cactuswheel_work::{JobId, JobState, LookError};
+use cactuswheel_model::Millis;
+use cactuswheel_work::{JobId, JobState, LookError, StepId, TaskId};
 use world::{World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -59,6 +60,51 @@
     world.assert_clean();
 }
 
+fn task(job: u64, index: u32) -> TaskId {
+    let step = StepId {
+        job: JobId::new(job),
+        turn: 0,
+        step: 0,
+    };
+    TaskId { step, index }
+}
+
+/// Guards against two tasks of a step away where one may be: a worker that was silent answers again, its lease runs
+/// out before it is renewed, and another task is told to leave meanwhile.
+#[test]
+fn budget_counts_unrenewed() {
+    for lease in (2_800..3_800).step_by(20) {
+        let mut world = World::new(2, 4);
+        world.lease = Millis::new(lease);
+        world.take_over();
+        world.bury_others();
+        for number in 0..4 {
+            world.worker(number).lasting = vec![1];
+        }
+        world.submit(lasting(1, 2, 1));
+        world.run(3 * SECOND);
+        let busy: Vec<usize> = (0..4).filter(|&n| world.worker(n).count() == 1).collect();
+        let silent = busy[0];
+        world.worker(silent).mute = true;
+        let other = world.worker(busy[1]).id.clone();
+        world.run(2 * SECOND);
+        world.cell().close(&other, true);
+        // One look gets through, and the next ones do not.
+        world.worker(silent).mute = false;
+        let looks = world.worker(silent).looks;
+        while world.worker(silent).looks == looks {
+            world.run(SECOND / 100);
+        }
+        world.worker(silent).mute = true;
+        for _ in 0..60 {
+            world.run(SECOND / 100);
+            let tasks = [0, 1].map(|n| task(1, n));
+            let at_work = tasks.map(|t| (0..4).any(|n| world.worker(n).is_at_work(t)));
+            assert_ne!(at_work, [false; 2], "none is at work, lease of {lease} ms");
+        }
+    }
+}
+
 /// A caller waits for ever on work that its worker lists and never finishes. A run without
 /// progress leaves its worker, and the worker gets nothing for a while.
 #[test]
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -59,6 +59,8 @@
     pub deaf: bool,
     /// Appends are held up.
     pub store_down: bool,
+    /// Longest lease that is asked for.
+    pub lease: Millis,
     /// Bytes that a batch and its orders may take.
     pub batch: usize,
     /// Starts that were ordered, and when.
@@ -114,6 +116,7 @@
             loss: 0,
             deaf: false,
             store_down: false,
+            lease: bounds().lease,
             batch: bounds().batch,
             ordered: Vec::new(),
             outage: Duration::from_secs(2),
@@ -152,6 +155,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         let bounds = Bounds {
+            lease: self.lease,
             batch: self.batch,
             ..bounds()
         };
@@ -465,6 +469,9 @@
                 false => Fate::Unreachable,
             };
         }
+        if self.workers.get(worker).is_some_and(|w| w.mute) {
+            return Fate::Lost;
+        }
         if self.deaf {
             return Fate::Done;
         }
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -50,6 +50,10 @@
     pub up: bool,
     /// Orders reach it.
     pub linked: bool,
+    /// Orders get lost on the way.
+    pub mute: bool,
+    /// Looks that it has answered.
+    pub looks: usize,
     /// Time that a stop takes; until then the run is listed as before.
     pub stopping: Duration,
     /// Its work makes no progress.
@@ -108,6 +112,8 @@
             born: now.get(),
             up: true,
             linked: true,
+            mute: false,
+            looks: 0,
             stopping: Duration::ZERO,
             still: false,
             failing: false,
@@ -372,6 +378,7 @@
         if order.fence < self.fence {
             return Err(LookError::Fence);
         }
+        self.looks += 1;
         self.fence = order.fence;
         if let Some(expiry) = order.expiry {
             self.renew(expiry);
