--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -28,6 +28,9 @@
 /// In percent: how often it has another address then.
 const MOVED: u32 = 30;
 
+/// Bytes that may be under way with a batch: what a link of 2 Mbit/s carries in 0.15 s.
+pub const NARROW_BATCH: usize = 37_500;
+
 /// Time between two looks of the world at everything.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -142,6 +145,16 @@
     }
 
     /// The newest owner's cell.
+    /// One whose owner has a link of 2 Mbit/s.
+    pub fn narrow(seed: u64, workers: usize) -> Self {
+        let mut world = Self::new(seed, workers);
+        world.batch = NARROW_BATCH;
+        world.take_over();
+        world.bury_others();
+        world.run(Duration::from_secs(1));
+        world
+    }
+
     pub fn cell(&mut self) -> &mut Cell {
         &mut self.owners.last_mut().expect("there is an owner").cell
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use body::{MAX_JSON, parse_json, read_json};
 pub use call::{Answer, Call, CallError};
-pub use meter::Meter;
+pub use meter::{Meter, Metered};
 pub use reply::{Body, Reply, json, text};
 pub use server::serve;
--- a/crates/http/src/meter.rs
+++ b/crates/http/src/meter.rs
@@ -17,7 +17,7 @@
 
 /// A stream that counts its bytes.
 #[derive(Debug)]
-pub(crate) struct Metered<S> {
+pub struct Metered<S> {
     stream: S,
     meter: Option<Arc<Meter>>,
 }
@@ -36,7 +36,7 @@
 
 impl<S> Metered<S> {
     /// Counts on `meter`, if there is one.
-    pub(crate) fn new(stream: S, meter: Option<Arc<Meter>>) -> Self {
+    pub fn new(stream: S, meter: Option<Arc<Meter>>) -> Self {
         Self { stream, meter }
     }
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -67,7 +67,7 @@
     if let Some(excess) = shared.overload.excess(now, slack) {
         return Some(NotStored::Overloaded(excess));
     }
-    let silence = shared.hand_in_health.failing_for(now);
+    let silence = shared.acceptance.failing_for(now);
     let usual = TAKEOVER + shared.least_expiry;
     silence_excess(silence, usual, slack).map(NotStored::NoOwner)
 }
@@ -144,17 +144,17 @@
         let handed = ask::hand_in(shared, record.clone(), limit).await;
         match handed {
             HandInAnswer::Accepted => {
-                shared.hand_in_health.answered(shared.clock.now());
+                shared.acceptance.answered(shared.clock.now());
                 return Ok(());
             }
             HandInAnswer::Overloaded(waits) => {
-                shared.hand_in_health.answered(shared.clock.now());
+                shared.acceptance.answered(shared.clock.now());
                 shared.overload.learn(shared.clock.now(), waits);
                 let excess = slack.and_then(|s| waits.excess(s));
                 return Err(NotStored::Overloaded(excess.unwrap_or_default()));
             }
             HandInAnswer::Refused | HandInAnswer::Unknown => {
-                shared.hand_in_health.failed(shared.clock.now());
+                shared.acceptance.failed(shared.clock.now());
             }
         }
         let left = limit.saturating_sub(shared.clock.now().since(start));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -18,7 +18,7 @@
 use crate::intake_follower::{Intaken, follow_intake, read_intake};
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{JobAnswer, QueueAnswer};
-use crate::relay_request::Report;
+use crate::relay_request::{Report, Reports};
 use crate::role::Role;
 use crate::roster;
 use crate::shared::Shared;
@@ -228,13 +228,7 @@
             Event::Listed => self.dispatcher.know_all(),
             Event::Report(report) => self.take_report(report),
             Event::Relayed(reports, reply) => {
-                for report in self.dispatcher.reported(reports) {
-                    // Its relay may not have come by what the job runs.
-                    if let Report::Started(_, task, _, StartOutcome::NotSent) = &report {
-                        self.hand_ins.origins().remove(&task.job());
-                    }
-                    self.take_report(report);
-                }
+                self.take_relayed(reports);
                 // A relay that has stopped waiting tells it again, which does no harm.
                 let _ = reply.send(true);
             }
@@ -305,6 +299,16 @@
         }
     }
 
+    fn take_relayed(&mut self, reports: Reports) {
+        for report in self.dispatcher.reported(reports) {
+            // Its relay may not have come by what the job runs.
+            if let Report::Started(_, task, _, StartOutcome::NotSent) = &report {
+                self.hand_ins.origins().remove(&task.job());
+            }
+            self.take_report(report);
+        }
+    }
+
     fn take_records(&mut self, read: Intaken) {
         let now = self.shared.clock.now();
         for record in read.records {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::peer_traffic::CountedStream;
+use crate::peer_traffic::metered;
 use crate::relay_request::{RelayRequest, Reports};
 use crate::relay_server::RelayServer;
 use crate::shared::Shared;
@@ -182,7 +182,7 @@
         let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME)
-            .new_framed(CountedStream::new(stream));
+            .new_framed(metered(stream));
         let channel = BaseChannel::with_defaults(new(framed, Bincode::default()));
         let server = Server(shared.clone(), relay.clone());
         tokio::spawn(channel.execute(server.serve()).for_each(|answer| async {
@@ -204,7 +204,7 @@
         let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME)
-            .new_framed(CountedStream::new(stream));
+            .new_framed(metered(stream));
         let transport = new(framed, Bincode::default());
         let client = PeerClient::new(Config::default(), transport).spawn();
         Some(Self { addr, client })
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -54,8 +54,8 @@
     pub(crate) connecting: AtomicBool,
     /// The cell's owner, while it is this node.
     pub(crate) own: ArcSwapOption<OwnerHandle>,
-    /// Whether an owner takes the jobs that this node hands in.
-    pub(crate) hand_in_health: CallHealth,
+    /// Whether an owner answers when this node hands jobs in.
+    pub(crate) acceptance: CallHealth,
     /// How long jobs wait, as the owner has told last.
     pub(crate) overload: Overload,
     /// What jobs run, as this node has accepted or relayed them.
@@ -121,7 +121,7 @@
             hand_ins: RttEstimator::new(MIN_HAND_IN_TIMEOUT, MAX_HAND_IN_TIMEOUT),
             connecting: AtomicBool::new(false),
             own: ArcSwapOption::empty(),
-            hand_in_health: CallHealth::default(),
+            acceptance: CallHealth::default(),
             overload: Overload::default(),
             specs: Mutex::new(SpecCache::new(SPECS_KEPT)),
             lead: AtomicU64::new(0),
