--- a/crates/cell/src/hand_in.rs
+++ b/crates/cell/src/hand_in.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::Submission;
+use cactuswheel_work::{JobId, Submission};
+use serde::{Deserialize, Serialize};
 
 use crate::cell::Cell;
 use crate::job::Job;
@@ -20,7 +21,33 @@
     Busy,
 }
 
+/// What an owner knows of a job that a front asks for before it refuses it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// The store holds it: it was accepted.
+    Stored,
+    /// It may be on its way into the store.
+    Pending,
+    /// It is not known.
+    Unknown,
+}
+
 impl Cell {
+    /// What is known of a job.
+    ///
+    /// Failure: an owner that is cut off from the store knows a job that it could not write, a front
+    /// takes that for an acceptance, and the job is gone with the owner.
+    pub fn standing(&self, id: JobId) -> Standing {
+        if self.finished.contains_key(&id) {
+            return Standing::Stored;
+        }
+        match self.jobs.get(&id).map(Job::stored) {
+            Some(true) => Standing::Stored,
+            Some(false) => Standing::Pending,
+            None => Standing::Unknown,
+        }
+    }
+
     /// Takes a job from a front; `record` is its submission as it was encoded.
     ///
     /// Only between two batches: a job that is refused while one is under way has left no trace.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -65,7 +65,7 @@
 pub use cell::Cell;
 pub use finished::Finished;
 pub use forecast::{Forecast, SLOT_MS, SLOTS};
-pub use hand_in::HandIn;
+pub use hand_in::{HandIn, Standing};
 pub use journal::{BadRecord, JobRecord, decode, encode};
 pub use learned::Arrivals;
 pub use output::Output;
--- a/crates/cell/tests/hand_in.rs
+++ b/crates/cell/tests/hand_in.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use cactuswheel_cell::Standing;
 use cactuswheel_cell::{HandIn, Output, encode};
 use cactuswheel_work::{JobId, JobState};
 use world::{World, job, steps};
@@ -84,3 +85,21 @@
     assert!(world.held.is_empty());
     world.assert_clean();
 }
+
+/// Guards against a job that is lost though its caller was told that it is accepted: an owner that is cut off
+/// from the store knows it, and has not written it.
+#[test]
+fn unwritten_is_pending() {
+    let mut world = World::new(4, 2);
+    world.run(SECOND);
+    let id = JobId::new(1);
+    assert_eq!(world.cell().standing(id), Standing::Unknown);
+    world.store_down = true;
+    world.hand_in(job(1, steps(1, 2, 500)));
+    world.run(SECOND / 10);
+    assert_eq!(world.cell().standing(id), Standing::Pending);
+    world.run(4 * SECOND);
+    assert_eq!(world.cell().standing(id), Standing::Stored);
+    world.run(30 * SECOND);
+    assert_eq!(world.cell().standing(id), Standing::Stored, "finished");
+}
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -136,14 +136,14 @@
     StoreAway = 208, 503, NotRun,
         "platform's store is away: not accepted",
         "Come back after `Retry-After`.";
-    /// Nobody has scheduled jobs for so long that this one would begin too late.
-    NoScheduler = 210, 503, NotRun,
-        "nobody schedules jobs: it would begin too late",
-        "Come back after `Retry-After`.";
     /// No owner of the cell answers.
     NoOwner = 209, 503, NotRun,
         "no owner of the job answers",
         "Ask again after `Retry-After`; the job goes on meanwhile.";
+    /// Nobody has scheduled jobs for so long that this one would begin too late.
+    NoScheduler = 210, 503, NotRun,
+        "nobody schedules jobs: it would begin too late",
+        "Come back after `Retry-After`.";
 
     /// No connection to an upstream could be made.
     Unreachable = 301, 502, NotRun,
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactuswheel_cell::{Standing, Waits};
 use cactuswheel_work::{JobId, QueueName};
 use tokio::time::{sleep, timeout};
 
@@ -64,17 +65,18 @@
     }
 }
 
-/// Whether the owner knows a job, as far as it tells at once; `None` if none answers.
-pub(crate) async fn is_known(shared: &Arc<Shared>, id: JobId) -> Option<bool> {
+/// What the owner knows of a job, as far as it tells at once, and how long a new one waits; `None`
+/// if no owner answers.
+pub(crate) async fn standing(shared: &Arc<Shared>, id: JobId) -> Option<(Standing, Waits)> {
     if let Some(own) = shared.own.load_full() {
-        return own.is_known(id).await;
+        return own.standing(id).await;
     }
     let link = link_at_hand(shared)?;
-    let answer = link.is_known(id, TRY_TIMEOUT).await;
+    let answer = link.standing(id, TRY_TIMEOUT).await;
     if answer.is_none() {
         lose_link(shared);
     }
-    answer?
+    answer
 }
 
 /// Hands a job to the owner if one is connected, within `limit`.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use cactuswheel_cell::Mark;
+use cactuswheel_cell::{Mark, Standing, Waits};
 use cactuswheel_model::Time;
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{
@@ -71,8 +71,8 @@
 pub(crate) enum Ask {
     /// Somebody asks for a job.
     Job(JobId, oneshot::Sender<JobAnswer>),
-    /// A front asks whether a job is known.
-    Known(JobId, oneshot::Sender<bool>),
+    /// A front asks for a job before it refuses it.
+    Standing(JobId, oneshot::Sender<(Standing, Waits)>),
     /// An operator asks for the cell.
     View(oneshot::Sender<Value>),
     /// An operator asks for a job.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cactuswheel_adapter::{AppendError, Keyed, Partition, Producer, records_size};
-use cactuswheel_cell::Slack;
+use cactuswheel_cell::{Slack, Standing};
 use cactuswheel_model::Time;
 use cactuswheel_work::Submission;
 use tokio::sync::{mpsc, oneshot};
@@ -133,11 +133,20 @@
             && let Some(refusal) = refusal(shared, start, slack)
         {
             // It may be a repeat of a job that was accepted before.
-            match (ask::is_known(shared, id).await, refusal) {
-                (Some(true), _) => return Ok(()),
-                // An owner is there again.
-                (Some(false), NotStored::NoOwner(_)) => {}
-                (_, refusal) => return Err(refusal),
+            let Some((standing, waits)) = ask::standing(shared, id).await else {
+                return Err(refusal);
+            };
+            // What was told before may be over sooner than it said.
+            shared.overload.learn(shared.clock.now(), waits);
+            match standing {
+                Standing::Stored => return Ok(()),
+                // What becomes of it shows when it is handed in again.
+                Standing::Pending => {}
+                Standing::Unknown => {
+                    if let Some(excess) = waits.excess(slack) {
+                        return Err(NotStored::Overloaded(excess));
+                    }
+                }
             }
         }
         let record = Bytes::from(record);
--- a/crates/node/src/overload.rs
+++ b/crates/node/src/overload.rs
@@ -10,8 +10,8 @@
 /// How long jobs wait at the owner, as it has told last.
 ///
 /// Failure: callers that are refused come back, each try with all that the job runs goes over the
-/// owner's link, and what the link should carry waits behind them. A front refuses by itself
-/// until what the owner has told would be over.
+/// owner's link, and what the link should carry waits behind them. A front asks with the job's
+/// name only until what the owner has told would be over.
 #[derive(Debug, Default)]
 pub struct Overload(ArcSwapOption<(Time, Waits)>);
 
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactuswheel_cell::{Standing, Waits};
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{JobId, QueueName};
 use serde_json::Value;
@@ -39,9 +40,9 @@
     }
 
     /// `None` if the owner is gone.
-    pub(crate) async fn is_known(&self, id: JobId) -> Option<bool> {
+    pub(crate) async fn standing(&self, id: JobId) -> Option<(Standing, Waits)> {
         let (reply, answer) = oneshot::channel();
-        self.ask(Ask::Known(id, reply)).await;
+        self.ask(Ask::Standing(id, reply)).await;
         answer.await.ok()
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactuswheel_cell::Waits;
+use cactuswheel_cell::{Standing, Waits};
 use cactuswheel_relay::{Offer, Reply, SpecDigest};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
 use futures::StreamExt;
@@ -88,9 +88,9 @@
 pub(crate) trait Peer {
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
-    /// Whether the owner knows a job, without a look at what was accepted elsewhere; `None` from
-    /// a node that is no owner.
-    async fn is_known(id: JobId) -> Option<bool>;
+    /// What the owner knows of a job, without a look at what was accepted elsewhere, and how long
+    /// a new one waits; `None` from a node that is no owner.
+    async fn standing(id: JobId) -> Option<(Standing, Waits)>;
     /// To the owner: accept this job within `limit` milliseconds.
     /// The front at `origin` keeps what the job runs.
     async fn hand_in(record: Bytes, origin: SocketAddr, limit: u64) -> HandInAnswer;
@@ -122,8 +122,8 @@
         }
     }
 
-    async fn is_known(self, _: Context, id: JobId) -> Option<bool> {
-        self.0.own.load_full()?.is_known(id).await
+    async fn standing(self, _: Context, id: JobId) -> Option<(Standing, Waits)> {
+        self.0.own.load_full()?.standing(id).await
     }
 
     async fn hand_in(
@@ -218,8 +218,9 @@
         self.client.queue(within(limit), name).await.ok()
     }
 
-    pub(crate) async fn is_known(&self, id: JobId, limit: Duration) -> Option<Option<bool>> {
-        self.client.is_known(within(limit), id).await.ok()
+    /// `None` if no owner answers there.
+    pub(crate) async fn standing(&self, id: JobId, limit: Duration) -> Option<(Standing, Waits)> {
+        self.client.standing(within(limit), id).await.ok()?
     }
 
     /// `None` if the answer did not come: the job may be accepted, now or later.
