--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Time;
-use cactuswheel_work::{Queue, Submission};
+use cactuswheel_model::{Map, Time};
+use cactuswheel_work::{Queue, Room, ServiceName, Submission};
 use serde::{Deserialize, Serialize};
 
 use crate::cell::Cell;
@@ -25,8 +25,12 @@
     batch: Duration,
     /// Mean of what a start takes of a batch and its orders, in bytes.
     start: f64,
-    /// Processor that all workers have, in thousandths of a core.
+    /// Processor that workers have, in thousandths of a core.
     cpu: u64,
+    /// The same by service.
+    pools: Map<ServiceName, u64>,
+    /// Most that any worker has of each.
+    pub(crate) largest: Room,
     counted: Time,
 }
 
@@ -36,6 +40,8 @@
             batch: Duration::ZERO,
             start: START_SIZE,
             cpu: 0,
+            pools: Map::default(),
+            largest: Room::default(),
             counted: Time::default(),
         }
     }
@@ -90,7 +96,8 @@
 pub struct Waits {
     /// For the journal and the link, as far as work goes that can meet its objective.
     pub link: Duration,
-    /// For workers at the least: all work that is of use goes first and is spread over all.
+    /// For workers at the least: work that is of use goes first, that of the job's service on the
+    /// workers that it has, or all of it on all of them, whichever is less.
     pub room: Duration,
 }
 
@@ -116,18 +123,19 @@
 }
 
 impl Cell {
-    /// How long a job that comes now waits before it begins.
-    pub fn waits(&self) -> Waits {
+    /// How long a job of a service that comes now waits before it begins.
+    pub fn waits(&self, service: &ServiceName) -> Waits {
         let ahead = self.wait_queue.timely_tasks() as usize + self.planned.len();
         let batches = ahead as f64 * self.admission.start / self.bounds.batch.max(1) as f64;
-        let work = self.wait_queue.useful_work() as f64;
-        let room = match self.admission.cpu {
-            0 => 0.0,
-            cpu => work / 1_000.0 / cpu as f64,
-        };
+        let all = spread(self.wait_queue.useful_work(), self.admission.cpu);
+        let pool = self.admission.pools.get(service).copied();
+        let own = spread(
+            self.wait_queue.useful_work_of(service),
+            pool.unwrap_or_default(),
+        );
         Waits {
             link: self.admission.batch.mul_f64(batches),
-            room: Duration::from_secs_f64(room),
+            room: own.unwrap_or(Duration::MAX).min(all.unwrap_or_default()),
         }
     }
 
@@ -140,7 +148,7 @@
             return None;
         }
         let slack = Slack::of(sub, self.config.queues.get(&sub.queue))?;
-        let waits = self.waits();
+        let waits = self.waits(&sub.service);
         waits.excess(slack).map(|_| waits)
     }
 
@@ -150,7 +158,20 @@
             return;
         }
         self.admission.counted = self.now;
-        let listed = self.workers.values().filter_map(|w| w.entry.as_ref());
-        self.admission.cpu = listed.map(|e| e.room.cpu).sum();
+        let admission = &mut self.admission;
+        admission.cpu = 0;
+        admission.pools.clear();
+        admission.largest = Room::default();
+        for entry in self.workers.values().filter_map(|w| w.entry.as_ref()) {
+            admission.cpu += entry.room.cpu;
+            *admission.pools.entry(entry.service.clone()).or_default() += entry.room.cpu;
+            admission.largest = admission.largest.max(entry.room);
+        }
     }
 }
+
+/// Time for so much work, in thousandths of a core times milliseconds, on so many thousandths of a
+/// core; `None` if there are none.
+fn spread(work: u64, cpu: u64) -> Option<Duration> {
+    (cpu > 0).then(|| Duration::from_millis(work / cpu))
+}
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
+use cactuswheel_work::ServiceName;
 
 use crate::cell::Cell;
 
@@ -45,7 +46,8 @@
             ..Backlog::default()
         };
         let was = std::mem::replace(&mut self.backlog, told);
-        let (waiting, waits) = (self.wait_queue.len(), self.waits());
+        let waiting = self.wait_queue.len();
+        let waits = self.waits(&ServiceName::from(""));
         if waiting == 0 && self.planned.is_empty() && self.late.is_empty() {
             return;
         }
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -96,7 +96,7 @@
             return None;
         }
         let (rank, until) = self.rank(job);
-        let (tasks, work) = free_work(job);
+        let (tasks, work) = free_work(job, self.admission.largest);
         Some(QueuedJob {
             service: self.service_of(job),
             rank,
@@ -338,9 +338,12 @@
 }
 
 /// Tasks of a job that have no run, and their work in thousandths of a core times milliseconds.
-fn free_work(job: &Job) -> (u64, u64) {
+///
+/// What no worker can ever hold waits for nothing, and keeps nobody waiting.
+fn free_work(job: &Job, largest: Room) -> (u64, u64) {
     let steps = job.turns.iter();
     let steps = steps.flat_map(|turn| turn.steps.iter().zip(job.sub.steps.iter()));
+    let steps = steps.filter(|(_, step)| step.reserved().fits(largest));
     steps.fold((0, 0), |(tasks, work), (run, step)| {
         let free = run.tasks.iter().filter(|t| t.is_free()).count() as u64;
         let each = step.room.cpu * step.estimate.get();
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -44,8 +44,8 @@
     queued: Map<JobId, QueuedJob>,
     /// When each has to be ranked again.
     due: BTreeSet<(Time, JobId)>,
-    /// Work of all jobs that can be done while they are of use.
-    useful: u64,
+    /// Work of all jobs that can be done while they are of use, by service.
+    useful: Map<ServiceName, u64>,
     /// Tasks of all jobs that can meet their objective.
     timely: u64,
 }
@@ -59,7 +59,9 @@
         }
         if let Some(before) = self.queued.remove(&id) {
             self.due.remove(&(before.until, id));
-            self.useful -= before.useful_work();
+            if let Some(useful) = self.useful.get_mut(&before.service) {
+                *useful -= before.useful_work();
+            }
             self.timely -= before.timely_tasks();
             if let Some(line) = self.queues.get_mut(&before.service) {
                 line.remove(&(before.rank, id));
@@ -67,7 +69,7 @@
         }
         if let Some(now) = now {
             self.due.insert((now.until, id));
-            self.useful += now.useful_work();
+            *self.useful.entry(now.service.clone()).or_default() += now.useful_work();
             self.timely += now.timely_tasks();
             let line = self.queues.entry(now.service.clone()).or_default();
             line.insert((now.rank, id));
@@ -78,7 +80,12 @@
     /// Work that waits for workers, of jobs that can be done while they are of use, in
     /// thousandths of a core times milliseconds.
     pub(crate) fn useful_work(&self) -> u64 {
-        self.useful
+        self.useful.values().sum()
+    }
+
+    /// The same of one service.
+    pub(crate) fn useful_work_of(&self, service: &ServiceName) -> u64 {
+        self.useful.get(service).copied().unwrap_or_default()
     }
 
     /// Tasks that wait for workers, of jobs that can meet their objective.
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cactuswheel_cell::{Standing, Waits};
-use cactuswheel_work::{JobId, QueueName};
+use cactuswheel_work::{JobId, QueueName, ServiceName};
 use tokio::time::{sleep, timeout};
 
 use crate::peer::{HandInAnswer, JobAnswer, OwnerLink, QueueAnswer};
@@ -67,12 +67,16 @@
 
 /// What the owner knows of a job, as far as it tells at once, and how long a new one waits; `None`
 /// if no owner answers.
-pub(crate) async fn standing(shared: &Arc<Shared>, id: JobId) -> Option<(Standing, Waits)> {
+pub(crate) async fn standing(
+    shared: &Arc<Shared>,
+    id: JobId,
+    service: ServiceName,
+) -> Option<(Standing, Waits)> {
     if let Some(own) = shared.own.load_full() {
-        return own.standing(id).await;
+        return own.standing(id, service).await;
     }
     let link = link_at_hand(shared)?;
-    let answer = link.standing(id, TRY_TIMEOUT).await;
+    let answer = link.standing(id, service, TRY_TIMEOUT).await;
     if answer.is_none() {
         lose_link(shared);
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -7,8 +7,8 @@
 use cactuswheel_model::Time;
 use cactuswheel_relay::{Offer, Reply};
 use cactuswheel_work::{
-    Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, StepId, WorkerEntry,
-    WorkerId,
+    Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, ServiceName, StepId,
+    WorkerEntry, WorkerId,
 };
 use serde_json::Value;
 use tokio::sync::oneshot;
@@ -72,7 +72,7 @@
     /// Somebody asks for a job.
     Job(JobId, oneshot::Sender<JobAnswer>),
     /// A front asks for a job before it refuses it.
-    Standing(JobId, oneshot::Sender<(Standing, Waits)>),
+    Standing(JobId, ServiceName, oneshot::Sender<(Standing, Waits)>),
     /// An operator asks for the cell.
     View(oneshot::Sender<Value>),
     /// An operator asks for a job.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -133,7 +133,8 @@
             && let Some(refusal) = refusal(shared, start, slack)
         {
             // It may be a repeat of a job that was accepted before.
-            let Some((standing, waits)) = ask::standing(shared, id).await else {
+            let Some((standing, waits)) = ask::standing(shared, id, sub.service.clone()).await
+            else {
                 return Err(refusal);
             };
             // What was told before may be over sooner than it said.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -268,8 +268,8 @@
     fn answer(&mut self, ask: Ask) {
         match ask {
             Ask::Job(id, reply) => self.answer_job(id, self.shared.clock.now(), reply),
-            Ask::Standing(id, reply) => {
-                let _ = reply.send((self.cell.standing(id), self.cell.waits()));
+            Ask::Standing(id, service, reply) => {
+                let _ = reply.send((self.cell.standing(id), self.cell.waits(&service)));
             }
             Ask::View(reply) => drop(reply.send(cell_view(&self.cell))),
             Ask::Story(id, reply) => drop(reply.send(job_view(&self.cell, id))),
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cactuswheel_cell::{Standing, Waits};
 use cactuswheel_relay::{Offer, Reply};
-use cactuswheel_work::{JobId, QueueName};
+use cactuswheel_work::{JobId, QueueName, ServiceName};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
@@ -40,9 +40,13 @@
     }
 
     /// `None` if the owner is gone.
-    pub(crate) async fn standing(&self, id: JobId) -> Option<(Standing, Waits)> {
+    pub(crate) async fn standing(
+        &self,
+        id: JobId,
+        service: ServiceName,
+    ) -> Option<(Standing, Waits)> {
         let (reply, answer) = oneshot::channel();
-        self.ask(Ask::Standing(id, reply)).await;
+        self.ask(Ask::Standing(id, service, reply)).await;
         answer.await.ok()
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cactuswheel_cell::{Standing, Waits};
 use cactuswheel_relay::{Offer, Reply, SpecDigest};
-use cactuswheel_work::{JobId, JobState, NodeName, QueueName, TeamName};
+use cactuswheel_work::{JobId, JobState, NodeName, QueueName, ServiceName, TeamName};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 use tarpc::client::Config;
@@ -89,8 +89,8 @@
     async fn job(id: JobId) -> JobAnswer;
     async fn queue(name: QueueName) -> QueueAnswer;
     /// What the owner knows of a job, without a look at what was accepted elsewhere, and how long
-    /// a new one waits; `None` from a node that is no owner.
-    async fn standing(id: JobId) -> Option<(Standing, Waits)>;
+    /// a new one of its service waits; `None` from a node that is no owner.
+    async fn standing(id: JobId, service: ServiceName) -> Option<(Standing, Waits)>;
     /// To the owner: accept this job within `limit` milliseconds.
     /// The front at `origin` keeps what the job runs.
     async fn hand_in(record: Bytes, origin: SocketAddr, limit: u64) -> HandInAnswer;
@@ -122,8 +122,13 @@
         }
     }
 
-    async fn standing(self, _: Context, id: JobId) -> Option<(Standing, Waits)> {
-        self.0.own.load_full()?.standing(id).await
+    async fn standing(
+        self,
+        _: Context,
+        id: JobId,
+        service: ServiceName,
+    ) -> Option<(Standing, Waits)> {
+        self.0.own.load_full()?.standing(id, service).await
     }
 
     async fn hand_in(
@@ -219,8 +224,14 @@
     }
 
     /// `None` if no owner answers there.
-    pub(crate) async fn standing(&self, id: JobId, limit: Duration) -> Option<(Standing, Waits)> {
-        self.client.standing(within(limit), id).await.ok()?
+    pub(crate) async fn standing(
+        &self,
+        id: JobId,
+        service: ServiceName,
+        limit: Duration,
+    ) -> Option<(Standing, Waits)> {
+        let answer = self.client.standing(within(limit), id, service);
+        answer.await.ok()?
     }
 
     /// `None` if the answer did not come: the job may be accepted, now or later.
--- a/crates/work/src/room.rs
+++ b/crates/work/src/room.rs
@@ -21,6 +21,15 @@
         self.cpu <= space.cpu && self.memory <= space.memory && self.gpu <= space.gpu
     }
 
+    /// The larger of both in every kind of resource.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Whether nothing at all is asked for or left.
     pub fn is_empty(self) -> bool {
         self == Self::default()
