--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -52,6 +52,13 @@
     /// and registered again has already seen its old token. It would refuse a lower token as
     /// coming from an owner that has been replaced.
     pub(crate) fence: u64,
+    /// Number of the newest poll of any worker.
+    ///
+    /// Invariant: never decreases. All workers share one counter because an order or an answer to
+    /// a worker that is removed and registered again may still be in transit. If the worker's
+    /// polls were numbered from one again, that answer would settle a later poll, and the worker
+    /// would never be polled again.
+    pub(crate) last_poll: u64,
     pub(crate) config: Arc<FleetConfig>,
     pub(crate) jobs: Jobs,
     /// Jobs that are not in a final state.
@@ -126,6 +133,7 @@
             bounds,
             policy: WorkPolicy::default(),
             fence: epoch << FENCE_BITS,
+            last_poll: 0,
             config,
             jobs: Jobs::default(),
             open: Set::default(),
--- a/crates/cell/src/polls.rs
+++ b/crates/cell/src/polls.rs
@@ -92,7 +92,8 @@
                 wait,
             };
             worker.requested_expiry = order.expiry;
-            worker.poll_number += 1;
+            self.last_poll += 1;
+            worker.poll_number = self.last_poll;
             worker.poll_state = PollState::InFlight(now);
             self.outputs.push(Output::PollWorker {
                 worker: worker.id.clone(),
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -119,7 +119,7 @@
     /// Number of filler runs in `allocations`.
     pub(crate) fillers: usize,
     pub(crate) poll_state: PollState,
-    /// Number of the newest poll; answers to earlier polls are ignored.
+    /// Number of the newest poll, 0 before the first; answers to earlier polls are ignored.
     pub(crate) poll_number: u64,
     /// Number of consecutive polls without an answer.
     pub(crate) missed_polls: u32,
