--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -7,6 +7,7 @@
 
 use cactuswheel_adapter::{HttpClient, WorkerClient};
 use cactuswheel_model::{Map, Time};
+use cactuswheel_relay::NewestPoll;
 use cactuswheel_rtt::RttEstimator;
 use cactuswheel_work::{PaceOrder, PollOrder, StartOrder, StartOutcome, StopOrder, WorkerId};
 use tokio::sync::Semaphore;
@@ -86,6 +87,7 @@
     slots: Arc<Semaphore>,
     /// Newest fencing token of any poll; start orders with an older one are not sent.
     fence: Arc<AtomicU64>,
+    newest_poll: NewestPoll,
     /// The poll in flight.
     poll: Option<AbortHandle>,
     last_used: Time,
@@ -158,24 +160,34 @@
             orders: Arc::new(WorkerClient::new(id.clone(), HttpClient::new(addr))),
             slots: Arc::new(Semaphore::new(MAX_PER_WORKER)),
             fence: Arc::new(AtomicU64::new(0)),
+            newest_poll: NewestPoll::default(),
             poll: None,
             last_used: now,
         };
         let conn = self.workers.entry(id.clone()).or_insert_with(fresh);
         if conn.addr != addr {
-            *conn = fresh();
+            let newest_poll = std::mem::take(&mut conn.newest_poll);
+            *conn = WorkerConn {
+                newest_poll,
+                ..fresh()
+            };
         }
         conn.last_used = now;
         conn
     }
 
-    /// Sends a poll in place of the poll in flight, which is cancelled.
+    /// Sends a poll in place of the poll in flight, which is cancelled. Ignores a poll that is older
+    /// than one before.
     fn poll(&mut self, worker: WorkerId, addr: SocketAddr, number: u64, order: PollOrder) {
         let sink = self.sink.clone();
         let queued = self.shared.settings.link.queue_time();
         let limit = (self.start_rtt.retry_timeout() + queued).min(POLL_TIMEOUT);
         let conn = self.conn(&worker, addr);
         conn.fence.fetch_max(order.fence, Ordering::AcqRel);
+        if !conn.newest_poll.advance(number) {
+            log::info!(worker:% = worker, poll = number; "poll ignored: a newer one was sent before");
+            return;
+        }
         if let Some(previous) = conn.poll.take() {
             previous.abort();
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! its fencing token.
 
 mod capacity;
+mod newest_poll;
 mod offer;
 mod pending;
 mod poll_delta;
@@ -22,6 +23,7 @@
 mod spec_origins;
 
 pub use capacity::Capacity;
+pub use newest_poll::NewestPoll;
 pub use offer::{Offer, Reply};
 pub use pending::Pending;
 pub use poll_delta::{DeltaDecoder, DeltaEncoder, PollDelta, Row};
--- a/crates/relay/tests/relays.rs
+++ b/crates/relay/tests/relays.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_relay::{Capacity, Offer, Pending, Relays, Reply, Route, Site};
+use cactuswheel_relay::{Capacity, NewestPoll, Offer, Pending, Relays, Reply, Route, Site};
 use cactuswheel_work::{NodeName, WorkerId, ZoneName};
 
 /// Bytes per second of a link of 2 Mbit/s.
@@ -256,3 +256,15 @@
     }
     assert_eq!(choose_at(&mut relays, 9, "a", Some("r2")), second);
 }
+
+/// Guards against a worker that is not polled again, because a poll that reaches its relay late
+/// replaces a newer one, whose outcome is then never reported.
+#[test]
+fn late_poll() {
+    let mut newest = NewestPoll::default();
+    let sent: Vec<u64> = [48, 54, 49, 54, 55]
+        .into_iter()
+        .filter(|number| newest.advance(*number))
+        .collect();
+    assert_eq!(sent, [48, 54, 55]);
+}
