--- a/crates/cell/benches/events.rs
+++ b/crates/cell/benches/events.rs
@@ -57,6 +57,7 @@
             lease: Millis::new(4_500),
             retention: Millis::new(120_000),
             pace_delay: Millis::new(100),
+            poll_limit: Millis::new(1_500),
             max_batch: 512 << 10,
             stop_time: Millis::new(400),
             share: ShareRule {
--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -13,6 +13,10 @@
     pub retention: Millis,
     /// Time from a throttle order until it takes effect.
     pub pace_delay: Millis,
+    /// Time beyond the requested wait after which a poll without an outcome counts as lost.
+    ///
+    /// Invariant: longer than whoever sends the polls takes to report that one had no answer.
+    pub poll_limit: Millis,
     /// Longest time until a stop order takes effect.
     pub stop_time: Millis,
     /// Maximum size of a journal batch in bytes; a single larger record is still written.
--- a/crates/cell/src/listing.rs
+++ b/crates/cell/src/listing.rs
@@ -28,7 +28,7 @@
                 born = entry.born, known_born = worker.born;
                 "worker registered"
             );
-            if !matches!(worker.poll_state, PollState::InFlight(_)) {
+            if !matches!(worker.poll_state, PollState::InFlight { .. }) {
                 worker.poll_state = PollState::Due(now);
             }
         }
--- a/crates/cell/src/polls.rs
+++ b/crates/cell/src/polls.rs
@@ -51,6 +51,7 @@
     /// Polls every worker whose poll is due.
     pub(crate) fn poll_due_workers(&mut self) {
         let (now, lease) = (self.now, self.bounds.lease);
+        let limit = self.bounds.poll_limit.min(lease).duration();
         let (renewing, full) = (self.renew_leases, self.link_full);
         let busy_wait = match self.workers.len() <= SMALL_CELL {
             true => SMALL_CELL_WAIT,
@@ -58,9 +59,13 @@
         };
         self.workers.update_indexes();
         for id in self.workers.due_for_poll(now) {
+            self.fail_overdue_poll(&id);
             let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
             };
+            if !worker.poll_state.is_due(now) {
+                continue;
+            }
             let Some(addr) = worker.addr else {
                 continue;
             };
@@ -94,7 +99,10 @@
             worker.requested_expiry = order.expiry;
             self.last_poll += 1;
             worker.poll_number = self.last_poll;
-            worker.poll_state = PollState::InFlight(now);
+            worker.poll_state = PollState::InFlight {
+                sent: now,
+                deadline: now.after(wait + limit),
+            };
             self.outputs.push(Output::PollWorker {
                 worker: worker.id.clone(),
                 addr,
@@ -104,6 +112,23 @@
         }
     }
 
+    /// Fails a worker's poll in flight whose outcome is overdue, so that the worker is polled again.
+    ///
+    /// Whoever sends the polls has to report each outcome. Without this limit, a worker whose poll
+    /// is never reported would not be polled again: its lease would expire, and since it missed no
+    /// poll, its runs would never be started elsewhere.
+    fn fail_overdue_poll(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let PollState::InFlight { sent, .. } = worker.poll_state else {
+            return;
+        };
+        let age = self.now.since(sent).as_millis() as u64;
+        log::warn!(worker:% = id, poll = worker.poll_number, age_ms = age; "no outcome of a poll was reported");
+        self.poll_failed(id, &PollError::Unknown("no outcome reported".into()));
+    }
+
     /// Processes the answer to a poll, or its failure.
     pub fn poll_answered(
         &mut self,
@@ -119,7 +144,7 @@
         if worker.poll_number != poll {
             return;
         }
-        let PollState::InFlight(sent) = worker.poll_state else {
+        let PollState::InFlight { sent, .. } = worker.poll_state else {
             return;
         };
         match answer {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -47,8 +47,19 @@
 pub(crate) enum PollState {
     /// The next poll is due at this time.
     Due(Time),
-    /// A poll was sent at this time and has not been answered.
-    InFlight(Time),
+    /// A poll has been sent and not answered.
+    InFlight {
+        sent: Time,
+        /// When the poll counts as lost although no failure was reported.
+        deadline: Time,
+    },
+}
+
+impl PollState {
+    /// Whether the next poll is due by `now`.
+    pub(crate) fn is_due(self, now: Time) -> bool {
+        matches!(self, Self::Due(at) if at <= now)
+    }
 }
 
 /// Resources that a run occupies on its worker.
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -40,7 +40,7 @@
     numbered: Vec<WorkerId>,
     touched: Vec<WorkerId>,
     free_index: Map<ServiceName, FreeIndex>,
-    /// When each worker is to be polled next.
+    /// When each worker is to be polled next, or its poll in flight counts as lost.
     polls: BTreeSet<(Time, u32)>,
     /// Workers that missed a poll or are no longer registered.
     silent: Set<WorkerId>,
@@ -176,14 +176,14 @@
         self.unjournaled.iter().filter_map(|id| self.all.get(id))
     }
 
-    /// Workers whose poll is due by `now`.
+    /// Workers whose next poll is due by `now`, or whose poll in flight counts as lost by then.
     pub(crate) fn due_for_poll(&self, now: Time) -> Vec<WorkerId> {
         let due = self.polls.range(..=(now, u32::MAX));
         let ids = due.filter_map(|(_, n)| self.numbered.get(*n as usize));
         ids.cloned().collect()
     }
 
-    /// When the next poll is due.
+    /// When the next poll is due, or the next one in flight counts as lost.
     pub(crate) fn next_poll(&self) -> Option<Time> {
         self.polls.first().map(|(at, _)| *at)
     }
@@ -270,21 +270,20 @@
         Some((entry.service.clone(), place))
     }
 
-    /// When the worker is to be polled next; `None` while a poll is in flight or none is needed.
+    /// When the worker is to be polled next, or its poll in flight counts as lost; `None` if no
+    /// poll is needed.
     ///
     /// A worker that is no longer registered may still be alive; it is polled while it has
     /// allocations to learn how they end. An end record is acknowledged once it is in the
     /// journal. Until then every answer lists it again at once, so the worker is polled only as
     /// often as its lease requires.
     fn next_poll(&self) -> Option<Time> {
-        let PollState::Due(at) = self.poll_state else {
-            return None;
-        };
         let wanted = self.entry.is_some() || !self.allocations.is_empty();
         let journaled = self.acknowledgeable_end() == self.journaled_end;
-        let at = match journaled {
-            true => at,
-            false => at.after(UNJOURNALED_DELAY),
+        let at = match self.poll_state {
+            PollState::InFlight { deadline, .. } => deadline,
+            PollState::Due(at) if journaled => at,
+            PollState::Due(at) => at.after(UNJOURNALED_DELAY),
         };
         (wanted && self.addr.is_some()).then_some(at)
     }
--- a/crates/cell/tests/silence.rs
+++ b/crates/cell/tests/silence.rs
@@ -197,3 +197,25 @@
     }
     assert_eq!(polls, [true, true, false]);
 }
+
+/// Guards against a long-running task that ends with its worker's lease and is never restarted,
+/// because the outcome of one poll of the worker was not reported.
+#[test]
+fn unreported_poll() {
+    let mut world = World::new(3, 1);
+    world.worker(0).lasting_jobs = vec![1];
+    world.submit(lasting(1, 1, 1));
+    world.advance(2 * SECOND);
+    world.polls_unreported = true;
+    world.advance(SECOND);
+    world.polls_unreported = false;
+    let polls = world.worker(0).answered_polls;
+    world.advance(10 * SECOND);
+    assert!(
+        world.worker(0).answered_polls > polls,
+        "the worker is polled again"
+    );
+    assert_eq!(world.worker(0).run_count(), 1, "the task runs");
+    assert_eq!(world.worker(0).started.len(), 1, "its lease was renewed");
+    world.assert_no_violations();
+}
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::event::Event;
 use crate::journal_writer::JournalWriter;
 use crate::link_load::LinkLoad;
+use crate::link_rate::LinkRate;
 use crate::order_sender::{ORDER_TIMEOUT, OrderSender, OrderSink, POLL_TIMEOUT};
 use crate::owner_stats::OwnerStats;
 use crate::peer_traffic::total_traffic;
@@ -49,6 +50,12 @@
 /// Interval between checks for silent relays and overdue orders.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time beyond the wait of a poll within which its outcome is reported to the cell, if need be as
+/// unknown.
+pub(crate) fn report_limit(link: LinkRate) -> Duration {
+    POLL_TIMEOUT + RELAY_ROUND_TRIP + link.queue_time() + 2 * CHECK_INTERVAL
+}
+
 /// The owner on this node, as the receiver of order outcomes.
 #[derive(Clone)]
 struct LocalOwner {
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -10,6 +10,7 @@
 use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
+use crate::dispatcher::report_limit;
 use crate::expiry::page_time;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
@@ -319,6 +320,7 @@
         lease: times.lease.min(MAX_LEASE),
         retention: times.retention,
         pace_delay: times.pace,
+        poll_limit: Millis::new(report_limit(shared.settings.link).as_millis() as u64),
         stop_time: times.stop,
         max_batch: shared
             .settings
