--- a/crates/relay/src/poll_delta.rs
+++ b/crates/relay/src/poll_delta.rs
@@ -134,7 +134,7 @@
 
 impl DeltaDecoder {
     /// Decodes the delta of the poll with this number; `None` if its base poll was not received
-    /// from this relay.
+    /// from this relay, or if this poll or a newer one was decoded before.
     pub fn decode(
         &mut self,
         node: &NodeName,
@@ -142,6 +142,12 @@
         number: u64,
         delta: PollDelta,
     ) -> Option<WorkerStatus> {
+        // A relay that waits too long for a reply sends its reports again. Such a copy must not
+        // displace the base of the next delta, or the next poll of a healthy worker would fail.
+        let newest = self.workers.get(worker).map(|(_, poll, _)| *poll);
+        if newest.is_some_and(|newest| number <= newest) {
+            return None;
+        }
         let previous = self.workers.remove(worker);
         let previous = previous.filter(|(sender, poll, _)| sender == node && *poll == delta.base);
         let previous = previous.map(|(_, _, rows)| rows);
--- a/crates/relay/tests/rows.rs
+++ b/crates/relay/tests/rows.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
-use cactuswheel_relay::{DeltaDecoder, DeltaEncoder, Row};
+use cactuswheel_relay::{DeltaDecoder, DeltaEncoder, PollDelta, Row};
 use cactuswheel_work::{NodeName, Running, WorkerId, WorkerStatus};
 
 fn run(index: u32, percent: u32) -> Running {
@@ -124,3 +124,23 @@
         assert_eq!(decoded.map(|s| s.running.len()), Some(rows.len()));
     }
 }
+
+/// Guards against a healthy worker that counts as silent, because its relay sent a report a second
+/// time and the copy displaced the base of the next delta.
+#[test]
+fn copied_report() {
+    let (mut relay, mut owner) = (DeltaEncoder::default(), DeltaDecoder::default());
+    let (node, worker) = (NodeName::from("n1"), WorkerId::from("w1"));
+    let deltas: Vec<PollDelta> = (1..=4u64)
+        .map(|n| relay.encode(Time::new(n * 40), &worker, n, status(&[(0, 10)])))
+        .collect();
+    let mut decode = |number: usize| {
+        let delta = deltas[number - 1].clone();
+        owner.decode(&node, &worker, number as u64, delta).is_some()
+    };
+    assert!(decode(1) && decode(2));
+    assert!(!decode(2), "the copy is recognised");
+    assert!(decode(3), "the next delta still has its base");
+    assert!(!decode(1), "so is a late copy of an earlier report");
+    assert!(decode(4), "which does not displace the base either");
+}
