--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -77,6 +77,12 @@
     pub(crate) obsolete: Vec<JobId>,
     pub(crate) last_drop: Time,
     pub(crate) workers: Workers,
+    /// Workers whose instances were ordered to move away, or may have been.
+    ///
+    /// Invariant: all of them that are registered are closed. Kept apart from the worker, which may
+    /// be removed and registered again before the outcome of the order is known; a run that
+    /// started there would be lost with the instance.
+    pub(crate) removing: Set<WorkerId>,
     /// Workers on instances that are due for maintenance soon.
     pub(crate) maintenance_due: Set<WorkerId>,
     /// Data centres in which no task is started.
@@ -144,6 +150,7 @@
             obsolete: Vec::new(),
             last_drop: Time::default(),
             workers: Workers::default(),
+            removing: Set::default(),
             maintenance_due: Set::default(),
             evacuated: Arc::default(),
             last_evacuation: Time::default(),
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -41,10 +41,8 @@
     /// Closes a worker whose instance was ordered to move away; the end of this worker does not
     /// count as a crash.
     pub fn begin_removal(&mut self, id: &WorkerId) {
+        self.removing.insert(id.clone());
         self.close(id, false);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.removing = true;
-        }
     }
 
     /// Sets the workers whose instances are due for maintenance soon.
@@ -56,10 +54,10 @@
 
     /// Opens a closed worker to new tasks again.
     pub fn reopen(&mut self, id: &WorkerId) {
+        self.removing.remove(id);
         if let Some(worker) = self.workers.get_mut(id) {
             log::info!(worker:% = id; "worker reopened for new tasks");
             worker.closed = false;
-            worker.removing = false;
             worker.evacuating = false;
             self.reschedule = true;
         }
@@ -69,6 +67,7 @@
     pub fn retire(&mut self, id: &WorkerId) {
         self.lose_all(id, "instance moved away");
         self.workers.remove(id);
+        self.removing.remove(id);
     }
 
     /// Stops long-running tasks on evacuating workers, within the disruption budgets of their
--- a/crates/cell/src/listing.rs
+++ b/crates/cell/src/listing.rs
@@ -36,6 +36,7 @@
         worker.addr = Some(entry.addr);
         worker.rack = entry.rack().map(Into::into);
         worker.entry = Some(entry);
+        worker.closed |= self.removing.contains(&id);
         worker.evacuated = worker.is_within(&self.evacuated);
         if changed && draining {
             self.stop_lasting(&id);
--- a/crates/cell/src/losses.rs
+++ b/crates/cell/src/losses.rs
@@ -60,7 +60,7 @@
         let alive = worker.last_alive;
         // A worker that is merely closed keeps running until its instance is ordered to move
         // away.
-        let planned = worker.removing || worker.is_draining();
+        let planned = self.removing.contains(id) || worker.is_draining();
         let silent = self.now.since(alive).as_millis() as u64;
         let affected = runs.iter().chain(doubtful);
         let attempts = affected.filter_map(|(t, run)| self.attempt(*t, *run, id));
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -138,8 +138,6 @@
     pub(crate) throttle: Throttle,
     /// Gets no new tasks because its instance is needed elsewhere.
     pub(crate) closed: bool,
-    /// Its instance was ordered to move away, or may have been.
-    pub(crate) removing: bool,
     /// Gets no new tasks because its data centre is evacuated.
     pub(crate) evacuated: bool,
     /// Its long-running tasks are stopped as well, within their disruption budgets.
@@ -191,7 +189,6 @@
             health: Health::default(),
             throttle: Throttle::default(),
             closed: false,
-            removing: false,
             evacuated: false,
             evacuating: false,
             stray_run: false,
