--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -52,6 +52,13 @@
     /// and registered again has already seen its old token. It would refuse a lower token as
     /// coming from an owner that has been replaced.
     pub(crate) fence: u64,
+    /// Number of the newest poll of any worker.
+    ///
+    /// Invariant: never decreases. All workers share one counter because an order or an answer to
+    /// a worker that is removed and registered again may still be in transit. If the worker's
+    /// polls were numbered from one again, that answer would settle a later poll, and the worker
+    /// would never be polled again.
+    pub(crate) last_poll: u64,
     pub(crate) config: Arc<FleetConfig>,
     pub(crate) jobs: Jobs,
     /// Jobs that are not in a final state.
@@ -70,6 +77,12 @@
     pub(crate) obsolete: Vec<JobId>,
     pub(crate) last_drop: Time,
     pub(crate) workers: Workers,
+    /// Workers whose instances were ordered to move away, or may have been.
+    ///
+    /// Invariant: all of them that are registered are closed. Kept apart from the worker, which may
+    /// be removed and registered again before the outcome of the order is known; a run that
+    /// started there would be lost with the instance.
+    pub(crate) removing: Set<WorkerId>,
     /// Workers on instances that are due for maintenance soon.
     pub(crate) maintenance_due: Set<WorkerId>,
     /// Data centres in which no task is started.
@@ -126,6 +139,7 @@
             bounds,
             policy: WorkPolicy::default(),
             fence: epoch << FENCE_BITS,
+            last_poll: 0,
             config,
             jobs: Jobs::default(),
             open: Set::default(),
@@ -136,6 +150,7 @@
             obsolete: Vec::new(),
             last_drop: Time::default(),
             workers: Workers::default(),
+            removing: Set::default(),
             maintenance_due: Set::default(),
             evacuated: Arc::default(),
             last_evacuation: Time::default(),
--- a/crates/cell/src/listing.rs
+++ b/crates/cell/src/listing.rs
@@ -28,7 +28,7 @@
                 born = entry.born, known_born = worker.born;
                 "worker registered"
             );
-            if !matches!(worker.poll_state, PollState::InFlight(_)) {
+            if !matches!(worker.poll_state, PollState::InFlight { .. }) {
                 worker.poll_state = PollState::Due(now);
             }
         }
@@ -36,6 +36,7 @@
         worker.addr = Some(entry.addr);
         worker.rack = entry.rack().map(Into::into);
         worker.entry = Some(entry);
+        worker.closed |= self.removing.contains(&id);
         worker.evacuated = worker.is_within(&self.evacuated);
         if changed && draining {
             self.stop_lasting(&id);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -47,8 +47,19 @@
 pub(crate) enum PollState {
     /// The next poll is due at this time.
     Due(Time),
-    /// A poll was sent at this time and has not been answered.
-    InFlight(Time),
+    /// A poll has been sent and not answered.
+    InFlight {
+        sent: Time,
+        /// When the poll counts as lost although no failure was reported.
+        deadline: Time,
+    },
+}
+
+impl PollState {
+    /// Whether the next poll is due by `now`.
+    pub(crate) fn is_due(self, now: Time) -> bool {
+        matches!(self, Self::Due(at) if at <= now)
+    }
 }
 
 /// Resources that a run occupies on its worker.
@@ -119,7 +130,7 @@
     /// Number of filler runs in `allocations`.
     pub(crate) fillers: usize,
     pub(crate) poll_state: PollState,
-    /// Number of the newest poll; answers to earlier polls are ignored.
+    /// Number of the newest poll, 0 before the first; answers to earlier polls are ignored.
     pub(crate) poll_number: u64,
     /// Number of consecutive polls without an answer.
     pub(crate) missed_polls: u32,
@@ -127,8 +138,6 @@
     pub(crate) throttle: Throttle,
     /// Gets no new tasks because its instance is needed elsewhere.
     pub(crate) closed: bool,
-    /// Its instance was ordered to move away, or may have been.
-    pub(crate) removing: bool,
     /// Gets no new tasks because its data centre is evacuated.
     pub(crate) evacuated: bool,
     /// Its long-running tasks are stopped as well, within their disruption budgets.
@@ -180,7 +189,6 @@
             health: Health::default(),
             throttle: Throttle::default(),
             closed: false,
-            removing: false,
             evacuated: false,
             evacuating: false,
             stray_run: false,
