--- a/crates/http/src/call.rs
+++ b/crates/http/src/call.rs
@@ -74,6 +74,11 @@
         Self::new(peer, Method::POST, path)
     }
 
+    /// Creates a `DELETE` request for `path`.
+    pub fn delete(peer: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(peer, Method::DELETE, path)
+    }
+
     fn new(peer: SocketAddr, method: Method, path: impl Into<String>) -> Self {
         let path = path.into();
         Self {
--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -143,6 +143,14 @@
         serde_json::from_slice(&newest).ok()
     }
 
+    /// Whether the intake holds an open job's submission. If not, a front end has handed the job in
+    /// to the owner of the cell, which wrote it to the journal.
+    pub fn in_intake(&self, job: &str) -> bool {
+        self.lock()
+            .store
+            .has_key("keyed.intake", &format!("s{job}"))
+    }
+
     /// Crashes the worker on one instance, chosen by `pick` among those with a worker. After
     /// `pause`, a new worker starts on the instance, with the same id if `same_id`.
     pub fn crash(&self, pick: usize, pause: Duration, same_id: bool) {
--- a/crates/local/src/store.rs
+++ b/crates/local/src/store.rs
@@ -135,6 +135,12 @@
         part.newest.get(key).map(|(value, _)| value.clone())
     }
 
+    /// Whether any partition of a topic has a value for a key.
+    pub(crate) fn has_key(&self, topic: &str, key: &str) -> bool {
+        let mut parts = self.parts.iter().filter(|((t, _), _)| t == topic);
+        parts.any(|(_, part)| part.newest.contains_key(key))
+    }
+
     /// Deletes all records of every partition; the newest value of each key stays available.
     pub(crate) fn compact(&mut self) {
         for part in self.parts.values_mut() {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -72,6 +72,23 @@
         panic!("{path} was not accepted in time");
     }
 
+    /// Cancels a job, calling one node after another until one has stored the cancel.
+    ///
+    /// # Panics
+    ///
+    /// If no node stores it within `JOB_TIMEOUT`.
+    pub async fn cancel(&mut self, job: &AcceptedJob) {
+        let start = Instant::now();
+        while start.elapsed() < JOB_TIMEOUT {
+            let call = Call::delete(self.next_node(), &job.path).with_timeout(REQUEST_TIMEOUT);
+            if call.send().await.is_ok_and(|a| a.status.is_success()) {
+                return;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        panic!("{} was not cancelled in time", job.path);
+    }
+
     /// The HTTP status and the state of a job; `None` if the node called does not answer.
     pub async fn job_status(&mut self, path: &str) -> Option<(u16, String)> {
         let call = Call::get(self.next_node(), path).with_timeout(REQUEST_TIMEOUT);
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -21,6 +21,8 @@
     pub callers: SocketAddr,
     /// Address of the readiness check.
     pub ready: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
     /// Address that serves the metrics.
     pub metrics: SocketAddr,
     child: Option<Child>,
@@ -59,6 +61,7 @@
             settings: path,
             callers: addr(0),
             ready: addr(1),
+            peers: addr(2),
             metrics: addr(3),
             child: None,
             lines: Arc::default(),
