--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -8,7 +8,8 @@
 use cactuswheel_cell::{Batch, Output};
 use cactuswheel_model::{Map, Time};
 use cactuswheel_relay::{
-    Capacity, DeltaDecoder, LostOrder, Offer, Pending, Relays, Reply, Route, Site, SpecOrigins,
+    Capacity, DeltaDecoder, LostOrder, Offer, Pending, RelayTerm, Relays, Reply, Route, Site,
+    SpecOrigins,
 };
 use cactuswheel_work::{
     JobId, NodeName, OrderOutcome, PollError, StartOutcome, StepId, WorkerEntry, WorkerId,
@@ -227,12 +228,16 @@
         let now = self.shared.clock.now();
         let (node, addr) = (offer.node.clone(), offer.addr);
         let reply = self.relays.handle_offer(now, offer);
-        if reply == Reply::Wanted && !self.clients.contains_key(&node) {
+        if reply == Reply::Wanted
+            && !self.clients.contains_key(&node)
+            && let Some(term) = self.relays.term(&node)
+        {
             let client = RelayClient::start(
                 self.shared.clone(),
                 self.events.clone(),
                 self.epoch,
                 node.clone(),
+                term,
                 addr,
             );
             self.clients.insert(node, client);
@@ -256,10 +261,18 @@
         expanded
     }
 
-    /// Removes a relay, and returns reports with an unknown outcome for its pending orders.
-    pub(crate) fn drop_relay(&mut self, node: &NodeName, why: &str) -> Vec<Report> {
-        self.clients.remove(node);
-        let lost = self.relays.remove_relay(node, why);
+    /// Removes a relay whose client of `term` failed, and returns reports with an unknown outcome
+    /// for its pending orders.
+    pub(crate) fn drop_relay(
+        &mut self,
+        node: &NodeName,
+        term: RelayTerm,
+        why: &str,
+    ) -> Vec<Report> {
+        let lost = self.relays.remove_term(node, term, why);
+        if self.relays.term(node).is_none() {
+            self.clients.remove(node);
+        }
         lost.into_iter().map(unknown_outcome).collect()
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cactuswheel_cell::{BatchId, Standing, StartDelay};
 use cactuswheel_model::Time;
-use cactuswheel_relay::{Offer, Reply};
+use cactuswheel_relay::{Offer, RelayTerm, Reply};
 use cactuswheel_work::{
     Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, ServiceName, StepId,
     WorkerEntry, WorkerId,
@@ -38,8 +38,8 @@
     RelayReports(Reports, oneshot::Sender<bool>),
     /// A node offers to relay orders.
     Offer(Offer, oneshot::Sender<Reply>),
-    /// A relay no longer takes orders, and the reason.
-    RelayLost(NodeName, &'static str),
+    /// A relay no longer takes orders: its term at the client that found this, and the reason.
+    RelayLost(NodeName, RelayTerm, &'static str),
     /// A batch was written to the journal.
     Appended(BatchId),
     /// The journal is fenced by a newer owner.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -258,8 +258,8 @@
                 // A node that has stopped waiting repeats its offer.
                 let _ = reply.send(self.dispatcher.offer(offer));
             }
-            Event::RelayLost(node, why) => {
-                for report in self.dispatcher.drop_relay(&node, why) {
+            Event::RelayLost(node, term, why) => {
+                for report in self.dispatcher.drop_relay(&node, term, why) {
                     self.handle_report(report);
                 }
             }
--- a/crates/node/src/relay_client.rs
+++ b/crates/node/src/relay_client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::Time;
+use cactuswheel_relay::RelayTerm;
 use cactuswheel_work::{JobId, NodeName};
 use tokio::sync::{Semaphore, mpsc};
 
@@ -31,6 +32,7 @@
     events: mpsc::Sender<Event>,
     epoch: u64,
     node: NodeName,
+    term: RelayTerm,
     addr: SocketAddr,
     /// Orders for the next message.
     envelopes: Vec<Envelope>,
@@ -45,16 +47,22 @@
         events: mpsc::Sender<Event>,
         epoch: u64,
         node: NodeName,
+        term: RelayTerm,
         addr: SocketAddr,
     ) -> Self {
         let (requests, queue) = mpsc::channel(QUEUE_CAPACITY);
         let limit = SUBMIT_TIMEOUT + shared.settings.link.queue_time();
-        tokio::spawn(forward(node.clone(), addr, limit, queue, events.clone()));
+        let lost = {
+            let node = node.clone();
+            move |why| Event::RelayLost(node.clone(), term, why)
+        };
+        tokio::spawn(forward(lost, addr, limit, queue, events.clone()));
         Self {
             shared,
             events,
             epoch,
             node,
+            term,
             addr,
             envelopes: Vec::new(),
             requests,
@@ -115,7 +123,7 @@
         };
         request.extract_specs(origin);
         if self.requests.try_send(request).is_err() {
-            let lost = Event::RelayLost(self.node.clone(), "send queue is full");
+            let lost = Event::RelayLost(self.node.clone(), self.term, "send queue is full");
             if self.events.try_send(lost).is_err() {
                 log::warn!(
                     relay:% = self.node;
@@ -126,16 +134,15 @@
     }
 }
 
-/// Sends queued requests to the relay until the client is dropped. Reports the relay as lost if it
-/// cannot be reached, or if a request is not accepted within `limit`.
+/// Sends queued requests to the relay until the client is dropped. Sends the event `lost` if the
+/// relay cannot be reached, or if a request is not accepted within `limit`.
 async fn forward(
-    node: NodeName,
+    lost: impl Fn(&'static str) -> Event,
     addr: SocketAddr,
     limit: Duration,
     mut queue: mpsc::Receiver<RelayRequest>,
     events: mpsc::Sender<Event>,
 ) {
-    let lost = |why| Event::RelayLost(node.clone(), why);
     let Some(link) = PeerLink::connect(addr).await else {
         let _ = events.send(lost("connection failed")).await;
         return;
--- a/crates/relay/src/relays.rs
+++ b/crates/relay/src/relays.rs
@@ -7,7 +7,7 @@
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{NodeName, WorkerId};
 
-use crate::{Capacity, Offer, Pending, Reply, Site};
+use crate::{Capacity, Offer, Pending, RelayTerm, Reply, Site};
 
 /// Time without a heartbeat after which a relay counts as lost: three heartbeat intervals and some
 /// time for transmission.
@@ -44,6 +44,8 @@
     /// Number of workers in the cell; `None` until it is known.
     workers: Option<usize>,
     relays: Map<NodeName, Relay>,
+    /// Number of times that a node was taken as a relay.
+    taken: u64,
     /// The relay that each worker is assigned to.
     ///
     /// Invariant: every assigned relay is in `relays`.
@@ -61,6 +63,7 @@
 #[derive(Debug)]
 struct Relay {
     offer: Offer,
+    term: RelayTerm,
     /// When its last heartbeat was received.
     last_heartbeat: Time,
     /// Number of workers assigned to it.
@@ -114,6 +117,7 @@
             own_capacity,
             workers: None,
             relays: Map::default(),
+            taken: 0,
             assignments: Map::default(),
             direct: Set::default(),
         }
@@ -151,7 +155,9 @@
             workers = workers as u64, relays = self.relays.len() as u64;
             "relay taken"
         );
+        self.taken += 1;
         let relay = Relay {
+            term: RelayTerm(self.taken),
             last_heartbeat: now,
             assigned: 0,
             racks: Map::default(),
@@ -167,6 +173,11 @@
         self.relays.get(node).map(|r| r.offer.addr)
     }
 
+    /// The current term of a relay.
+    pub fn term(&self, node: &NodeName) -> Option<RelayTerm> {
+        self.relays.get(node).map(|r| r.term)
+    }
+
     /// The number of relays.
     pub fn count(&self) -> usize {
         self.relays.len()
@@ -277,6 +288,18 @@
         }
     }
 
+    /// Removes a relay that was found to be lost in its term `term` and returns the orders in flight
+    /// there. Does nothing if the node was taken again since.
+    ///
+    /// Messages of the earlier term may time out after that. If they removed the relay again, all
+    /// orders of the new term would count as unanswered while the relay is reachable.
+    pub fn remove_term(&mut self, node: &NodeName, term: RelayTerm, why: &str) -> Vec<LostOrder> {
+        match self.term(node) == Some(term) {
+            true => self.remove_relay(node, why),
+            false => Vec::new(),
+        }
+    }
+
     /// Removes a relay that is lost and returns the orders in flight there.
     pub fn remove_relay(&mut self, node: &NodeName, why: &str) -> Vec<LostOrder> {
         let Some(relay) = self.relays.remove(node) else {
--- a/crates/relay/tests/relays.rs
+++ b/crates/relay/tests/relays.rs
@@ -268,3 +268,24 @@
         .collect();
     assert_eq!(sent, [48, 54, 55]);
 }
+
+/// Guards against a reachable relay that is lost together with all its orders, because a message of
+/// an earlier term of the same node times out only after the node was taken as a relay again.
+#[test]
+fn late_loss() {
+    let mut relays = relays_of(130, &[("n1", "a")]);
+    let node = NodeName::from("n1");
+    let earlier = relays.term(&node).expect("the node is a relay");
+    relays.remove_relay(&node, "silent");
+    let again = offer("n1", "a");
+    assert_eq!(relays.handle_offer(NOW, again), Reply::Wanted);
+    let worker = WorkerId::from("w1");
+    let later = NOW.after(Duration::from_secs(2));
+    relays.record_sent(&node, &worker, Pending::Poll(7), later);
+    assert!(relays.remove_term(&node, earlier, "late").is_empty());
+    assert_eq!(relays.count(), 1, "the relay of the new term stays");
+    let term = relays.term(&node).expect("the node is a relay");
+    assert_ne!(term, earlier);
+    assert_eq!(relays.remove_term(&node, term, "lost").len(), 1);
+    assert_eq!(relays.count(), 0);
+}
