--- a/crates/cell/tests/relisted_polls.rs
+++ b/crates/cell/tests/relisted_polls.rs
@@ -516,6 +516,7 @@
         late.number
     );
 }
+
 /// Guards against a worker that is polled no more, without a log line, when the outcome of one poll
 /// is never reported.
 #[test]
