--- a/crates/cell/tests/given_up.rs
+++ b/crates/cell/tests/given_up.rs
@@ -93,3 +93,20 @@
     assert_eq!(counts, 1);
     world.assert_no_violations();
 }
+
+/// Guards against the same if the retention time of the job has passed before the takeover, so that
+/// the journal no longer tells the new owner of the restarted task.
+#[test]
+fn forgotten_and_taken_over() {
+    let (mut world, busy) = silent_worker_world();
+    world.advance(5 * SECOND + SECOND / 4);
+    world.worker(busy).connected = true;
+    world.advance(2 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    world.advance(160 * SECOND);
+    world.assert_no_violations();
+    world.take_over();
+    world.remove_old_owners();
+    world.advance(SECOND);
+    world.assert_no_violations();
+}
--- a/crates/cell/tests/relisted_state.rs
+++ b/crates/cell/tests/relisted_state.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use cactuswheel_work::WorkerId;
-use world::{World, lasting};
+use cactuswheel_work::{JobId, JobState, WorkerId};
+use world::{World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -70,3 +70,25 @@
     world.cell().register_worker(now, entry);
     assert_eq!(runs_of_new_task(&mut world), 1);
 }
+
+/// Guards against work that counts as done twice. A worker completes a run that was abandoned and
+/// restarted elsewhere, the job is forgotten after the retention time, and the worker is registered
+/// again: its end record must still not be acknowledged.
+#[test]
+fn withheld_relisted() {
+    let mut world = World::new(5, 2);
+    world.submit(job(1, steps(1, 1, 700)));
+    world.advance(Duration::from_millis(300));
+    let busy = (0..2).find(|&n| world.worker(n).run_count() == 1);
+    let busy = busy.expect("the task runs on one worker");
+    world.worker(busy).connected = false;
+    world.advance(5 * SECOND + SECOND / 4);
+    world.worker(busy).connected = true;
+    world.advance(2 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
+    world.advance(160 * SECOND);
+    world.assert_no_violations();
+    relist(&mut world, busy, SECOND / 2);
+    world.advance(SECOND);
+    world.assert_no_violations();
+}
