--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -140,7 +140,9 @@
     /// Renews the ownership. If the node has stopped running the cell while it held the ownership,
     /// claims it again instead, or releases it if the node leaves it to others.
     async fn renew_or_release(&mut self) {
-        let claim_again = self.shared.reclaim.swap(false, Ordering::AcqRel);
+        let stopped = self.shared.reclaim.swap(false, Ordering::AcqRel);
+        let held = self.newest.as_ref().map_or(0, |o| o.epoch);
+        let claim_again = stopped || self.claims.is_open(held);
         match claim_again && self.shared.claims_paused() {
             true => self.relinquish().await,
             false => self.write_record(claim_again).await,
--- a/crates/node/tests/claims.rs
+++ b/crates/node/tests/claims.rs
@@ -68,3 +68,24 @@
     claims.track(claim(3));
     assert_eq!(claims.for_epoch(2), before);
 }
+
+/// Guards against a cell that nobody runs: the claim of a node that stopped its cell is refused, and
+/// the node must claim again instead of renewing the epoch that it holds.
+#[test]
+fn claimed_again() {
+    let claim = |epoch| Claim {
+        epoch,
+        sent_at: Time::new(51_200 + epoch),
+        exclusive: true,
+        predecessor: None,
+    };
+    let mut claims = Claims::default();
+    assert!(!claims.is_open(0));
+    claims.track(claim(2));
+    assert!(!claims.is_open(2), "the claim won");
+    claims.track(claim(3));
+    assert!(claims.is_open(2), "epoch 3 was not reached");
+    claims.track(claim(3));
+    assert!(!claims.is_open(3));
+    assert_eq!(claims.for_epoch(2), Some(claim(2)));
+}
