--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -15,7 +15,8 @@
     pub pace_delay: Millis,
     /// Time beyond the requested wait after which a poll without an outcome counts as lost.
     ///
-    /// Invariant: longer than whoever sends the polls takes to report that one had no answer.
+    /// Invariant: longer than whoever sends the polls takes to report that one had no answer. A
+    /// lease bounds it all the same: once that is over, the poll renews nothing.
     pub poll_limit: Millis,
     /// Longest time until a stop order takes effect.
     pub stop_time: Millis,
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -51,10 +51,14 @@
 /// Interval between checks for silent relays and overdue orders.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which overdue orders are certainly reported, with an iteration of the owner's event loop
+/// that takes long.
+const REPORT_MARGIN: Duration = Duration::from_millis(500);
+
 /// Time beyond the wait of a poll within which its outcome is reported to the cell, if need be as
 /// unknown.
 pub(crate) fn report_limit(link: LinkRate) -> Duration {
-    POLL_TIMEOUT + RELAY_ROUND_TRIP + link.queue_time() + 2 * CHECK_INTERVAL
+    POLL_TIMEOUT + RELAY_ROUND_TRIP + link.queue_time() + REPORT_MARGIN
 }
 
 /// The owner on this node, as the receiver of order outcomes.
