--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
 use cactuswheel_adapter::{DEADLINE_HEADER, KEY_HEADER, parse_job, pending_body, state_body};
 use cactuswheel_cell::encode;
 use cactuswheel_model::Code;
-use cactuswheel_work::{FleetConfig, JobId, Queue, Submission, TeamName};
+use cactuswheel_work::{FleetConfig, JobId, JobState, Queue, Submission, TeamName};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::access::{Caller, KeyError};
 use crate::answer::{Answer, error_response, ok_json};
 use crate::ask;
 use crate::intake::{Intake, NotStored};
@@ -68,14 +69,24 @@
     retry_after: Duration,
 }
 
-/// The queue that a request addresses, and on whose behalf.
+/// The queue that a request addresses, and its caller.
 struct Target<'a> {
     queue: &'a Queue,
-    team: Option<TeamName>,
+    caller: Caller,
     /// How long the caller waits for the response.
     max_wait: Duration,
 }
 
+impl Target<'_> {
+    /// The team of a job that the caller submits; `None` on a public queue.
+    fn team(&self) -> Option<&TeamName> {
+        match &self.caller {
+            Caller::Team(team) if !self.queue.public => Some(team),
+            _ => None,
+        }
+    }
+}
+
 impl Refusal {
     fn new(code: Code, detail: impl Into<String>) -> Self {
         Self {
@@ -184,7 +195,7 @@
         let rest = path[queue.prefix.len()..].to_owned();
         let target = Target {
             queue,
-            team: self.authenticate(&config, queue, &request, &rest)?,
+            caller: self.authenticate(&config, queue, &request, &rest)?,
             max_wait: requested_timeout(&request).min(queue.timeout.duration()),
         };
         if rest.is_empty() {
@@ -201,33 +212,34 @@
         }
     }
 
-    /// Returns the team that the request's key belongs to; `None` on a public queue.
+    /// Identifies the caller by the request's key, which a public queue does not require.
     fn authenticate(
         &self,
         config: &FleetConfig,
         queue: &Queue,
         request: &Request<Incoming>,
         job: &str,
-    ) -> Result<Option<TeamName>, Refusal> {
-        if queue.public {
-            return Ok(None);
-        }
-        self.check_fresh(job)?;
+    ) -> Result<Caller, Refusal> {
         let key = request.headers().get(KEY_HEADER);
-        let Some(key) = key.and_then(|k| k.to_str().ok()) else {
-            return Err(Refusal::new(Code::NoKey, ""));
-        };
-        match config.keys.get(key) {
-            Some(team) => Ok(Some(team.clone())),
-            None => {
+        let key = key.and_then(|k| k.to_str().ok());
+        match queue.public {
+            true if key.is_some() && !self.shared.is_config_fresh() => {
+                return Ok(Caller::Unverified);
+            }
+            true => {}
+            false => self.check_fresh(job)?,
+        }
+        Caller::identify(config, queue, key).map_err(|e| match e {
+            KeyError::Missing => Refusal::new(Code::NoKey, ""),
+            KeyError::Unknown => {
                 log::info!(
                     job = job, queue:% = queue.name, version = config.version,
                     age_ms = self.shared.config_age();
                     "request refused: unknown key"
                 );
-                Err(Refusal::new(Code::BadKey, ""))
+                Refusal::new(Code::BadKey, "")
             }
-        }
+        })
     }
 
     /// Refuses the request if the configuration is stale.
@@ -259,7 +271,7 @@
         let job = parse_job(&body).map_err(|e| Refusal::new(Code::BadJob, e.to_string()))?;
         let sub = Submission {
             job: id,
-            team: target.team.clone(),
+            team: target.team().cloned(),
             queue: target.queue.name.clone(),
             service: target.queue.service.clone(),
             spec: job.spec.into(),
@@ -275,7 +287,7 @@
             return Err(Refusal::new(Code::BodyTooLarge, "the job's record"));
         }
         // The key may have been revoked while the body was being received.
-        if target.team.is_some() {
+        if target.team().is_some() {
             self.check_fresh(&id.to_string())?;
         }
         let spent = self.shared.clock.now().since(start);
@@ -304,27 +316,13 @@
     }
 
     async fn state(&self, target: &Target<'_>, id: JobId) -> Result<Answer, Refusal> {
-        match ask::job(&self.shared, id, owner_timeout(target)).await {
-            Some(JobAnswer::Known { state, team }) if may_see(target, team.as_ref()) => {
-                Ok(ok_json(state_body(state)))
-            }
-            Some(JobAnswer::Known { .. } | JobAnswer::Unknown) => {
-                log::info!(job:% = id, queue:% = target.queue.name; "job not found");
-                Err(Refusal::new(Code::NoJob, ""))
-            }
-            Some(JobAnswer::NotOwner) | None => Err(self.no_owner(&id.to_string())),
-        }
+        let state = self.find_job(target, id, "read").await?;
+        Ok(ok_json(state_body(state)))
     }
 
     async fn cancel(&self, target: &Target<'_>, id: JobId) -> Result<Answer, Refusal> {
         let start = self.shared.clock.now();
-        match ask::job(&self.shared, id, owner_timeout(target)).await {
-            Some(JobAnswer::Known { team, .. }) if may_see(target, team.as_ref()) => {}
-            Some(JobAnswer::Known { .. } | JobAnswer::Unknown) => {
-                return Err(Refusal::new(Code::NoJob, ""));
-            }
-            Some(JobAnswer::NotOwner) | None => return Err(self.no_owner(&id.to_string())),
-        }
+        self.find_job(target, id, "cancel").await?;
         let spent = self.shared.clock.now().since(start);
         let left = target.max_wait.saturating_sub(spent + RESPONSE_MARGIN);
         // A record without a value would delete the key.
@@ -339,6 +337,36 @@
         }
     }
 
+    /// Asks the owner for a job's state. A job that the caller may not see is answered exactly like
+    /// one that does not exist, so that callers cannot probe for ids.
+    async fn find_job(
+        &self,
+        target: &Target<'_>,
+        id: JobId,
+        what: &str,
+    ) -> Result<JobState, Refusal> {
+        match ask::job(&self.shared, id, owner_timeout(target)).await {
+            Some(JobAnswer::Known { state, team }) if target.caller.may_see(team.as_ref()) => {
+                return Ok(state);
+            }
+            Some(JobAnswer::Known { team, .. }) => {
+                let owner = team.as_ref().map_or("", TeamName::as_str);
+                log::warn!(
+                    job:% = id, queue:% = target.queue.name, team = owner, what = what;
+                    "request refused: job of another team"
+                );
+            }
+            Some(JobAnswer::Unknown) => {
+                log::info!(job:% = id, queue:% = target.queue.name, what = what; "job not found");
+            }
+            Some(JobAnswer::NotOwner) | None => return Err(self.no_owner(&id.to_string())),
+        }
+        if target.caller == Caller::Unverified {
+            self.check_fresh(&id.to_string())?;
+        }
+        Err(Refusal::new(Code::NoJob, ""))
+    }
+
     async fn pending(
         &self,
         request: &Request<Incoming>,
@@ -361,12 +389,6 @@
     }
 }
 
-/// Whether the caller may see or cancel a job of `team`. A caller with a team is limited to its own
-/// jobs and to jobs without a team. A caller of a public queue has no team and is not limited.
-fn may_see(target: &Target<'_>, team: Option<&TeamName>) -> bool {
-    target.team.is_none() || team.is_none() || target.team.as_ref() == team
-}
-
 fn owner_timeout(target: &Target<'_>) -> Duration {
     OWNER_TIMEOUT.min(target.max_wait.saturating_sub(RESPONSE_MARGIN))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! cell: it schedules jobs and sends orders to workers and instances. A node keeps no state on
 //! disk; all durable state is in the platform's store.
 
+mod access;
 mod answer;
 mod appending;
 mod ask;
@@ -53,6 +54,7 @@
 mod topics;
 mod view;
 
+pub use access::{Caller, KeyError};
 pub use backoff::Backoff;
 pub use call_health::CallHealth;
 pub use claim::{Claim, Claims};
