--- a/crates/cell/src/attempt.rs
+++ b/crates/cell/src/attempt.rs
@@ -4,6 +4,7 @@
 use cactuswheel_work::WorkerId;
 
 use crate::crash::Crash;
+use crate::progress::Progress;
 
 /// State of a run, as far as the owner knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,10 +45,7 @@
     pub(crate) crash: Option<Crash>,
     /// When the run was seen to start; until then, when this owner first knew of it.
     pub(crate) started: Time,
-    /// Progress at the last poll, in percent.
-    pub(crate) percent: u32,
-    /// When the progress last increased.
-    pub(crate) last_progress: Time,
+    pub(crate) progress: Progress,
     /// Tail latency of a serving run, or processor usage, at the last poll.
     pub(crate) gauge: u64,
     /// Pace last ordered, in percent; runs start at full pace. `None` if the outcome of the last
@@ -68,8 +66,7 @@
             listed: false,
             crash: None,
             started: now,
-            percent: 0,
-            last_progress: now,
+            progress: Progress::new(now),
             gauge: 0,
             pace: Some(100),
         }
@@ -77,7 +74,7 @@
 
     /// Whether a long-running run is active: it has started up and does its work.
     pub(crate) fn is_active(&self) -> bool {
-        self.phase == Phase::Running && self.percent >= 100
+        self.phase == Phase::Running && self.progress.percent >= 100
     }
 
     /// Whether this owner planned the run.
--- a/crates/cell/src/demand.rs
+++ b/crates/cell/src/demand.rs
@@ -145,9 +145,9 @@
             return SLOT_MS;
         }
         let start = attempt.started.get();
-        let percent = u64::from(attempt.percent);
+        let percent = u64::from(attempt.progress.percent);
         let run_time = match percent >= MIN_PROGRESS_PERCENT && attempt.phase == Phase::Running {
-            true => attempt.last_progress.get().saturating_sub(start) * 100 / percent,
+            true => attempt.progress.last_increase.get().saturating_sub(start) * 100 / percent,
             false => run_time,
         };
         let elapsed = self.now.saturating_sub(start);
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -115,7 +115,7 @@
             worker: attempt.worker.clone(),
             run: attempt.run,
             phase: format!("{:?}", attempt.phase).to_lowercase(),
-            percent: attempt.percent,
+            percent: attempt.progress.percent,
         });
         Some(JobView {
             queue: job.sub.queue.clone(),
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -47,6 +47,8 @@
     /// Crashes of workers during the task's runs, oldest first; cleared once a run has been
     /// active for long.
     pub(crate) crashes: Vec<Crash>,
+    /// Number of runs that this owner stopped as stalled.
+    pub(crate) stalls: u32,
     /// Worker of the last failed run.
     pub(crate) failed_on: Option<cactuswheel_work::WorkerId>,
 }
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Time;
+use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{Running, TaskId, WorkerId};
 
 use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
-use crate::progress::is_stalled;
+use crate::progress::{Expected, Progress};
 
 /// Time after which a stop order is repeated if the worker still lists the run.
 const STOP_RETRY: Duration = Duration::from_millis(400);
@@ -62,7 +62,11 @@
         let Some(job) = self.jobs.get_mut_untracked(&job_id) else {
             return Some(RunAction::StopUnwanted);
         };
-        let lasting = job.step(row.task).is_some_and(|s| s.lasting);
+        let step = job.step(row.task);
+        let lasting = step.is_some_and(|s| s.lasting);
+        let estimate = step.map(|s| s.estimate).unwrap_or_default();
+        let learned = self.queue_stats.get(&job.sub.queue);
+        let run_time = learned.map_or(0, |l| l.run_time(estimate));
         let Some(task) = job.task_mut(row.task) else {
             return Some(RunAction::StopUnwanted);
         };
@@ -80,9 +84,14 @@
             attempt.phase_since = now;
             return Some(RunAction::RepeatStop);
         }
+        let expected = Expected {
+            lasting,
+            run_time: estimate.max(Millis::new(run_time)),
+            stalls: task.stalls,
+        };
         let stalled = self.policy.progress
             && attempt.phase == Phase::Running
-            && is_stalled(attempt, lasting, now);
+            && attempt.progress.is_stalled(expected, now);
         stalled.then_some(RunAction::Relocate)
     }
 
@@ -90,11 +99,15 @@
     fn relocate_stalled(&mut self, id: &WorkerId, task: TaskId, run: u32) {
         let now = self.now;
         log::warn!(task:% = task, run = run, worker:% = id; "run stalled; restarting it on another worker");
+        let mut repeated = false;
         let job = self.jobs.get_mut(&task.job());
         if let Some(state) = job.and_then(|j| j.task_mut(task)) {
             state.failed_on = Some(id.clone());
+            state.stalls += 1;
+            repeated = state.stalls > 1;
         }
-        if let Some(worker) = self.workers.get_mut(id) {
+        // Runs of a task that stall on one worker after the other say nothing about the workers.
+        if !repeated && let Some(worker) = self.workers.get_mut(id) {
             worker.health.pause(now);
         }
         self.stop(task, run, id);
@@ -112,11 +125,8 @@
     ) {
         attempt.enter(Phase::Running, now);
         attempt.started = now;
-        attempt.last_progress = now;
-    }
-    if row.percent > attempt.percent || row.percent >= 100 {
-        attempt.last_progress = now;
+        attempt.progress = Progress::new(now);
     }
-    attempt.percent = row.percent;
+    attempt.progress.record(row.percent, now);
     attempt.gauge = row.gauge;
 }
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -9,6 +9,7 @@
 use crate::batch::PlannedStart;
 use crate::cell::Cell;
 use crate::output::Output;
+use crate::progress::Progress;
 use crate::worker::PollState;
 
 /// How long a worker that refused a task for lack of room gets no new tasks.
@@ -94,7 +95,7 @@
                 if phase == Phase::Ordered {
                     attempt.enter(Phase::Running, now);
                     attempt.started = now;
-                    attempt.last_progress = now;
+                    attempt.progress = Progress::new(now);
                     self.poll_after_start(id, task);
                 }
                 let job = self.jobs.get(&task.job());
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -74,6 +74,8 @@
     pub max_batch: usize,
     /// Start orders that were sent, with the time of each.
     pub sent_starts: Vec<(Time, TaskId)>,
+    /// Checkpoints that start orders carried: task, run and value.
+    pub sent_checkpoints: Vec<(TaskId, u32, String)>,
     /// Duration of an append while `store_slow` is set.
     pub append_delay: Duration,
     /// Submissions in the intake.
@@ -136,6 +138,7 @@
             lease: bounds().lease,
             max_batch: bounds().max_batch,
             sent_starts: Vec::new(),
+            sent_checkpoints: Vec::new(),
             append_delay: Duration::from_secs(2),
             intake: Vec::new(),
             cancels: Vec::new(),
@@ -217,6 +220,17 @@
         });
     }
 
+    /// Switches every owner, and those to come, to a newer configuration.
+    pub fn configure(&mut self, change: impl FnOnce(&mut FleetConfig)) {
+        let mut config = (*self.config).clone();
+        config.version += 1;
+        change(&mut config);
+        self.config = Arc::new(config);
+        for owner in &mut self.owners {
+            owner.cell.configure(self.now, self.config.clone());
+        }
+    }
+
     /// Removes all owners except the newest.
     pub fn remove_old_owners(&mut self) {
         let newest = self.owners.pop();
@@ -419,6 +433,8 @@
                 let now = self.now;
                 let (task, run) = (order.task, order.run);
                 self.sent_starts.push((now, task));
+                self.sent_checkpoints
+                    .push((task, run, order.checkpoint.clone()));
                 let fake = self.workers.get_mut(&worker);
                 let answer = fake.map(|w| w.start(&order, delivery, now));
                 let outcome = match (delivery, answer) {
