--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -30,9 +30,11 @@
         let open = job.is_open();
         if let Some(state) = job.task_mut(task) {
             state.started = true;
-            if step.resumable && !end.checkpoint.is_empty() {
-                state.checkpoint.clone_from(&end.checkpoint);
-            }
+        }
+        if step.resumable
+            && let Some(run) = job.step_run_mut(task)
+        {
+            run.record_checkpoint(task.index, &end.checkpoint);
         }
         let how = end.how;
         if open
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -22,6 +22,8 @@
     pub(crate) done: u32,
     /// Numbers of the gang's failed runs; empty unless the step is a gang.
     pub(crate) failed_runs: Vec<u32>,
+    /// Index of the task whose checkpoint is the newest that this owner saw.
+    pub(crate) newest_checkpoint: Option<u32>,
     /// Longest run time among the tasks that this owner saw complete.
     pub(crate) longest: Duration,
 }
@@ -75,10 +77,38 @@
             tasks: vec![Task::default(); step.count as usize],
             done: 0,
             failed_runs: Vec::new(),
+            newest_checkpoint: None,
             longest: Duration::ZERO,
         }
     }
 
+    /// Records the checkpoint that a run of a task has produced.
+    pub(crate) fn record_checkpoint(&mut self, index: u32, value: &str) {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return;
+        };
+        if !value.is_empty() && task.checkpoint != value {
+            value.clone_into(&mut task.checkpoint);
+            self.newest_checkpoint = Some(index);
+        }
+    }
+
+    /// Gives all tasks of a gang the newest checkpoint of any of them.
+    ///
+    /// Workers list the checkpoints of a gang's members one after the other. If each member resumed
+    /// from the last one of its own, the members would resume from different points.
+    pub(crate) fn share_checkpoint(&mut self) {
+        let newest = self.newest_checkpoint.map(|i| &self.tasks[i as usize]);
+        let mut all = newest.into_iter().chain(&self.tasks);
+        let Some(task) = all.find(|t| !t.checkpoint.is_empty()) else {
+            return;
+        };
+        let value = task.checkpoint.clone();
+        for task in &mut self.tasks {
+            task.checkpoint.clone_from(&value);
+        }
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -67,18 +67,19 @@
         let estimate = step.map(|s| s.estimate).unwrap_or_default();
         let learned = self.queue_stats.get(&job.sub.queue);
         let run_time = learned.map_or(0, |l| l.run_time(estimate));
-        let Some(task) = job.task_mut(row.task) else {
+        let Some(step) = job.step_run_mut(row.task) else {
             return Some(RunAction::StopUnwanted);
         };
-        let mut attempts = task.attempts.iter_mut();
-        let attempt = attempts.find(|c| c.worker == *id && c.run == row.run);
-        let Some(attempt) = attempt else {
+        let index = row.task.index;
+        let is_row = |c: &Attempt| c.worker == *id && c.run == row.run;
+        let task = step.tasks.get(index as usize);
+        if !task.is_some_and(|t| t.attempts.iter().any(is_row)) {
             return Some(RunAction::StopUnwanted);
-        };
-        task.started = true;
-        if !row.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&row.checkpoint);
         }
+        step.record_checkpoint(index, &row.checkpoint);
+        let task = step.tasks.get_mut(index as usize)?;
+        task.started = true;
+        let attempt = task.attempts.iter_mut().find(|c| is_row(c))?;
         record_row(attempt, row, now);
         if attempt.phase == Phase::Stopping && now.since(attempt.phase_since) >= STOP_RETRY {
             attempt.phase_since = now;
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -151,6 +151,12 @@
             }
             return;
         }
+        if step.gang
+            && let Some(job) = self.jobs.get_mut(&id)
+        {
+            // The tasks' records in the journal hold the value before any member starts.
+            job.turns[turn].steps[number].share_checkpoint();
+        }
         for choice in choices {
             self.plan(choice, step);
         }
