--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -1,7 +1,7 @@
 //! Permissions (tickets) from the policy service, which restrict the workers of a step.
 
-use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Advice, ServiceName, StepId, WorkerId};
+use cactuswheel_model::{Map, Set, Time};
+use cactuswheel_work::{Advice, ServiceName, Step, StepId, WorkerId};
 
 use crate::cell::Cell;
 use crate::free_index::Scope;
@@ -25,6 +25,18 @@
     Pending,
 }
 
+/// The workers that come into question for a step, by what the policy service has answered so far.
+pub(crate) enum Candidates<'a> {
+    /// Every worker; the queue has no policy service.
+    All,
+    /// Only the workers with a valid ticket.
+    Only(Vec<WorkerId>),
+    /// Every worker but those for which the policy service denied a ticket.
+    Except(&'a Set<WorkerId>),
+    /// Not known: the policy service has not been asked, or has not answered yet.
+    Unknown,
+}
+
 /// Permission to run a step on one worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Ticket {
@@ -41,7 +53,7 @@
     granted: Map<WorkerId, Ticket>,
     /// Workers for which the policy service denied a ticket. Its decisions for a step do not
     /// change.
-    denied: Vec<WorkerId>,
+    denied: Set<WorkerId>,
     /// Workers in the request that is in flight; empty if there is none.
     pending: Vec<WorkerId>,
 }
@@ -49,39 +61,71 @@
 impl Cell {
     /// Returns the workers that may run a step. Without a valid ticket, the policy service is
     /// asked, unless a request is in flight.
-    pub(crate) fn permitted(&mut self, step: StepId, service: &ServiceName) -> Permitted {
-        let Some(_) = self.advice_of(step) else {
+    pub(crate) fn permitted(
+        &mut self,
+        id: StepId,
+        step: &Step,
+        service: &ServiceName,
+    ) -> Permitted {
+        let Some(_) = self.advice_of(id) else {
             return Permitted::Any;
         };
-        let now = self.now;
-        let workers = &self.workers;
-        let tickets = self.tickets.entry(step).or_default();
-        let valid = tickets.granted.iter().filter(|(id, t)| {
-            let alive = workers.get(id).is_some_and(|w| w.born == t.born);
-            alive && t.expiry > now
-        });
-        let valid: Vec<WorkerId> = valid.map(|(id, _)| id.clone()).collect();
+        let valid = self.valid_tickets(id);
         if !valid.is_empty() {
             return Permitted::Only(valid);
         }
+        let now = self.now;
+        let workers = &self.workers;
+        let tickets = self.tickets.entry(id).or_default();
         if tickets.pending.is_empty() {
             let free_index = workers.free_index(service).into_iter();
             let roomy = free_index.flat_map(|r| r.emptiest(Scope::All, 0));
             let open = roomy.filter_map(|n| workers.by_number(n));
-            let open = open.filter(|w| w.is_schedulable(now) && !tickets.denied.contains(&w.id));
+            // A ticket for a worker that cannot run the step would be the only one until it expires.
+            let open = open.filter(|w| w.is_schedulable(now) && w.suits(step));
+            let open = open.filter(|w| !tickets.denied.contains(&w.id));
             tickets.pending = open.take(MAX_NAMED).map(|w| w.id.clone()).collect();
             if !tickets.pending.is_empty() {
                 let workers = tickets.pending.clone();
-                self.outputs.push(Output::RequestAdvice { step, workers });
+                self.outputs
+                    .push(Output::RequestAdvice { step: id, workers });
             }
         }
         Permitted::Pending
     }
 
+    /// The workers that come into question for a step, by the answers so far.
+    pub(crate) fn candidates(&self, step: StepId) -> Candidates<'_> {
+        if self.advice_of(step).is_none() {
+            return Candidates::All;
+        }
+        let Some(tickets) = self.tickets.get(&step) else {
+            return Candidates::Unknown;
+        };
+        let valid = self.valid_tickets(step);
+        match (valid.is_empty(), tickets.pending.is_empty()) {
+            (false, _) => Candidates::Only(valid),
+            (true, false) => Candidates::Unknown,
+            (true, true) => Candidates::Except(&tickets.denied),
+        }
+    }
+
+    /// Workers for which a step has a valid ticket.
+    fn valid_tickets(&self, step: StepId) -> Vec<WorkerId> {
+        let granted = self.tickets.get(&step).into_iter().flat_map(|t| &t.granted);
+        let valid = granted.filter(|(id, t)| {
+            let alive = self.workers.get(id).is_some_and(|w| w.born == t.born);
+            alive && t.expiry > self.now
+        });
+        valid.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Handles the answer of the policy service; `None` if it did not answer.
     pub fn advised(&mut self, now: Time, step: StepId, granted: Option<Vec<(WorkerId, String)>>) {
         self.now = now;
         self.reschedule = true;
+        // The answer may let the job leave the queue, or return to it.
+        self.jobs.get_mut(&step.job);
         let valid = self.advice_of(step).map(|a| a.valid.duration());
         let Some(tickets) = self.tickets.get_mut(&step) else {
             return;
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -54,7 +54,7 @@
             return;
         }
         log::info!(
-            waiting = waiting as u64, planned = self.planned.len() as u64,
+            waiting = waiting as u64, blocked = self.wait_queue.blocked_len() as u64, planned = self.planned.len() as u64,
             late = self.deferred.len() as u64, unwritten = self.dirty.len() as u64,
             batches = last.batches, starts = last.starts, bytes = last.bytes as u64,
             link_ms = delay.link.as_millis() as u64, room_ms = delay.room.as_millis() as u64,
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::policy::WorkPolicy;
 use crate::run_state::Turn;
 use crate::shares::Shares;
+use crate::sweep::Sweeps;
 use crate::tallies::Tallies;
 use crate::usage::Usage;
 use crate::wait_queue::WaitQueue;
@@ -65,6 +66,8 @@
     pub(crate) open: Set<JobId>,
     /// Jobs with at least one task that waits for a worker.
     pub(crate) wait_queue: WaitQueue,
+    /// Where the next scheduling cycles go on in queues that the last ones did not complete.
+    pub(crate) sweeps: Sweeps,
     /// When the next occurrence of each recurring job is due, in milliseconds since 1970.
     pub(crate) due_turns: BTreeSet<(u64, JobId)>,
     /// Jobs whose final record is in the journal; only this record is kept.
@@ -144,6 +147,7 @@
             jobs: Jobs::default(),
             open: Set::default(),
             wait_queue: WaitQueue::default(),
+            sweeps: Sweeps::default(),
             due_turns: BTreeSet::new(),
             finished: Map::default(),
             finished_order: VecDeque::new(),
@@ -290,7 +294,13 @@
     pub(crate) fn update_indexes(&mut self) {
         self.workers.update_indexes();
         let due = self.wait_queue.stale(self.now);
-        for id in self.jobs.take_touched().into_iter().chain(due) {
+        let added = self.workers.roster_mut().take_added();
+        let added = added.iter();
+        let unblocked: Set<JobId> = added
+            .flat_map(|(service, shape)| self.wait_queue.blocked_on(service, shape))
+            .collect();
+        let touched = self.jobs.take_touched().into_iter();
+        for id in touched.chain(due).chain(unblocked) {
             let queued = self.jobs.get(&id).and_then(|job| self.queue_entry(job));
             self.wait_queue.update(id, queued);
         }
@@ -309,6 +319,8 @@
             if self.reschedule {
                 self.reschedule = false;
                 self.schedule();
+            } else if self.sweeps.next().is_some_and(|due| due <= now) {
+                self.continue_sweeps();
             }
             self.write_batch();
         }
@@ -323,7 +335,8 @@
     pub fn next_wake(&self) -> Time {
         let soon = self.now.after(Duration::from_millis(100));
         let poll = self.workers.next_poll();
-        poll.map_or(soon, |at| at.min(soon))
+        let events = [poll, self.sweeps.next()].into_iter().flatten();
+        events.fold(soon, |earliest, at| earliest.min(at))
     }
 
     pub(crate) fn worker_mut(&mut self, id: &WorkerId) -> &mut Worker {
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -16,13 +16,22 @@
 use crate::place::{Affinity, Constraints, Placement, pick_worker};
 use crate::rank::{Rank, rank};
 use crate::run_state::StepRun;
+use crate::shape::Shape;
+use crate::sweep::Position;
 use crate::wait_queue::QueuedJob;
 use crate::worker::Allocation;
 
-/// Number of tasks without a worker after which a cycle skips the rest of a service's queue: the
+/// Number of tasks without a worker after which a cycle leaves the front of a service's queue: the
 /// jobs further back seldom fit either.
 const MAX_MISSES: usize = 24;
 
+/// Number of steps that a cycle examines at the front of a service's queue without starting a task,
+/// misses or not. Bounds the cost of a cycle.
+const MAX_FRONT: usize = 512;
+
+/// Number of steps that a cycle examines behind the front without starting a task.
+const MAX_SWEPT: usize = 128;
+
 /// Longest time for which a rank is cached: new statistics on run times change it.
 const RANK_TTL: Duration = Duration::from_millis(500);
 
@@ -39,20 +48,46 @@
 #[derive(Default)]
 struct Misses {
     count: usize,
+    /// Number of steps that were examined without starting a task.
+    idle_steps: usize,
     /// Amounts of room that no worker of the service has free.
     too_large: Vec<Room>,
+    /// Labels and amounts of room that no worker of the service has free.
+    labelled: Vec<Shape>,
 }
 
 impl Misses {
-    /// Counts a task without a worker; `room` is given if no worker has that much room free.
-    fn add(&mut self, room: Option<Room>) {
+    /// Counts a task without a worker.
+    fn add(&mut self) {
+        self.count += 1;
+    }
+
+    /// Counts a task of the step without a worker, for lack of free room on all workers with the
+    /// step's label.
+    fn add_shape(&mut self, step: &Step) {
         self.count += 1;
-        self.too_large.extend(room);
+        match step.label {
+            None => self.too_large.push(step.reserved()),
+            Some(_) => self.labelled.push(Shape::of(step)),
+        }
     }
 
-    /// Whether a task that requests this much room cannot be placed, going by the earlier misses.
-    fn covers(&self, room: Room) -> bool {
+    /// Whether a task of the step cannot be placed, going by the earlier misses.
+    fn covers(&self, step: &Step) -> bool {
+        let room = step.reserved();
+        let labelled = |s: &Shape| s.label == step.label && s.room.fits(room);
         self.too_large.iter().any(|missed| missed.fits(room))
+            || (step.label.is_some() && self.labelled.iter().any(labelled))
+    }
+
+    /// Whether the cycle has to leave the front of the queue.
+    fn ends_front(&self) -> bool {
+        self.count >= MAX_MISSES || self.idle_steps >= MAX_FRONT
+    }
+
+    /// Whether the cycle has to stop behind the front.
+    fn ends_sweep(&self) -> bool {
+        self.idle_steps >= MAX_SWEPT
     }
 }
 
@@ -60,24 +95,68 @@
     /// Assigns pending tasks to workers, jobs with the best rank first.
     pub(crate) fn schedule(&mut self) {
         self.update_indexes();
+        let swept = self.sweeps.is_due(self.now);
         for service in self.wait_queue.services() {
             if self.workers.free_index(&service).is_some() {
-                self.schedule_service(&service);
+                self.schedule_service(&service, swept);
             }
         }
+        if swept {
+            self.sweeps.record(self.now);
+        }
+    }
+
+    /// Goes on through the queues that earlier cycles did not complete.
+    pub(crate) fn continue_sweeps(&mut self) {
+        self.update_indexes();
+        for service in self.sweeps.services() {
+            self.sweep(&service, &mut Misses::default());
+        }
+        self.sweeps.record(self.now);
     }
 
-    /// Assigns the pending tasks of one service to its workers.
-    fn schedule_service(&mut self, service: &ServiceName) {
+    /// Assigns the pending tasks of one service to its workers: those at the front of its queue, and
+    /// if `swept` is set a part of those behind.
+    fn schedule_service(&mut self, service: &ServiceName, swept: bool) {
         let mut misses = Misses::default();
-        let mut last = None;
+        match self.place_jobs(service, None, &mut misses, Misses::ends_front) {
+            None => self.sweeps.remove(service),
+            Some(front) => {
+                self.sweeps.begin(service, front);
+                if swept {
+                    self.sweep(service, &mut misses);
+                }
+            }
+        }
+    }
+
+    /// Examines the next part of a service's queue behind the front.
+    fn sweep(&mut self, service: &ServiceName, misses: &mut Misses) {
+        let Some(sweep) = self.sweeps.get(service) else {
+            return;
+        };
+        misses.idle_steps = 0;
+        let stopped = self.place_jobs(service, Some(sweep.last), misses, Misses::ends_sweep);
+        self.sweeps.advance(service, stopped);
+    }
+
+    /// Assigns the tasks of the jobs behind `last` until `ends` tells to stop; returns the job that
+    /// was examined last, or `None` at the end of the queue.
+    fn place_jobs(
+        &mut self,
+        service: &ServiceName,
+        mut last: Option<Position>,
+        misses: &mut Misses,
+        ends: impl Fn(&Misses) -> bool,
+    ) -> Option<Position> {
         while let Some(next) = self.wait_queue.next(service, last) {
             last = Some(next);
-            self.place_job(next.1, service, &mut misses);
-            if misses.count >= MAX_MISSES {
-                return;
+            self.place_job(next.1, service, misses);
+            if ends(misses) {
+                return last;
             }
         }
+        None
     }
 
     /// The current rank of a job, and the time until which that rank is valid.
@@ -99,12 +178,14 @@
         }
         let (rank, until) = self.rank(job);
         let (tasks, work) = free_work(job, self.admission.largest_worker);
+        let blocked = self.blocked_shapes(job);
         Some(QueuedJob {
             service: self.service_of(job),
             rank,
             valid_until: until.min(self.now.after(RANK_TTL)),
             work,
             tasks,
+            blocked,
         })
     }
 
@@ -138,7 +219,8 @@
         let Some(pending) = self.pending_step(id, turn, number, step) else {
             return;
         };
-        let allowed = match self.permitted(pending.id, service) {
+        misses.idle_steps += 1;
+        let allowed = match self.permitted(pending.id, step, service) {
             Permitted::Any => None,
             Permitted::Only(workers) => Some(workers),
             Permitted::Pending => return,
@@ -151,6 +233,9 @@
             }
             return;
         }
+        if !choices.is_empty() {
+            misses.idle_steps -= 1;
+        }
         for choice in choices {
             self.plan(choice, step);
         }
@@ -194,9 +279,9 @@
         };
         let run = &job.turns[pending.turn].steps[pending.id.step as usize];
         let mut chosen = self.new_choices(job, run, step);
-        // Without worker constraints, room that no worker has for one task is missing for the other
+        // Without further constraints, room that no worker has for one task is missing for the other
         // tasks of the step too.
-        let unconstrained = allowed.is_none() && step.label.is_none() && step.spread == 0;
+        let unconstrained = allowed.is_none() && step.spread == 0;
         for &index in &pending.free {
             if !chosen.cap.admits(chosen.used, step.room) {
                 // The team's quota is used up. This is not counted as a miss, because tasks of
@@ -205,8 +290,10 @@
             }
             // A gang is not isolated as a suspect, because it starts on several workers at once.
             let suspect = run.tasks[index].is_suspect() && !step.gang;
-            if !suspect && unconstrained && misses.covers(step.reserved()) {
-                misses.add(None);
+            if !suspect && misses.covers(step) {
+                if !self.is_blocked(pending.id, run, step, service) {
+                    misses.add();
+                }
                 break;
             }
             let constraints = Constraints {
@@ -229,7 +316,13 @@
                     continue;
                 }
                 Placement::NoFit => {
-                    misses.add(unconstrained.then(|| step.reserved()));
+                    // A step that no registered worker can run says nothing about the room for
+                    // other tasks.
+                    match self.is_blocked(pending.id, run, step, service) {
+                        true => {}
+                        false if unconstrained => misses.add_shape(step),
+                        false => misses.add(),
+                    }
                     break;
                 }
             };
@@ -369,7 +462,7 @@
     })
 }
 
-fn free_tasks(run: &StepRun, step: &Step) -> Vec<usize> {
+pub(crate) fn free_tasks(run: &StepRun, step: &Step) -> Vec<usize> {
     let free = run.tasks.iter().enumerate().filter(|(_, t)| t.is_pending());
     let free: Vec<usize> = free.map(|(i, _)| i).collect();
     match step.gang && free.len() < run.tasks.len() {
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -4,9 +4,10 @@
 use std::ops::Bound;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{JobId, ServiceName};
+use cactuswheel_work::{JobId, Room, ServiceName};
 
 use crate::rank::Rank;
+use crate::shape::Shape;
 
 /// Entry of a job in the queue of its service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,28 +20,46 @@
     pub(crate) work: u64,
     /// Number of the job's waiting tasks.
     pub(crate) tasks: u64,
+    /// What the job's waiting steps require, if no registered worker can run any of them; else
+    /// empty.
+    pub(crate) blocked: Vec<Shape>,
 }
 
 impl QueuedJob {
+    fn is_blocked(&self) -> bool {
+        !self.blocked.is_empty()
+    }
+
     fn useful_work(&self) -> u64 {
-        match self.rank.is_useful() {
+        match self.rank.is_useful() && !self.is_blocked() {
             true => self.work,
             false => 0,
         }
     }
 
     fn timely_tasks(&self) -> u64 {
-        match self.rank.is_timely() {
+        match self.rank.is_timely() && !self.is_blocked() {
             true => self.tasks,
             false => 0,
         }
     }
 }
 
+/// Jobs by what one of their steps requires.
+type JobsByShape = Map<Option<String>, Map<Room, BTreeSet<JobId>>>;
+
 /// Jobs with at least one task that is not done and has no attempt, by service, best rank first.
+///
+/// Jobs that no registered worker can run wait apart, until a worker with what they require is
+/// registered or the job, its permissions or the configuration change.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     queues: Map<ServiceName, BTreeSet<(Rank, JobId)>>,
+    /// Jobs that no registered worker can run.
+    ///
+    /// Invariant: none of them is in `queues`.
+    blocked: Map<ServiceName, JobsByShape>,
+    blocked_count: usize,
     queued: Map<JobId, QueuedJob>,
     /// Jobs by the time at which their rank expires.
     expiries: BTreeSet<(Time, JobId)>,
@@ -64,6 +83,7 @@
                 *useful -= previous.useful_work();
             }
             self.timely -= previous.timely_tasks();
+            self.unblock(id, &previous);
             if let Some(queue) = self.queues.get_mut(&previous.service) {
                 queue.remove(&(previous.rank, id));
             }
@@ -72,12 +92,70 @@
             self.expiries.insert((current.valid_until, id));
             *self.useful.entry(current.service.clone()).or_default() += current.useful_work();
             self.timely += current.timely_tasks();
-            let queue = self.queues.entry(current.service.clone()).or_default();
-            queue.insert((current.rank, id));
+            if current.is_blocked() {
+                self.block(id, &current);
+            } else {
+                let queue = self.queues.entry(current.service.clone()).or_default();
+                queue.insert((current.rank, id));
+            }
             self.queued.insert(id, current);
         }
     }
 
+    fn block(&mut self, id: JobId, job: &QueuedJob) {
+        self.blocked_count += 1;
+        let shapes = self.blocked.entry(job.service.clone()).or_default();
+        for shape in &job.blocked {
+            let rooms = shapes.entry(shape.label.clone()).or_default();
+            rooms.entry(shape.room).or_default().insert(id);
+        }
+    }
+
+    fn unblock(&mut self, id: JobId, job: &QueuedJob) {
+        if !job.is_blocked() {
+            return;
+        }
+        self.blocked_count -= 1;
+        let Some(shapes) = self.blocked.get_mut(&job.service) else {
+            return;
+        };
+        for shape in &job.blocked {
+            let Some(rooms) = shapes.get_mut(&shape.label) else {
+                continue;
+            };
+            if let Some(jobs) = rooms.get_mut(&shape.room) {
+                jobs.remove(&id);
+                if jobs.is_empty() {
+                    rooms.remove(&shape.room);
+                }
+            }
+            if rooms.is_empty() {
+                shapes.remove(&shape.label);
+            }
+        }
+    }
+
+    /// Blocked jobs with a step for which a worker that offers `shape` has the label and the size.
+    pub(crate) fn blocked_on(
+        &self,
+        service: &ServiceName,
+        shape: &Shape,
+    ) -> impl Iterator<Item = JobId> {
+        let rooms = self
+            .blocked
+            .get(service)
+            .and_then(|s| s.get(&shape.label))
+            .into_iter()
+            .flatten();
+        let fitting = rooms.filter(|(room, _)| room.fits(shape.room));
+        fitting.flat_map(|(_, jobs)| jobs.iter().copied())
+    }
+
+    /// Number of jobs that no registered worker can run.
+    pub(crate) fn blocked_len(&self) -> usize {
+        self.blocked_count
+    }
+
     /// Waiting work of the jobs that can be done while they are still useful, in thousandths of a
     /// core times milliseconds.
     pub(crate) fn useful_work(&self) -> u64 {
@@ -94,7 +172,7 @@
         self.timely
     }
 
-    /// Number of jobs in all queues.
+    /// Number of waiting jobs, blocked ones included.
     pub(crate) fn len(&self) -> usize {
         self.queued.len()
     }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Set, Time};
-use cactuswheel_work::{ServiceName, TaskId, WorkerId};
+use cactuswheel_work::{ServiceName, TaskId, WorkerEntry, WorkerId};
 
 use crate::free_index::{FreeIndex, Place};
+use crate::roster::{Roster, accepting, offers_same};
 use crate::worker::{Allocation, PollState, Worker};
 
 /// Delay before polling a worker whose end records are not all in the journal yet.
@@ -21,6 +22,8 @@
     /// The worker may have changed since its entries were computed.
     touched: bool,
     place: Option<(ServiceName, Place)>,
+    /// The entry in the roster.
+    listed: Option<WorkerEntry>,
     poll: Option<Time>,
     silent: bool,
     evacuating: bool,
@@ -40,6 +43,7 @@
     numbered: Vec<WorkerId>,
     touched: Vec<WorkerId>,
     free_index: Map<ServiceName, FreeIndex>,
+    roster: Roster,
     /// When each worker is to be polled next, or its poll in flight counts as lost.
     polls: BTreeSet<(Time, u32)>,
     /// Workers that missed a poll or are no longer registered.
@@ -88,6 +92,8 @@
         {
             free_index.remove(worker.number, &place);
         }
+        self.roster
+            .update(worker.number, indexed.listed.as_ref(), None);
         if let Some(at) = indexed.poll {
             self.polls.remove(&(at, worker.number));
         }
@@ -119,6 +125,15 @@
         self.free_index.get(service).filter(|r| !r.is_empty())
     }
 
+    /// Index of the registered workers by what they offer.
+    pub(crate) fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    pub(crate) fn roster_mut(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+
     /// Allocates room for a run; the next choice of a worker takes it into account.
     pub(crate) fn allocate(&mut self, id: &WorkerId, task: TaskId, allocation: Allocation) {
         if let Some(worker) = self.all.get_mut(id) {
@@ -216,6 +231,13 @@
                     .insert(number, &place);
             }
         }
+        let entry = accepting(worker.entry.as_ref());
+        if !offers_same(worker.indexed.listed.as_ref(), entry) {
+            let entry = entry.cloned();
+            let before = std::mem::replace(&mut worker.indexed.listed, entry);
+            let after = worker.indexed.listed.as_ref();
+            self.roster.update(number, before.as_ref(), after);
+        }
         let poll = worker.next_poll();
         if poll != worker.indexed.poll {
             if let Some(at) = std::mem::replace(&mut worker.indexed.poll, poll) {
--- a/crates/work/src/room.rs
+++ b/crates/work/src/room.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Amounts of resources, such as the request of a task or the capacity of a worker.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Room {
     /// Processor, in thousandths of a core.
     pub cpu: u64,
