--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -23,6 +23,7 @@
 use crate::learned::QueueStats;
 use crate::output::Output;
 use crate::policy::WorkPolicy;
+use crate::preempt::Preemptors;
 use crate::run_state::Turn;
 use crate::shares::Shares;
 use crate::tallies::Tallies;
@@ -89,6 +90,8 @@
     pub(crate) evacuated: Arc<Set<ZoneName>>,
     /// When evacuating workers were last checked for long-running tasks to stop.
     pub(crate) last_evacuation: Time,
+    /// State of preemption, by service.
+    pub(crate) preemptors: Preemptors,
     pub(crate) usage: Usage,
     pub(crate) shares: Shares,
     pub(crate) tickets: Map<StepId, Tickets>,
@@ -154,6 +157,7 @@
             maintenance_due: Set::default(),
             evacuated: Arc::default(),
             last_evacuation: Time::default(),
+            preemptors: Preemptors::default(),
             usage: Usage::default(),
             shares: Shares::default(),
             tickets: Map::default(),
@@ -303,6 +307,7 @@
         self.begin_due_turns(wall);
         self.expire_silent_workers();
         self.reschedule |= self.workers.expire_reservations(now);
+        self.reschedule |= self.release_holds();
         self.evacuate();
         self.prune_finished();
         if self.in_flight.is_none() {
--- a/crates/cell/src/demand.rs
+++ b/crates/cell/src/demand.rs
@@ -141,17 +141,23 @@
     /// Returns the expected remaining time of a run, in milliseconds. `run_time` is the estimated
     /// total run time of the task.
     fn remaining(&self, attempt: &Attempt, run_time: u64) -> u64 {
-        if attempt.phase == Phase::Stopping {
-            return SLOT_MS;
-        }
-        let start = attempt.started.get();
-        let percent = u64::from(attempt.percent);
-        let run_time = match percent >= MIN_PROGRESS_PERCENT && attempt.phase == Phase::Running {
-            true => attempt.last_progress.get().saturating_sub(start) * 100 / percent,
-            false => run_time,
-        };
-        let elapsed = self.now.saturating_sub(start);
-        // An overdue run is expected to need at least another eighth of its run time.
-        run_time.saturating_sub(elapsed).max(run_time / 8)
+        remaining(attempt, run_time, self.now)
+    }
+}
+
+/// Returns the expected remaining time of a run, in milliseconds; `run_time` is the estimated total
+/// run time of the task, and `now` the current time in milliseconds.
+pub(crate) fn remaining(attempt: &Attempt, run_time: u64, now: u64) -> u64 {
+    if attempt.phase == Phase::Stopping {
+        return SLOT_MS;
     }
+    let start = attempt.started.get();
+    let percent = u64::from(attempt.percent);
+    let run_time = match percent >= MIN_PROGRESS_PERCENT && attempt.phase == Phase::Running {
+        true => attempt.last_progress.get().saturating_sub(start) * 100 / percent,
+        false => run_time,
+    };
+    let elapsed = now.saturating_sub(start);
+    // An overdue run is expected to need at least another eighth of its run time.
+    run_time.saturating_sub(elapsed).max(run_time / 8)
 }
--- a/crates/cell/src/forecast.rs
+++ b/crates/cell/src/forecast.rs
@@ -50,7 +50,7 @@
 }
 
 /// Returns `share / whole` of a room.
-fn fraction(room: Room, share: u64, whole: u64) -> Room {
+pub(crate) fn fraction(room: Room, share: u64, whole: u64) -> Room {
     let fraction = |amount: u64| amount.saturating_mul(share) / whole;
     Room {
         cpu: fraction(room.cpu),
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -290,6 +290,7 @@
                 .filter_map(|(at, run)| places.attempt(at, run))
                 .collect(),
             failed_on: None,
+            preempted: 0,
         }
     }
 }
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -7,7 +7,7 @@
 //! users.
 
 use cactuswheel_model::{Map, Set, Time};
-use cactuswheel_work::{ServiceName, Step, WorkerEntry, WorkerId, ZoneName};
+use cactuswheel_work::{Room, ServiceName, Step, StepId, WorkerEntry, WorkerId, ZoneName};
 
 use crate::free_index::{FreeIndex, Scope};
 use crate::worker::Worker;
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Constraints<'a> {
     pub(crate) step: &'a Step,
+    pub(crate) id: StepId,
     /// Number of tasks of the step on each worker.
     pub(crate) per_worker: &'a Map<WorkerId, u32>,
     /// Whether the task is suspected of crashing its worker.
@@ -159,7 +160,7 @@
             .unwrap_or_default();
         step.spread == 0 || per_worker < step.spread
     };
-    step.reserved().fits(w.free())
+    step.reserved().fits(available(w, constraints, now))
         && w.is_schedulable(now)
         && (constraints.suspect || !w.is_reserved(now))
         && (!w.health.is_recovering() || w.allocations.is_empty())
@@ -168,6 +169,15 @@
         && constraints.allowed.is_none_or(|a| a.contains(&w.id))
 }
 
+/// Room of a worker for the step. A hold keeps long-running tasks off no room: every second without
+/// them is missing to their users.
+fn available(w: &Worker, constraints: &Constraints<'_>, now: Time) -> Room {
+    match constraints.step.lasting {
+        true => w.free(),
+        false => w.free_for(constraints.id, now),
+    }
+}
+
 /// Whether the worker is not in the rack on which the task's step runs or its data is stored.
 pub(crate) fn is_far(w: &Worker, constraints: &Constraints<'_>) -> bool {
     let near = constraints.rack.or(constraints.step.near.as_deref());
--- a/crates/cell/src/policy.rs
+++ b/crates/cell/src/policy.rs
@@ -1,5 +1,6 @@
 //! Feature switches of a cell's scheduling policy.
 
+use cactuswheel_preemption::PreemptPolicy;
 use serde::Deserialize;
 
 /// Feature switches of a cell's scheduling policy. Each can be turned off in the settings, so that
@@ -22,6 +23,8 @@
     pub health: bool,
     /// The caller's run time estimates are corrected by the run times of finished tasks.
     pub learn: bool,
+    /// Runs are stopped for waiting work with a better rank.
+    pub preempt: PreemptPolicy,
 }
 
 impl Default for WorkPolicy {
@@ -34,6 +37,7 @@
             progress: true,
             health: true,
             learn: true,
+            preempt: PreemptPolicy::default(),
         }
     }
 }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -8,6 +8,7 @@
 //! latest start time goes first.
 
 use cactuswheel_model::Time;
+use cactuswheel_preemption::VictimClass;
 use cactuswheel_work::Queue;
 
 use crate::job::Job;
@@ -65,6 +66,29 @@
         !matches!(self.class, Class::Lasting | Class::Overdue)
     }
 
+    /// Latest start that meets the objective, of a job that can meet it and is within its team's
+    /// share.
+    pub(crate) fn latest_start(self) -> Option<Time> {
+        (self.class == Class::Timely).then_some(self.at)
+    }
+
+    /// Why a run of the job gives way to jobs that are timely and within their team's share, if it
+    /// does.
+    pub(crate) fn victim_class(self) -> Option<VictimClass> {
+        match self.class {
+            Class::Lasting => None,
+            Class::Timely => (self.priority > 0).then_some(VictimClass::LowerPriority),
+            Class::Late | Class::LateOverShare => Some(VictimClass::Late),
+            Class::TimelyOverShare => Some(VictimClass::OverShare),
+            Class::Overdue => Some(VictimClass::Overdue),
+        }
+    }
+
+    /// Whether the job runs until it is cancelled.
+    pub(crate) fn is_lasting(self) -> bool {
+        self.class == Class::Lasting
+    }
+
     /// Whether the job can no longer meet its objective.
     pub(crate) fn is_late(self) -> bool {
         matches!(
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -49,6 +49,8 @@
     pub(crate) crashes: Vec<Crash>,
     /// Worker of the last failed run.
     pub(crate) failed_on: Option<cactuswheel_work::WorkerId>,
+    /// Number of runs that this owner stopped for waiting work with a better rank.
+    pub(crate) preempted: u32,
 }
 
 impl Turn {
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -27,12 +27,12 @@
 const RANK_TTL: Duration = Duration::from_millis(500);
 
 /// A step with tasks that wait for a worker.
-struct PendingStep {
-    id: StepId,
+pub(crate) struct PendingStep {
+    pub(crate) id: StepId,
     /// Index of the occurrence in `Job::turns`.
     turn: usize,
     /// Indices of the tasks without an attempt.
-    free: Vec<usize>,
+    pub(crate) free: Vec<usize>,
 }
 
 /// Tasks of one service for which the current cycle found no worker.
@@ -62,7 +62,9 @@
         self.update_indexes();
         for service in self.wait_queue.services() {
             if self.workers.free_index(&service).is_some() {
+                self.schedule_held(&service);
                 self.schedule_service(&service);
+                self.preempt(&service);
             }
         }
     }
@@ -115,6 +117,14 @@
         queue.map_or_else(|| job.sub.service.clone(), |q| q.service.clone())
     }
 
+    /// Places the jobs for which runs were stopped and the room is free now. They go first: no other
+    /// job may use that room, so the misses of others say nothing about theirs.
+    fn schedule_held(&mut self, service: &ServiceName) {
+        for job in self.ready_holds(service) {
+            self.place_job(job, service, &mut Misses::default());
+        }
+    }
+
     /// Assigns as many tasks of a job as possible to workers.
     fn place_job(&mut self, id: JobId, service: &ServiceName, misses: &mut Misses) {
         let Some(job) = self.jobs.get(&id) else {
@@ -158,7 +168,7 @@
 
     /// The tasks of a step that wait for a worker; `None` if there are none, or if an earlier step
     /// has to be done first.
-    fn pending_step(
+    pub(crate) fn pending_step(
         &self,
         id: JobId,
         turn: usize,
@@ -211,6 +221,7 @@
             }
             let constraints = Constraints {
                 step,
+                id: pending.id,
                 per_worker: &chosen.per_worker,
                 suspect,
                 avoid: run.tasks[index].failed_on.as_ref(),
@@ -269,7 +280,7 @@
     }
 
     /// Room used by the runs of a job's team, and the team's quota.
-    fn quota(&self, job: &Job) -> (Room, Cap) {
+    pub(crate) fn quota(&self, job: &Job) -> (Room, Cap) {
         let team = job.sub.team.as_ref();
         let used = team.map(|t| self.usage.of(t)).unwrap_or_default();
         let cap = team.and_then(|t| self.config.teams.get(t));
@@ -329,6 +340,7 @@
             self.begin_trial(&worker, task);
         }
         self.usage.add(sub.team.as_ref(), step.room);
+        self.release_hold(&worker, task.step);
         self.dirty.insert(task.job());
         self.planned.push(PlannedStart { task, run, worker });
     }
--- a/crates/cell/src/tallies.rs
+++ b/crates/cell/src/tallies.rs
@@ -10,4 +10,8 @@
     pub runs_lost: u64,
     /// Jobs failed because one of their tasks crashes its workers.
     pub jobs_given_up: u64,
+    /// Runs stopped for waiting work with a better rank.
+    pub runs_preempted: u64,
+    /// Work thrown away by these stops, in milliseconds of a core.
+    pub preempted_work: u64,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -7,7 +7,7 @@
 
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
-    JobId, Presence, Room, ServiceName, TaskId, WorkerEntry, WorkerId, ZoneName,
+    JobId, Presence, Room, ServiceName, StepId, TaskId, WorkerEntry, WorkerId, ZoneName,
 };
 
 use crate::health::Health;
@@ -72,6 +72,17 @@
     pub(crate) filler: bool,
 }
 
+/// Room on a worker that is held for one task of a step, because runs were stopped for it.
+///
+/// Without it, a waiting job with narrower tasks would take the room as soon as it is free, and the
+/// work thrown away would help nobody.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Hold {
+    pub(crate) step: StepId,
+    pub(crate) room: Room,
+    pub(crate) until: Time,
+}
+
 /// The scheduler's view of one worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -152,6 +163,8 @@
     pub(crate) trial_task: Option<TaskId>,
     /// Gets no new tasks until this time because it refused one for lack of room.
     pub(crate) full_until: Time,
+    /// Room that is held for a waiting step.
+    pub(crate) hold: Option<Hold>,
     pub(crate) indexed: IndexedState,
 }
 
@@ -196,6 +209,7 @@
             reserved_until: Time::default(),
             trial_task: None,
             full_until: Time::default(),
+            hold: None,
             indexed: IndexedState::default(),
         }
     }
@@ -280,6 +294,12 @@
         all - self.used
     }
 
+    /// Room that is not allocated, and not held for another step than `step`.
+    pub(crate) fn free_for(&self, step: StepId, now: Time) -> Room {
+        let held = self.hold.filter(|h| h.step != step && h.until > now);
+        self.free() - held.map(|h| h.room).unwrap_or_default()
+    }
+
     /// Whether the allocations exceed the room in the current registration.
     pub(crate) fn is_overcommitted(&self) -> bool {
         let all = self.entry.as_ref().map(|e| e.room).unwrap_or_default();
@@ -365,6 +385,7 @@
         self.stray_run = false;
         self.reserved_until = Time::default();
         self.trial_task = None;
+        self.hold = None;
         self.health = Health::default();
     }
 
--- /dev/null
+++ b/crates/cell/tests/preemption.rs
@@ -0,0 +1,258 @@
+//! Preemption: runs are stopped so that timely work within its team's share starts in time.
+
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuswheel_cell::PreemptPolicy;
+use cactuswheel_model::Time;
+use cactuswheel_work::{Cap, JobId, JobState, Room, Submission, TeamWeight};
+use world::{World, config, job, steps};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Number of jobs that a team may submit within the share's window.
+const SHARE_LIMIT: u64 = 25;
+
+/// The job that waits.
+const WAITING: u64 = 1_000;
+
+/// Latest start of the waiting job, whose estimate is 700 ms: it may take 1.6 times that and
+/// 600 ms.
+const LATEST: Duration = Duration::from_millis(1_020);
+
+/// Run time of the runs that fill the pool, in milliseconds.
+const LONG_MS: u64 = 8_000;
+
+fn policy() -> PreemptPolicy {
+    PreemptPolicy {
+        enabled: true,
+        lost_percent_per_s: 50,
+        ..PreemptPolicy::default()
+    }
+}
+
+/// A world of five workers, each with room for eight runs, and two teams without quota; the share
+/// of `team` is used up.
+fn world(policy: PreemptPolicy) -> World {
+    let mut world = World::new(1, 5);
+    let mut both = config();
+    let mut other = both.teams.values().next().expect("a team").clone();
+    other.name = "other".into();
+    other.weight = TeamWeight::new(1.0);
+    both.teams.insert(other.name.clone(), other);
+    for team in both.teams.values_mut() {
+        team.cap = Cap(Room::default());
+    }
+    world.config = Arc::new(both);
+    world.policy.preempt = policy;
+    world.take_over();
+    world.remove_old_owners();
+    world.advance(6 * SECOND);
+    for id in 0..SHARE_LIMIT {
+        world.submit(job(id, steps(1, 1, 700)));
+    }
+    world.advance(3 * SECOND / 2);
+    world
+}
+
+/// Starts `count` long runs beyond the share of `team`.
+fn fill(world: &mut World, count: u64) {
+    for worker in world.workers.values_mut() {
+        worker.work_ms = LONG_MS;
+    }
+    for id in 0..count {
+        world.submit(job(100 + id, steps(1, 1, LONG_MS)));
+    }
+    world.advance(SECOND / 2);
+    let runs: usize = world.workers.values().map(|w| w.run_count()).sum();
+    assert_eq!(runs, count as usize, "the long runs are on the workers");
+}
+
+/// A job of the other team, within its share.
+fn waiting(count: u32) -> Submission {
+    let mut sub = job(WAITING, steps(1, count, 700));
+    sub.team = Some("other".into());
+    sub
+}
+
+/// Number of tasks of the waiting job that were ordered to start between two times.
+fn starts_between(world: &World, from: Time, until: Time) -> usize {
+    let starts = world.sent_starts.iter();
+    let starts = starts
+        .filter(|(at, task)| task.job() == JobId::new(WAITING) && *at >= from && *at <= until);
+    starts.count()
+}
+
+fn assert_all_complete(world: &mut World, count: u64) {
+    world.advance(60 * SECOND);
+    let ids = (100..100 + count).chain([WAITING]);
+    for id in ids {
+        let state = world.state(JobId::new(id));
+        assert_eq!(state, Some(JobState::Complete), "job {id}");
+    }
+    world.assert_no_violations();
+}
+
+/// Guards against a team within its share that waits for eight seconds because another team's burst
+/// fills the pool: as many runs beyond the share are stopped as its job has tasks, and these
+/// complete later.
+#[test]
+fn within_share_starts() {
+    let mut world = world(policy());
+    fill(&mut world, 40);
+    let from = world.now;
+    world.submit(waiting(4));
+    world.advance(2 * SECOND);
+    assert_eq!(starts_between(&world, from, from.after(LATEST)), 4);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 4);
+    assert_all_complete(&mut world, 40);
+}
+
+/// Nothing is stopped unless the policy says so.
+#[test]
+fn off_by_default() {
+    let mut world = world(PreemptPolicy::default());
+    fill(&mut world, 40);
+    let from = world.now;
+    world.submit(waiting(4));
+    world.advance(2 * SECOND);
+    assert_eq!(starts_between(&world, from, world.now), 0);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 0);
+    assert_all_complete(&mut world, 40);
+}
+
+/// Guards against work thrown away for a job that starts in time anyway, in room that returns as
+/// runs end.
+#[test]
+fn returning_room_is_enough() {
+    let mut world = world(policy());
+    for id in 0..40 {
+        world.submit(job(100 + id, steps(1, 1, 700)));
+    }
+    world.advance(SECOND / 2);
+    let from = world.now;
+    world.submit(waiting(4));
+    world.advance(2 * SECOND);
+    assert_eq!(starts_between(&world, from, from.after(LATEST)), 4);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 0);
+    assert_all_complete(&mut world, 40);
+}
+
+/// Guards against stops that help nobody: while a run stops for a job that needs more room than
+/// that run had, another job takes the room that was free before.
+#[test]
+fn room_is_held() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = Duration::from_millis(300);
+    }
+    fill(&mut world, 39);
+    let from = world.now;
+    let mut wide = waiting(1);
+    let mut wide_steps = steps(1, 1, 700);
+    wide_steps[0].room.cpu = 8_000;
+    wide.steps = wide_steps.into();
+    world.submit(wide);
+    world.advance(SECOND / 5);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 1);
+    world.submit(job(139, steps(1, 1, LONG_MS)));
+    world.advance(2 * SECOND);
+    assert_eq!(starts_between(&world, from, from.after(LATEST)), 1);
+    assert_all_complete(&mut world, 40);
+}
+
+/// Guards against a task that is stopped each time that it starts.
+#[test]
+fn once_per_task() {
+    let mut world = world(policy());
+    fill(&mut world, 40);
+    for round in 0..6 {
+        let mut sub = waiting(4);
+        sub.job = JobId::new(WAITING + round);
+        world.submit(sub);
+        world.advance(SECOND);
+    }
+    assert_all_complete(&mut world, 40);
+    let preempted = world.cell().take_tallies().runs_preempted;
+    assert!((4..=40).contains(&preempted), "{preempted}");
+    let restarts = |id: u64| {
+        let starts = world.sent_starts.iter();
+        starts.filter(|(_, t)| t.job() == JobId::new(id)).count()
+    };
+    assert!((100..140).all(|id| restarts(id) <= 2));
+}
+
+/// Guards against more work thrown away than the policy allows.
+#[test]
+fn loss_is_bounded() {
+    let mut world = world(PreemptPolicy {
+        lost_percent_per_s: 0,
+        ..policy()
+    });
+    fill(&mut world, 40);
+    world.submit(waiting(4));
+    world.advance(2 * SECOND);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 0);
+    world.assert_no_violations();
+}
+
+/// Guards against tasks that are lost or run twice because the owner is replaced after it ordered
+/// the stops and before it started the task that they were for.
+#[test]
+fn owner_lost_halfway() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = Duration::from_millis(300);
+    }
+    fill(&mut world, 40);
+    world.submit(waiting(4));
+    world.advance(SECOND / 5);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 4);
+    let ordered = world.sent_starts.iter();
+    let ordered = ordered.filter(|(_, t)| t.job() == JobId::new(WAITING));
+    assert_eq!(ordered.count(), 0, "the room is not free yet");
+    world.take_over();
+    assert_all_complete(&mut world, 40);
+}
+
+/// Guards against starts in room that is not free: stops take far longer than agreed.
+#[test]
+fn late_stops() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = 3 * SECOND;
+    }
+    fill(&mut world, 40);
+    let from = world.now;
+    world.submit(waiting(4));
+    world.advance(2 * SECOND);
+    assert_eq!(starts_between(&world, from, world.now), 0);
+    assert!(world.cell().take_tallies().runs_preempted >= 4);
+    assert_all_complete(&mut world, 40);
+}
+
+/// Guards against a waiting job that is tied to a worker that fell silent with the stops: it starts
+/// on another, and no task runs twice.
+#[test]
+fn silent_worker() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = Duration::from_millis(300);
+    }
+    fill(&mut world, 40);
+    let from = world.now;
+    world.submit(waiting(1));
+    world.advance(SECOND / 5);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 1);
+    for worker in world.workers.values_mut() {
+        worker.connected = worker.run_count() == 8 && !worker.has_stops();
+    }
+    world.advance(10 * SECOND);
+    assert_eq!(starts_between(&world, from, world.now), 1);
+    for worker in world.workers.values_mut() {
+        worker.connected = true;
+    }
+    assert_all_complete(&mut world, 40);
+}
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -189,6 +189,11 @@
         self.ended.len()
     }
 
+    /// Whether a run is being stopped.
+    pub fn has_stops(&self) -> bool {
+        !self.stops.is_empty()
+    }
+
     /// Number of runs on the worker.
     pub fn run_count(&self) -> usize {
         self.running.len()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,6 +34,8 @@
     worker_ends: Counter<u64>,
     runs_lost: Counter<u64>,
     given_up: Counter<u64>,
+    preempted: Counter<u64>,
+    preempted_work: Counter<u64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
     busy: Gauge<u64>,
@@ -83,6 +85,8 @@
             worker_ends: counter("cactuswheel_node_worker_ends"),
             runs_lost: counter("cactuswheel_node_runs_lost"),
             given_up: counter("cactuswheel_node_jobs_given_up"),
+            preempted: counter("cactuswheel_node_runs_preempted"),
+            preempted_work: counter("cactuswheel_node_preempted_core_milliseconds"),
             busy: meter
                 .u64_gauge("cactuswheel_node_owner_busy_percent")
                 .build(),
@@ -138,6 +142,8 @@
         self.worker_ends.add(since.workers_ended, &[]);
         self.runs_lost.add(since.runs_lost, &[]);
         self.given_up.add(since.jobs_given_up, &[]);
+        self.preempted.add(since.runs_preempted, &[]);
+        self.preempted_work.add(since.preempted_work, &[]);
     }
 
     /// Sets the share of time during which the owner was busy, in percent.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -212,7 +212,10 @@
         let own = self.validate_own();
         let own = own.map(|(place, fault)| (place.to_owned(), fault));
         let pools = self.policies.pools.validate();
+        let preempt = self.policies.work.preempt.validate();
+        let preempt = preempt.map(|(key, fault)| (format!("policies.work.preempt.{key}"), fault));
         own.or(pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault)))
+            .or(preempt)
     }
 
     fn validate_own(&self) -> Option<(&'static str, &'static str)> {
