--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -88,6 +88,21 @@
             json!({ "pools": { "hold_ms": -5 } }),
             "at `policies.pools.hold_ms`",
         ),
+        (
+            "policies",
+            json!({ "work": { "preempt": { "lost_percent_per_s": 101 } } }),
+            "`policies.work.preempt.lost_percent_per_s` has to be from 0 to 100",
+        ),
+        (
+            "policies",
+            json!({ "work": { "preempt": { "interval_ms": 60_001 } } }),
+            "`policies.work.preempt.interval_ms` has to be a minute at most",
+        ),
+        (
+            "policies",
+            json!({ "work": { "preempt": { "workers": 1_001 } } }),
+            "`policies.work.preempt.workers` has to be at most 1000",
+        ),
         (
             "policies",
             json!({ "work": { "pack": "yes" } }),
