--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -142,8 +142,11 @@
         self.worker_ends.add(since.workers_ended, &[]);
         self.runs_lost.add(since.runs_lost, &[]);
         self.given_up.add(since.jobs_given_up, &[]);
-        self.preempted.add(since.runs_preempted, &[]);
-        self.preempted_work.add(since.preempted_work, &[]);
+        if since.runs_preempted > 0 {
+            // Without preemption the text of the metrics has no line of it.
+            self.preempted.add(since.runs_preempted, &[]);
+            self.preempted_work.add(since.preempted_work, &[]);
+        }
     }
 
     /// Sets the share of time during which the owner was busy, in percent.
