--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -291,6 +291,7 @@
                 .collect(),
             failed_on: None,
             stalls: 0,
+            preempted: 0,
         }
     }
 }
