--- a/crates/capacity/src/history.rs
+++ b/crates/capacity/src/history.rs
@@ -38,6 +38,15 @@
 }
 
 impl LastOwner {
+    /// Latest possible time on this node's clock at which the previous owner's monotonic clock shows
+    /// `at`.
+    pub fn local_time(self, at: Time) -> Time {
+        let later = self.last_heard.after(at.since(self.clock));
+        // At least one of the two differences is zero.
+        let earlier = self.clock.since(at).as_millis() as u64;
+        Time::new(later.get().saturating_sub(earlier))
+    }
+
     /// Minimum time since `order` was stored.
     ///
     /// Monotonic clocks of two nodes are unrelated, and the wall clock may jump. The last ownership
--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -49,6 +49,7 @@
             self.open.remove(&id);
             self.stop_all(id);
         }
+        self.settle_restored(id);
         self.reschedule = true;
     }
 
--- a/crates/cell/src/batch.rs
+++ b/crates/cell/src/batch.rs
@@ -1,6 +1,7 @@
 //! Batches of records that are appended to the journal together.
 
-use cactuswheel_work::{JobId, JobState, TaskId, WorkerId};
+use cactuswheel_model::Time;
+use cactuswheel_work::{JobId, JobState, QueueName, TaskId, WorkerId};
 
 use crate::finished::Finished;
 
@@ -18,6 +19,11 @@
     pub submissions: Vec<(JobId, Option<Vec<u8>>)>,
     /// The complete encoded state of each changed job; `None` deletes the job.
     pub records: Vec<(JobId, Option<Vec<u8>>)>,
+    /// Silent workers, each with the time on this node's clock at which its last lease is over;
+    /// `None` deletes the record.
+    pub silences: Vec<(WorkerId, Option<Time>)>,
+    /// Attempts that queues allow; `None` deletes the record.
+    pub queues: Vec<(QueueName, Option<u32>)>,
 }
 
 /// Effects that take place once a batch is in the journal.
@@ -34,6 +40,8 @@
     /// End records that may be acknowledged: the worker, the start time of its incarnation and the
     /// highest number of an end record.
     pub(crate) ends: Vec<(WorkerId, u64, u64)>,
+    /// Workers whose records of silence are removed.
+    pub(crate) answering: Vec<WorkerId>,
 }
 
 /// A planned run whose start order waits for the journal.
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -23,8 +23,10 @@
 use crate::learned::QueueStats;
 use crate::output::Output;
 use crate::policy::WorkPolicy;
+use crate::queue_limits::QueueLimits;
 use crate::run_state::Turn;
 use crate::shares::Shares;
+use crate::silences::Silences;
 use crate::tallies::Tallies;
 use crate::usage::Usage;
 use crate::wait_queue::WaitQueue;
@@ -60,6 +62,7 @@
     /// would never be polled again.
     pub(crate) last_poll: u64,
     pub(crate) config: Arc<FleetConfig>,
+    pub(crate) queue_limits: QueueLimits,
     pub(crate) jobs: Jobs,
     /// Jobs that are not in a final state.
     pub(crate) open: Set<JobId>,
@@ -77,6 +80,7 @@
     pub(crate) obsolete: Vec<JobId>,
     pub(crate) last_drop: Time,
     pub(crate) workers: Workers,
+    pub(crate) silences: Silences,
     /// Workers whose instances were ordered to move away, or may have been.
     ///
     /// Invariant: all of them that are registered are closed. Kept apart from the worker, which may
@@ -123,7 +127,7 @@
     /// Set while the records of earlier owners are being read.
     pub(crate) restoring: bool,
     /// How long an earlier owner may keep renewing leases after this owner's takeover.
-    renewal_overlap: Duration,
+    pub(crate) renewal_overlap: Duration,
     /// Start orders are sent without the job's spec, so they count as smaller.
     pub(crate) specs_omitted: bool,
     /// The owner's network link is saturated, so answers may be late.
@@ -135,12 +139,15 @@
 impl Cell {
     /// Creates an empty cell that is owned under `epoch`.
     pub fn new(bounds: Bounds, epoch: u64, config: Arc<FleetConfig>) -> Self {
+        let mut queue_limits = QueueLimits::default();
+        queue_limits.learn(&config);
         Self {
             bounds,
             policy: WorkPolicy::default(),
             fence: epoch << FENCE_BITS,
             last_poll: 0,
             config,
+            queue_limits,
             jobs: Jobs::default(),
             open: Set::default(),
             wait_queue: WaitQueue::default(),
@@ -150,6 +157,7 @@
             obsolete: Vec::new(),
             last_drop: Time::default(),
             workers: Workers::default(),
+            silences: Silences::default(),
             removing: Set::default(),
             maintenance_due: Set::default(),
             evacuated: Arc::default(),
@@ -235,9 +243,12 @@
             return;
         }
         self.config = config;
+        self.queue_limits.learn(&self.config);
         for id in &self.open {
             self.jobs.get_mut(id);
         }
+        self.settle_held_jobs();
+        self.forget_queues();
         self.reschedule = true;
     }
 
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -47,6 +47,9 @@
         for (id, born, number) in effects.ends {
             self.acknowledge(&id, born, number);
         }
+        for id in &effects.answering {
+            self.silence_removed(id);
+        }
         for start in effects.starts {
             self.send_start(start);
         }
@@ -93,10 +96,18 @@
 
     /// Writes the jobs that changed into a batch, up to the size limit.
     pub(crate) fn write_batch(&mut self) {
-        if self.dirty.is_empty() {
+        let silences = self.draft_silences();
+        if self.dirty.is_empty() && silences.is_empty() {
             return self.mark_ends_written();
         }
+        let queues = match self.dirty.is_empty() {
+            // Limits only matter to jobs, so they are written with the next one.
+            true => Vec::new(),
+            false => self.queue_limits.take_unwritten(),
+        };
         let mut draft = Draft::default();
+        let answering = silences.iter().filter(|(_, end)| end.is_none());
+        draft.effects.answering = answering.map(|(id, _)| id.clone()).collect();
         let orders = self.order_sizes();
         for id in self.write_order() {
             if draft.size >= self.bounds.max_batch {
@@ -127,6 +138,8 @@
             number,
             submissions: draft.submissions,
             records: draft.records,
+            silences,
+            queues,
         }));
     }
 
--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -202,8 +202,8 @@
         let Some(job) = self.jobs.get_mut(&task.job()) else {
             return;
         };
-        let queue = self.config.queues.get(&job.sub.queue);
-        let attempts = queue.map_or(1, |q| q.attempts);
+        let listed = self.config.queues.contains_key(&job.sub.queue);
+        let attempts = self.queue_limits.attempts(&job.sub.queue);
         let Some(step) = job.step_run_mut(task) else {
             return;
         };
@@ -216,15 +216,23 @@
         if !lasting && !fails.contains(&run) {
             fails.push(run);
         }
-        let exhausted = !lasting && fails.len() >= attempts as usize;
+        let exhausted = !lasting && fails.len() >= attempts;
         let open = job.is_open();
         self.dirty.insert(task.job());
         self.reschedule = true;
+        if exhausted && open && !listed {
+            log::warn!(
+                job:% = task.job(), task:% = task, worker:% = id, attempts = attempts as u64;
+                "job held: a task has no attempts left and its queue is missing"
+            );
+            self.queue_limits.hold(task.job());
+            return;
+        }
         if exhausted && open {
             let arrived = self.jobs.get(&task.job()).map(|j| j.arrived);
             let took = arrived.map_or(0, |at| now.since(at).as_millis() as u64);
             log::warn!(
-                job:% = task.job(), task:% = task, worker:% = id, attempts = attempts,
+                job:% = task.job(), task:% = task, worker:% = id, attempts = attempts as u64,
                 took_ms = took;
                 "job failed: a task has no attempts left"
             );
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -97,6 +97,24 @@
         self.turns.len() == self.sub.turns() as usize && self.turns.iter().all(Turn::is_done)
     }
 
+    /// Whether a task that is not done has failed `attempts` times; with `pending`, only tasks
+    /// without a run count.
+    pub(crate) fn has_exhausted(&self, attempts: usize, pending: bool) -> bool {
+        let steps = self.turns.iter();
+        let steps = steps.flat_map(|turn| turn.steps.iter().zip(self.sub.steps.iter()));
+        let mut steps = steps.filter(|(run, step)| !step.lasting && !run.is_done());
+        steps.any(|(run, step)| {
+            let mut tasks = run.tasks.iter().filter(|t| !t.done);
+            tasks.any(|t| {
+                let fails = match step.gang {
+                    true => run.failed_runs.len(),
+                    false => t.failed_runs.len(),
+                };
+                fails >= attempts && (t.is_pending() || !pending)
+            })
+        })
+    }
+
     /// The state that is reported to callers.
     pub(crate) fn reported_state(&self) -> JobState {
         if let Some(journaled) = self.journaled {
--- a/crates/cell/src/polls.rs
+++ b/crates/cell/src/polls.rs
@@ -34,7 +34,8 @@
 /// wave would be late. The shorter wait costs a few extra polls per start.
 const WARMUP_WAIT: Duration = Duration::from_millis(200);
 
-/// Delay between polls of a worker that is reserved for a task which may crash it.
+/// Delay between polls of a worker that is reserved for a task which may crash it, or whose lease
+/// cannot be renewed yet.
 const TRIAL_POLL_DELAY: Duration = Duration::from_millis(50);
 
 /// How long the lease of a worker that does not answer is renewed while the owner's link is
@@ -75,6 +76,8 @@
                 // wait for.
                 _ if worker.is_spent() => Duration::ZERO,
                 _ if worker.is_reserved(now) => Duration::ZERO,
+                // The next poll may renew the lease.
+                _ if worker.renewal_barred => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
                 (true, false) if worker.warming_up => WARMUP_WAIT,
                 (true, false) => busy_wait,
@@ -212,10 +215,11 @@
         worker.confirm_renewal();
         worker.last_alive = sent;
         worker.first_answer.get_or_insert(now);
-        worker.poll_state = PollState::Due(match worker.is_reserved(now) {
-            true => now.after(TRIAL_POLL_DELAY),
-            false => now,
-        });
+        worker.poll_state =
+            PollState::Due(match worker.is_reserved(now) || worker.renewal_barred {
+                true => now.after(TRIAL_POLL_DELAY),
+                false => now,
+            });
         let fence = worker.settle_fence();
         let seen_end = worker.seen_end;
         let expired = look.ended.iter().filter(|e| e.how == EndReason::Expired);
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -94,7 +94,8 @@
 
     /// The entry of a job in the wait queue; `None` if none of its tasks waits for a worker.
     pub(crate) fn queue_entry(&self, job: &Job) -> Option<QueuedJob> {
-        if !job.is_open() || !has_free_task(job) {
+        let held = self.queue_limits.is_held(job.sub.job);
+        if !job.is_open() || held || !has_free_task(job) {
             return None;
         }
         let (rank, until) = self.rank(job);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -20,6 +20,12 @@
 /// Margin on lease expiry for the network delay of an answer, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 100;
 
+/// [`LEASE_MARGIN_MS`] in the owner's time.
+const LEASE_MARGIN: Duration = Duration::from_millis(LEASE_MARGIN_MS);
+
+/// Time in which a worker that can be reached answers the first poll of a new owner.
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+
 /// Lease time that has to remain for a long-running task to count as active, in milliseconds. It
 /// covers the time in which another task of the step moves.
 const MIN_REMAINING_MS: u64 = 1_000;
@@ -102,6 +108,11 @@
     pub(crate) last_alive: Time,
     /// When this owner first heard of the worker.
     known_since: Time,
+    /// End of the worker's last lease as an earlier owner has recorded it in the journal.
+    pub(crate) carried_end: Option<Time>,
+    /// The journal may hold a record of the worker's silence, on which a newer owner would rely:
+    /// the lease is not renewed until the record is removed.
+    pub(crate) renewal_barred: bool,
     /// When the worker's current incarnation first answered a poll of this owner.
     pub(crate) first_answer: Option<Time>,
     /// Highest number of an end record that was processed.
@@ -172,6 +183,8 @@
             confirmed_expiry: 0,
             last_alive: Time::default(),
             known_since: now,
+            carried_end: None,
+            renewal_barred: false,
             first_answer: None,
             seen_end: 0,
             journaled_end: 0,
@@ -211,6 +224,7 @@
             && self.born != 0
             && self.withheld_end.is_none()
             && !self.stray_run
+            && !self.renewal_barred
     }
 
     /// Whether the worker may get new tasks now.
@@ -357,6 +371,7 @@
         self.latest_expiry = 0;
         self.requested_expiry = None;
         self.confirmed_expiry = 0;
+        self.carried_end = None;
         self.first_answer = None;
         self.seen_end = 0;
         self.journaled_end = 0;
@@ -369,9 +384,9 @@
     }
 
     /// Expiry of a lease that is renewed at `now`, on the worker's clock; `None` before the first
-    /// reading of that clock.
+    /// reading of that clock, and while the lease must not be renewed.
     pub(crate) fn renew(&mut self, lease: Millis, now: Time) -> Option<u64> {
-        let reading = self.clock_reading?;
+        let reading = self.clock_reading.filter(|_| !self.renewal_barred)?;
         let current = reading.clock + now.since(reading.at).as_millis() as u64;
         let expiry = current + lease.get();
         self.latest_expiry = self.latest_expiry.max(expiry);
@@ -395,19 +410,44 @@
         current + MIN_REMAINING_MS < self.confirmed_expiry
     }
 
-    /// Whether every lease on the worker has certainly expired, given that it has not answered
-    /// since.
+    /// Whether the worker has runs and its last poll was not answered, so that it is not known when
+    /// its lease ends but by what was ordered.
+    pub(crate) fn may_hold_lease(&self) -> bool {
+        let answers = self.missed_polls == 0 && self.clock_reading.is_some();
+        !answers && !self.allocations.is_empty()
+    }
+
+    /// Since when the worker has not answered; at the earliest since this owner first heard of it.
+    pub(crate) fn quiet_since(&self) -> Time {
+        self.last_alive.max(self.known_since)
+    }
+
+    /// When every lease on the worker is certainly over, given that it does not answer until then.
     ///
     /// An earlier owner on the same side of a network partition as the worker may keep renewing
-    /// leases for the time `overlap` after this owner's takeover.
-    pub(crate) fn has_expired(&self, lease: Millis, overlap: Duration, now: Time) -> bool {
+    /// leases for the time `overlap` after this owner's takeover, unless it recorded the silence of
+    /// the worker.
+    pub(crate) fn lease_end(&self, lease: Millis, overlap: Duration) -> Time {
         let Some(reading) = self.clock_reading else {
-            let longest = overlap.as_millis() as f64
-                + lease.get() as f64 / MIN_CLOCK_RATE
-                + LEASE_MARGIN_MS as f64;
-            return now.since(self.known_since).as_millis() as f64 > longest;
+            let longest = overlap + longest_time(lease.get()) + LEASE_MARGIN;
+            let end = self.known_since.after(longest);
+            return self.carried_end.map_or(end, |carried| carried.min(end));
         };
-        let elapsed = now.since(reading.at).as_millis() as f64 * MIN_CLOCK_RATE;
-        reading.clock as f64 + elapsed > (self.latest_expiry + LEASE_MARGIN_MS) as f64
+        let left = (self.latest_expiry + LEASE_MARGIN_MS).saturating_sub(reading.clock);
+        reading.at.after(longest_time(left))
+    }
+
+    /// Whether every lease on the worker has certainly expired, given that it has not answered
+    /// since.
+    pub(crate) fn has_expired(&self, lease: Millis, overlap: Duration, now: Time) -> bool {
+        // A worker that answers a new owner at once may have completed its runs before its lease
+        // ended.
+        let asked = self.missed_polls > 0 || now.since(self.known_since) >= ANSWER_TIME;
+        asked && now > self.lease_end(lease, overlap)
     }
 }
+
+/// Longest time in which a worker's clock advances by `ms` milliseconds.
+fn longest_time(ms: u64) -> Duration {
+    Duration::from_millis((ms as f64 / MIN_CLOCK_RATE).ceil() as u64)
+}
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -50,6 +50,8 @@
     unjournaled: Set<WorkerId>,
     /// Workers that are reserved for tasks which may crash them.
     reserved: Vec<WorkerId>,
+    /// Workers whose leases must not be renewed, whether or not they are known at the moment.
+    barred: Set<WorkerId>,
 }
 
 impl Workers {
@@ -72,7 +74,8 @@
         if !self.all.contains_key(id) {
             let number = self.numbered.len() as u32;
             self.numbered.push(id.clone());
-            let worker = Worker::new(id.clone(), number, fence, now);
+            let mut worker = Worker::new(id.clone(), number, fence, now);
+            worker.renewal_barred = self.barred.contains(id);
             self.all.insert(id.clone(), worker);
         }
         self.get_mut(id).expect("it was added")
@@ -96,6 +99,23 @@
         self.unjournaled.remove(id);
     }
 
+    /// Forbids the renewal of a worker's lease. Kept apart from the worker, which may be removed and
+    /// registered again meanwhile.
+    pub(crate) fn bar_renewal(&mut self, id: &WorkerId) {
+        self.barred.insert(id.clone());
+        if let Some(worker) = self.get_mut(id) {
+            worker.renewal_barred = true;
+        }
+    }
+
+    /// Allows the renewal of a worker's lease again.
+    pub(crate) fn allow_renewal(&mut self, id: &WorkerId) {
+        self.barred.remove(id);
+        if let Some(worker) = self.get_mut(id) {
+            worker.renewal_barred = false;
+        }
+    }
+
     pub(crate) fn values(&self) -> impl Iterator<Item = &Worker> {
         self.all.values()
     }
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Appended, KeyedRecord, Producer};
-use cactuswheel_cell::Batch;
+use cactuswheel_cell::{Batch, encode};
 use cactuswheel_work::JobId;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use crate::appending::append;
+use crate::cell_record::{CellKey, SilenceRecord};
 use crate::event::Event;
 use crate::shared::Shared;
 use crate::takeover::PRODUCER_NAME;
@@ -68,7 +69,22 @@
         let submissions = submissions.map(|(id, v)| keyed(IntakeKey::Submitted(id).to_string(), v));
         let states = batch.records.into_iter();
         let states = states.map(|(id, v)| keyed(id.to_string(), v));
-        let records: Vec<KeyedRecord> = submissions.chain(states).collect();
+        let silences = batch.silences.into_iter().map(|(id, lease_end)| {
+            let record = lease_end.map(|lease_end| SilenceRecord {
+                epoch: self.epoch,
+                life: self.shared.life,
+                lease_end,
+            });
+            let value = record.map(|r| encode(&r));
+            keyed(CellKey::Silent(id).to_string(), value)
+        });
+        let queues = batch.queues.into_iter();
+        let queues = queues.map(|(name, attempts)| {
+            let value = attempts.map(|n| encode(&n));
+            keyed(CellKey::Queue(name).to_string(), value)
+        });
+        let cell = silences.chain(queues);
+        let records: Vec<KeyedRecord> = submissions.chain(states).chain(cell).collect();
         // Failed sends mean that the owner has stopped and needs no events.
         if let Err(Superseded) = self.write(&records).await {
             let _ = self.events.send(Event::Deposed).await;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -68,7 +68,7 @@
 /// to be too large for this node.
 async fn run_cell(shared: Arc<Shared>, epoch: u64, alone: bool, before: Option<LastOwner>) {
     let takeover = loop {
-        match take_over(&shared, epoch, alone).await {
+        match take_over(&shared, epoch, alone, before).await {
             Ok(takeover) => break takeover,
             Err(e @ TakeoverError::Deposed) => {
                 log::warn!(epoch = epoch, error:% = e; "takeover abandoned");
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer};
-use cactuswheel_capacity::{History, OrderRecord};
+use cactuswheel_capacity::{History, LastOwner, OrderRecord};
 use cactuswheel_cell::{Bounds, Cell, DecodeError, JobRecord, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
 use futures::{StreamExt, stream};
 use tokio::time::sleep;
 
+use crate::cell_record::{CellKey, SilenceRecord};
 use crate::dispatcher::report_limit;
 use crate::expiry::page_time;
 use crate::shared::Shared;
@@ -85,11 +86,13 @@
     pub(crate) orders: Option<Vec<(InstanceName, OrderRecord)>>,
 }
 
-/// Takes the cell over under `epoch`. `alone` says that no earlier owner still renews leases.
+/// Takes the cell over under `epoch` from the owner `before`. `alone` says that no earlier owner
+/// still renews leases.
 pub(crate) async fn take_over(
     shared: &Shared,
     epoch: u64,
     alone: bool,
+    before: Option<LastOwner>,
 ) -> Result<Takeover, TakeoverError> {
     fence_off(shared, epoch).await?;
     // From here on the journal is complete: earlier owners cannot append to it any more.
@@ -117,6 +120,8 @@
         cell.expect_previous_owner();
     }
     rebuild_cell(shared, &mut cell, &intake, &journal)?;
+    restore_silences(shared, &mut cell, &journal, epoch, before);
+    cell.finish_restore();
     log::info!(
         epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
         "cell taken over"
@@ -152,8 +157,11 @@
             restore_submission(shared, cell, id, &item.value)?;
         }
     }
+    restore_queues(cell, journal);
     let states = journal.iter();
-    let states = states.filter(|i| IntakeKey::parse(&i.key).is_none());
+    let is_state =
+        |i: &&Item| IntakeKey::parse(&i.key).is_none() && CellKey::parse(&i.key).is_none();
+    let states = states.filter(is_state);
     for item in states {
         let Ok(id) = item.key.parse::<JobId>() else {
             log::error!(key = item.key; "journal record with an invalid key");
@@ -169,10 +177,47 @@
             cell.cancel(now, id);
         }
     }
-    cell.finish_restore();
     Ok(())
 }
 
+/// Restores the attempts that queues allowed when they were last in force.
+fn restore_queues(cell: &mut Cell, journal: &[Item]) {
+    for item in journal {
+        let Some(CellKey::Queue(name)) = CellKey::parse(&item.key) else {
+            continue;
+        };
+        match decode::<u32>(&item.value) {
+            Ok(attempts) => cell.restore_queue(name, attempts),
+            Err(e) => log::error!(queue:% = name, error:% = e; "cannot decode a queue's attempts"),
+        }
+    }
+}
+
+/// Restores the records of workers that do not answer. One that cannot be decoded only means a
+/// longer wait.
+fn restore_silences(
+    shared: &Shared,
+    cell: &mut Cell,
+    journal: &[Item],
+    epoch: u64,
+    before: Option<LastOwner>,
+) {
+    let now = shared.clock.now();
+    for item in journal {
+        let Some(CellKey::Silent(worker)) = CellKey::parse(&item.key) else {
+            continue;
+        };
+        let lease_end = match decode::<SilenceRecord>(&item.value) {
+            Ok(record) => record.local_end(epoch, before),
+            Err(e) => {
+                log::error!(worker:% = worker, error:% = e; "cannot decode the silence of a worker");
+                None
+            }
+        };
+        cell.restore_silence(now, worker, lease_end);
+    }
+}
+
 /// Restores a submission that an earlier owner has accepted.
 fn restore_submission(
     shared: &Shared,
