--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -83,6 +83,25 @@
     answer
 }
 
+/// Whether the owner answers, on a new connection if there is none or the current one is broken.
+pub(crate) async fn probe(shared: &Shared, id: JobId, service: ServiceName) -> bool {
+    if shared.local_owner.load().is_some() {
+        return true;
+    }
+    for _ in 0..2 {
+        let Some(link) = owner_link(shared).await else {
+            break;
+        };
+        let answer = link.standing(id, service.clone(), ATTEMPT_TIMEOUT).await;
+        if answer.is_some() {
+            return true;
+        }
+        drop_link(shared);
+    }
+    shared.owner_unreachable.notify_one();
+    false
+}
+
 /// Hands in a job to the owner, within `limit`.
 ///
 /// Does not wait for a connection to the owner: if there is none, the front end stores the job in
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -15,7 +15,7 @@
 
 use crate::appending::append;
 use crate::ask;
-use crate::overload::outage_excess;
+use crate::owner_outage::Outlook;
 use crate::peer::HandInAnswer;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, intake, intake_part};
@@ -65,15 +65,36 @@
     Doubt,
 }
 
-/// Decides whether to refuse a job without asking the owner, from the waiting times that this front
-/// end knows of.
+/// Decides whether to refuse a job unless the owner says otherwise, from the waiting times that this
+/// front end knows of.
 fn early_refusal(shared: &Shared, now: Time, slack: Slack) -> Option<NotStored> {
     if let Some(excess) = shared.overload.excess(now, slack) {
         return Some(NotStored::Overloaded(excess));
     }
-    let outage = shared.owner_health.failing_for(now);
+    match outlook(shared, slack) {
+        Outlook::InTime => None,
+        Outlook::Unsure(excess) | Outlook::TooLate(excess) => Some(NotStored::NoOwner(excess)),
+    }
+}
+
+fn outlook(shared: &Shared, slack: Slack) -> Outlook {
     let usual = TAKEOVER_TIME + shared.min_expiry;
-    outage_excess(outage, usual, slack).map(NotStored::NoOwner)
+    let now = shared.clock.now();
+    shared.owner_outage.outlook(now, usual, slack)
+}
+
+/// Probes the owner before a job is refused for its absence, unless another job's probe has just
+/// done so.
+async fn probe_owner(shared: &Shared, sub: &Submission, slack: Slack) {
+    let _turn = shared.probe_turn.lock().await;
+    if let Outlook::Unsure(excess) = outlook(shared, slack) {
+        let found = ask::probe(shared, sub.job, sub.service.clone()).await;
+        shared.owner_outage.probed(shared.clock.now());
+        log::info!(
+            job:% = sub.job, found = found, excess_ms = excess.as_millis() as u64;
+            "probed the owner, which took no jobs"
+        );
+    }
 }
 
 /// Usual duration of a takeover with little state to read, counted from the expiry of the previous
@@ -138,6 +159,10 @@
         if let Some(slack) = slack
             && let Some(refusal) = early_refusal(shared, start, slack)
         {
+            if matches!(refusal, NotStored::NoOwner(_)) {
+                // Without the probe, the job is refused after the time that the caller waits.
+                let _ = timeout(limit, probe_owner(shared, sub, slack)).await;
+            }
             // The request may repeat one for a job that was already accepted.
             let Some((standing, delay)) = ask::standing(shared, id, sub.service.clone()).await
             else {
@@ -160,17 +185,17 @@
         let handed = ask::hand_in(shared, record.clone(), limit).await;
         match handed {
             HandInAnswer::Accepted => {
-                shared.owner_health.answered(shared.clock.now());
+                shared.owner_outage.answered(shared.clock.now());
                 return Ok(());
             }
             HandInAnswer::Overloaded(delay) => {
-                shared.owner_health.answered(shared.clock.now());
+                shared.owner_outage.answered(shared.clock.now());
                 shared.overload.learn(shared.clock.now(), delay);
                 let excess = slack.and_then(|s| delay.excess(s));
                 return Err(NotStored::Overloaded(excess.unwrap_or_default()));
             }
             HandInAnswer::Refused | HandInAnswer::Unknown => {
-                shared.owner_health.failed(shared.clock.now());
+                shared.owner_outage.failed(shared.clock.now());
             }
         }
         let left = limit.saturating_sub(shared.clock.now().since(start));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::order_log::OrderLog;
 use crate::overload::Overload;
 use crate::owner_handle::OwnerHandle;
+use crate::owner_outage::OwnerOutage;
 use crate::peer::{OwnerAddress, PeerLink};
 use crate::settings::Settings;
 
@@ -55,7 +56,9 @@
     /// Handle of the owner, while this node owns the cell.
     pub(crate) local_owner: ArcSwapOption<OwnerHandle>,
     /// Whether an owner answers when this node hands in jobs.
-    pub(crate) owner_health: CallHealth,
+    pub(crate) owner_outage: OwnerOutage,
+    /// Held while this front end probes whether the owner takes jobs; one probe runs at a time.
+    pub(crate) probe_turn: tokio::sync::Mutex<()>,
     /// Waiting times last reported by the owner.
     pub(crate) overload: Overload,
     /// Specs of the jobs that this node accepted or relayed.
@@ -122,7 +125,8 @@
             accept_rtt: RttEstimator::new(MIN_ACCEPT_TIMEOUT, MAX_ACCEPT_TIMEOUT),
             connecting: AtomicBool::new(false),
             local_owner: ArcSwapOption::empty(),
-            owner_health: CallHealth::default(),
+            owner_outage: OwnerOutage::default(),
+            probe_turn: tokio::sync::Mutex::default(),
             overload: Overload::default(),
             specs: Mutex::new(SpecCache::new(SPEC_CACHE_BYTES)),
             ownership_confirmed: AtomicU64::new(0),
