--- a/crates/cell/src/blame.rs
+++ b/crates/cell/src/blame.rs
@@ -49,7 +49,7 @@
     fresh: bool,
     /// This owner ordered the run, and it certainly started.
     started: bool,
-    /// The run was active for so long that crashes do not count against its task.
+    /// The run shows that its task does not crash workers, so the task's crashes are forgotten.
     cleared: bool,
 }
 
@@ -117,12 +117,14 @@
         let attempt = self.attempt(task, run, id);
         // A planned run was never ordered.
         let attempt = attempt.filter(|a| a.phase != Phase::Planned)?;
+        let job = self.jobs.get(&task.job())?;
+        let lasting = job.step(task).is_some_and(|s| s.lasting);
         Some(CrashedRun {
             task,
             run,
             fresh: !attempt.passed_probation(alive),
             started: attempt.is_own() && attempt.start_confirmed,
-            cleared: attempt.is_exonerated(alive),
+            cleared: attempt.is_exonerated(alive) || (lasting && attempt.outlived_startup(alive)),
         })
     }
 
--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -38,7 +38,9 @@
 ///
 /// Other tasks may crash the workers of a long-running task for half a minute. The long-running
 /// task would be failed for these crashes and lose all its work, so crashes that another fresh
-/// start explains do not count against it.
+/// start explains do not count against it. Neither do crashes after its run was at work: its workers
+/// may crash for any cause, and failing the job would stop its healthy tasks against their budget.
+/// Such a run clears the task's crashes instead.
 pub(crate) fn is_to_blame(crashes: &[Crash], lasting: bool) -> bool {
     let fresh = crashes.iter().filter(|c| c.proven && c.fresh).count();
     let alone = crashes.last().is_some_and(|c| c.alone);
--- a/crates/cell/src/probation.rs
+++ b/crates/cell/src/probation.rs
@@ -10,6 +10,10 @@
 /// against that run.
 const PROBATION: Duration = Duration::from_millis(100);
 
+/// Time that a run of a long-running task has to be active until its worker's crash is no evidence
+/// against the task.
+const STARTUP: Duration = Duration::from_secs(1);
+
 /// Time that a run has to be active until earlier crashes no longer count against its task.
 const EXONERATION: Duration = Duration::from_secs(10);
 
@@ -25,6 +29,12 @@
         self.ran_for(alive, EXONERATION)
     }
 
+    /// Whether a run of a long-running task was at work, or so long after its start, when the worker
+    /// was last known alive that its start did not cause the worker's end.
+    pub(crate) fn outlived_startup(&self, alive: Time) -> bool {
+        self.start_confirmed && (self.percent >= 100 || self.ran_for(alive, STARTUP))
+    }
+
     fn ran_for(&self, alive: Time, least: Duration) -> bool {
         // A start order that was not answered may be carried out at any time.
         self.start_confirmed && alive >= self.started.after(least)
--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuswheel_work::{JobId, JobState, StepId, TaskId};
-use world::{World, job, lasting, steps};
+use world::{FakeWorker, World, job, lasting, steps};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -225,3 +225,83 @@
     assert!(count <= MAX_STARTS, "{count} starts");
     assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
 }
+
+/// A long-running job of which one task after the other is at work for a while and then loses its
+/// worker, five times and more. Guards against failing the job for these crashes, which would stop
+/// its other tasks beyond the step's budget, and against the same after takeovers.
+#[test]
+fn lasting_at_work() {
+    for (seed, taken_over) in [(8, false), (9, true)] {
+        let mut world = World::new(seed, 8);
+        world.budget = Some(1);
+        for number in 0..8 {
+            world.worker(number).lasting_jobs = vec![1];
+        }
+        world.submit(lasting(1, 5, 1));
+        for _ in 0..10 {
+            world.advance(2 * SECOND);
+            let now = world.now;
+            let running = world.workers.values_mut().find(|w| {
+                let mut runs = w.runs();
+                w.up && runs.any(|(task, _)| task == first_task(1))
+            });
+            running.expect("the task runs somewhere").crash(now);
+            world.advance(6 * SECOND);
+            if taken_over {
+                world.take_over();
+                world.remove_old_owners();
+            }
+        }
+        let state = world.state(JobId::new(1));
+        assert_eq!(state, Some(JobState::Running), "taken over: {taken_over}");
+        world.assert_no_violations();
+    }
+}
+
+/// Guards against failing a long-running job for crashes in its startup that come a second and more
+/// after its start. Its tasks take long to get to work, and other causes crash the workers.
+#[test]
+fn lasting_in_startup() {
+    let mut world = World::new(10, 8);
+    for number in 0..8 {
+        world.worker(number).lasting_jobs = vec![1];
+        world.worker(number).stalled = true;
+    }
+    world.submit(lasting(1, 1, 1));
+    for crash in 0..7 {
+        let deadline = world.now.after(30 * SECOND);
+        loop {
+            for worker in world.workers.values_mut() {
+                worker.stalled = true;
+            }
+            world.advance(SECOND / 10);
+            assert!(world.now < deadline, "no run after {crash} crashes");
+            let now = world.now;
+            let old = |w: &&mut FakeWorker| {
+                let last = w.started.last();
+                w.run_count() == 1 && last.is_some_and(|s| now.since(s.2) >= SECOND * 3 / 2)
+            };
+            if let Some(worker) = world.workers.values_mut().find(old) {
+                worker.crash(now);
+                break;
+            }
+        }
+    }
+    world.advance(8 * SECOND);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Running));
+}
+
+/// Guards against a long-running task that crashes its workers in its startup, forever.
+#[test]
+fn lasting_slow_crashes() {
+    let mut world = lethal_world(11, 4, &[1]);
+    for number in 0..4 {
+        world.worker(number).lasting_jobs = vec![1];
+        world.worker(number).crash_delay = 250;
+    }
+    world.submit(lasting(1, 1, 1));
+    world.advance(60 * SECOND);
+    let count = start_count(&world, first_task(1));
+    assert!(count <= MAX_STARTS, "{count} starts");
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Failed));
+}
