--- a/crates/cell/src/preempt.rs
+++ b/crates/cell/src/preempt.rs
@@ -20,6 +20,7 @@
 use crate::free_index::Scope;
 use crate::job::Job;
 use crate::learned::QueueStats;
+use crate::rank::rank_with;
 use crate::worker::{Allocation, Hold, Worker};
 
 /// Number of waiting jobs that a decision looks at.
@@ -65,6 +66,8 @@
     /// Processor capacity of the workers.
     cpu: u64,
     workers: u64,
+    /// Why the runs of each job seen give way, if they do.
+    classes: Map<JobId, Option<VictimClass>>,
 }
 
 impl Cell {
@@ -254,7 +257,11 @@
             let left_ms = remaining(attempt, self.run_time(job, step), now.get());
             survey.used += allocation.room;
             survey.occupied.add(allocation.room, 0, left_ms);
-            victims.extend(self.victim(job, *task, allocation, attempt, left_ms));
+            let class = survey.classes.entry(job.sub.job);
+            let Some(class) = *class.or_insert_with(|| self.victim_class(job)) else {
+                continue;
+            };
+            victims.extend(self.victim(job, (*task, class), allocation, attempt, left_ms));
         }
         let usable = worker.is_schedulable(now)
             && !worker.is_reserved(now)
@@ -274,7 +281,7 @@
     fn victim(
         &self,
         job: &Job,
-        task: TaskId,
+        (task, class): (TaskId, VictimClass),
         allocation: &Allocation,
         attempt: &Attempt,
         left_ms: u64,
@@ -282,7 +289,6 @@
         let policy = &self.policy.preempt;
         let step = job.step(task)?;
         let state = job.task(task)?;
-        let class = self.rank(job).0.victim_class()?;
         let stoppable = job.is_open()
             && attempt.phase == Phase::Running
             && !step.gang
@@ -308,6 +314,37 @@
         })
     }
 
+    /// Why the runs of a job give way, if they do.
+    ///
+    /// Unlike the rank of waiting work, it goes by the progress of the job's runs: a job whose last
+    /// tasks started in time would else count as late while they run.
+    fn victim_class(&self, job: &Job) -> Option<VictimClass> {
+        let queue = self.config.queues.get(&job.sub.queue);
+        let learned = self.queue_stats.get(&job.sub.queue);
+        let slowdown = learned.map_or(1.0, QueueStats::slowdown);
+        let remaining = self.remaining_time(job, slowdown);
+        let (rank, _) = rank_with(job, queue, slowdown, remaining, self.now);
+        rank.victim_class()
+    }
+
+    /// Expected time until a job is done if its waiting tasks start now, in milliseconds.
+    fn remaining_time(&self, job: &Job, slowdown: f64) -> f64 {
+        let steps = job.turns.iter().flat_map(|t| t.steps.iter().enumerate());
+        let open = steps.filter(|(_, run)| !run.is_done());
+        let times = open.map(|(i, run)| {
+            let step = &job.sub.steps[i];
+            if run.tasks.iter().any(|t| t.is_pending()) {
+                return job.tails[i] as f64 * slowdown;
+            }
+            let run_time = self.run_time(job, step);
+            let attempts = run.tasks.iter().flat_map(|t| &t.attempts);
+            let left = attempts.map(|a| remaining(a, run_time, self.now.get()));
+            let later = job.tails[i].saturating_sub(step.estimate.get());
+            left.max().unwrap_or_default() as f64 + later as f64 * slowdown
+        });
+        times.fold(0.0, f64::max)
+    }
+
     /// Holds the room on a worker, and stops the runs there.
     fn carry_out(&mut self, chosen: Preemption, snapshot: &Snapshot) {
         let now = self.now;
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -101,6 +101,18 @@
 /// Returns the rank of a job at `now`, and the time until which it is valid. `slowdown` is the
 /// factor by which the work takes longer than the caller's estimate.
 pub(crate) fn rank(job: &Job, queue: Option<&Queue>, slowdown: f64, now: Time) -> (Rank, Time) {
+    let remaining = remaining_chain(job) as f64 * slowdown;
+    rank_with(job, queue, slowdown, remaining, now)
+}
+
+/// Like [`rank`], of a job that is expected to need another `remaining` milliseconds.
+pub(crate) fn rank_with(
+    job: &Job,
+    queue: Option<&Queue>,
+    slowdown: f64,
+    remaining: f64,
+    now: Time,
+) -> (Rank, Time) {
     let priority = queue.map_or(u32::MAX, |q| q.priority);
     if job.sub.lasting() {
         let rank = Rank {
@@ -113,7 +125,6 @@
     }
     let (stretch, allowance) = queue.map_or((1.0, 0), |q| (q.stretch, q.allowance.get()));
     let objective = job.chain() as f64 * slowdown * stretch + allowance as f64;
-    let remaining = remaining_chain(job) as f64 * slowdown;
     let waited = now.since(job.arrived).as_millis() as f64;
     let slack = objective - remaining - waited;
     if slack >= 0.0 {
--- a/crates/cell/tests/preemption.rs
+++ b/crates/cell/tests/preemption.rs
@@ -149,6 +149,30 @@
     sub
 }
 
+/// Guards against stops of a job that is about to be done in time: by the time since it was
+/// submitted and its estimate alone, a job whose tasks have run for long seems late.
+#[test]
+fn in_time_by_progress() {
+    let mut world = world(policy());
+    world.advance(6 * SECOND);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = LONG_MS;
+    }
+    for id in 100..110 {
+        let mut long = steps(1, 4, LONG_MS);
+        long[0].resumable = true;
+        world.submit(job(id, long));
+    }
+    // The latest start was 6.2 s after the submission, and another 1.4 s are left to run.
+    world.advance(33 * SECOND / 5);
+    let runs: usize = world.workers.values().map(|w| w.run_count()).sum();
+    assert_eq!(runs, 40);
+    world.submit(waiting(1));
+    world.advance(SECOND);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 0);
+    world.assert_no_violations();
+}
+
 /// Guards against stops that help nobody: while a run stops for a job that needs more room than
 /// that run had, another job takes the room that was free before.
 #[test]
