--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -10,7 +10,6 @@
 use crate::finished::{Finished, FinishedJob};
 use crate::job::Job;
 use crate::journal::JobRecord;
-use crate::run_state::Turn;
 use crate::schedule::held;
 
 impl Cell {
@@ -49,13 +48,15 @@
             self.open.remove(&id);
             self.stop_all(id);
         }
+        self.recount(id);
         self.reschedule = true;
     }
 
     /// Restores a finished job. Its submission may still be stored, since dropping submissions is
     /// best effort; in that case it is dropped again.
     fn restore_finished(&mut self, id: JobId, job: Finished) {
-        if self.jobs.remove(&id).is_some() {
+        if let Some(known) = self.jobs.remove(&id) {
+            self.discount(&known);
             self.obsolete.push(id);
         }
         self.open.remove(&id);
@@ -78,15 +79,17 @@
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
         let mut job = Job::new(Arc::new(sub), arrived);
         if job.sub.times == 0 {
-            job.turns.push(Turn::new(0, &job.sub.steps));
+            job.begin_turn();
         }
         job.over_share = self.is_over_share(&job);
         if !self.restoring {
             log_accepted(&job);
         }
         self.count_arrival(&job);
+        job.pack();
         self.due_turns.extend(job.next_turn().map(|due| (due, id)));
         self.jobs.insert(id, job);
+        self.recount(id);
         self.open.insert(id);
         if self.cancelled.remove(&id) {
             self.cancel(now, id);
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -21,9 +21,9 @@
 use crate::job::Job;
 use crate::jobs::Jobs;
 use crate::learned::QueueStats;
+use crate::open_state::{OpenState, StateLimits, StateRoom};
 use crate::output::Output;
 use crate::policy::WorkPolicy;
-use crate::run_state::Turn;
 use crate::shares::Shares;
 use crate::tallies::Tallies;
 use crate::usage::Usage;
@@ -67,6 +67,10 @@
     pub(crate) wait_queue: WaitQueue,
     /// When the next occurrence of each recurring job is due, in milliseconds since 1970.
     pub(crate) due_turns: BTreeSet<(u64, JobId)>,
+    /// Occurrences that are due and wait until the state has room for them.
+    held_turns: BTreeSet<(u64, JobId)>,
+    pub(crate) open_state: OpenState,
+    state_limits: StateLimits,
     /// Jobs whose final record is in the journal; only this record is kept.
     ///
     /// Invariant: disjoint from `jobs`.
@@ -145,6 +149,9 @@
             open: Set::default(),
             wait_queue: WaitQueue::default(),
             due_turns: BTreeSet::new(),
+            held_turns: BTreeSet::new(),
+            open_state: OpenState::default(),
+            state_limits: StateLimits::default(),
             finished: Map::default(),
             finished_order: VecDeque::new(),
             obsolete: Vec::new(),
@@ -276,6 +283,40 @@
         self.renew_leases = age < RENEW_WITHOUT_STORE;
     }
 
+    /// Sets the limits of the open jobs' state.
+    pub fn limit_state(&mut self, limits: StateLimits) {
+        self.state_limits = limits;
+    }
+
+    /// Size of the open jobs' state, in bytes.
+    pub fn state_size(&self) -> u64 {
+        self.open_state.used()
+    }
+
+    /// Room in the state for a new job of a team.
+    pub fn state_room(&self, team: Option<&TeamName>) -> StateRoom {
+        let teams = &self.config.teams;
+        let weight = team.and_then(|t| teams.get(t)).map(|t| t.weight.get());
+        let all: f64 = teams.values().map(|t| t.weight.get()).sum();
+        let share = weight.filter(|_| all > 0.0).map_or(0.0, |w| w / all);
+        self.open_state.room(&self.state_limits, team, share)
+    }
+
+    /// Updates what a job counts with in the state's size.
+    pub(crate) fn recount(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut_untracked(&id) {
+            let size = job.size();
+            let before = std::mem::replace(&mut job.counted, size);
+            self.open_state.replace(job.sub.team.as_ref(), before, size);
+        }
+    }
+
+    /// Takes a removed job out of the state's size.
+    pub(crate) fn discount(&mut self, job: &Job) {
+        self.open_state
+            .replace(job.sub.team.as_ref(), job.counted, 0);
+    }
+
     /// Sets whether start orders are sent without the job's spec.
     pub fn omit_specs(&mut self, omit: bool) {
         self.specs_omitted = omit;
@@ -362,20 +403,45 @@
 
     /// Starts the occurrences of recurring jobs that are due.
     fn begin_due_turns(&mut self, wall: u64) {
-        while let Some(&(due, id)) = self.due_turns.first()
-            && due <= wall
+        while let Some(&held) = self.held_turns.first()
+            && self.try_begin(held)
+        {
+            self.held_turns.pop_first();
+        }
+        while let Some(&next) = self.due_turns.first()
+            && next.0 <= wall
         {
             self.due_turns.pop_first();
-            let job = self.jobs.get_mut(&id).filter(|j| j.is_open());
-            // A journal record of an earlier owner may already contain this occurrence.
-            let Some(job) = job.filter(|j| j.next_turn() == Some(due)) else {
-                continue;
-            };
-            let next = job.turns.len() as u32;
-            job.turns.push(Turn::new(next, &job.sub.steps));
+            if !self.try_begin(next) {
+                let (_, id) = next;
+                let size = self.state_size();
+                log::warn!(job:% = id, state_bytes = size; "occurrence waits: too many open jobs");
+                self.held_turns.insert(next);
+            }
+        }
+    }
+
+    /// Starts an occurrence that is due, unless it is obsolete; false if the state has no room for
+    /// it. Without this limit, jobs that become due together could exceed the memory of every node
+    /// that may own the cell.
+    fn try_begin(&mut self, (due, id): (u64, JobId)) -> bool {
+        let job = self.jobs.get(&id).filter(|j| j.is_open());
+        // A journal record of an earlier owner may already contain this occurrence.
+        let Some(job) = job.filter(|j| j.next_turn() == Some(due)) else {
+            return true;
+        };
+        let grown = self.open_state.used().saturating_add(job.turn_growth());
+        if grown > self.state_limits.grow {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.begin_turn()
+        {
             self.due_turns.extend(job.next_turn().map(|due| (due, id)));
-            self.reschedule = true;
         }
+        self.recount(id);
+        self.reschedule = true;
+        true
     }
 
     /// Abandons the runs of unresponsive workers whose leases have certainly expired, and removes
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -60,6 +60,9 @@
     /// record is enough to answer all queries about the job, so the submission is not needed.
     fn retain_finished(&mut self, id: JobId, job: Finished) {
         let known = self.jobs.remove(&id);
+        if let Some(known) = &known {
+            self.discount(known);
+        }
         // A cancellation is always stored in the intake, even if the submission is only in the
         // journal.
         let journal_only = known.as_ref().is_some_and(|j| !j.in_intake);
@@ -198,7 +201,12 @@
         }
         let record = record.map(|r| encode(&r));
         draft.size += record.as_ref().map_or(0, Vec::len);
+        let size = record.as_ref().map_or(0, Vec::len) as u64;
         draft.records.push((id, record));
+        if let Some(job) = self.jobs.get_mut_untracked(&id) {
+            job.record_size = size;
+        }
+        self.recount(id);
     }
 }
 
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -6,12 +6,24 @@
 use cactuswheel_work::{JobState, Step, Submission, TaskId};
 
 use crate::finished::{Finished, Redone};
+use crate::footprint::{Footprint, packed_size};
+use crate::journal::{decode, encode};
 use crate::run_state::{StepRun, Task, Turn};
 
 /// State of a job that has not been reduced to a finished record yet.
 #[derive(Debug)]
 pub(crate) struct Job {
+    /// The submission; without its spec and steps while they are in `packed`.
     pub(crate) sub: Arc<Submission>,
+    /// The encoded submission of a large job of which no occurrence has begun.
+    ///
+    /// Invariant: `None` if there are occurrences.
+    packed: Option<Box<[u8]>>,
+    footprint: Footprint,
+    /// Size of the job's last journal record, in bytes.
+    pub(crate) record_size: u64,
+    /// Size that the job counts with in the cell's state, in bytes.
+    pub(crate) counted: u64,
     /// Final state, or `Queued` while the job is not final, also while it runs.
     pub(crate) state: JobState,
     /// Final state that the journal holds, if any; only this one may be reported to callers.
@@ -44,8 +56,13 @@
 impl Job {
     pub(crate) fn new(sub: Arc<Submission>, arrived: Time) -> Self {
         let tails = sub.tails();
+        let footprint = Footprint::of(&sub);
         Self {
             sub,
+            packed: None,
+            footprint,
+            record_size: 0,
+            counted: 0,
             state: JobState::Queued,
             journaled: None,
             turns: Vec::new(),
@@ -62,6 +79,61 @@
         }
     }
 
+    /// Replaces the spec and the steps by the encoded submission if the job is large and no
+    /// occurrence has begun.
+    pub(crate) fn pack(&mut self) {
+        if !self.turns.is_empty() || !self.footprint.is_packed_until_due(&self.sub) {
+            return;
+        }
+        self.packed = Some(encode(&*self.sub).into_boxed_slice());
+        self.tails = vec![self.chain()];
+        self.sub = Arc::new(Submission {
+            spec: "".into(),
+            steps: Arc::new([]),
+            team: self.sub.team.clone(),
+            queue: self.sub.queue.clone(),
+            service: self.sub.service.clone(),
+            ..*self.sub
+        });
+    }
+
+    /// Restores the spec and the steps, before an occurrence begins; false if they cannot be read.
+    pub(crate) fn unpack(&mut self) -> bool {
+        let Some(packed) = &self.packed else {
+            return true;
+        };
+        match decode::<Submission>(packed) {
+            Ok(sub) => {
+                self.tails = sub.tails();
+                self.sub = Arc::new(sub);
+                self.packed = None;
+                true
+            }
+            Err(e) => {
+                log::error!(job:% = self.sub.job, error:% = e; "cannot decode the submission");
+                false
+            }
+        }
+    }
+
+    /// Size of the job's state, in bytes.
+    pub(crate) fn size(&self) -> u64 {
+        let submission = match &self.packed {
+            Some(packed) => packed_size(packed.len()),
+            None => self.footprint.submission,
+        };
+        submission + self.turns.len() as u64 * self.footprint.turn + self.record_size
+    }
+
+    /// By how much the job's state grows when its next occurrence begins, in bytes.
+    pub(crate) fn turn_growth(&self) -> u64 {
+        let unpacked = self
+            .packed
+            .as_ref()
+            .map_or(0, |_| self.footprint.submission);
+        unpacked + self.footprint.turn
+    }
+
     /// The record to keep of the job. `None` until the job is in a final state and none of its runs
     /// is left.
     pub(crate) fn finished(&self) -> Option<Finished> {
@@ -74,6 +146,16 @@
         })
     }
 
+    /// Begins the next occurrence; false if the job's steps cannot be read.
+    pub(crate) fn begin_turn(&mut self) -> bool {
+        if !self.unpack() {
+            return false;
+        }
+        let next = self.turns.len() as u32;
+        self.turns.push(Turn::new(next, &self.sub.steps));
+        true
+    }
+
     /// When the next occurrence is due, in milliseconds since 1970; `None` if no further one is due
     /// or the job runs once, immediately.
     pub(crate) fn next_turn(&self) -> Option<u64> {
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -154,6 +154,9 @@
             job.journaled = Some(self.state);
             job.ended = Some(now);
         }
+        if !self.turns.is_empty() && !job.unpack() {
+            return;
+        }
         let sub = job.sub.clone();
         let places = Places {
             known: &self.places,
--- a/crates/local/src/store.rs
+++ b/crates/local/src/store.rs
@@ -18,6 +18,9 @@
 /// Maximum number of records in a page of newest records.
 const PAGE_SIZE: usize = 500;
 
+/// Maximum size of the values in a page of newest records, in bytes, if there is more than one.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// The log store: partitions by topic and number.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
@@ -116,13 +119,17 @@
         let after = request.text("after").unwrap_or_default().to_owned();
         let part = self.part(request);
         let mut keys = part.newest.iter().filter(|(k, _)| **k > after);
-        let items = keys.by_ref().take(PAGE_SIZE);
-        let items: Vec<Value> = items
-            .map(|(key, (value, offset))| {
-                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
-            })
-            .collect();
-        let more = keys.next().is_some();
+        let mut items: Vec<Value> = Vec::new();
+        let mut size = 0;
+        let mut more = false;
+        for (key, (value, offset)) in &mut keys {
+            size += value.len();
+            more = !items.is_empty() && (items.len() == PAGE_SIZE || size > PAGE_BYTES);
+            if more {
+                break;
+            }
+            items.push(json!({ "key": key, "value": STANDARD.encode(value), "offset": offset }));
+        }
         (
             StatusCode::OK,
             json!({ "items": items, "has_more": more, "end": part.end() }),
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -146,6 +146,11 @@
     NoScheduler = 210, 503, NotRun,
         "nobody schedules jobs: it would begin too late",
         "Come back after `Retry-After`.";
+    /// The open jobs of the cell, or of the team beyond its share of them, take up all memory that
+    /// every node has for them.
+    StateFull = 211, 503, NotRun,
+        "too many open jobs: not accepted",
+        "Come back after `Retry-After`, or when jobs of the team have ended.";
 
     /// No connection to an upstream could be made.
     Unreachable = 301, 502, NotRun,
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactuswheel_cell::{Standing, StartDelay};
-use cactuswheel_work::{JobId, QueueName, ServiceName};
+use cactuswheel_cell::Standing;
+use cactuswheel_work::{JobId, QueueName, Submission};
 use tokio::time::{sleep, timeout};
 
-use crate::peer::{HandInAnswer, JobAnswer, PeerLink, QueueAnswer};
+use crate::peer::{HandInAnswer, JobAnswer, PeerLink, Prospects, QueueAnswer};
 use crate::shared::Shared;
 
 /// Timeout of one query to the owner. The owner answers from memory, so a longer silence means that
@@ -65,18 +65,18 @@
     }
 }
 
-/// What the owner knows of a job without reading the intake, and how long a new job of this service
-/// would wait; `None` if no owner answers.
+/// What the owner knows of a job without reading the intake, and its prospects for such a job if it
+/// is new; `None` if no owner answers.
 pub(crate) async fn standing(
     shared: &Arc<Shared>,
-    id: JobId,
-    service: ServiceName,
-) -> Option<(Standing, StartDelay)> {
+    sub: &Submission,
+) -> Option<(Standing, Prospects)> {
+    let (id, service, team) = (sub.job, sub.service.clone(), sub.team.clone());
     if let Some(own) = shared.local_owner.load_full() {
-        return own.standing(id, service).await;
+        return own.standing(id, service, team).await;
     }
     let link = connected_link(shared)?;
-    let answer = link.standing(id, service, ATTEMPT_TIMEOUT).await;
+    let answer = link.standing(id, service, team, ATTEMPT_TIMEOUT).await;
     if answer.is_none() {
         drop_link(shared);
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,18 +3,18 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use cactuswheel_cell::{BatchId, Standing, StartDelay};
+use cactuswheel_cell::{BatchId, Standing};
 use cactuswheel_model::Time;
 use cactuswheel_relay::{Offer, RelayTerm, Reply};
 use cactuswheel_work::{
     Instance, InstanceOrder, InstanceOutcome, JobId, NodeName, QueueName, ServiceName, StepId,
-    WorkerEntry, WorkerId,
+    TeamName, WorkerEntry, WorkerId,
 };
 use serde_json::Value;
 use tokio::sync::oneshot;
 
 use crate::intake_follower::IntakePage;
-use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
+use crate::peer::{HandInAnswer, JobAnswer, Prospects, QueueAnswer};
 use crate::relay_request::{Report, Reports};
 
 /// An event that the cell's owner processes.
@@ -71,9 +71,14 @@
 pub(crate) enum Query {
     /// The state of a job.
     Job(JobId, oneshot::Sender<JobAnswer>),
-    /// What the owner knows of a job, and how long a new one would wait; a front end asks this
-    /// before it refuses the job.
-    Standing(JobId, ServiceName, oneshot::Sender<(Standing, StartDelay)>),
+    /// What the owner knows of a job, and the prospects of a new one; a front end asks this before it
+    /// refuses the job.
+    Standing(
+        JobId,
+        ServiceName,
+        Option<TeamName>,
+        oneshot::Sender<(Standing, Prospects)>,
+    ),
     /// The state of the cell, for operators.
     CellView(oneshot::Sender<Value>),
     /// The state of a job, for operators.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -49,6 +49,10 @@
 /// Idle time after which a stopping node closes a caller's connection.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// When a caller may come back whose job had no room in the state of the open jobs: jobs end at any
+/// time.
+const FULL_RETRY: Duration = Duration::from_secs(5);
+
 /// Maximum size of a record in the store, in bytes.
 const MAX_RECORD: usize = 256 << 10;
 
@@ -299,6 +303,7 @@
                 let detail = format!("it would begin {} ms too late", excess.as_millis());
                 Refusal::new(Code::QueueFull, detail).with_retry_after(excess)
             }
+            NotStored::Full => Refusal::new(Code::StateFull, "").with_retry_after(FULL_RETRY),
             NotStored::Doubt => Refusal::new(Code::StoreDoubt, ""),
         }
     }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use cactuswheel_adapter::{AppendError, KeyedRecord, Partition, Producer, records_size};
-use cactuswheel_cell::{Slack, Standing};
+use cactuswheel_cell::{Slack, Standing, new_job_size};
 use cactuswheel_model::Time;
 use cactuswheel_work::Submission;
 use tokio::sync::{mpsc, oneshot};
@@ -61,6 +61,8 @@
     /// It was not stored and never will be: no owner has accepted jobs for so long that the job
     /// would start too late by this much.
     NoOwner(Duration),
+    /// It was not stored and never will be: the state of the open jobs has no room for it.
+    Full,
     /// The outcome is unknown: it may be stored already, or be stored later.
     Doubt,
 }
@@ -135,32 +137,38 @@
         let queue = config.as_ref().and_then(|c| c.queues.get(&sub.queue));
         let slack = Slack::of(sub, queue);
         let start = shared.clock.now();
-        if let Some(slack) = slack
-            && let Some(refusal) = early_refusal(shared, start, slack)
-        {
+        let (team, size) = (sub.team.as_ref(), new_job_size(sub, record.len()));
+        let late = slack.and_then(|slack| early_refusal(shared, start, slack));
+        let full = (!shared.room.fits(team, size)).then_some(NotStored::Full);
+        if let Some(refusal) = late.or(full) {
             // The request may repeat one for a job that was already accepted.
-            let Some((standing, delay)) = ask::standing(shared, id, sub.service.clone()).await
-            else {
+            let Some((standing, prospects)) = ask::standing(shared, sub).await else {
                 return Err(refusal);
             };
             // The owner's current delay may be shorter than the one that this front end knows of.
+            let delay = prospects.delay;
             shared.overload.learn(shared.clock.now(), delay);
+            shared.room.learn(team, prospects.room);
             match standing {
                 Standing::Stored => return Ok(()),
                 // Handing the job in again returns its outcome.
                 Standing::Pending => {}
                 Standing::Unknown => {
-                    if let Some(excess) = delay.excess(slack) {
+                    if let Some(excess) = slack.and_then(|s| delay.excess(s)) {
                         return Err(NotStored::Overloaded(excess));
                     }
+                    if !prospects.room.fits(size) {
+                        return Err(NotStored::Full);
+                    }
                 }
             }
         }
         let record = Bytes::from(record);
         let handed = ask::hand_in(shared, record.clone(), limit).await;
         match handed {
-            HandInAnswer::Accepted => {
+            HandInAnswer::Accepted(room) => {
                 shared.owner_health.answered(shared.clock.now());
+                shared.room.learn(team, room);
                 return Ok(());
             }
             HandInAnswer::Overloaded(delay) => {
@@ -169,10 +177,22 @@
                 let excess = slack.and_then(|s| delay.excess(s));
                 return Err(NotStored::Overloaded(excess.unwrap_or_default()));
             }
+            HandInAnswer::Full(room) => {
+                shared.owner_health.answered(shared.clock.now());
+                shared.room.learn(team, room);
+                return Err(NotStored::Full);
+            }
             HandInAnswer::Refused | HandInAnswer::Unknown => {
                 shared.owner_health.failed(shared.clock.now());
             }
         }
+        if !shared.room.take_uncounted(size) {
+            return Err(match handed {
+                // The owner may still accept the job.
+                HandInAnswer::Unknown => NotStored::Doubt,
+                _ => NotStored::Full,
+            });
+        }
         let left = limit.saturating_sub(shared.clock.now().since(start));
         let stored = self
             .store(IntakeKey::Submitted(id), record.to_vec(), left)
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -17,7 +17,7 @@
 use crate::hand_ins::HandIns;
 use crate::intake_follower::{IntakePage, follow_intake, read_intake};
 use crate::owner_handle::OwnerHandle;
-use crate::peer::{JobAnswer, QueueAnswer};
+use crate::peer::{JobAnswer, Prospects, QueueAnswer};
 use crate::relay_request::{Report, Reports};
 use crate::role::Role;
 use crate::roster;
@@ -180,6 +180,7 @@
                 }
             }
             self.apply_operators();
+            self.cell.limit_state(self.shared.state_limits());
             for report in self.dispatcher.expire_overdue() {
                 self.handle_report(report);
             }
@@ -203,7 +204,7 @@
                         );
                         deposed = true;
                     }
-                    Output::Accepted(jobs) => self.hand_ins.accepted(&jobs),
+                    Output::Accepted(jobs) => self.hand_ins.accepted(&self.cell, &jobs),
                     output => self.dispatcher.execute(output),
                 }
             }
@@ -290,8 +291,12 @@
     fn answer_query(&mut self, query: Query) {
         match query {
             Query::Job(id, reply) => self.answer_job(id, self.shared.clock.now(), reply),
-            Query::Standing(id, service, reply) => {
-                let _ = reply.send((self.cell.standing(id), self.cell.start_delay(&service)));
+            Query::Standing(id, service, team, reply) => {
+                let prospects = Prospects {
+                    delay: self.cell.start_delay(&service),
+                    room: self.cell.state_room(team.as_ref()),
+                };
+                let _ = reply.send((self.cell.standing(id), prospects));
             }
             Query::CellView(reply) => drop(reply.send(cell_view(&self.cell))),
             Query::JobView(id, reply) => drop(reply.send(job_view(&self.cell, id))),
--- a/crates/node/src/owner_handle.rs
+++ b/crates/node/src/owner_handle.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactuswheel_cell::{Standing, StartDelay};
+use cactuswheel_cell::Standing;
 use cactuswheel_relay::{Offer, Reply};
-use cactuswheel_work::{JobId, QueueName, ServiceName};
+use cactuswheel_work::{JobId, QueueName, ServiceName, TeamName};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
 use crate::event::{Event, HandInRequest, Query};
-use crate::peer::{HandInAnswer, JobAnswer, QueueAnswer};
+use crate::peer::{HandInAnswer, JobAnswer, Prospects, QueueAnswer};
 use crate::relay_request::Reports;
 
 /// Handle through which other tasks send events and queries to the owner on this node.
@@ -42,15 +42,17 @@
         answer.await.unwrap_or(QueueAnswer::NotOwner)
     }
 
-    /// Returns what the cell knows of a job, and how long new jobs of `service` wait; `None` if the
-    /// owner has stopped.
+    /// Returns what the cell knows of a job, and the prospects of new jobs of `service` and `team`;
+    /// `None` if the owner has stopped.
     pub(crate) async fn standing(
         &self,
         id: JobId,
         service: ServiceName,
-    ) -> Option<(Standing, StartDelay)> {
+        team: Option<TeamName>,
+    ) -> Option<(Standing, Prospects)> {
         let (reply, answer) = oneshot::channel();
-        self.send_query(Query::Standing(id, service, reply)).await;
+        let query = Query::Standing(id, service, team, reply);
+        self.send_query(query).await;
         answer.await.ok()
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactuswheel_cell::{Standing, StartDelay};
+use cactuswheel_cell::{Standing, StartDelay, StateRoom};
 use cactuswheel_relay::{Offer, Reply, SpecDigest};
 use cactuswheel_work::{JobId, JobState, NodeName, QueueName, ServiceName, TeamName};
 use futures::StreamExt;
@@ -71,15 +71,27 @@
     NotOwner,
 }
 
+/// What the owner expects for a new job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Prospects {
+    /// How long the job would wait.
+    pub(crate) delay: StartDelay,
+    /// Room for the job in the state of the open jobs.
+    pub(crate) room: StateRoom,
+}
+
 /// The owner's answer to a job that a front end handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum HandInAnswer {
-    /// The job is stored.
-    Accepted,
+    /// The job is stored; holds the room left for further jobs of its team.
+    Accepted(StateRoom),
     /// The job was not stored and never will be.
     Refused,
     /// The job was not stored and never will be, because it would start too late.
     Overloaded(StartDelay),
+    /// The job was not stored and never will be, because the state of the open jobs has only this
+    /// much room for a job of its team.
+    Full(StateRoom),
     /// The outcome is unknown: the job may be accepted already, or be accepted later.
     Unknown,
 }
@@ -91,16 +103,21 @@
     async fn job(id: JobId) -> JobAnswer;
     /// To the owner: the number of a queue's jobs that have not started.
     async fn queue(name: QueueName) -> QueueAnswer;
-    /// To the owner: what it knows of a job without reading the intake, and how long a new job of
-    /// this service would wait; `None` from a node that is not the owner.
-    async fn standing(id: JobId, service: ServiceName) -> Option<(Standing, StartDelay)>;
+    /// To the owner: what it knows of a job without reading the intake, and its prospects for a new
+    /// job of this service and team; `None` from a node that is not the owner.
+    async fn standing(
+        id: JobId,
+        service: ServiceName,
+        team: Option<TeamName>,
+    ) -> Option<(Standing, Prospects)>;
     /// To the owner: accept this job within `limit` milliseconds. The front end at `origin` keeps
     /// the job spec.
     async fn hand_in(record: Bytes, origin: SocketAddr, limit: u64) -> HandInAnswer;
     /// To any node: a job spec, if the node has it.
     async fn spec(digest: SpecDigest) -> Option<Arc<str>>;
     /// To the owner: the caller offers to relay orders, or sends its heartbeat as a relay.
-    async fn enlist(offer: Offer) -> Reply;
+    /// `memory` is that of the caller, in MiB.
+    async fn enlist(offer: Offer, memory: u64) -> Reply;
     /// To a relay: send these orders to their workers. False if the relay already serves a
     /// newer owner.
     async fn submit(request: RelayRequest) -> bool;
@@ -131,8 +148,10 @@
         _: Context,
         id: JobId,
         service: ServiceName,
-    ) -> Option<(Standing, StartDelay)> {
-        self.0.local_owner.load_full()?.standing(id, service).await
+        team: Option<TeamName>,
+    ) -> Option<(Standing, Prospects)> {
+        let own = self.0.local_owner.load_full()?;
+        own.standing(id, service, team).await
     }
 
     async fn hand_in(
@@ -160,7 +179,8 @@
         }
     }
 
-    async fn enlist(self, _: Context, offer: Offer) -> Reply {
+    async fn enlist(self, _: Context, offer: Offer, memory: u64) -> Reply {
+        self.0.learn_memory(memory);
         match self.0.local_owner.load_full() {
             Some(own) => own.enlist(offer).await,
             None => Reply::NotOwner,
@@ -235,11 +255,12 @@
         &self,
         id: JobId,
         service: ServiceName,
+        team: Option<TeamName>,
         limit: Duration,
-    ) -> Option<(Standing, StartDelay)> {
+    ) -> Option<(Standing, Prospects)> {
         let answer = self
             .client
-            .standing(context_with_timeout(limit), id, service);
+            .standing(context_with_timeout(limit), id, service, team);
         answer.await.ok()?
     }
 
@@ -265,9 +286,9 @@
             .ok()?
     }
 
-    pub(crate) async fn enlist(&self, offer: Offer, limit: Duration) -> Option<Reply> {
+    pub(crate) async fn enlist(&self, offer: Offer, memory: u64, limit: Duration) -> Option<Reply> {
         self.client
-            .enlist(context_with_timeout(limit), offer)
+            .enlist(context_with_timeout(limit), offer, memory)
             .await
             .ok()
     }
--- a/crates/node/src/relay_server.rs
+++ b/crates/node/src/relay_server.rs
@@ -272,7 +272,10 @@
             link = PeerLink::connect(owner.addr).await;
         }
         let reply = match &link {
-            Some(to) => to.enlist(build_offer(&shared), OWNER_TIMEOUT).await,
+            Some(to) => {
+                let memory = shared.settings.memory;
+                to.enlist(build_offer(&shared), memory, OWNER_TIMEOUT).await
+            }
             None => None,
         };
         match reply {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use cactuswheel_cell::ShareRule;
+use cactuswheel_cell::{ShareRule, StateLimits};
 use cactuswheel_model::Millis;
 use cactuswheel_work::{NodeName, ZoneName};
 use serde::de::Error;
@@ -39,6 +39,10 @@
     /// leaves the cell to other nodes.
     #[serde(default = "much_memory", rename = "memory_mb")]
     pub memory: u64,
+    /// Memory of the smallest node that may own the cell, in MiB. Left out, it is the smallest that
+    /// this node knows of.
+    #[serde(default, rename = "least_memory_mb")]
+    pub least_memory: Option<u64>,
     /// Addresses that the node listens on.
     pub listen: Listen,
     /// Address of the platform's store.
@@ -207,6 +211,16 @@
         self.cores.min(link / BYTES_PER_CORE)
     }
 
+    /// Memory of the smallest node that may own the cell, as far as the settings tell, in MiB.
+    pub(crate) fn least_memory(&self) -> u64 {
+        self.least_memory.unwrap_or(self.memory)
+    }
+
+    /// Limits of the open jobs' state, as far as the settings tell.
+    pub(crate) fn state_limits(&self) -> StateLimits {
+        StateLimits::of_memory(self.least_memory() << 20)
+    }
+
     /// Returns the first field that is out of range, and the range it must be in.
     fn validate(&self) -> Option<(String, &'static str)> {
         let own = self.validate_own();
@@ -241,6 +255,9 @@
         if self.memory == 0 {
             return Some(("memory_mb", "has to be positive"));
         }
+        if self.least_memory == Some(0) {
+            return Some(("least_memory_mb", "has to be positive"));
+        }
         if self.cores.is_nan() || self.cores <= 0.0 {
             return Some(("cores", "has to be positive"));
         }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cactuswheel_adapter::StoreClient;
+use cactuswheel_cell::StateLimits;
 use cactuswheel_model::{Set, Time};
 use cactuswheel_relay::SpecCache;
 use cactuswheel_rtt::RttEstimator;
@@ -21,6 +22,7 @@
 use crate::owner_handle::OwnerHandle;
 use crate::peer::{OwnerAddress, PeerLink};
 use crate::settings::Settings;
+use crate::state_room::KnownRoom;
 
 /// State shared between the tasks of a node.
 #[derive(Debug)]
@@ -58,6 +60,10 @@
     pub(crate) owner_health: CallHealth,
     /// Waiting times last reported by the owner.
     pub(crate) overload: Overload,
+    /// Room for new jobs that the owner last reported.
+    pub(crate) room: KnownRoom,
+    /// Memory of the smallest node known that may own the cell, in MiB.
+    least_memory: AtomicU64,
     /// Specs of the jobs that this node accepted or relayed.
     specs: Mutex<SpecCache>,
     /// Minimum time without a renewal after which another node may claim this node's ownership.
@@ -108,6 +114,8 @@
             min_expiry: min_expiry_for(settings.link),
             expiry: AtomicU64::new(min_expiry_for(settings.link).as_millis() as u64),
             owner_unreachable: Notify::new(),
+            room: KnownRoom::new(&settings.state_limits()),
+            least_memory: AtomicU64::new(settings.least_memory()),
             settings,
             life,
             clock: Clock,
@@ -132,6 +140,24 @@
         }
     }
 
+    /// Records the memory, in MiB, of a node that may own the cell.
+    pub(crate) fn learn_memory(&self, memory: u64) {
+        if self.settings.least_memory.is_none() {
+            self.least_memory.fetch_min(memory, Ordering::Relaxed);
+        }
+    }
+
+    /// Limits of the open jobs' state that every node known can take over.
+    pub(crate) fn state_limits(&self) -> StateLimits {
+        let memory = self.least_memory.load(Ordering::Relaxed);
+        StateLimits::of_memory(memory << 20)
+    }
+
+    /// Limits of the open jobs' state by this node's own memory.
+    pub(crate) fn own_limits(&self) -> StateLimits {
+        StateLimits::of_memory(self.settings.memory << 20)
+    }
+
     /// Specs of the jobs that this node accepted or relayed.
     pub(crate) fn specs(&self) -> MutexGuard<'_, SpecCache> {
         self.specs.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -1,25 +1,25 @@
 //! Takeover of the cell: fences off earlier owners, then reads everything they have written.
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use cactuswheel_adapter::{AppendError, Item, Partition, Producer};
 use cactuswheel_capacity::{History, OrderRecord};
-use cactuswheel_cell::{Bounds, Cell, DecodeError, JobRecord, decode};
+use cactuswheel_cell::{Bounds, Cell, DecodeError, Rebuild, decode};
 use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{InstanceName, JobId, Submission};
-use futures::{StreamExt, stream};
+use futures::{StreamExt, TryStreamExt, stream};
 use tokio::time::sleep;
 
 use crate::dispatcher::report_limit;
-use crate::expiry::page_time;
+use crate::pages::Pages;
 use crate::shared::Shared;
 use crate::topics::{IntakeKey, JOURNAL, MAINTAINED, WAVES, intake};
 
 /// Producer name under which every owner writes the journal; the epoch distinguishes the owners.
 pub(crate) const PRODUCER_NAME: &str = "owner";
 
-/// Timeout of a call to the store; for a read, of each gap between two parts of the answer, plus
-/// the transfer time of a large page on the node's link.
+/// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Number of partitions that are read concurrently.
@@ -45,10 +45,6 @@
 /// Upper limit of the batch size, in bytes: well below what the store accepts in one call.
 const MAX_BATCH_SIZE: usize = 512 << 10;
 
-/// The records of a cell may take up the node's memory divided by this. Once loaded into the cell,
-/// they take about six times as much as in the store.
-const MEMORY_DIVISOR: usize = 8;
-
 /// Upper limit of a job's age, since the clocks of nodes may differ.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
@@ -60,13 +56,13 @@
     Deposed,
     /// The cell's state is too large for this node's memory.
     #[error(
-        "error 506: the cell's state has {size} bytes of records; the limit of this node is {limit}"
+        "error 506: the cell's state takes up more than {size} bytes; the limit of this node is {limit}"
     )]
     TooLarge {
-        /// Size of the records, in bytes.
-        size: usize,
-        /// Largest size that this node accepts, in bytes.
-        limit: usize,
+        /// Size of the state as far as it was read, in bytes.
+        size: u64,
+        /// Largest size that this node takes over, in bytes.
+        limit: u64,
     },
     /// A record cannot be decoded. Continuing without it would run tasks twice.
     #[error("journal of job {0}: {1}")]
@@ -93,18 +89,6 @@
 ) -> Result<Takeover, TakeoverError> {
     fence_off(shared, epoch).await?;
     // From here on the journal is complete: earlier owners cannot append to it any more.
-    let parts = (0..shared.settings.parts).map(intake);
-    let all = [JOURNAL].into_iter().chain(parts);
-    let read = stream::iter(all.map(|part| read_newest(shared, part)));
-    let mut read: Vec<(Vec<Item>, u64)> = read.buffered(MAX_IN_FLIGHT).collect().await;
-    let (journal, _) = read.remove(0);
-    let (intake, ends): (Vec<Vec<Item>>, Vec<u64>) = read.into_iter().unzip();
-    let intake: Vec<Item> = intake.into_iter().flatten().collect();
-    let size = total_size(&intake) + total_size(&journal);
-    let limit = (shared.settings.memory << 20) as usize / MEMORY_DIVISOR;
-    if size > limit {
-        return Err(TakeoverError::TooLarge { size, limit });
-    }
     let config = loop {
         match shared.config.load_full() {
             Some(config) => break config,
@@ -116,11 +100,7 @@
     if !alone {
         cell.expect_previous_owner();
     }
-    rebuild_cell(shared, &mut cell, &intake, &journal)?;
-    log::info!(
-        epoch = epoch, jobs = intake.len() as u64, journaled = journal.len() as u64;
-        "cell taken over"
-    );
+    let (cell, ends) = rebuild_cell(shared, epoch, cell).await?;
     let (history, orders) = read_instances(shared).await;
     Ok(Takeover {
         cell,
@@ -130,59 +110,96 @@
     })
 }
 
-/// Size of the items' keys and values, in bytes.
-fn total_size(items: &[Item]) -> usize {
-    items.iter().map(|i| i.key.len() + i.value.len()).sum()
+/// Restores the state that earlier owners have written into a new cell. Returns it with the end
+/// offset of each intake partition.
+async fn rebuild_cell(
+    shared: &Shared,
+    epoch: u64,
+    cell: Cell,
+) -> Result<(Cell, Vec<u64>), TakeoverError> {
+    let start = shared.clock.now();
+    let rebuild = Mutex::new(Rebuild::new(cell));
+    let parts = (0..shared.settings.parts).map(intake);
+    let all = [JOURNAL].into_iter().chain(parts);
+    let read = stream::iter(all.map(|part| restore_partition(shared, part, &rebuild)));
+    let ends: Vec<u64> = read.buffered(MAX_IN_FLIGHT).try_collect().await?;
+    let rebuild = rebuild.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let (jobs, size) = (rebuild.submissions(), rebuild.size());
+    let cell = rebuild.finish(shared.clock.now());
+    let cell = cell.map_err(|(id, e)| TakeoverError::Record(id, e))?;
+    let took = shared.clock.now().since(start);
+    log::info!(
+        epoch = epoch, jobs = jobs, state_bytes = size, read_ms = took.as_millis() as u64;
+        "cell taken over"
+    );
+    Ok((cell, ends[1..].to_vec()))
 }
 
-/// Restores the state that earlier owners have written into a new cell.
-fn rebuild_cell(
+/// Reads the newest record of each key in a partition into the cell, page by page. Returns the
+/// partition's end offset as of the first page.
+async fn restore_partition(
     shared: &Shared,
-    cell: &mut Cell,
-    intake: &[Item],
-    journal: &[Item],
-) -> Result<(), TakeoverError> {
-    let now = shared.clock.now();
-    // A job's cancellation may precede its submission, since the records are in key order.
-    for item in intake {
-        apply_intake(shared, cell, now, &item.key, &item.value);
-    }
-    for item in journal {
-        if let Some(IntakeKey::Submitted(id)) = IntakeKey::parse(&item.key) {
-            restore_submission(shared, cell, id, &item.value)?;
+    partition: Partition,
+    rebuild: &Mutex<Rebuild>,
+) -> Result<u64, TakeoverError> {
+    let mut pages = Pages::new(partition);
+    while let Some(items) = pages.next(shared).await {
+        let mut rebuild = rebuild.lock().unwrap_or_else(PoisonError::into_inner);
+        for item in items {
+            match partition == JOURNAL {
+                true => restore_journal(shared, &mut rebuild, &item)?,
+                false => restore_intake(shared, &mut rebuild, &item)?,
+            }
         }
-    }
-    let states = journal.iter();
-    let states = states.filter(|i| IntakeKey::parse(&i.key).is_none());
-    for item in states {
-        let Ok(id) = item.key.parse::<JobId>() else {
-            log::error!(key = item.key; "journal record with an invalid key");
-            continue;
-        };
-        let record = decode::<JobRecord>(&item.value);
-        let record = record.map_err(|e| TakeoverError::Record(id, e))?;
-        cell.restore(now, id, record);
-    }
-    for item in intake {
-        // A cancelled job stays cancelled, whatever state an earlier owner recorded.
-        if let Some(IntakeKey::Cancelled(id)) = IntakeKey::parse(&item.key) {
-            cell.cancel(now, id);
+        let (size, limit) = (rebuild.size(), shared.own_limits().takeover);
+        if size > limit {
+            return Err(TakeoverError::TooLarge { size, limit });
         }
     }
-    cell.finish_restore();
-    Ok(())
+    Ok(pages.end.unwrap_or_default())
 }
 
-/// Restores a submission that an earlier owner has accepted.
-fn restore_submission(
+/// Restores a record of the journal: a submission that an earlier owner has accepted, or the state
+/// of a job.
+fn restore_journal(
     shared: &Shared,
-    cell: &mut Cell,
-    id: JobId,
-    value: &[u8],
+    rebuild: &mut Rebuild,
+    item: &Item,
 ) -> Result<(), TakeoverError> {
-    let sub = decode::<Submission>(value).map_err(|e| TakeoverError::Record(id, e))?;
-    let age = submission_age(shared, &sub);
-    cell.restore_submission(shared.clock.now(), sub, age);
+    let now = shared.clock.now();
+    if let Some(IntakeKey::Submitted(id)) = IntakeKey::parse(&item.key) {
+        let sub = decode::<Submission>(&item.value);
+        let sub = sub.map_err(|e| TakeoverError::Record(id, e))?;
+        let age = submission_age(shared, &sub);
+        let done = rebuild.journaled(now, sub, age);
+        return done.map_err(|e| TakeoverError::Record(id, e));
+    }
+    let Ok(id) = item.key.parse::<JobId>() else {
+        log::error!(key = item.key; "journal record with an invalid key");
+        return Ok(());
+    };
+    let done = rebuild.state(now, id, &item.value);
+    done.map_err(|e| TakeoverError::Record(id, e))
+}
+
+/// Restores a record of the intake.
+fn restore_intake(
+    shared: &Shared,
+    rebuild: &mut Rebuild,
+    item: &Item,
+) -> Result<(), TakeoverError> {
+    match IntakeKey::parse(&item.key) {
+        Some(IntakeKey::Submitted(id)) => match decode::<Submission>(&item.value) {
+            Ok(sub) => {
+                let age = submission_age(shared, &sub);
+                let done = rebuild.submitted(shared.clock.now(), sub, age);
+                return done.map_err(|e| TakeoverError::Record(id, e));
+            }
+            Err(e) => log::error!(job:% = id, error:% = e; "cannot decode the submission"),
+        },
+        Some(IntakeKey::Cancelled(id)) => rebuild.cancelled(id),
+        None => log::error!(key = item.key; "intake record with an invalid key"),
+    }
     Ok(())
 }
 
@@ -194,7 +211,7 @@
 
 /// Reads what earlier owners have recorded of instances: the maintenance history and the orders.
 async fn read_instances(shared: &Shared) -> (History, Option<Vec<(InstanceName, OrderRecord)>>) {
-    let ((maintained, _), (waves, _)) =
+    let (maintained, waves) =
         tokio::join!(read_newest(shared, MAINTAINED), read_newest(shared, WAVES));
     // The orders are read last, once the store has answered the other reads. During an outage of
     // the whole store each partition of the orders would count as unreadable, and no instance
@@ -281,36 +298,14 @@
     }
 }
 
-/// Reads the newest record of each key in a partition, and the partition's end offset as of the
-/// first page. If the read of a page fails, only that page is read again.
-async fn read_newest(shared: &Shared, partition: Partition) -> (Vec<Item>, u64) {
-    let mut items: Vec<Item> = Vec::new();
-    let mut end = None;
-    let limit = STORE_TIMEOUT + page_time(shared.settings.link);
-    loop {
-        let after = items.last().map(|i| i.key.clone());
-        match shared
-            .store
-            .newest(partition, after.as_deref(), limit)
-            .await
-        {
-            Ok(page) => {
-                let first = *end.get_or_insert(page.end);
-                items.extend(page.items);
-                if !page.more {
-                    return (items, first);
-                }
-            }
-            Err(e) => {
-                log::info!(
-                    topic = partition.topic, part = partition.part, read = items.len() as u64,
-                    error:% = e;
-                    "takeover cannot read from the store yet; retrying"
-                );
-                sleep(RETRY_PAUSE).await;
-            }
-        }
+/// Reads the newest record of each key in a partition.
+async fn read_newest(shared: &Shared, partition: Partition) -> Vec<Item> {
+    let mut pages = Pages::new(partition);
+    let mut items = Vec::new();
+    while let Some(page) = pages.next(shared).await {
+        items.extend(page);
     }
+    items
 }
 
 /// The cell's limits on this node.
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -50,6 +50,11 @@
         ("parts", json!(-1), "at `parts`"),
         ("cores", json!(0.0), "`cores` has to be positive"),
         ("memory_mb", json!(0), "`memory_mb` has to be positive"),
+        (
+            "least_memory_mb",
+            json!(0),
+            "`least_memory_mb` has to be positive",
+        ),
         ("link_mbps", json!(0), "at `link_mbps`"),
         ("link_mbps", json!("fast"), "at `link_mbps`"),
         (
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -98,6 +98,11 @@
         child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
+    /// Id of the process; `None` before the first start.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process if it is running. `name` is a signal name for `kill -s`.
     pub fn signal(&mut self, name: &str) {
         if !self.is_running() {
