--- a/crates/cell/src/probation.rs
+++ b/crates/cell/src/probation.rs
@@ -32,7 +32,7 @@
     /// Whether a run of a long-running task was at work, or so long after its start, when the worker
     /// was last known alive that its start did not cause the worker's end.
     pub(crate) fn outlived_startup(&self, alive: Time) -> bool {
-        self.start_confirmed && (self.percent >= 100 || self.ran_for(alive, STARTUP))
+        self.start_confirmed && (self.progress.percent >= 100 || self.ran_for(alive, STARTUP))
     }
 
     fn ran_for(&self, alive: Time, least: Duration) -> bool {
--- a/crates/cell/src/queue_limits.rs
+++ b/crates/cell/src/queue_limits.rs
@@ -57,8 +57,7 @@
 }
 
 impl Cell {
-    /// Restores the attempts that a queue allowed by the last configuration that had it. The jobs
-    /// have to be restored afterwards.
+    /// Restores the attempts that a queue allowed by the last configuration that had it.
     pub fn restore_queue(&mut self, name: QueueName, attempts: u32) {
         let limits = &mut self.queue_limits;
         if !self.config.queues.contains_key(&name) {
