--- a/crates/cell/tests/preemption.rs
+++ b/crates/cell/tests/preemption.rs
@@ -359,6 +359,50 @@
     assert_all_complete(&mut world, 40);
 }
 
+/// A run that is done before its stop takes effect counts as done, and is not started again.
+#[test]
+fn done_before_stop() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = Duration::from_millis(400);
+    }
+    fill(&mut world, 40);
+    world.submit(waiting(4));
+    world.advance(SECOND / 5);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 4);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 100;
+    }
+    assert_all_complete(&mut world, 40);
+    let starts = world.sent_starts.iter();
+    let long = starts.filter(|(_, t)| (100..140).contains(&t.job().get()));
+    assert_eq!(long.count(), 40, "each long run was started once");
+}
+
+/// Guards against a waiting job that is tied to a worker's earlier life: the workers restart between
+/// the stops and the starts.
+#[test]
+fn restarted_worker() {
+    let mut world = world(policy());
+    for worker in world.workers.values_mut() {
+        worker.stop_time = Duration::from_millis(400);
+    }
+    fill(&mut world, 40);
+    let from = world.now;
+    world.submit(waiting(4));
+    world.advance(SECOND / 5);
+    assert_eq!(world.cell().take_tallies().runs_preempted, 4);
+    for number in 0..5 {
+        let now = world.now;
+        world.worker(number).restart(now);
+        let entry = world.worker(number).entry();
+        world.cell().register_worker(now, entry);
+    }
+    world.advance(SECOND);
+    assert_eq!(starts_between(&world, from, world.now), 4);
+    assert_all_complete(&mut world, 40);
+}
+
 /// Number of generated histories.
 const HISTORIES: u64 = 60;
 
