--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -430,6 +430,10 @@
         let Some(job) = job.filter(|j| j.next_turn() == Some(due)) else {
             return true;
         };
+        if !job.record_has_room() {
+            // The job's next ended occurrence makes it due again.
+            return true;
+        }
         let grown = self.open_state.used().saturating_add(job.turn_growth());
         if grown > self.state_limits.grow {
             return false;
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -180,6 +180,13 @@
             // The journal already holds the job's final record.
             return;
         }
+        let retired = self.jobs.get_mut_untracked(&id).filter(|j| j.is_open());
+        if let Some(job) = retired
+            && job.retire_turns()
+        {
+            // An occurrence that is due may have waited for room in the record.
+            self.due_turns.extend(job.next_turn().map(|due| (due, id)));
+        }
         let job = self.jobs.get(&id);
         let record = job.map(JobRecord::new);
         if let Some(handed) = self.encoded_submissions.remove(&id) {
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -9,6 +9,17 @@
 use crate::footprint::{Footprint, packed_size};
 use crate::journal::{decode, encode};
 use crate::run_state::{StepRun, Task, Turn};
+use crate::turn_ranges::TurnRanges;
+
+/// Estimate of what a task takes up in a job's record after failed runs, in bytes.
+const TASK_BYTES: u64 = 40;
+
+/// Estimate of what an occurrence takes up in a job's record beside its tasks, in bytes.
+const TURN_BYTES: u64 = 16;
+
+/// What the open occurrences may take up in a job's record, in bytes; well below what the store
+/// accepts.
+const MAX_TURNS_BYTES: u64 = 128 << 10;
 
 /// State of a job that has not been reduced to a finished record yet.
 #[derive(Debug)]
@@ -28,7 +39,11 @@
     pub(crate) state: JobState,
     /// Final state that the journal holds, if any; only this one may be reported to callers.
     pub(crate) journaled: Option<JobState>,
-    /// Occurrences that have become due, in order.
+    /// Number of occurrences that have begun.
+    pub(crate) begun: u32,
+    /// Begun occurrences that are done and of which no run is left.
+    pub(crate) ended_turns: TurnRanges,
+    /// The other begun occurrences, in order.
     pub(crate) turns: Vec<Turn>,
     /// When the caller submitted the job.
     pub(crate) arrived: Time,
@@ -65,6 +80,8 @@
             counted: 0,
             state: JobState::Queued,
             journaled: None,
+            begun: 0,
+            ended_turns: TurnRanges::default(),
             turns: Vec::new(),
             arrived,
             ended: None,
@@ -151,15 +168,37 @@
         if !self.unpack() {
             return false;
         }
-        let next = self.turns.len() as u32;
-        self.turns.push(Turn::new(next, &self.sub.steps));
+        self.turns.push(Turn::new(self.begun, &self.sub.steps));
+        self.begun += 1;
         true
     }
 
+    /// Whether the journal record surely has room for one more occurrence. A record that the store
+    /// refuses would hold up the journal for all jobs.
+    pub(crate) fn record_has_room(&self) -> bool {
+        let tasks: u64 = self.sub.steps.iter().map(|s| u64::from(s.count)).sum();
+        let open = self.turns.len() as u64;
+        self.turns.is_empty() || (open + 1) * (tasks * TASK_BYTES + TURN_BYTES) <= MAX_TURNS_BYTES
+    }
+
+    /// Reduces the occurrences that are done, and of which no run is left, to their numbers; true if
+    /// there were any.
+    ///
+    /// If their tasks were kept, the record of a job with many occurrences would outgrow what the
+    /// store accepts.
+    pub(crate) fn retire_turns(&mut self) -> bool {
+        let over = |t: &Turn| t.is_done() && t.has_no_attempts();
+        let before = self.turns.len();
+        for turn in self.turns.extract_if(.., |t| over(t)) {
+            self.ended_turns.insert(turn.number);
+        }
+        self.turns.len() < before
+    }
+
     /// When the next occurrence is due, in milliseconds since 1970; `None` if no further one is due
     /// or the job runs once, immediately.
     pub(crate) fn next_turn(&self) -> Option<u64> {
-        let next = self.turns.len() as u32;
+        let next = self.begun;
         let due = self.sub.begin + u64::from(next) * self.sub.interval.get();
         (next < self.sub.times).then_some(due)
     }
@@ -176,7 +215,7 @@
 
     /// Whether all occurrences have become due and are done.
     pub(crate) fn is_done(&self) -> bool {
-        self.turns.len() == self.sub.turns() as usize && self.turns.iter().all(Turn::is_done)
+        self.begun == self.sub.turns() && self.turns.iter().all(Turn::is_done)
     }
 
     /// The state that is reported to callers.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -59,6 +59,7 @@
 mod shares;
 mod starts;
 mod tallies;
+mod turn_ranges;
 mod usage;
 mod view;
 mod wait_queue;
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -117,11 +117,13 @@
             phase: format!("{:?}", attempt.phase).to_lowercase(),
             percent: attempt.percent,
         });
+        let tasks_of_turn: usize = job.sub.steps.iter().map(|s| s.count as usize).sum();
+        let ended = job.ended_turns.count() as usize * tasks_of_turn;
         Some(JobView {
             queue: job.sub.queue.clone(),
             state: job.reported_state(),
             age: self.now.since(job.arrived),
-            done: tasks.iter().filter(|t| t.done).count(),
+            done: ended + tasks.iter().filter(|t| t.done).count(),
             waiting: tasks.iter().filter(|t| t.is_pending()).count(),
             runs: runs.collect(),
         })
--- a/crates/cell/src/run_state.rs
+++ b/crates/cell/src/run_state.rs
@@ -62,6 +62,12 @@
         step.after.iter().all(|&s| self.steps[s as usize].is_done())
     }
 
+    /// Whether no run of the occurrence is, or may be, on a worker.
+    pub(crate) fn has_no_attempts(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|s| &s.tasks);
+        tasks.all(|t| t.attempts.is_empty())
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(StepRun::is_done)
     }
--- a/crates/node/src/appending.rs
+++ b/crates/node/src/appending.rs
@@ -22,6 +22,10 @@
 /// executed. The store briefly refuses calls when all nodes together exceed its rate limit.
 const MAX_REFUSALS: u32 = 3;
 
+/// HTTP statuses with which the store rejects an append that it will never accept: the request is
+/// malformed or too large.
+pub(crate) const REJECTED: [u16; 2] = [400, 413];
+
 /// Appends records under a producer's sequence number until the outcome is certain.
 ///
 /// If an answer is lost or its connection is broken, waiting for the timeout would block all later
@@ -78,7 +82,9 @@
             Err(AppendError::Refused(status)) => {
                 refused += 1;
                 let last = in_flight.is_empty();
-                if last && !uncertain && refused >= MAX_REFUSALS {
+                // An earlier attempt with the same records was rejected as well.
+                let certain = !uncertain || REJECTED.contains(&status);
+                if last && certain && refused >= MAX_REFUSALS {
                     return Err(AppendError::Refused(status));
                 }
             }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -56,6 +56,9 @@
 /// Maximum size of a record in the store, in bytes.
 const MAX_RECORD: usize = 256 << 10;
 
+/// Upper limit of the part of a record that its key takes up, in bytes.
+const MAX_KEY: usize = 64;
+
 /// The front end of a node.
 pub(crate) struct Front {
     pub(crate) shared: Arc<Shared>,
@@ -275,7 +278,7 @@
         };
         self.shared.specs().insert(&sub.spec);
         let record = encode(&sub);
-        if record.len() > MAX_RECORD {
+        if record.len() > MAX_RECORD - MAX_KEY {
             return Err(Refusal::new(Code::BodyTooLarge, "the job's record"));
         }
         // The key may have been revoked while the body was being received.
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cactuswheel_adapter::{AppendError, Appended, KeyedRecord, Producer};
+use cactuswheel_adapter::{AppendError, Appended, KeyedRecord, Producer, records_size};
 use cactuswheel_cell::Batch;
 use cactuswheel_work::JobId;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use crate::appending::append;
+use crate::appending::{REJECTED, append};
 use crate::event::Event;
 use crate::shared::Shared;
 use crate::takeover::PRODUCER_NAME;
@@ -36,6 +36,15 @@
     seq: Arc<AtomicU64>,
 }
 
+/// Outcome of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// The journal holds the records, or the owner has stopped.
+    Done,
+    /// The store will never accept the records.
+    Rejected,
+}
+
 /// Error: a newer owner writes the journal.
 struct Superseded;
 
@@ -70,7 +79,7 @@
         let states = states.map(|(id, v)| keyed(id.to_string(), v));
         let records: Vec<KeyedRecord> = submissions.chain(states).collect();
         // Failed sends mean that the owner has stopped and needs no events.
-        if let Err(Superseded) = self.write(&records).await {
+        if let Err(Superseded) = self.write_all(&records).await {
             let _ = self.events.send(Event::Deposed).await;
             return;
         }
@@ -81,10 +90,32 @@
         self.clear_intake(&finished).await;
     }
 
+    /// Appends records. If the store refuses them for good, appends them one by one and gives up
+    /// those that it refuses alone.
+    ///
+    /// Otherwise one record that is too large would hold up the journal, and no job of any team would
+    /// be started. The states go first: a submission is dropped only after its final state is
+    /// stored, and a state without a submission belongs to no accepted job.
+    async fn write_all(&self, records: &[KeyedRecord]) -> Result<(), Superseded> {
+        if self.write(records).await? == Written::Done {
+            return Ok(());
+        }
+        for record in records.iter().rev() {
+            if self.write(std::slice::from_ref(record)).await? == Written::Rejected {
+                let bytes = records_size(std::slice::from_ref(record)) as u64;
+                log::error!(
+                    key = record.key, bytes = bytes;
+                    "store rejects a journal record; continuing without it"
+                );
+            }
+        }
+        Ok(())
+    }
+
     /// Appends records until that succeeds, a newer owner is detected or the owner has stopped.
     /// Retries use the same epoch and sequence number, so that the store applies the append only
     /// once, whatever the outcome of earlier attempts.
-    async fn write(&self, records: &[KeyedRecord]) -> Result<(), Superseded> {
+    async fn write(&self, records: &[KeyedRecord]) -> Result<Written, Superseded> {
         let mut failing = false;
         while !self.events.is_closed() {
             let producer = Producer {
@@ -94,7 +125,7 @@
             };
             let Some(done) = self.try_write(&producer, records, &mut failing).await else {
                 // This node no longer runs the cell.
-                return Ok(());
+                return Ok(Written::Done);
             };
             match done {
                 Ok(_) => {
@@ -102,7 +133,14 @@
                     if failing {
                         log::info!(seq = producer.seq; "journal append succeeded after failures");
                     }
-                    return Ok(());
+                    return Ok(Written::Done);
+                }
+                Err(AppendError::Refused(status)) if REJECTED.contains(&status) => {
+                    log::error!(
+                        status = status, records = records.len() as u64, seq = producer.seq;
+                        "store rejects a journal append"
+                    );
+                    return Ok(Written::Rejected);
                 }
                 Err(AppendError::Fenced) => {
                     log::warn!(
@@ -125,7 +163,7 @@
                 }
             }
         }
-        Ok(())
+        Ok(Written::Done)
     }
 
     /// Makes one append; `None` if the owner has stopped before the outcome is certain. Sets
