--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -13,6 +13,7 @@
 mod action;
 mod fleet;
 mod history;
+mod hold_log;
 mod moves;
 mod planner;
 mod policy;
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactuswheel_demand::{Blockage, HoldChange, HoldPolicy, OutageHold, longest_silence};
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
     InstanceName, InstanceOrder, InstanceOutcome, InstanceState, ServiceName, WorkerId,
@@ -9,6 +10,7 @@
 
 use crate::action::Action;
 use crate::fleet::{Eligibility, Member, PendingOrder, UnusableSince, classify};
+use crate::hold_log::log_hold;
 use crate::moves::Unused;
 use crate::policy::PoolPolicy;
 use crate::pool::{Pool, log_pools};
@@ -52,6 +54,8 @@
 pub struct Planner {
     times: Timings,
     pub(crate) policy: PoolPolicy,
+    /// Hold of the pools during an outage.
+    pub(crate) hold: OutageHold,
     pub(crate) trends: Map<ServiceName, Trend>,
     pending_orders: Map<InstanceName, PendingOrder>,
     unusable_since: UnusableSince,
@@ -79,6 +83,7 @@
         Self {
             times,
             policy: PoolPolicy::default(),
+            hold: OutageHold::default(),
             trends: Map::default(),
             pending_orders: Map::default(),
             unusable_since: UnusableSince::default(),
@@ -95,6 +100,20 @@
         Self { policy, ..self }
     }
 
+    /// Replaces the parameters of the hold during an outage.
+    pub fn with_hold(self, policy: HoldPolicy) -> Self {
+        let hold = OutageHold::new(policy);
+        Self { hold, ..self }
+    }
+
+    /// Records whether the cell can start work now. Has to be called before each plan, and also
+    /// while nothing can be planned. Returns the begin or the end of a hold.
+    pub fn observe(&mut self, now: Time, blockage: Option<Blockage>) -> Option<HoldChange> {
+        let change = self.hold.observe(now, blockage)?;
+        log_hold(&change);
+        Some(change)
+    }
+
     /// Workers on instances that are due for maintenance soon, as of the last plan.
     pub fn maintenance_due(&self) -> &Set<WorkerId> {
         &self.maintenance_due
@@ -139,6 +158,9 @@
         if now.since(snapshot.listed) > LIST_TTL || snapshot.instances.is_empty() {
             return Vec::new();
         }
+        if self.first_plan.is_none() {
+            self.hold_after_takeover(snapshot);
+        }
         let mut actions = self.update_pending_orders(snapshot);
         actions.extend(self.waves.start_new_waves(snapshot));
         let all = classify(snapshot, &self.pending_orders, &mut self.unusable_since);
@@ -167,6 +189,9 @@
                 Eligibility::Unavailable | Eligibility::Unreachable => {}
             }
         }
+        if self.hold.since().is_some() {
+            hold_pools(&mut pools);
+        }
         let log_due = now.since(self.last_logged) >= LOG_EVERY;
         if log_due {
             self.last_logged = now;
@@ -194,6 +219,21 @@
         actions
     }
 
+    /// Holds the pools if no arrivals are known of the time before the first plan, because no owner
+    /// ran the cell.
+    ///
+    /// Otherwise a new owner takes a queue at its peak for an idle one, as no job arrived in the
+    /// seconds before it took over.
+    fn hold_after_takeover(&mut self, snapshot: &Snapshot<'_>) {
+        let arrivals = snapshot.loads.values().flat_map(|l| l.arrivals.values());
+        let restored = arrivals.flat_map(|a| &a.restored).copied();
+        if let Some(since) = longest_silence(restored, snapshot.now)
+            && let Some(change) = self.hold.take_over(since, snapshot.now)
+        {
+            log_hold(&change);
+        }
+    }
+
     /// Number of instances on their way to a spare pool.
     fn count_releasing(&self, snapshot: &Snapshot<'_>, all: &[Member<'_>]) -> usize {
         let releasing = all.iter().filter(|m| {
@@ -329,6 +369,14 @@
     }
 }
 
+/// Prevents that pools shrink: each retains what it has. Instances that a pool does not want now
+/// still go to a pool that does.
+fn hold_pools(pools: &mut Map<&ServiceName, Pool<'_>>) {
+    for pool in pools.values_mut() {
+        pool.keep = pool.keep.max(pool.current());
+    }
+}
+
 fn ordered_instance(action: &Action) -> Option<InstanceName> {
     match action {
         Action::Order {
--- a/crates/capacity/src/rate.rs
+++ b/crates/capacity/src/rate.rs
@@ -16,6 +16,9 @@
     Duration::from_millis(250),
 ];
 
+/// Time before an outage from which enough jobs are still known to count their arrivals.
+const KNOWN_BEFORE_OUTAGE: Duration = Duration::from_millis(1_500);
+
 /// Estimated arrivals of a queue, in jobs per second.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ArrivalRate {
@@ -34,26 +37,54 @@
 pub(crate) struct RateEstimator {
     /// Total number of jobs that had arrived at each time.
     samples: VecDeque<(Time, u64)>,
+    /// Begin of the outage for which pools are held, and the rate then.
+    held: Option<(Time, f64)>,
 }
 
 impl RateEstimator {
     /// Adds the current number of arrived jobs, and returns the arrival rate.
     ///
-    /// `sigmas` is the number of standard deviations that are attributed to chance.
-    pub(crate) fn update(&mut self, now: Time, arrivals: &Arrivals, sigmas: f64) -> ArrivalRate {
+    /// `sigmas` is the number of standard deviations that are attributed to chance. `outage` is the
+    /// begin of the outage for which pools are held; the rate does not fall below the one then, as
+    /// arrivals could not be seen since.
+    pub(crate) fn update(
+        &mut self,
+        now: Time,
+        arrivals: &Arrivals,
+        sigmas: f64,
+        outage: Option<Time>,
+    ) -> ArrivalRate {
         if self.samples.is_empty() {
-            self.seed(&arrivals.restored);
+            self.seed(&arrivals.restored, outage);
         }
         let jobs = arrivals.jobs;
         self.samples.push_back((now, jobs));
         while self.samples.len() > 2 && now.since(self.samples[1].0) >= WINDOWS[0] {
             self.samples.pop_front();
         }
-        let (span, count) = self.count_within(now, jobs, WINDOWS[0]);
+        let estimate = self.estimate(now, jobs, sigmas);
+        let Some(begin) = outage else {
+            self.held = None;
+            return estimate;
+        };
+        let held = match self.held {
+            Some((at, rate)) if at == begin => rate,
+            _ => self.rate_at(begin, sigmas),
+        };
+        self.held = Some((begin, held));
+        ArrivalRate {
+            rate: estimate.rate.max(held),
+            declining: false,
+        }
+    }
+
+    /// Estimates the rate at a time when `jobs` jobs had arrived, from the samples until then.
+    fn estimate(&self, at: Time, jobs: u64, sigmas: f64) -> ArrivalRate {
+        let (span, count) = self.count_within(at, jobs, WINDOWS[0]);
         let baseline = count / span;
         let mut rate = baseline;
         for window in &WINDOWS[1..] {
-            let (span, count) = self.count_within(now, jobs, *window);
+            let (span, count) = self.count_within(at, jobs, *window);
             let observed = count / span;
             if !is_noise(count, rate * span, sigmas) {
                 rate = observed;
@@ -65,15 +96,26 @@
         }
     }
 
+    /// Estimates the rate at an earlier time.
+    fn rate_at(&self, time: Time, sigmas: f64) -> f64 {
+        let mut samples = self.samples.iter().rev();
+        let last = samples.find(|(at, _)| *at <= time);
+        last.map_or(0.0, |(at, jobs)| self.estimate(*at, *jobs, sigmas).rate)
+    }
+
     /// Starts with the arrivals that an earlier owner counted.
     ///
     /// Otherwise a new owner, which has seen no arrivals itself, takes a queue at its peak for an
     /// idle one and releases the instances that its jobs wait for.
-    fn seed(&mut self, earlier: &[Time]) {
+    ///
+    /// Most jobs that arrived long before an outage are done and no longer known, so only the last
+    /// ones before it provide the rate.
+    fn seed(&mut self, earlier: &[Time], outage: Option<Time>) {
         let mut times = earlier.to_vec();
         times.sort_unstable();
         let counts = times.into_iter().zip(0..);
-        self.samples.extend(counts);
+        let known = |at: Time| outage.is_none_or(|o| o.since(at) <= KNOWN_BEFORE_OUTAGE);
+        self.samples.extend(counts.filter(|(at, _)| known(*at)));
     }
 
     /// Returns the time in seconds that a window covers, and the number of jobs that arrived in it.
--- a/crates/capacity/src/targets.rs
+++ b/crates/capacity/src/targets.rs
@@ -10,6 +10,7 @@
 use crate::planner::Planner;
 use crate::share::{Share, divide};
 use crate::snapshot::Snapshot;
+use crate::trend::Rules;
 
 /// Time during which a new planner releases no instance of a pool with running work, as it does not
 /// know the arrivals yet.
@@ -31,6 +32,11 @@
         let sizes = instance_sizes(snapshot);
         let fallback = snapshot.instances.first().map(|i| i.room);
         let warming_up = self.is_warming_up(snapshot);
+        let rules = Rules {
+            policy: &self.policy,
+            outage: self.hold.since(),
+            target: self.hold.target(),
+        };
         let loads = snapshot.loads.iter();
         let loads = loads.filter(|(s, _)| !snapshot.spare.contains(s));
         let mut shares: Map<ServiceName, Share> = loads
@@ -39,7 +45,7 @@
                 let unit = sizes.get(service).copied().or(fallback).unwrap_or_default();
                 let trend = self.trends.entry(service.clone()).or_default();
                 let serving = serving_counts.get(service).copied().unwrap_or_default();
-                let need = trend.update(snapshot.now, load, unit, serving, &self.policy);
+                let need = trend.update(snapshot.now, load, unit, serving, rules);
                 let target = need.target.max(min_instances(load));
                 let share = Share {
                     minimum: min_instances(load).max(trend.lasting_instances(load, unit)),
--- a/crates/capacity/src/trend.rs
+++ b/crates/capacity/src/trend.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cactuswheel_cell::{Load, SLOT_MS, SLOTS};
+use cactuswheel_demand::HoldTarget;
 use cactuswheel_model::{Map, Millis, Time};
 use cactuswheel_work::{QueueName, Room};
 
@@ -25,6 +26,8 @@
     rates: Map<QueueName, RateEstimator>,
     /// Recent targets.
     targets: VecDeque<(Time, usize)>,
+    /// Lower limit of the target while pools are held and their targets are frozen.
+    frozen: Option<usize>,
 }
 
 /// Number of instances that a pool needs.
@@ -36,6 +39,16 @@
     pub(crate) keep: usize,
 }
 
+/// How a pool's need is derived from its load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Rules<'a> {
+    pub(crate) policy: &'a PoolPolicy,
+    /// Begin of the outage for which pools are held; `None` if they are not held.
+    pub(crate) outage: Option<Time>,
+    /// What the target is at least during a hold.
+    pub(crate) target: HoldTarget,
+}
+
 impl Trend {
     /// Adds a load, and returns how many instances of size `unit` it needs. The pool has `serving`
     /// instances.
@@ -51,15 +64,16 @@
         load: &Load,
         unit: Room,
         serving: usize,
-        policy: &PoolPolicy,
+        rules: Rules<'_>,
     ) -> Need {
-        let (demand, declining) = self.demand(now, load, unit, serving, policy);
+        let policy = rules.policy;
+        let (demand, declining) = self.demand(now, load, unit, serving, rules);
         let busy =
             !load.waiting.is_empty() || demand[SLOTS - 1] > instances_for(load.lasting, unit);
         let reserve = if busy { policy.reserve } else { 0.0 };
         let instances = |demand: f64| (demand * policy.headroom + reserve).ceil() as usize;
         let lead = slot_of(policy.lead_time);
-        let target = instances(demand[lead]);
+        let target = instances(demand[lead]).max(self.frozen_target(rules));
         self.targets.push_back((now, target));
         let window = policy.hold_time.duration() * NOISE_HOLD_FACTOR;
         while self.targets.len() > 1 && now.since(self.targets[0].0) > window {
@@ -96,6 +110,19 @@
         peak(hold * NOISE_HOLD_FACTOR).min(base + noise).max(base)
     }
 
+    /// Lower limit of the target: the highest one of the last second before an outage, if targets
+    /// are frozen.
+    fn frozen_target(&mut self, rules: Rules<'_>) -> usize {
+        if rules.outage.is_none() || rules.target != HoldTarget::Frozen {
+            self.frozen = None;
+            return 0;
+        }
+        let recent = self.targets.iter().map(|(_, t)| *t);
+        *self
+            .frozen
+            .get_or_insert_with(|| recent.max().unwrap_or_default())
+    }
+
     /// Returns the demand in each slot from now on, in fractions of instances, and whether fewer
     /// jobs arrive than before.
     fn demand(
@@ -104,12 +131,13 @@
         load: &Load,
         unit: Room,
         serving: usize,
-        policy: &PoolPolicy,
+        rules: Rules<'_>,
     ) -> ([f64; SLOTS], bool) {
+        let policy = rules.policy;
         let mut declining = false;
         let rates = load.arrivals.iter().map(|(queue, arrivals)| {
             let rate = self.rates.entry(queue.clone()).or_default();
-            let estimate = rate.update(now, arrivals, policy.sigmas);
+            let estimate = rate.update(now, arrivals, policy.sigmas, rules.outage);
             declining |= estimate.declining;
             (estimate.rate, &arrivals.profile)
         });
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 use cactuswheel_capacity::{Action, History, Planner, Snapshot, Timings};
 use cactuswheel_cell::{Forecast, Load, WorkerView};
+use cactuswheel_demand::{Blockage, Cause};
 use cactuswheel_model::{Map, Millis, Set, Time};
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Room, ServiceName, Wave,
@@ -39,6 +40,8 @@
     pub complete: Option<bool>,
     /// Start times of waves, as stored.
     pub wave_starts: Vec<(u64, Time)>,
+    /// Why the cell cannot start work.
+    pub blockage: Option<Blockage>,
     in_transit: Vec<(Time, InstanceName)>,
     workers_started: u64,
 }
@@ -58,6 +61,7 @@
             orders: Vec::new(),
             complete: None,
             wave_starts: Vec::new(),
+            blockage: None,
             in_transit: Vec::new(),
             workers_started: 0,
         };
@@ -176,6 +180,7 @@
             reserved: &self.reserved,
             evacuated: &self.evacuated,
         };
+        self.planner.observe(self.now, self.blockage);
         let actions = self.planner.plan(&snapshot);
         let (orders, others): (Vec<_>, Vec<_>) = actions
             .into_iter()
@@ -245,6 +250,18 @@
         self.orders.push(order);
     }
 
+    /// Advances time while a journal batch is in flight that was sent at `since`.
+    pub fn run_blocked(&mut self, time: Duration, since: Time) {
+        let end = self.now.after(time);
+        while self.now < end {
+            let age = (self.now.after(TICK)).since(since);
+            let cause = Cause::Journal;
+            self.blockage = Some(Blockage { cause, age });
+            self.run(TICK);
+        }
+        self.blockage = None;
+    }
+
     /// Advances time, with a plan in each tick.
     pub fn run(&mut self, time: Duration) {
         let end = self.now.after(time);
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -17,6 +17,7 @@
 use crate::batch::{BatchEffects, BatchId, PlannedStart};
 use crate::blame::AbandonedRuns;
 use crate::bounds::Bounds;
+use crate::demand::MAX_RESTORED_AGE;
 use crate::finished::FinishedJob;
 use crate::job::Job;
 use crate::jobs::Jobs;
@@ -122,6 +123,8 @@
     pub(crate) crash_times: Map<SocketAddr, Time>,
     /// Set while the records of earlier owners are being read.
     pub(crate) restoring: bool,
+    /// Greatest age of a job that counts as an arrival if an earlier owner accepted it.
+    pub(crate) restored_age: Duration,
     /// How long an earlier owner may keep renewing leases after this owner's takeover.
     renewal_overlap: Duration,
     /// Start orders are sent without the job's spec, so they count as smaller.
@@ -175,6 +178,7 @@
             abandoned: Map::default(),
             crash_times: Map::default(),
             restoring: true,
+            restored_age: MAX_RESTORED_AGE,
             renewal_overlap: Duration::ZERO,
             specs_omitted: false,
             link_full: false,
@@ -187,6 +191,15 @@
         Self { policy, ..self }
     }
 
+    /// Counts jobs that earlier owners accepted as arrivals up to an outage of this length ago, too.
+    pub fn with_outage(self, limit: Duration) -> Self {
+        let restored_age = MAX_RESTORED_AGE + limit;
+        Self {
+            restored_age,
+            ..self
+        }
+    }
+
     /// Reports that all records of earlier owners were read.
     pub fn finish_restore(&mut self) {
         self.restoring = false;
--- a/crates/cell/src/demand.rs
+++ b/crates/cell/src/demand.rs
@@ -19,7 +19,7 @@
 
 /// Greatest age of a job that counts as an arrival if an earlier owner accepted it. Most jobs that
 /// arrived earlier are done and no longer known, so they cannot be counted.
-const MAX_RESTORED_AGE: Duration = Duration::from_millis(1_500);
+pub(crate) const MAX_RESTORED_AGE: Duration = Duration::from_millis(1_500);
 
 /// Progress in percent from which a run's progress predicts its run time better than the estimate.
 const MIN_PROGRESS_PERCENT: u64 = 10;
@@ -34,7 +34,7 @@
     /// Counts the arrival of a short job, and updates its queue's mean demand profile.
     pub(crate) fn count_arrival(&mut self, job: &Job) {
         let max_age = match self.restoring {
-            true => MAX_RESTORED_AGE,
+            true => self.restored_age,
             false => MAX_ARRIVAL_AGE,
         };
         if job.sub.lasting() || self.now.since(job.arrived) > max_age {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -8,6 +8,7 @@
     Action, History, LastOwner, OrderRecord, Planner, Reservation, Snapshot, Timings, reservations,
 };
 use cactuswheel_cell::{Cell, encode};
+use cactuswheel_demand::HoldChange;
 use cactuswheel_model::{Map, Time};
 use cactuswheel_work::{
     Instance, InstanceName, InstanceOrder, InstanceOutcome, OrderToken, ServiceName, WorkerId,
@@ -17,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
+use crate::blockage::blockage;
 use crate::event::Event;
 use crate::record_writer::RecordWriter;
 use crate::shared::Shared;
@@ -126,6 +128,7 @@
             maintenance: shared.settings.times.maintenance,
         };
         let policy = shared.settings.policies.pools.clone();
+        let hold = shared.settings.policies.hold.clone();
         let writer = |to| RecordWriter::start(shared.clone(), events.clone(), to);
         let (sender, queue) = mpsc::unbounded_channel();
         tokio::spawn(issue_orders(shared.clone(), service, events.clone(), queue));
@@ -141,7 +144,9 @@
         Some(Self {
             reserved,
             blocked_until: blocked.unwrap_or_default(),
-            planner: Planner::new(times, history).with_policy(policy),
+            planner: Planner::new(times, history)
+                .with_policy(policy)
+                .with_hold(hold),
             instances: Vec::new(),
             listed_at: Time::default(),
             planned_at: Time::default(),
@@ -195,6 +200,10 @@
             return;
         }
         self.planned_at = now;
+        let blockage = blockage(&self.shared, cell, now);
+        if let Some(HoldChange::Ended(end)) = self.planner.observe(now, blockage) {
+            self.shared.metrics.hold_ended(end.held);
+        }
         // Without a confirmed ownership, another node may own the cell already.
         if !self.shared.holds_ownership()
             || now < self.blocked_until
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod appending;
 mod ask;
 mod backoff;
+mod blockage;
 mod call_health;
 mod claim;
 mod clock;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,6 +34,8 @@
     worker_ends: Counter<u64>,
     runs_lost: Counter<u64>,
     given_up: Counter<u64>,
+    holds: Counter<u64>,
+    held_time: Counter<f64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
     busy: Gauge<u64>,
@@ -83,6 +85,10 @@
             worker_ends: counter("cactuswheel_node_worker_ends"),
             runs_lost: counter("cactuswheel_node_runs_lost"),
             given_up: counter("cactuswheel_node_jobs_given_up"),
+            holds: counter("cactuswheel_node_pool_holds"),
+            held_time: meter
+                .f64_counter("cactuswheel_node_pool_hold_seconds")
+                .build(),
             busy: meter
                 .u64_gauge("cactuswheel_node_owner_busy_percent")
                 .build(),
@@ -133,6 +139,12 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a hold of the pools that has ended.
+    pub(crate) fn hold_ended(&self, held: Duration) {
+        self.holds.add(1, &[]);
+        self.held_time.add(held.as_secs_f64(), &[]);
+    }
+
     /// Adds what the cell has counted since its tallies were last taken.
     pub(crate) fn add_tallies(&self, since: Tallies) {
         self.worker_ends.add(since.workers_ended, &[]);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -212,7 +212,10 @@
         let own = self.validate_own();
         let own = own.map(|(place, fault)| (place.to_owned(), fault));
         let pools = self.policies.pools.validate();
-        own.or(pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault)))
+        let pools = pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault));
+        let hold = self.policies.hold.validate();
+        let hold = hold.map(|(place, fault)| (format!("policies.hold.{place}"), fault));
+        own.or(pools).or(hold)
     }
 
     fn validate_own(&self) -> Option<(&'static str, &'static str)> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -170,6 +170,13 @@
         }
     }
 
+    /// For how long calls to the store have been failing; `None` if it counts as reachable.
+    pub(crate) fn store_outage(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let unreachable = self.store_health.is_unreachable(now);
+        unreachable.then(|| self.store_health.failing_for(now))
+    }
+
     /// Whether the node accepts new callers, as reported to the load balancer.
     pub(crate) fn is_ready(&self) -> bool {
         self.is_config_fresh()
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -113,6 +113,10 @@
     };
     let policy = shared.settings.policies.work.clone();
     let mut cell = Cell::new(cell_bounds(shared), epoch, config).with_policy(policy);
+    let hold = &shared.settings.policies.hold;
+    if hold.enabled {
+        cell = cell.with_outage(hold.limit.duration());
+    }
     if !alone {
         cell.expect_previous_owner();
     }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -88,6 +88,16 @@
             json!({ "pools": { "hold_ms": -5 } }),
             "at `policies.pools.hold_ms`",
         ),
+        (
+            "policies",
+            json!({ "hold": { "settle_ms": 60_001 } }),
+            "`policies.hold.settle_ms` has to be a minute at most",
+        ),
+        (
+            "policies",
+            json!({ "hold": { "target": "high" } }),
+            "at `policies.hold.target`",
+        ),
         (
             "policies",
             json!({ "work": { "pack": "yes" } }),
