--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -17,6 +17,7 @@
 use crate::batch::{BatchEffects, BatchId, PlannedStart};
 use crate::blame::AbandonedRuns;
 use crate::bounds::Bounds;
+use crate::demand::MAX_RESTORED_AGE;
 use crate::finished::FinishedJob;
 use crate::job::Job;
 use crate::jobs::Jobs;
@@ -136,6 +137,8 @@
     pub(crate) crash_times: Map<SocketAddr, Time>,
     /// Set while the records of earlier owners are being read.
     pub(crate) restoring: bool,
+    /// Greatest age of a job that counts as an arrival if an earlier owner accepted it.
+    pub(crate) restored_age: Duration,
     /// How long an earlier owner may keep renewing leases after this owner's takeover.
     pub(crate) renewal_overlap: Duration,
     /// Start orders are sent without the job's spec, so they count as smaller.
@@ -198,6 +201,7 @@
             abandoned: Map::default(),
             crash_times: Map::default(),
             restoring: true,
+            restored_age: MAX_RESTORED_AGE,
             renewal_overlap: Duration::ZERO,
             specs_omitted: false,
             link_full: false,
@@ -210,6 +214,15 @@
         Self { policy, ..self }
     }
 
+    /// Counts jobs that earlier owners accepted as arrivals up to an outage of this length ago, too.
+    pub fn with_outage(self, limit: Duration) -> Self {
+        let restored_age = MAX_RESTORED_AGE + limit;
+        Self {
+            restored_age,
+            ..self
+        }
+    }
+
     /// Reports that all records of earlier owners were read.
     pub fn finish_restore(&mut self) {
         for id in self.open.iter().copied().collect::<Vec<_>>() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod appending;
 mod ask;
 mod backoff;
+mod blockage;
 mod call_health;
 mod cell_record;
 mod claim;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     given_up: Counter<u64>,
     preempted: Counter<u64>,
     preempted_work: Counter<u64>,
+    holds: Counter<u64>,
+    held_time: Counter<f64>,
     epoch: Gauge<u64>,
     relays: Gauge<u64>,
     busy: Gauge<u64>,
@@ -87,6 +89,10 @@
             given_up: counter("cactuswheel_node_jobs_given_up"),
             preempted: counter("cactuswheel_node_runs_preempted"),
             preempted_work: counter("cactuswheel_node_preempted_core_milliseconds"),
+            holds: counter("cactuswheel_node_pool_holds"),
+            held_time: meter
+                .f64_counter("cactuswheel_node_pool_hold_seconds")
+                .build(),
             busy: meter
                 .u64_gauge("cactuswheel_node_owner_busy_percent")
                 .build(),
@@ -137,6 +143,12 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a hold of the pools that has ended.
+    pub(crate) fn hold_ended(&self, held: Duration) {
+        self.holds.add(1, &[]);
+        self.held_time.add(held.as_secs_f64(), &[]);
+    }
+
     /// Adds what the cell has counted since its tallies were last taken.
     pub(crate) fn add_tallies(&self, since: Tallies) {
         self.worker_ends.add(since.workers_ended, &[]);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -226,10 +226,12 @@
         let own = self.validate_own();
         let own = own.map(|(place, fault)| (place.to_owned(), fault));
         let pools = self.policies.pools.validate();
+        let pools = pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault));
+        let hold = self.policies.hold.validate();
+        let hold = hold.map(|(place, fault)| (format!("policies.hold.{place}"), fault));
         let preempt = self.policies.work.preempt.validate();
         let preempt = preempt.map(|(key, fault)| (format!("policies.work.preempt.{key}"), fault));
-        own.or(pools.map(|(place, fault)| (format!("policies.pools.{place}"), fault)))
-            .or(preempt)
+        own.or(pools).or(hold).or(preempt)
     }
 
     fn validate_own(&self) -> Option<(&'static str, &'static str)> {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -108,6 +108,16 @@
             json!({ "work": { "preempt": { "workers": 1_001 } } }),
             "`policies.work.preempt.workers` has to be at most 1000",
         ),
+        (
+            "policies",
+            json!({ "hold": { "settle_ms": 60_001 } }),
+            "`policies.hold.settle_ms` has to be a minute at most",
+        ),
+        (
+            "policies",
+            json!({ "hold": { "target": "high" } }),
+            "at `policies.hold.target`",
+        ),
         (
             "policies",
             json!({ "work": { "pack": "yes" } }),
