--- a/crates/capacity/src/action.rs
+++ b/crates/capacity/src/action.rs
@@ -1,5 +1,6 @@
 //! Actions that the planner requests.
 
+use cactuswheel_model::Time;
 use cactuswheel_work::{InstanceName, InstanceOrder, WorkerId};
 
 /// An action that the planner requests from its caller.
@@ -21,6 +22,14 @@
         /// Whether long-running tasks are evicted from the worker.
         evict: bool,
     },
+    /// Empty a closed worker by this time: long-running tasks leave it within their eviction budget,
+    /// and short tasks are stopped if they would end later.
+    Vacate {
+        /// The worker.
+        worker: WorkerId,
+        /// When the worker has to be empty.
+        by: Time,
+    },
     /// Assign work to a closed worker again.
     Reopen(WorkerId),
     /// Store that a wave was first seen now, so that its deadline counts from this moment under
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -356,6 +356,7 @@
         };
         if let Some(worker) = worker {
             self.waves.draining.remove(worker);
+            self.waves.vacating.remove(worker);
         }
         self.pending_orders
             .entry(name)
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -62,6 +62,14 @@
 }
 
 impl WaveMembers<'_> {
+    /// Time that the maintenance of the remaining instances takes, as many at a time as the wave
+    /// allows.
+    fn maintenance_time(&self, context: &WaveContext<'_>) -> Duration {
+        let cap = self.wave.cap.max(1) as usize;
+        let rounds = self.remaining.len().div_ceil(cap) as u32;
+        (context.maintenance + TURNAROUND) * rounds
+    }
+
     /// Number of instances that an earlier owner may have sent into maintenance.
     ///
     /// A new owner that counted only its own orders would exceed the wave's limit, as the instances
@@ -88,6 +96,8 @@
     reported: Map<u64, bool>,
     /// Workers that are being drained for a wave.
     pub(crate) draining: Set<WorkerId>,
+    /// Closed workers that were told when they have to be empty.
+    pub(crate) vacating: Set<WorkerId>,
 }
 
 impl Waves {
@@ -135,10 +145,9 @@
 
     /// Whether so little time is left for a wave that it takes precedence over the pools' demand.
     pub(crate) fn is_urgent(&self, members: &WaveMembers<'_>, context: &WaveContext<'_>) -> bool {
-        let (wave, remaining) = (members.wave, members.remaining.len());
-        let rounds = remaining.div_ceil(wave.cap.max(1) as usize) as u32;
-        let needed = (context.maintenance + TURNAROUND) * rounds + DRAIN_TIME;
-        remaining > 0 && self.time_left(wave, context.now) < needed.mul_f64(URGENCY_FACTOR)
+        let needed = members.maintenance_time(context) + DRAIN_TIME;
+        let left = self.time_left(members.wave, context.now);
+        !members.remaining.is_empty() && left < needed.mul_f64(URGENCY_FACTOR)
     }
 
     /// Returns the actions that a wave needs now.
@@ -182,6 +191,7 @@
         }
         let time = self.time_left(wave, context.now);
         actions.extend(self.drain_workers(wave, context, time, remaining, urgent));
+        actions.extend(self.vacate_workers(members, context));
         actions
     }
 
@@ -235,6 +245,30 @@
         }]
     }
 
+    /// Sets the time by which closed workers have to be empty for their instances to have their
+    /// maintenance before the wave's deadline.
+    fn vacate_workers(
+        &mut self,
+        members: &WaveMembers<'_>,
+        context: &WaveContext<'_>,
+    ) -> Vec<Action> {
+        let left = self.time_left(members.wave, context.now);
+        let by = context
+            .now
+            .after(left.saturating_sub(members.maintenance_time(context)));
+        let mut actions = Vec::new();
+        for member in &members.remaining {
+            let Eligibility::Closing(view) = &member.eligibility else {
+                continue;
+            };
+            if view.runs > 0 && self.vacating.insert(view.worker.clone()) {
+                let worker = view.worker.clone();
+                actions.push(Action::Vacate { worker, by });
+            }
+        }
+        actions
+    }
+
     /// Closes workers so that their instances can have their maintenance.
     fn drain_workers(
         &mut self,
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -42,6 +42,8 @@
     pub wave_starts: Vec<(u64, Time)>,
     /// Why the cell cannot start work.
     pub blockage: Option<Blockage>,
+    /// Workers that have to be empty by a time.
+    pub vacated: Vec<(WorkerId, Time)>,
     in_transit: Vec<(Time, InstanceName)>,
     workers_started: u64,
 }
@@ -62,6 +64,7 @@
             complete: None,
             wave_starts: Vec::new(),
             blockage: None,
+            vacated: Vec::new(),
             in_transit: Vec::new(),
             workers_started: 0,
         };
@@ -213,6 +216,7 @@
             }
             Action::ReportStatus { complete, .. } => self.complete = Some(*complete),
             Action::RecordWaveStart { wave } => self.wave_starts.push((*wave, self.now)),
+            Action::Vacate { worker, by } => self.vacated.push((worker.clone(), *by)),
             Action::Order { .. } | Action::RecordMaintained { .. } => {}
         }
     }
--- a/crates/capacity/tests/waves.rs
+++ b/crates/capacity/tests/waves.rs
@@ -179,3 +179,20 @@
         "its long-running tasks were evicted"
     );
 }
+
+/// Guards against a wave that is late for a single task on one of its last instances: a closed
+/// worker that still has runs is told once when it has to be empty, which leaves time for the
+/// maintenance before the deadline.
+#[test]
+fn emptied_in_time() {
+    let mut fleet = Fleet::new(2, 1, 0);
+    fleet.waves = vec![wave(&fleet, 3)];
+    fleet.occupy("hot", 0, 2);
+    let deadline = fleet.now.after(25 * SECOND);
+    fleet.run(20 * SECOND);
+    let [(_, by)] = fleet.vacated[..] else {
+        panic!("one worker has to be empty: {:?}", fleet.vacated);
+    };
+    assert!(by.after(2 * SECOND) <= deadline, "{by} of {deadline}");
+    assert!(by > fleet.now, "{by}");
+}
--- a/crates/cell/src/demand.rs
+++ b/crates/cell/src/demand.rs
@@ -153,7 +153,7 @@
     }
     let start = attempt.started.get();
     let percent = u64::from(attempt.progress.percent);
-    let run_time = match percent >= MIN_PROGRESS_PERCENT && attempt.phase == Phase::Running {
+    let run_time = match shows_pace(attempt) {
         true => attempt.progress.last_increase.get().saturating_sub(start) * 100 / percent,
         false => run_time,
     };
@@ -161,3 +161,9 @@
     // An overdue run is expected to need at least another eighth of its run time.
     run_time.saturating_sub(elapsed).max(run_time / 8)
 }
+
+/// Whether a run has progressed far enough for its progress to predict its end.
+pub(crate) fn shows_pace(attempt: &Attempt) -> bool {
+    let percent = u64::from(attempt.progress.percent);
+    percent >= MIN_PROGRESS_PERCENT && attempt.phase == Phase::Running
+}
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Set;
+use cactuswheel_model::{Set, Time};
 use cactuswheel_work::{Step, TaskId, WorkerId};
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
+use crate::demand::{remaining, shows_pace};
 use crate::free_index::Scope;
 use crate::job::Job;
 use crate::run_state::StepRun;
 use crate::schedule::attempts_by_worker;
+use crate::worker::Worker;
 
 /// Interval between attempts to stop long-running tasks on evacuating workers. A replacement is
 /// seen to be active after some hundred milliseconds, and each attempt iterates over every run
@@ -38,6 +40,18 @@
         }
     }
 
+    /// Sets the time by which a closed worker has to be empty, and evacuates it.
+    pub fn vacate(&mut self, id: &WorkerId, by: Time) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let left = by.since(self.now).as_millis() as u64;
+            let runs = worker.allocations.len() as u64;
+            log::info!(worker:% = id, runs = runs, left_ms = left; "worker has to be empty in time");
+            worker.closed = true;
+            worker.evacuating = true;
+            worker.vacate_by = Some(by);
+        }
+    }
+
     /// Closes a worker whose instance was ordered to move away; the end of this worker does not
     /// count as a crash.
     pub fn begin_removal(&mut self, id: &WorkerId) {
@@ -59,6 +73,7 @@
             log::info!(worker:% = id; "worker reopened for new tasks");
             worker.closed = false;
             worker.evacuating = false;
+            worker.vacate_by = None;
             self.reschedule = true;
         }
     }
@@ -94,6 +109,63 @@
             );
             self.stop(task, run, &id);
         }
+        self.stop_late_runs();
+    }
+
+    /// Stops the short runs that would keep a worker from being empty in time.
+    ///
+    /// Some tasks run for several times as long as the others. One such task on each of the last
+    /// instances would hold a whole maintenance wave up beyond its deadline, while it can start
+    /// again elsewhere, from its checkpoint if it has one.
+    fn stop_late_runs(&mut self) {
+        let mut late = Vec::new();
+        for worker in self.workers.evacuating() {
+            let Some(by) = worker.vacate_by else {
+                continue;
+            };
+            let runs = worker.allocations.iter().filter(|(_, h)| !h.lasting);
+            let runs = runs.map(|(t, h)| (*t, h.run));
+            let runs = runs.filter(|(t, run)| self.ends_too_late(*t, *run, worker, by));
+            late.extend(runs.map(|(t, run)| (worker.id.clone(), t, run, by)));
+        }
+        for (id, task, run, by) in late {
+            let left = by.since(self.now).as_millis() as u64;
+            let percent = self
+                .attempt(task, run, &id)
+                .map_or(0, |a| a.progress.percent);
+            log::info!(
+                task:% = task, run = run, worker:% = id, left_ms = left, percent = percent;
+                "stopping run that would delay maintenance"
+            );
+            self.tallies.runs_vacated += 1;
+            self.stop(task, run, &id);
+        }
+    }
+
+    /// Whether a short run is to be stopped so that its worker is empty by `by`: if it shows by its
+    /// progress that it would end later, and another worker has room for its task, or if a stop has
+    /// to be ordered now to take effect in time. Gangs are left alone, since a stop of one member
+    /// ends the others on all their workers.
+    fn ends_too_late(&self, task: TaskId, run: u32, worker: &Worker, by: Time) -> bool {
+        let Some(attempt) = self.attempt(task, run, &worker.id) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get(&task.job()) else {
+            return false;
+        };
+        let (Some(step), Some(tasks)) = (job.step(task), job.step_run(task)) else {
+            return false;
+        };
+        if step.gang || matches!(attempt.phase, Phase::Planned | Phase::Stopping) {
+            return false;
+        }
+        if self.now.after(self.bounds.stop_time.duration()) >= by {
+            return true;
+        }
+        let learned = self.queue_stats.get(&job.sub.queue);
+        let run_time = learned.map_or(step.estimate.get(), |l| l.run_time(step.estimate));
+        let end = Duration::from_millis(remaining(attempt, run_time, self.now.get()));
+        shows_pace(attempt) && self.now.after(end) > by && self.fits_elsewhere(job, step, tasks)
     }
 
     /// Whether a long-running task may be stopped: the budget of its step permits it and another
--- a/crates/cell/src/tallies.rs
+++ b/crates/cell/src/tallies.rs
@@ -14,4 +14,6 @@
     pub runs_preempted: u64,
     /// Work thrown away by these stops, in milliseconds of a core.
     pub preempted_work: u64,
+    /// Short runs stopped because they would have delayed the maintenance of their instance.
+    pub runs_vacated: u64,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -164,6 +164,9 @@
     pub(crate) evacuated: bool,
     /// Its long-running tasks are stopped as well, within their disruption budgets.
     pub(crate) evacuating: bool,
+    /// Time by which the worker has to be empty: its short tasks are stopped, too, if they would
+    /// end later.
+    pub(crate) vacate_by: Option<Time>,
     /// The last poll listed a run that has no attempt, so the room it occupies is unknown.
     pub(crate) stray_run: bool,
     /// A long-running run has started here and, as far as is known, is not active yet.
@@ -217,6 +220,7 @@
             closed: false,
             evacuated: false,
             evacuating: false,
+            vacate_by: None,
             stray_run: false,
             warming_up: false,
             reserved_until: Time::default(),
--- a/crates/cell/tests/worker_ends.rs
+++ b/crates/cell/tests/worker_ends.rs
@@ -22,6 +22,7 @@
         workers_ended: 1,
         runs_lost: 3,
         jobs_given_up: 0,
+        runs_vacated: 0,
         runs_preempted: 0,
         preempted_work: 0,
     };
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -269,6 +269,7 @@
                 });
             }
             Action::Close { worker, evict } => cell.close(&worker, evict),
+            Action::Vacate { worker, by } => cell.vacate(&worker, by),
             Action::Reopen(worker) => cell.reopen(&worker),
             Action::RecordWaveStart { wave } => {
                 let at = encode(&self.shared.clock.wall());
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -33,6 +33,7 @@
     instance_orders: Counter<u64>,
     worker_ends: Counter<u64>,
     runs_lost: Counter<u64>,
+    runs_vacated: Counter<u64>,
     given_up: Counter<u64>,
     preempted: Counter<u64>,
     preempted_work: Counter<u64>,
@@ -86,6 +87,7 @@
             instance_orders: counter("cactuswheel_node_instance_orders"),
             worker_ends: counter("cactuswheel_node_worker_ends"),
             runs_lost: counter("cactuswheel_node_runs_lost"),
+            runs_vacated: counter("cactuswheel_node_runs_vacated"),
             given_up: counter("cactuswheel_node_jobs_given_up"),
             preempted: counter("cactuswheel_node_runs_preempted"),
             preempted_work: counter("cactuswheel_node_preempted_core_milliseconds"),
@@ -153,6 +155,7 @@
     pub(crate) fn add_tallies(&self, since: Tallies) {
         self.worker_ends.add(since.workers_ended, &[]);
         self.runs_lost.add(since.runs_lost, &[]);
+        self.runs_vacated.add(since.runs_vacated, &[]);
         self.given_up.add(since.jobs_given_up, &[]);
         if since.runs_preempted > 0 {
             // Without preemption the text of the metrics has no line of it.
