--- a/crates/cell/src/open_state.rs
+++ b/crates/cell/src/open_state.rs
@@ -107,7 +107,7 @@
 
     /// Room for a new job of a team that has `share` of all teams' weight.
     ///
-    /// The part [`RESERVE`] of the limit is kept for teams within their share. Without it, one team
+    /// A part of the limit is kept for teams within their share. Without it, one team
     /// could use the limit up, and all others would be refused. Jobs without a team have no share.
     pub fn room(&self, limits: &StateLimits, team: Option<&TeamName>, share: f64) -> StateRoom {
         let (over, under) = RESERVE;
