--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -44,6 +44,7 @@
 mod listing;
 mod loads;
 mod losses;
+mod misses;
 mod open_state;
 mod output;
 mod pacing;
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -80,8 +80,8 @@
     ///
     /// A run of minutes gains a percent every few seconds, so its progress is judged by its own
     /// pace, and by the estimate of its run time until it has shown one. Its speed is no criterion,
-    /// as many healthy runs take several times their estimate. A task whose runs stalled before gets longer each time, as its estimate
-    /// may be far too low; otherwise it would be stopped for ever.
+    /// as many healthy runs take several times their estimate. A task whose runs stalled before gets
+    /// longer each time, as its estimate may be far too low; otherwise it would be stopped for ever.
     pub(crate) fn is_stalled(&self, expected: Expected, now: Time) -> bool {
         let idle = now.since(self.last_increase);
         if expected.lasting {
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -13,25 +13,14 @@
 use crate::finished::Redone;
 use crate::job::Job;
 use crate::learned::QueueStats;
+use crate::misses::Misses;
 use crate::place::{Affinity, Constraints, Placement, pick_worker};
 use crate::rank::{Rank, rank};
 use crate::run_state::StepRun;
-use crate::shape::Shape;
 use crate::sweep::Position;
 use crate::wait_queue::QueuedJob;
 use crate::worker::Allocation;
 
-/// Number of tasks without a worker after which a cycle leaves the front of a service's queue: the
-/// jobs further back seldom fit either.
-const MAX_MISSES: usize = 24;
-
-/// Number of steps that a cycle examines at the front of a service's queue without starting a task,
-/// misses or not. Bounds the cost of a cycle.
-const MAX_FRONT: usize = 512;
-
-/// Number of steps that a cycle examines behind the front without starting a task.
-const MAX_SWEPT: usize = 128;
-
 /// Longest time for which a rank is cached: new statistics on run times change it.
 const RANK_TTL: Duration = Duration::from_millis(500);
 
@@ -44,53 +33,6 @@
     pub(crate) free: Vec<usize>,
 }
 
-/// Tasks of one service for which the current cycle found no worker.
-#[derive(Default)]
-struct Misses {
-    count: usize,
-    /// Number of steps that were examined without starting a task.
-    idle_steps: usize,
-    /// Amounts of room that no worker of the service has free.
-    too_large: Vec<Room>,
-    /// Labels and amounts of room that no worker of the service has free.
-    labelled: Vec<Shape>,
-}
-
-impl Misses {
-    /// Counts a task without a worker.
-    fn add(&mut self) {
-        self.count += 1;
-    }
-
-    /// Counts a task of the step without a worker, for lack of free room on all workers with the
-    /// step's label.
-    fn add_shape(&mut self, step: &Step) {
-        self.count += 1;
-        match step.label {
-            None => self.too_large.push(step.reserved()),
-            Some(_) => self.labelled.push(Shape::of(step)),
-        }
-    }
-
-    /// Whether a task of the step cannot be placed, going by the earlier misses.
-    fn covers(&self, step: &Step) -> bool {
-        let room = step.reserved();
-        let labelled = |s: &Shape| s.label == step.label && s.room.fits(room);
-        self.too_large.iter().any(|missed| missed.fits(room))
-            || (step.label.is_some() && self.labelled.iter().any(labelled))
-    }
-
-    /// Whether the cycle has to leave the front of the queue.
-    fn ends_front(&self) -> bool {
-        self.count >= MAX_MISSES || self.idle_steps >= MAX_FRONT
-    }
-
-    /// Whether the cycle has to stop behind the front.
-    fn ends_sweep(&self) -> bool {
-        self.idle_steps >= MAX_SWEPT
-    }
-}
-
 impl Cell {
     /// Assigns pending tasks to workers, jobs with the best rank first.
     pub(crate) fn schedule(&mut self) {
--- a/crates/cell/tests/long_runs.rs
+++ b/crates/cell/tests/long_runs.rs
@@ -12,8 +12,9 @@
 /// Run time of the tasks, in milliseconds.
 const RUN_TIME: u64 = 300_000;
 
-/// Number of starts, and of runs at the end, in a world in which one task of [`RUN_TIME`] runs for 40 s, with the caller's
-/// estimate in milliseconds and, if `changes`, a new owner every six seconds.
+/// Number of starts, and of runs at the end, in a world in which one task of [`RUN_TIME`] runs for
+/// 40 s, with the caller's estimate in milliseconds and, if `changes`, a new owner every six
+/// seconds.
 fn starts(estimate: u64, changes: bool) -> (usize, usize) {
     let mut world = World::new(1, 2);
     for number in 0..2 {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -99,6 +99,46 @@
     }
 }
 
+/// Settles a job without handing it in, if the last that this front end heard of the owner speaks
+/// against it; `None` if the job is to be handed in.
+async fn check_early(
+    shared: &Arc<Shared>,
+    sub: &Submission,
+    slack: Option<Slack>,
+    size: u64,
+    limit: Duration,
+) -> Option<Result<(), NotStored>> {
+    let team = sub.team.as_ref();
+    let late = slack.and_then(|slack| early_refusal(shared, shared.clock.now(), slack));
+    let full = (!shared.room.fits(team, size)).then_some(NotStored::Full);
+    let refusal = late.or(full)?;
+    if let Some(slack) = slack
+        && matches!(refusal, NotStored::NoOwner(_))
+    {
+        // Without the probe, the job is refused after the time that the caller waits.
+        let _ = timeout(limit, probe_owner(shared, sub, slack)).await;
+    }
+    // The request may repeat one for a job that was already accepted.
+    let Some((standing, prospects)) = ask::standing(shared, sub).await else {
+        return Some(Err(refusal));
+    };
+    // The owner's current delay may be shorter than the one that this front end knows of.
+    let delay = prospects.delay;
+    shared.overload.learn(shared.clock.now(), delay);
+    shared.room.learn(team, prospects.room);
+    match standing {
+        Standing::Stored => Some(Ok(())),
+        // Handing the job in again returns its outcome.
+        Standing::Pending => None,
+        Standing::Unknown => {
+            if let Some(excess) = slack.and_then(|s| delay.excess(s)) {
+                return Some(Err(NotStored::Overloaded(excess)));
+            }
+            (!prospects.room.fits(size)).then_some(Err(NotStored::Full))
+        }
+    }
+}
+
 /// Usual duration of a takeover with little state to read, counted from the expiry of the previous
 /// ownership.
 const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
@@ -159,36 +199,8 @@
         let slack = Slack::of(sub, queue);
         let start = shared.clock.now();
         let (team, size) = (sub.team.as_ref(), new_job_size(sub, record.len()));
-        let late = slack.and_then(|slack| early_refusal(shared, start, slack));
-        let full = (!shared.room.fits(team, size)).then_some(NotStored::Full);
-        if let Some(refusal) = late.or(full) {
-            if let Some(slack) = slack
-                && matches!(refusal, NotStored::NoOwner(_))
-            {
-                // Without the probe, the job is refused after the time that the caller waits.
-                let _ = timeout(limit, probe_owner(shared, sub, slack)).await;
-            }
-            // The request may repeat one for a job that was already accepted.
-            let Some((standing, prospects)) = ask::standing(shared, sub).await else {
-                return Err(refusal);
-            };
-            // The owner's current delay may be shorter than the one that this front end knows of.
-            let delay = prospects.delay;
-            shared.overload.learn(shared.clock.now(), delay);
-            shared.room.learn(team, prospects.room);
-            match standing {
-                Standing::Stored => return Ok(()),
-                // Handing the job in again returns its outcome.
-                Standing::Pending => {}
-                Standing::Unknown => {
-                    if let Some(excess) = slack.and_then(|s| delay.excess(s)) {
-                        return Err(NotStored::Overloaded(excess));
-                    }
-                    if !prospects.room.fits(size) {
-                        return Err(NotStored::Full);
-                    }
-                }
-            }
+        if let Some(settled) = check_early(shared, sub, slack, size, limit).await {
+            return settled;
         }
         let record = Bytes::from(record);
         let handed = ask::hand_in(shared, record.clone(), limit).await;
