--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -195,7 +195,7 @@
         let log_due = now.since(self.last_logged) >= LOG_EVERY;
         if log_due {
             self.last_logged = now;
-            log_pools(&pools, spare.len());
+            log_pools(&pools, snapshot.loads, spare.len());
         }
         let mut claimed: Set<InstanceName> = actions.iter().filter_map(ordered_instance).collect();
         claimed.extend(snapshot.reserved.keys().cloned());
--- a/crates/capacity/src/pool.rs
+++ b/crates/capacity/src/pool.rs
@@ -1,6 +1,6 @@
 //! State of a pool during one planning cycle.
 
-use cactuswheel_cell::WorkerView;
+use cactuswheel_cell::{Load, WorkerView};
 use cactuswheel_model::Map;
 use cactuswheel_work::ServiceName;
 
@@ -40,15 +40,22 @@
     }
 }
 
-/// Logs the state of every pool.
-pub(crate) fn log_pools(pools: &Map<&ServiceName, Pool<'_>>, spare: usize) {
+/// Logs the state of every pool, with the demand that its target follows.
+pub(crate) fn log_pools(
+    pools: &Map<&ServiceName, Pool<'_>>,
+    loads: &Map<ServiceName, Load>,
+    spare: usize,
+) {
+    let idle = Load::default();
     for (service, pool) in pools {
+        let load = loads.get(*service).unwrap_or(&idle);
         let used: u64 = pool.serving.iter().map(|(_, v)| v.used.cpu).sum();
         let busy = pool.serving.iter().filter(|(_, v)| v.runs > 0).count();
         log::info!(
             service:% = service, target = pool.target as u64, keep = pool.keep as u64,
             serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
             coming = pool.arriving as u64, busy = busy as u64, used_cores = used / 1_000,
+            lasting_cores = load.lasting.cpu / 1_000, waiting_cores = load.waiting.cpu / 1_000,
             spare = spare as u64;
             "pool"
         );
