--- a/crates/cell/src/blocked.rs
+++ b/crates/cell/src/blocked.rs
@@ -1,19 +1,19 @@
-//! Steps that no registered worker can run, whatever is free.
+//! Steps that the registered workers cannot run, whatever is free.
 
 use cactuswheel_model::Map;
-use cactuswheel_work::{ServiceName, Step, StepId, WorkerId};
+use cactuswheel_work::{ServiceName, Step, StepId};
 
 use crate::advice::Candidates;
 use crate::cell::Cell;
 use crate::job::Job;
 use crate::run_state::StepRun;
 use crate::schedule::{attempts_by_worker, free_tasks};
-use crate::shape::Shape;
+use crate::shape::{Shape, sum_up_to};
 use crate::worker::Worker;
 
 impl Cell {
-    /// What the waiting steps of a job require, if no registered worker can run any of them; empty
-    /// if a worker can run one of them.
+    /// What the waiting steps of a job require, if the registered workers can run none of them;
+    /// empty if they can run one of them.
     ///
     /// Such a job waits apart from the others of its service. In the queue it would use up a part
     /// of every scheduling cycle, and a few dozen of them would keep all other jobs from starting.
@@ -40,9 +40,10 @@
         shapes
     }
 
-    /// Whether no registered worker can run one more task of a step, whatever is free: each lacks
-    /// the label, the size or the permission, or has as many tasks of the step as its spread
-    /// allows. While a service has no worker at all, none of its steps counts as blocked.
+    /// Whether the registered workers cannot run one more task of a step, or all tasks of a gang at
+    /// once, whatever is free: they lack the label, the size or the permission, or have as many
+    /// tasks of the step as its spread allows. While a service has no worker at all, none of its
+    /// steps counts as blocked.
     pub(crate) fn is_blocked(
         &self,
         id: StepId,
@@ -50,29 +51,35 @@
         step: &Step,
         service: &ServiceName,
     ) -> bool {
-        if self.workers.roster().is_empty(service) {
+        let roster = self.workers.roster();
+        if roster.is_empty(service) {
             return false;
         }
+        let needed = step.least_at_once();
         let per_worker = match step.spread {
             0 => Map::default(),
             _ => attempts_by_worker(run),
         };
-        let below_spread = |id: &WorkerId| {
-            step.spread == 0 || per_worker.get(id).is_none_or(|tasks| *tasks < step.spread)
+        let places = |w: &Worker| w.places(step, per_worker.get(&w.id).copied());
+        let suited = || {
+            let numbers = roster.suited(service, step);
+            numbers.filter_map(|n| self.workers.by_number(n))
         };
-        let suited = self.workers.roster().suited(service, step);
-        let mut suited = suited.filter_map(|n| self.workers.by_number(n));
-        match self.candidates(id) {
-            Candidates::Unknown => false,
-            Candidates::All => !suited.any(|w| below_spread(&w.id)),
+        let found = match self.candidates(id) {
+            Candidates::Unknown => return false,
+            Candidates::All if per_worker.is_empty() => roster.places(service, step, needed),
+            Candidates::All => sum_up_to(needed, suited().map(places)),
             Candidates::Except(denied) => {
-                !suited.any(|w| below_spread(&w.id) && !denied.contains(&w.id))
+                let open = suited().filter(|w| !denied.contains(&w.id));
+                sum_up_to(needed, open.map(places))
             }
             Candidates::Only(granted) => {
-                let mut granted = granted.iter().filter_map(|id| self.workers.get(id));
-                !granted.any(|w| w.belongs_to(service) && w.suits(step) && below_spread(&w.id))
+                let granted = granted.iter().filter_map(|id| self.workers.get(id));
+                let suited = granted.filter(|w| w.belongs_to(service) && w.suits(step));
+                sum_up_to(needed, suited.map(places))
             }
-        }
+        };
+        found < needed
     }
 }
 
@@ -84,4 +91,16 @@
             labelled && step.reserved().fits(entry.room)
         })
     }
+    /// Number of a step's tasks that the worker could run at once if it were empty but for the
+    /// tasks of the step on it.
+    fn places(&self, step: &Step, running: Option<u32>) -> u64 {
+        let Some(entry) = &self.entry else {
+            return 0;
+        };
+        let below_spread = match step.spread {
+            0 => u64::MAX,
+            most => u64::from(most.saturating_sub(running.unwrap_or_default())),
+        };
+        step.tasks_on(entry.room).min(below_spread)
+    }
 }
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -5,7 +5,7 @@
 use cactuswheel_model::{Map, Set};
 use cactuswheel_work::{Presence, Room, ServiceName, Step, WorkerEntry};
 
-use crate::shape::Shape;
+use crate::shape::{Shape, places};
 
 /// Numbers of the workers that offer a label, by their room.
 type Offers = Map<Room, BTreeSet<u32>>;
@@ -80,6 +80,15 @@
         large.flat_map(|(_, numbers)| numbers.iter().copied())
     }
 
+    /// Number of a step's tasks that the workers with its label could run at once if they were
+    /// empty, up to `most`.
+    pub(crate) fn places(&self, service: &ServiceName, step: &Step, most: u64) -> u64 {
+        let offers = self.pools.get(service).and_then(|p| p.get(&step.label));
+        let offers = offers.into_iter().flatten();
+        let offers = offers.map(|(room, numbers)| (*room, numbers.len() as u64));
+        places(offers, step, most)
+    }
+
     /// Returns what was offered by the workers that were added since the last call.
     pub(crate) fn take_added(&mut self) -> Set<(ServiceName, Shape)> {
         std::mem::take(&mut self.added)
--- a/crates/cell/src/shape.rs
+++ b/crates/cell/src/shape.rs
@@ -25,3 +25,22 @@
         labels.chain([None]).map(move |label| Self { label, room })
     }
 }
+
+/// Number of a step's tasks that workers with these amounts of room could run at once if they were
+/// empty, up to `most`.
+pub(crate) fn places(offers: impl Iterator<Item = (Room, u64)>, step: &Step, most: u64) -> u64 {
+    let each = offers.map(|(room, workers)| step.tasks_on(room).saturating_mul(workers));
+    sum_up_to(most, each)
+}
+
+/// Sum of `counts`, which are read until it reaches `most`.
+pub(crate) fn sum_up_to(most: u64, counts: impl Iterator<Item = u64>) -> u64 {
+    let mut sum = 0u64;
+    for count in counts {
+        sum = sum.saturating_add(count);
+        if sum >= most {
+            return most;
+        }
+    }
+    sum
+}
--- a/crates/work/src/room.rs
+++ b/crates/work/src/room.rs
@@ -21,6 +21,14 @@
         self.cpu <= space.cpu && self.memory <= space.memory && self.gpu <= space.gpu
     }
 
+    /// How many times this amount fits into `space`; `u64::MAX` if it is empty.
+    pub fn times_in(self, space: Self) -> u64 {
+        let times = |need: u64, have: u64| have.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu, space.cpu)
+            .min(times(self.memory, space.memory))
+            .min(times(self.gpu, space.gpu))
+    }
+
     /// The larger amount of each resource.
     pub fn max(self, other: Self) -> Self {
         Self {
--- a/crates/work/src/step.rs
+++ b/crates/work/src/step.rs
@@ -59,6 +59,23 @@
         }
     }
 
+    /// Number of the step's tasks that an otherwise empty worker with this room can run at once.
+    pub fn tasks_on(&self, room: Room) -> u64 {
+        let most = match self.spread {
+            0 => u64::MAX,
+            spread => u64::from(spread),
+        };
+        self.reserved().times_in(room).min(most)
+    }
+
+    /// Number of tasks that have to run at once for any of them to run.
+    pub fn least_at_once(&self) -> u64 {
+        match self.gang {
+            true => u64::from(self.count),
+            false => 1,
+        }
+    }
+
     /// Whether the tasks serve requests and have a target of the tail latency.
     pub fn serves(&self) -> bool {
         self.target.get() > 0
