--- a/crates/cell/src/misses.rs
+++ b/crates/cell/src/misses.rs
@@ -25,6 +25,15 @@
     too_large: Vec<Room>,
     /// Labels and amounts of room that no worker of the service has free.
     labelled: Vec<Shape>,
+    /// Gangs for some of whose tasks no worker was left. The others gave their room back, so these
+    /// say nothing about other steps.
+    gangs: Vec<Gang>,
+}
+
+/// What a gang requires.
+struct Gang {
+    shape: Shape,
+    tasks: u32,
 }
 
 impl Misses {
@@ -43,12 +52,31 @@
         }
     }
 
+    /// Counts a gang for which there is room, but not for all of its tasks.
+    pub(crate) fn add_gang(&mut self, step: &Step) {
+        self.count += 1;
+        self.gangs.push(Gang {
+            shape: Shape::of(step),
+            tasks: step.count,
+        });
+    }
+
     /// Whether a task of the step cannot be placed, going by the earlier misses.
     pub(crate) fn covers(&self, step: &Step) -> bool {
         let room = step.reserved();
         let labelled = |s: &Shape| s.label == step.label && s.room.fits(room);
         self.too_large.iter().any(|missed| missed.fits(room))
             || (step.label.is_some() && self.labelled.iter().any(labelled))
+            || (step.gang && self.covers_gang(step))
+    }
+
+    fn covers_gang(&self, step: &Step) -> bool {
+        let room = step.reserved();
+        self.gangs.iter().any(|missed| {
+            missed.shape.label == step.label
+                && missed.shape.room.fits(room)
+                && missed.tasks <= step.count
+        })
     }
 
     /// Whether the cycle has to leave the front of the queue.
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -277,11 +277,12 @@
                 }
                 Placement::NoFit => {
                     // A step that no registered worker can run says nothing about the room for
-                    // other tasks.
+                    // other tasks, and neither does a gang of which some tasks have found room.
                     match self.is_blocked(pending.id, run, step, service) {
                         true => {}
-                        false if unconstrained => misses.add_shape(step),
-                        false => misses.add(),
+                        false if !unconstrained => misses.add(),
+                        false if step.gang && !chosen.made.is_empty() => misses.add_gang(step),
+                        false => misses.add_shape(step),
                     }
                     break;
                 }
--- a/crates/cell/tests/wide_gangs.rs
+++ b/crates/cell/tests/wide_gangs.rs
@@ -104,3 +104,44 @@
     assert_eq!(world.state(JobId::new(0)), Some(JobState::Complete));
     world.assert_no_violations();
 }
+
+/// Guards against short jobs that wait because a gang, which fits into the pool but not beside the
+/// runs there, is looked at first in every cycle and finds no room for its last tasks.
+#[test]
+fn beside_waiting_gangs() {
+    let mut world = world(4);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 8_000;
+    }
+    for id in 100..110 {
+        world.submit(short(id));
+    }
+    world.advance(SECOND);
+    for id in 0..24 {
+        world.submit(gang(id, 48));
+    }
+    world.advance(SECOND / 10);
+    for id in SHORT_JOBS..SHORT_JOBS + 3 {
+        world.submit(short(id));
+        world.advance(Duration::from_millis(MAX_WAIT));
+        assert!(has_started(&world, id), "job {id} waits");
+    }
+    world.assert_no_violations();
+}
+
+/// Guards against a gang that is not tried because a larger one found no room in the same cycle.
+#[test]
+fn smaller_gang_starts() {
+    let mut world = world(5);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 8_000;
+    }
+    world.submit(short(100));
+    world.advance(SECOND);
+    world.submit(gang(0, 48));
+    world.submit(gang(1, 20));
+    world.advance(SECOND / 2);
+    assert!(!has_started(&world, 0), "47 places are free");
+    assert!(has_started(&world, 1), "the smaller gang waits");
+    world.assert_no_violations();
+}
