--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Queue, Room, ServiceName, Submission};
+use cactuswheel_work::{Queue, ServiceName, Submission};
 use serde::{Deserialize, Serialize};
 
 use crate::cell::Cell;
@@ -29,8 +29,6 @@
     total_cpu: u64,
     /// Processor capacity of the workers of each service, in thousandths of a core.
     pool_cpu: Map<ServiceName, u64>,
-    /// Largest capacity of any worker, for each resource separately.
-    pub(crate) largest_worker: Room,
     /// When the capacities were last updated.
     counted_at: Time,
 }
@@ -42,7 +40,6 @@
             start_bytes: INITIAL_START_BYTES,
             total_cpu: 0,
             pool_cpu: Map::default(),
-            largest_worker: Room::default(),
             counted_at: Time::default(),
         }
     }
@@ -169,11 +166,9 @@
         let admission = &mut self.admission;
         admission.total_cpu = 0;
         admission.pool_cpu.clear();
-        admission.largest_worker = Room::default();
         for entry in self.workers.values().filter_map(|w| w.entry.as_ref()) {
             admission.total_cpu += entry.room.cpu;
             *admission.pool_cpu.entry(entry.service.clone()).or_default() += entry.room.cpu;
-            admission.largest_worker = admission.largest_worker.max(entry.room);
         }
     }
 }
--- a/crates/cell/src/blocked.rs
+++ b/crates/cell/src/blocked.rs
@@ -17,8 +17,7 @@
     ///
     /// Such a job waits apart from the others of its service. In the queue it would use up a part
     /// of every scheduling cycle, and a few dozen of them would keep all other jobs from starting.
-    pub(crate) fn blocked_shapes(&self, job: &Job) -> Vec<Shape> {
-        let service = self.service_of(job);
+    pub(crate) fn blocked_shapes(&self, job: &Job, service: &ServiceName) -> Vec<Shape> {
         let mut shapes = Vec::new();
         for turn in &job.turns {
             for (number, step) in job.sub.steps.iter().enumerate() {
@@ -26,12 +25,8 @@
                 if run.is_done() || !turn.is_ready(step) || free_tasks(run, step).is_empty() {
                     continue;
                 }
-                let id = StepId {
-                    job: job.sub.job,
-                    turn: turn.number,
-                    step: number as u32,
-                };
-                if !self.is_blocked(id, run, step, &service) {
+                let id = job.step_id(turn.number, number);
+                if !self.is_blocked(id, run, step, service) {
                     return Vec::new();
                 }
                 shapes.push(Shape::of(step));
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cactuswheel_model::Time;
-use cactuswheel_work::{JobState, Step, Submission, TaskId};
+use cactuswheel_work::{JobState, Step, StepId, Submission, TaskId};
 
 use crate::finished::{Finished, Redone};
 use crate::footprint::{Footprint, packed_size};
@@ -247,6 +247,15 @@
         }
     }
 
+    /// Identifier of a step of an occurrence.
+    pub(crate) fn step_id(&self, turn: u32, number: usize) -> StepId {
+        StepId {
+            job: self.sub.job,
+            turn,
+            step: number as u32,
+        }
+    }
+
     pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
         self.sub.steps.get(id.step.step as usize)
     }
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -122,10 +122,11 @@
             return None;
         }
         let (rank, until) = self.rank(job);
-        let (tasks, work) = free_work(job, self.admission.largest_worker);
-        let blocked = self.blocked_shapes(job);
+        let service = self.service_of(job);
+        let (tasks, work) = self.free_work(job, &service);
+        let blocked = self.blocked_shapes(job, &service);
         Some(QueuedJob {
-            service: self.service_of(job),
+            service,
             rank,
             valid_until: until.min(self.now.after(RANK_TTL)),
             work,
@@ -134,6 +135,31 @@
         })
     }
 
+    /// Number of a job's tasks that have no attempt, and their work in thousandths of a core times
+    /// milliseconds.
+    ///
+    /// Steps that the registered workers cannot run are left out, and so are the steps after them:
+    /// they do not delay other jobs.
+    fn free_work(&self, job: &Job, service: &ServiceName) -> (u64, u64) {
+        let (mut tasks, mut work) = (0, 0);
+        for turn in &job.turns {
+            let mut reached: Vec<bool> = Vec::with_capacity(job.sub.steps.len());
+            for (number, step) in job.sub.steps.iter().enumerate() {
+                let run = &turn.steps[number];
+                let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
+                let id = job.step_id(turn.number, number);
+                let runnable = step.after.iter().all(|&s| reached[s as usize])
+                    && (free == 0 || !self.is_blocked(id, run, step, service));
+                reached.push(runnable);
+                if runnable {
+                    tasks += free;
+                    work += free * step.room.cpu * step.estimate.get();
+                }
+            }
+        }
+        (tasks, work)
+    }
+
     /// Service whose workers run a job's tasks: the current service of its queue, or the one at
     /// submission if the queue was removed.
     pub(crate) fn service_of(&self, job: &Job) -> ServiceName {
@@ -215,11 +241,7 @@
             return None;
         }
         let free = free_tasks(&at.steps[number], step);
-        let id = StepId {
-            job: id,
-            turn: at.number,
-            step: number as u32,
-        };
+        let id = job.step_id(at.number, number);
         (!free.is_empty()).then_some(PendingStep { id, turn, free })
     }
 
@@ -408,22 +430,6 @@
     })
 }
 
-/// Number of a job's tasks that have no attempt, and their work in thousandths of a core times
-/// milliseconds.
-///
-/// Tasks that are too large for every worker are left out: they can never start, so they do not
-/// delay other jobs.
-fn free_work(job: &Job, largest_worker: Room) -> (u64, u64) {
-    let steps = job.turns.iter();
-    let steps = steps.flat_map(|turn| turn.steps.iter().zip(job.sub.steps.iter()));
-    let steps = steps.filter(|(_, step)| step.reserved().fits(largest_worker));
-    steps.fold((0, 0), |(tasks, work), (run, step)| {
-        let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
-        let each = step.room.cpu * step.estimate.get();
-        (tasks + free, work + free * each)
-    })
-}
-
 pub(crate) fn free_tasks(run: &StepRun, step: &Step) -> Vec<usize> {
     let free = run.tasks.iter().enumerate().filter(|(_, t)| t.is_pending());
     let free: Vec<usize> = free.map(|(i, _)| i).collect();
--- a/crates/cell/tests/wide_gangs.rs
+++ b/crates/cell/tests/wide_gangs.rs
@@ -145,3 +145,30 @@
     assert!(has_started(&world, 1), "the smaller gang waits");
     world.assert_no_violations();
 }
+
+/// Guards against calls that are refused as too late behind a step that nobody can run, in a job
+/// whose other steps wait for the team's quota.
+#[test]
+fn beside_waiting_steps() {
+    for after in [Vec::new(), vec![0]] {
+        let mut world = world(6);
+        for worker in world.workers.values_mut() {
+            worker.work_ms = 8_000;
+        }
+        world.submit(job(100, steps(1, 15, 8_000)));
+        world.advance(SECOND);
+        for id in 0..5 {
+            let mut both = steps(2, 1, 1_000);
+            both[1].count = 240;
+            both[1].gang = true;
+            both[1].after.clone_from(&after);
+            world.submit(job(id, both));
+        }
+        world.advance(SECOND / 10);
+        let sub = Submission {
+            team: None,
+            ..short(SHORT_JOBS)
+        };
+        assert_eq!(world.cell().overload_delay(&sub), None, "after {after:?}");
+    }
+}
