--- a/crates/capacity/src/pool.rs
+++ b/crates/capacity/src/pool.rs
@@ -56,6 +56,7 @@
             serving = pool.serving.len() as u64, closing = pool.closing.len() as u64,
             coming = pool.arriving as u64, busy = busy as u64, used_cores = used / 1_000,
             lasting_cores = load.lasting.cpu / 1_000, waiting_cores = load.waiting.cpu / 1_000,
+            unplaceable_cores = load.unplaceable.cpu / 1_000,
             spare = spare as u64;
             "pool"
         );
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,7 +7,7 @@
 
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{
-    FleetConfig, JobId, JobState, QueueName, StepId, TeamName, WorkerId, ZoneName,
+    FleetConfig, Instance, JobId, JobState, QueueName, StepId, TeamName, WorkerId, ZoneName,
 };
 
 use crate::admission::Admission;
@@ -19,6 +19,7 @@
 use crate::bounds::Bounds;
 use crate::demand::MAX_RESTORED_AGE;
 use crate::finished::FinishedJob;
+use crate::inventory::Inventory;
 use crate::job::Job;
 use crate::jobs::Jobs;
 use crate::learned::QueueStats;
@@ -100,6 +101,8 @@
     pub(crate) maintenance_due: Set<WorkerId>,
     /// Data centres in which no task is started.
     pub(crate) evacuated: Arc<Set<ZoneName>>,
+    /// What the fleet's instances offer; `None` before they are listed.
+    pub(crate) inventory: Option<Inventory>,
     /// When evacuating workers were last checked for long-running tasks to stop.
     pub(crate) last_evacuation: Time,
     /// State of preemption, by service.
@@ -178,6 +181,7 @@
             removing: Set::default(),
             maintenance_due: Set::default(),
             evacuated: Arc::default(),
+            inventory: None,
             last_evacuation: Time::default(),
             preemptors: Preemptors::default(),
             usage: Usage::default(),
@@ -267,6 +271,12 @@
         self.reschedule = true;
     }
 
+    /// Sets the instances of the fleet, from which it follows which work could be done if they were
+    /// moved to its pool.
+    pub fn list_instances(&mut self, instances: &[Instance]) {
+        self.inventory = Some(Inventory::new(instances, &self.evacuated));
+    }
+
     /// Switches to a newer configuration; ignores an older one.
     pub fn configure(&mut self, now: Time, config: Arc<FleetConfig>) {
         self.now = now;
--- a/crates/cell/src/demand.rs
+++ b/crates/cell/src/demand.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Map;
-use cactuswheel_work::{Room, Step, TeamName};
+use cactuswheel_work::Step;
 
 use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
 use crate::forecast::{Forecast, SLOT_MS, SLOTS};
 use crate::job::Job;
 use crate::learned::QueueStats;
+use crate::remaining::{Remaining, placeable};
 use crate::run_state::Turn;
 use crate::view::Load;
 
@@ -40,11 +40,12 @@
         if job.sub.lasting() || self.now.since(job.arrived) > max_age {
             return;
         }
+        let inventory = self.inventory.as_ref();
         let learned = self.queue_stats.entry(job.sub.queue.clone()).or_default();
         let mut profile = Forecast::default();
         for turn in &job.turns {
             let mut demand = Demand::new(&mut profile, learned);
-            demand.add_turn(job, turn, |_, free| free);
+            demand.add_turn(job, turn, |step, free, _| placeable(inventory, step, free));
         }
         learned.record_arrival(&profile);
         if self.restoring {
@@ -53,22 +54,22 @@
     }
 
     /// Adds the current and future demand of a short job that is not finished. Waiting tasks count
-    /// only as far as the team's quota lets them start, and are added to `overdue` if the job can
-    /// no longer meet its objective.
-    pub(crate) fn add_forecast(
-        &self,
-        job: &Job,
-        load: &mut Load,
-        remaining: &mut Map<TeamName, Room>,
-    ) {
+    /// only as far as the fleet's instances could run them and the team's quota lets them start,
+    /// and are added to `overdue` if the job can no longer meet its objective.
+    pub(crate) fn add_forecast(&self, job: &Job, load: &mut Load, remaining: &mut Remaining) {
         let overdue = self.rank(job).0.is_late();
         let untrained = QueueStats::default();
         let learned = self.queue_stats.get(&job.sub.queue).unwrap_or(&untrained);
         for turn in &job.turns {
             let mut demand = Demand::new(&mut load.forecast, learned);
             demand.now = self.now.get();
-            demand.add_turn(job, turn, |step, free| {
-                let free = self.startable(job, step, free, remaining);
+            demand.add_turn(job, turn, |step, free, ready| {
+                let possible = placeable(self.inventory.as_ref(), step, free);
+                if !ready {
+                    return possible;
+                }
+                load.unplaceable += step.reserved() * (free - possible);
+                let free = self.startable(job, step, possible, remaining);
                 if overdue {
                     load.overdue += step.reserved() * free;
                     return 0;
@@ -103,10 +104,10 @@
     }
 
     /// Adds the demand of an occurrence. `startable` returns how many of a step's tasks without an
-    /// attempt may start.
+    /// attempt may start, now if the step is ready or later.
     fn add_turn<F>(&mut self, job: &Job, turn: &Turn, mut startable: F)
     where
-        F: FnMut(&Step, u64) -> u64,
+        F: FnMut(&Step, u64, bool) -> u64,
     {
         for (run, step) in turn.steps.iter().zip(job.sub.steps.iter()) {
             let after = step.after.iter().map(|&s| self.ends[s as usize]);
@@ -123,9 +124,9 @@
                 end = end.max(remaining);
             }
             let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
-            let starting = match free > 0 && turn.is_ready(step) {
-                true => startable(step, free),
-                false => free,
+            let starting = match free {
+                0 => 0,
+                _ => startable(step, free, turn.is_ready(step)),
             };
             self.forecast
                 .add(step.reserved() * starting, begin, begin + expected);
--- a/crates/cell/src/loads.rs
+++ b/crates/cell/src/loads.rs
@@ -1,11 +1,12 @@
 //! Views of the cell for capacity planning and for operators.
 
 use cactuswheel_model::Map;
-use cactuswheel_work::{JobId, JobState, QueueName, Room, ServiceName, Step, TeamName, WorkerId};
+use cactuswheel_work::{JobId, JobState, QueueName, ServiceName, Step, WorkerId};
 
 use crate::cell::Cell;
 use crate::finished::FinishedJob;
 use crate::job::Job;
+use crate::remaining::{Remaining, placeable};
 use crate::view::{JobView, Load, RunView, WorkerView};
 
 impl Cell {
@@ -27,7 +28,7 @@
                 loads.entry(entry.service.clone()).or_default().used += worker.used;
             }
         }
-        let mut left = Map::default();
+        let mut left = Remaining::default();
         for job in self.open.iter().filter_map(|id| self.jobs.get(id)) {
             let load = loads.entry(self.service_of(job)).or_default();
             self.add_waiting(job, load, &mut left);
@@ -35,9 +36,9 @@
         loads
     }
 
-    /// Adds the room that a job's waiting tasks request, as far as the team's quota lets them
-    /// start.
-    fn add_waiting(&self, job: &Job, load: &mut Load, left: &mut Map<TeamName, Room>) {
+    /// Adds the room that a job's waiting tasks request, as far as the fleet's instances could run
+    /// them and the team's quota lets them start.
+    fn add_waiting(&self, job: &Job, load: &mut Load, left: &mut Remaining) {
         if !job.sub.lasting() {
             return self.add_forecast(job, load, left);
         }
@@ -46,40 +47,20 @@
                 if run.is_done() || !turn.is_ready(step) {
                     continue;
                 }
-                load.lasting += step.reserved() * u64::from(step.count);
-                load.spread = load.spread.max(min_workers(step));
+                let count = u64::from(step.count);
                 let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
-                let free = self.startable(job, step, free, left);
-                load.waiting += step.reserved() * free;
+                let running = count - free;
+                let places = placeable(self.inventory.as_ref(), step, count);
+                let waiting = free.min(places.saturating_sub(running));
+                load.unplaceable += step.reserved() * (free - waiting);
+                let waiting = self.startable(job, step, waiting, left);
+                load.waiting += step.reserved() * waiting;
+                load.lasting += step.reserved() * (running + waiting);
+                load.spread = load.spread.max(min_workers(step, running + waiting));
             }
         }
     }
 
-    /// How many of a step's `free` tasks the team's quota lets start.
-    pub(crate) fn startable(
-        &self,
-        job: &Job,
-        step: &Step,
-        free: u64,
-        left: &mut Map<TeamName, Room>,
-    ) -> u64 {
-        let Some(team) = &job.sub.team else {
-            return free;
-        };
-        let Some(cap) = self.config.teams.get(team).map(|t| t.cap.0) else {
-            return free;
-        };
-        if cap.cpu == 0 {
-            return free;
-        }
-        let used = self.usage.of(team);
-        let left = left.entry(team.clone()).or_insert(cap - used);
-        let tasks = left.cpu / step.room.cpu.max(1);
-        let tasks = tasks.min(free);
-        *left -= step.room * tasks;
-        tasks
-    }
-
     /// Views of the registered workers.
     pub fn workers(&self) -> Map<WorkerId, WorkerView> {
         let listed = self.workers.values();
@@ -153,10 +134,10 @@
     }
 }
 
-/// Minimum number of workers over which a long-running step has to be spread.
-fn min_workers(step: &Step) -> usize {
+/// Minimum number of workers over which `tasks` long-running tasks of a step have to be spread.
+fn min_workers(step: &Step, tasks: u64) -> usize {
     match step.spread {
         0 => 1,
-        most => step.count.div_ceil(most) as usize,
+        most => tasks.div_ceil(u64::from(most)) as usize,
     }
 }
--- a/crates/cell/src/preempt.rs
+++ b/crates/cell/src/preempt.rs
@@ -11,7 +11,7 @@
 use cactuswheel_preemption::{
     Budget, Candidate, Demand, Preemption, Returns, Snapshot, Victim, VictimClass, preempt,
 };
-use cactuswheel_work::{JobId, Room, ServiceName, Step, StepId, TaskId, TeamName, WorkerId};
+use cactuswheel_work::{JobId, Room, ServiceName, Step, StepId, TaskId, WorkerId};
 
 use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
@@ -21,6 +21,7 @@
 use crate::job::Job;
 use crate::learned::QueueStats;
 use crate::rank::rank_with;
+use crate::remaining::Remaining;
 use crate::worker::{Allocation, Hold, Worker};
 
 /// Number of waiting jobs that a decision looks at.
@@ -159,7 +160,7 @@
     /// The first waiting steps of a service that are timely and within their team's share.
     fn demands(&self, service: &ServiceName) -> Vec<Demand> {
         let mut found = Vec::new();
-        let mut left = Map::default();
+        let mut left = Remaining::default();
         let mut last = None;
         for _ in 0..MAX_JOBS {
             let Some((rank, id)) = self.wait_queue.next(service, last) else {
@@ -193,7 +194,7 @@
         (turn, number): (usize, usize),
         step: &Step,
         latest: Time,
-        left: &mut Map<TeamName, Room>,
+        left: &mut Remaining,
     ) -> Option<Demand> {
         let pending = self.pending_step(job.sub.job, turn, number, step)?;
         let queue = self.config.queues.get(&job.sub.queue)?;
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -38,7 +38,7 @@
 
     fn insert(&mut self, number: u32, entry: &WorkerEntry) {
         let pool = self.pools.entry(entry.service.clone()).or_default();
-        for shape in Shape::offers(entry) {
+        for shape in Shape::offers(entry.room, &entry.labels) {
             let offers = pool.entry(shape.label.clone()).or_default();
             offers.entry(shape.room).or_default().insert(number);
             self.added.insert((entry.service.clone(), shape));
@@ -49,7 +49,7 @@
         let Some(pool) = self.pools.get_mut(&entry.service) else {
             return;
         };
-        for shape in Shape::offers(entry) {
+        for shape in Shape::offers(entry.room, &entry.labels) {
             let Some(offers) = pool.get_mut(&shape.label) else {
                 continue;
             };
--- a/crates/cell/src/shape.rs
+++ b/crates/cell/src/shape.rs
@@ -1,6 +1,6 @@
 //! What a step requires of a worker, whatever is free there.
 
-use cactuswheel_work::{Room, Step, WorkerEntry};
+use cactuswheel_work::{Room, Step};
 
 /// A label and an amount of room: what a step requires of a worker, or what a worker offers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -18,10 +18,10 @@
         }
     }
 
-    /// What a worker offers: its room without any label, and with each of its labels.
-    pub(crate) fn offers(entry: &WorkerEntry) -> impl Iterator<Item = Self> {
-        let room = entry.room;
-        let labels = entry.labels.iter().cloned().map(Some);
+    /// What a worker or an instance offers: its room without any label, and with each of its
+    /// labels.
+    pub(crate) fn offers(room: Room, labels: &[String]) -> impl Iterator<Item = Self> {
+        let labels = labels.iter().cloned().map(Some);
         labels.chain([None]).map(move |label| Self { label, room })
     }
 }
--- a/crates/cell/src/view.rs
+++ b/crates/cell/src/view.rs
@@ -77,6 +77,9 @@
     /// Room requested by such tasks of jobs that can no longer meet their objective; not part of
     /// `waiting`.
     pub overdue: Room,
+    /// Room requested by waiting tasks that all instances of the fleet together could not run; not
+    /// part of any other amount.
+    pub unplaceable: Room,
     /// Room allocated to or requested by long-running steps.
     pub lasting: Room,
     /// Number of workers over which long-running steps have to be spread.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -267,6 +267,7 @@
             Event::Appended(batch) => self.cell.appended(now, batch),
             Event::Deposed => return true,
             Event::Instances(instances, sent) => {
+                self.cell.list_instances(&instances);
                 if let Some(fleet) = &mut self.fleet {
                     fleet.set_instances(instances, sent);
                 }
