--- a/crates/capacity/src/moves.rs
+++ b/crates/capacity/src/moves.rs
@@ -79,7 +79,7 @@
         let candidates = pool.closing.iter();
         let candidates = candidates.filter(|(m, v)| {
             let free = !claimed.contains(&m.instance.name) && !v.spent && !v.evacuated;
-            free && !self.waves.draining.contains(&v.worker)
+            free && !self.waves.draining.contains_key(&v.worker)
         });
         let chosen: Vec<_> = candidates.take(limit).map(|(m, v)| (*m, *v)).collect();
         for (member, view) in &chosen {
@@ -162,7 +162,7 @@
             let name = &member.instance.name;
             if budget.remaining > 0
                 && self.fits(member, spare_pool)
-                && !self.waves.draining.contains(&view.worker)
+                && !self.waves.draining.contains_key(&view.worker)
                 && claimed.insert(name.clone())
             {
                 budget.remaining -= 1;
--- a/crates/capacity/src/waves.rs
+++ b/crates/capacity/src/waves.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use cactuswheel_cell::WorkerView;
 use cactuswheel_model::{Map, Set, Time};
 use cactuswheel_work::{InstanceName, InstanceOrder, InstanceState, ServiceName, Wave, WorkerId};
 
@@ -19,6 +20,10 @@
 /// itself: short tasks end, and long-running tasks start elsewhere, one after the other.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
 
+/// Time without the end of any run after which a worker is no longer drained while others wait for
+/// their turn.
+const STUCK_TIME: Duration = Duration::from_millis(8_000);
+
 /// Number of instances of one wave that are drained at a time while the deadline is far.
 const MIN_DRAINING: usize = 2;
 
@@ -95,11 +100,22 @@
     /// Waves reported to the operators, and whether they were reported as complete.
     reported: Map<u64, bool>,
     /// Workers that are being drained for a wave.
-    pub(crate) draining: Set<WorkerId>,
+    pub(crate) draining: Map<WorkerId, Drain>,
+    /// How often the draining of each worker was given up.
+    given_up: Map<WorkerId, u32>,
     /// Closed workers that were told when they have to be empty.
     pub(crate) vacating: Set<WorkerId>,
 }
 
+/// Progress of draining a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Drain {
+    /// Number of runs on the worker.
+    runs: usize,
+    /// When that number last fell, or the draining began.
+    since: Time,
+}
+
 impl Waves {
     /// Records that an instance had its maintenance.
     pub(crate) fn mark_done(&mut self, wave: u64, instance: InstanceName) {
@@ -190,6 +206,7 @@
             actions.push(Action::Order { order, worker });
         }
         let time = self.time_left(wave, context.now);
+        actions.extend(self.give_up_stuck(remaining, context.now, urgent));
         actions.extend(self.drain_workers(wave, context, time, remaining, urgent));
         actions.extend(self.vacate_workers(members, context));
         actions
@@ -269,6 +286,45 @@
         actions
     }
 
+    /// Reopens workers that are not emptied although they are drained, if others wait for their
+    /// turn; they are drained again after those.
+    ///
+    /// A long-running task that has no other place never leaves. Without this limit, a few such
+    /// workers would keep all other instances of their wave from being drained.
+    fn give_up_stuck(&mut self, remaining: &[&Member<'_>], now: Time, urgent: bool) -> Vec<Action> {
+        let waits = remaining.iter().any(|m| match &m.eligibility {
+            Eligibility::Serving(view) => needs_drain(view, urgent),
+            _ => false,
+        });
+        let mut actions = Vec::new();
+        for member in remaining {
+            let Eligibility::Closing(view) = &member.eligibility else {
+                continue;
+            };
+            let Some(drain) = self.draining.get_mut(&view.worker) else {
+                continue;
+            };
+            if view.runs < drain.runs {
+                *drain = Drain {
+                    runs: view.runs,
+                    since: now,
+                };
+            }
+            if !waits || view.runs == 0 || now.since(drain.since) < STUCK_TIME {
+                continue;
+            }
+            log::info!(
+                worker:% = view.worker, runs = view.runs as u64, lasting = view.lasting as u64;
+                "draining given up: other instances of the wave wait"
+            );
+            self.draining.remove(&view.worker);
+            self.vacating.remove(&view.worker);
+            *self.given_up.entry(view.worker.clone()).or_default() += 1;
+            actions.push(Action::Reopen(view.worker.clone()));
+        }
+        actions
+    }
+
     /// Closes workers so that their instances can have their maintenance.
     fn drain_workers(
         &mut self,
@@ -279,15 +335,12 @@
         urgent: bool,
     ) -> Vec<Action> {
         let draining = remaining.iter().filter(|m| match &m.eligibility {
-            Eligibility::Closing(view) => self.draining.contains(&view.worker),
+            Eligibility::Closing(view) => self.draining.contains_key(&view.worker),
             _ => false,
         });
         let draining = draining.count();
-        // Workers without long-running tasks stay with their pools unless the wave is urgent: most
-        // of them run out of tasks before the deadline, and their maintenance then interrupts no
-        // work.
         let needs_drain = |m: &&&Member<'_>| match &m.eligibility {
-            Eligibility::Serving(view) | Eligibility::Closing(view) => urgent || view.lasting > 0,
+            Eligibility::Serving(view) | Eligibility::Closing(view) => needs_drain(view, urgent),
             _ => false,
         };
         let round = (DRAIN_TIME + context.maintenance).as_millis() as f64;
@@ -306,11 +359,15 @@
             .collect();
         // The eviction budget lets the tasks of a step leave one after the other, so workers with
         // the most of them take the longest.
-        busy.sort_by_key(|v| (std::cmp::Reverse(v.lasting), v.used.cpu));
+        busy.sort_by_key(|v| {
+            let given_up = self.given_up.get(&v.worker).copied().unwrap_or_default();
+            (given_up, std::cmp::Reverse(v.lasting), v.used.cpu)
+        });
         let chosen = busy.into_iter().take(target.saturating_sub(draining));
-        let chosen: Vec<WorkerId> = chosen.map(|v| v.worker.clone()).collect();
-        let actions = chosen.into_iter().map(|worker| {
-            self.draining.insert(worker.clone());
+        let chosen: Vec<(WorkerId, usize)> = chosen.map(|v| (v.worker.clone(), v.runs)).collect();
+        let since = context.now;
+        let actions = chosen.into_iter().map(|(worker, runs)| {
+            self.draining.insert(worker.clone(), Drain { runs, since });
             Action::Close {
                 worker,
                 evict: true,
@@ -319,3 +376,11 @@
         actions.collect()
     }
 }
+
+/// Whether a worker has to be drained for its instance to have its maintenance.
+///
+/// Workers without long-running tasks stay with their pools unless the wave is urgent: most of them
+/// run out of tasks before the deadline, and their maintenance then interrupts no work.
+fn needs_drain(view: &WorkerView, urgent: bool) -> bool {
+    urgent || view.lasting > 0
+}
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -44,6 +44,8 @@
     pub blockage: Option<Blockage>,
     /// Workers that have to be empty by a time.
     pub vacated: Vec<(WorkerId, Time)>,
+    /// Workers whose long-running tasks have no other place.
+    pub stuck: Set<WorkerId>,
     in_transit: Vec<(Time, InstanceName)>,
     workers_started: u64,
 }
@@ -65,6 +67,7 @@
             wave_starts: Vec::new(),
             blockage: None,
             vacated: Vec::new(),
+            stuck: Set::default(),
             in_transit: Vec::new(),
             workers_started: 0,
         };
@@ -204,9 +207,11 @@
             Action::Close { worker, .. } => {
                 if let Some(view) = self.workers.get_mut(worker) {
                     view.closing = true;
-                    // Evicted long-running tasks start on other workers.
-                    view.runs -= view.lasting;
-                    view.lasting = 0;
+                    if !self.stuck.contains(worker) {
+                        // Evicted long-running tasks start on other workers.
+                        view.runs -= view.lasting;
+                        view.lasting = 0;
+                    }
                 }
             }
             Action::Reopen(worker) => {
--- a/crates/capacity/tests/waves.rs
+++ b/crates/capacity/tests/waves.rs
@@ -196,3 +196,25 @@
     assert!(by.after(2 * SECOND) <= deadline, "{by} of {deadline}");
     assert!(by > fleet.now, "{by}");
 }
+
+/// Guards against a whole wave that waits for instances which can never be emptied, because their
+/// long-running tasks have no other place and they are the first to be drained.
+#[test]
+fn stuck_instances() {
+    for cap in [1, 3] {
+        let mut fleet = Fleet::new(8, 1, 0);
+        fleet.set_demand("hot", 8 * 64);
+        for lasting in [5, 5, 5, 1, 1, 1, 1, 1] {
+            fleet.occupy("hot", lasting, lasting);
+        }
+        let stuck = fleet.workers.values().filter(|v| v.lasting == 5);
+        fleet.stuck = stuck.map(|v| v.worker.clone()).collect();
+        let mut asked = wave(&fleet, cap);
+        asked.within = Millis::new(60_000);
+        fleet.waves = vec![asked];
+        fleet.run(60 * SECOND);
+        let maintained = |o: &&InstanceOrder| matches!(o, InstanceOrder::Maintain { .. });
+        let maintained = fleet.orders.iter().filter(maintained).count();
+        assert_eq!(maintained, 6, "{cap} at a time");
+    }
+}
