--- a/crates/cell/src/preempt.rs
+++ b/crates/cell/src/preempt.rs
@@ -20,13 +20,16 @@
 use crate::free_index::Scope;
 use crate::job::Job;
 use crate::learned::QueueStats;
-use crate::rank::rank_with;
+use crate::rank::{Rank, rank_with};
 use crate::remaining::Remaining;
 use crate::worker::{Allocation, Hold, Worker};
 
-/// Number of waiting jobs that a decision looks at.
+/// Number of waiting jobs that a decision is taken for.
 const MAX_JOBS: usize = 32;
 
+/// Number of waiting jobs that are examined for those; bounds the cost of a decision.
+const MAX_EXAMINED: usize = 512;
+
 /// Time from the end of a stopped run until another can start in its room, in milliseconds: the
 /// answer of a poll, and an append to the journal.
 const START_DELAY_MS: u64 = 150;
@@ -161,27 +164,30 @@
     fn demands(&self, service: &ServiceName) -> Vec<Demand> {
         let mut found = Vec::new();
         let mut left = Remaining::default();
-        let mut last = None;
-        for _ in 0..MAX_JOBS {
+        let mut last = Some((Rank::LAST_LASTING, JobId::new(u64::MAX)));
+        let mut jobs = 0;
+        for _ in 0..MAX_EXAMINED {
             let Some((rank, id)) = self.wait_queue.next(service, last) else {
                 break;
             };
             last = Some((rank, id));
-            if rank.is_lasting() {
-                continue;
-            }
             let Some(latest) = rank.latest_start() else {
                 break;
             };
             let Some(job) = self.jobs.get(&id).filter(|j| j.is_open()) else {
                 continue;
             };
+            let before = found.len();
             for turn in 0..job.turns.len() {
                 for (number, step) in job.sub.steps.iter().enumerate() {
                     let demand = self.demand(job, (turn, number), step, latest, &mut left);
                     found.extend(demand);
                 }
             }
+            jobs += usize::from(found.len() > before);
+            if jobs == MAX_JOBS {
+                break;
+            }
         }
         found
     }
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -48,6 +48,14 @@
 }
 
 impl Rank {
+    /// The rank behind those of all long-running jobs.
+    pub(crate) const LAST_LASTING: Self = Self {
+        class: Class::Lasting,
+        priority: u32::MAX,
+        not_started: true,
+        at: Time::new(u64::MAX),
+    };
+
     /// Returns the rank without the preference for jobs that have started.
     pub(crate) fn ignoring_started(self) -> Self {
         Self {
@@ -84,11 +92,6 @@
         }
     }
 
-    /// Whether the job runs until it is cancelled.
-    pub(crate) fn is_lasting(self) -> bool {
-        self.class == Class::Lasting
-    }
-
     /// Whether the job can no longer meet its objective.
     pub(crate) fn is_late(self) -> bool {
         matches!(
--- a/crates/cell/tests/preemption.rs
+++ b/crates/cell/tests/preemption.rs
@@ -475,3 +475,28 @@
     let preempted: u64 = (0..HISTORIES).map(run_history).sum();
     assert!(preempted > HISTORIES, "{preempted} runs preempted");
 }
+
+/// Guards against timely jobs that are never considered because the jobs before them in the queue
+/// are none for which runs are stopped: long-running ones that find no room, or others that only
+/// some workers may run.
+#[test]
+fn behind_other_jobs() {
+    for is_lasting in [true, false] {
+        let mut world = world(policy());
+        fill(&mut world, 40);
+        for id in 200..240 {
+            let mut step = steps(1, 1, 100).remove(0);
+            step.room.cpu = 30_000;
+            step.lasting = is_lasting;
+            step.spread = 1;
+            let mut sub = job(id, vec![step]);
+            sub.team = None;
+            world.submit(sub);
+        }
+        let submitted = world.now;
+        world.submit(waiting(4));
+        world.advance(LATEST);
+        let started = starts_between(&world, submitted, world.now);
+        assert_eq!(started, 4, "lasting: {is_lasting}");
+    }
+}
