--- a/crates/cell/src/blocked.rs
+++ b/crates/cell/src/blocked.rs
@@ -1,7 +1,7 @@
 //! Steps that the registered workers cannot run, whatever is free.
 
 use cactuswheel_model::Map;
-use cactuswheel_work::{ServiceName, Step, StepId};
+use cactuswheel_work::{Room, ServiceName, Step, StepId};
 
 use crate::advice::Candidates;
 use crate::cell::Cell;
@@ -37,8 +37,8 @@
 
     /// Whether the registered workers cannot run one more task of a step, or all tasks of a gang at
     /// once, whatever is free: they lack the label, the size or the permission, or have as many
-    /// tasks of the step as its spread allows. While a service has no worker at all, none of its
-    /// steps counts as blocked.
+    /// tasks of the step as its spread allows. So is a step that its team's quota never admits. While
+    /// a service has no worker at all, none of its steps counts as blocked.
     pub(crate) fn is_blocked(
         &self,
         id: StepId,
@@ -51,6 +51,10 @@
             return false;
         }
         let needed = step.least_at_once();
+        let cap = self.jobs.get(&id.job).map(|job| self.quota(job).1);
+        if cap.is_some_and(|c| !c.admits(Room::default(), step.room * needed)) {
+            return true;
+        }
         let per_worker = match step.spread {
             0 => Map::default(),
             _ => attempts_by_worker(run),
--- a/crates/cell/src/remaining.rs
+++ b/crates/cell/src/remaining.rs
@@ -25,7 +25,7 @@
         };
         let left = self.labels.entry(label.clone());
         let left = left.or_insert_with(|| inventory.room(label));
-        let tasks = tasks.min(step.reserved().times_in(*left));
+        let tasks = starting(step, tasks, step.reserved().times_in(*left));
         *left -= step.reserved() * tasks;
         tasks
     }
@@ -33,7 +33,7 @@
 
 impl Cell {
     /// How many of a step's `free` tasks the instances with its label and the team's quota let
-    /// start.
+    /// start; of a gang all or none.
     pub(crate) fn startable(&self, job: &Job, step: &Step, free: u64, left: &mut Remaining) -> u64 {
         let free = left.take_labelled(step, free, self.inventory.as_ref());
         let Some(team) = &job.sub.team else {
@@ -47,13 +47,21 @@
         }
         let used = self.usage.of(team);
         let left = left.teams.entry(team.clone()).or_insert(cap - used);
-        let tasks = left.cpu / step.room.cpu.max(1);
-        let tasks = tasks.min(free);
+        let tasks = starting(step, free, left.cpu / step.room.cpu.max(1));
         *left -= step.room * tasks;
         tasks
     }
 }
 
+/// How many of `tasks` waiting tasks of a step start if `places` could: of a gang all or none.
+fn starting(step: &Step, tasks: u64, places: u64) -> u64 {
+    match places >= tasks {
+        true => tasks,
+        false if step.gang => 0,
+        false => places,
+    }
+}
+
 /// How many of `tasks` tasks of a step the instances of the fleet could run if all of them were
 /// empty: long-running tasks all at once, a gang as a whole or not at all, others one by one.
 /// Without a list of instances, all of them.
--- a/crates/cell/tests/hopeless_demand.rs
+++ b/crates/cell/tests/hopeless_demand.rs
@@ -192,3 +192,12 @@
     let load = &world.cell().loads()["pool"];
     assert_eq!(load.lasting.cpu, 60_000);
 }
+
+/// Guards against instances that are asked for by a gang which its team's quota never admits.
+#[test]
+fn gang_beyond_quota() {
+    let mut world = world(5);
+    world.submit(job(1, vec![step(20, |s| s.gang = true)]));
+    world.advance(SECOND / 10);
+    assert_eq!(world.cell().loads()["pool"].waiting, Room::default());
+}
--- a/crates/cell/tests/wide_gangs.rs
+++ b/crates/cell/tests/wide_gangs.rs
@@ -172,3 +172,31 @@
         assert_eq!(world.cell().overload_delay(&sub), None, "after {after:?}");
     }
 }
+
+/// Guards against calls that are refused as too late behind gangs that need more than their team
+/// may ever have running.
+#[test]
+fn beyond_quota() {
+    let mut world = world(7);
+    for id in 0..50 {
+        let sub = Submission {
+            team: Some("team".into()),
+            ..gang(id, 20)
+        };
+        world.submit(sub);
+    }
+    world.advance(SECOND / 10);
+    let sub = Submission {
+        team: None,
+        ..short(SHORT_JOBS)
+    };
+    assert_eq!(world.cell().overload_delay(&sub), None);
+    assert!(!has_started(&world, 0), "the quota has room for 15 tasks");
+    world.configure(|config| {
+        for team in config.teams.values_mut() {
+            team.cap.0.cpu = 100_000;
+        }
+    });
+    world.advance(SECOND);
+    assert!(has_started(&world, 0), "the quota has grown");
+}
