--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -69,8 +69,9 @@
 
 /// Decides whether to refuse a job unless the owner says otherwise, from the waiting times that this
 /// front end knows of.
-fn early_refusal(shared: &Shared, now: Time, slack: Slack) -> Option<NotStored> {
-    if let Some(excess) = shared.overload.excess(now, slack) {
+fn early_refusal(shared: &Shared, sub: &Submission, slack: Slack) -> Option<NotStored> {
+    let (now, team) = (shared.clock.now(), sub.team.as_ref());
+    if let Some(excess) = shared.overload.excess(now, &sub.service, team, slack) {
         return Some(NotStored::Overloaded(excess));
     }
     match outlook(shared, slack) {
@@ -109,7 +110,7 @@
     limit: Duration,
 ) -> Option<Result<(), NotStored>> {
     let team = sub.team.as_ref();
-    let late = slack.and_then(|slack| early_refusal(shared, shared.clock.now(), slack));
+    let late = slack.and_then(|slack| early_refusal(shared, sub, slack));
     let full = (!shared.room.fits(team, size)).then_some(NotStored::Full);
     let refusal = late.or(full)?;
     if let Some(slack) = slack
@@ -124,7 +125,8 @@
     };
     // The owner's current delay may be shorter than the one that this front end knows of.
     let delay = prospects.delay;
-    shared.overload.learn(shared.clock.now(), delay);
+    let now = shared.clock.now();
+    shared.overload.learn(now, &sub.service, team, delay);
     shared.room.learn(team, prospects.room);
     match standing {
         Standing::Stored => Some(Ok(())),
@@ -211,8 +213,9 @@
                 return Ok(());
             }
             HandInAnswer::Overloaded(delay) => {
-                shared.owner_outage.answered(shared.clock.now());
-                shared.overload.learn(shared.clock.now(), delay);
+                let now = shared.clock.now();
+                shared.owner_outage.answered(now);
+                shared.overload.learn(now, &sub.service, team, delay);
                 let excess = slack.and_then(|s| delay.excess(s));
                 return Err(NotStored::Overloaded(excess.unwrap_or_default()));
             }
