--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{Queue, ServiceName, Submission};
+use cactuswheel_work::{Queue, ServiceName, Submission, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::cell::Cell;
@@ -95,9 +95,10 @@
     /// Wait for the journal and the owner's network link, behind the tasks of jobs that can meet
     /// their objective.
     pub link: Duration,
-    /// Lower bound of the wait for room on workers, behind the work that is still useful: the time
-    /// for the work of the job's service on that service's workers, or for all work on all workers,
-    /// whichever is less.
+    /// Lower bound of the wait for room on workers, behind the work that is still useful and that
+    /// its teams' quotas let start: the time for the work of the job's service on that service's
+    /// workers, or for all work on all workers, whichever is less, and at least the time that the
+    /// work of the job's team takes within its quota.
     pub room: Duration,
 }
 
@@ -113,33 +114,32 @@
         let delay = link.max(room);
         (!delay.is_zero()).then_some(delay)
     }
-
-    /// The estimate after `time` has passed without further jobs.
-    pub fn after(&self, time: Duration) -> Self {
-        Self {
-            link: self.link.saturating_sub(time),
-            room: self.room.saturating_sub(time),
-        }
-    }
 }
 
 impl Cell {
-    /// Estimates the delay before a job of a service that arrives now starts.
-    pub fn start_delay(&self, service: &ServiceName) -> StartDelay {
+    /// Estimates the delay before a job of a service and a team that arrives now starts.
+    pub fn start_delay(&self, service: &ServiceName, team: Option<&TeamName>) -> StartDelay {
         let ahead = self.wait_queue.timely_tasks() as usize + self.planned.len();
         let batches =
             ahead as f64 * self.admission.start_bytes / self.bounds.max_batch.max(1) as f64;
-        let all_pools = drain_time(self.wait_queue.useful_work(), self.admission.total_cpu);
-        let pool_total = self.admission.pool_cpu.get(service).copied();
-        let own_pool = drain_time(
-            self.wait_queue.useful_work_of(service),
-            pool_total.unwrap_or_default(),
-        );
+        let cap_of = |team: &TeamName| {
+            let cap = self.config.teams.get(team)?.cap.0.cpu;
+            (cap > 0).then_some(cap)
+        };
+        let all_work = self.wait_queue.useful_work();
+        let all_pools = all_work.drain_time(self.admission.total_cpu, cap_of);
+        let pool_cpu = self.admission.pool_cpu.get(service).copied();
+        let own_pool = match self.wait_queue.useful_work_of(service) {
+            Some(work) => work.drain_time(pool_cpu.unwrap_or_default(), cap_of),
+            None => pool_cpu.map(|_| Duration::ZERO),
+        };
+        let pool = own_pool
+            .unwrap_or(Duration::MAX)
+            .min(all_pools.unwrap_or_default());
+        let quota = team.and_then(|t| Some(all_work.of(t) / cap_of(t)?));
         StartDelay {
             link: self.admission.batch_time.mul_f64(batches),
-            room: own_pool
-                .unwrap_or(Duration::MAX)
-                .min(all_pools.unwrap_or_default()),
+            room: pool.max(Duration::from_millis(quota.unwrap_or_default())),
         }
     }
 
@@ -153,7 +153,7 @@
             return None;
         }
         let slack = Slack::of(sub, self.config.queues.get(&sub.queue))?;
-        let delay = self.start_delay(&sub.service);
+        let delay = self.start_delay(&sub.service, sub.team.as_ref());
         delay.excess(slack).map(|_| delay)
     }
 
@@ -172,9 +172,3 @@
         }
     }
 }
-
-/// Time that `work` (in thousandths of a core times milliseconds) takes on `cpu` (in thousandths of
-/// a core); `None` if `cpu` is 0.
-fn drain_time(work: u64, cpu: u64) -> Option<Duration> {
-    (cpu > 0).then(|| Duration::from_millis(work / cpu))
-}
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -49,7 +49,7 @@
         };
         let last = std::mem::replace(&mut self.backlog, next);
         let waiting = self.wait_queue.len();
-        let delay = self.start_delay(&ServiceName::from(""));
+        let delay = self.start_delay(&ServiceName::from(""), None);
         if waiting == 0 && self.planned.is_empty() && self.deferred.is_empty() {
             return;
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -69,6 +69,7 @@
 mod starts;
 mod sweep;
 mod tallies;
+mod team_work;
 mod turn_ranges;
 mod usage;
 mod view;
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -127,6 +127,7 @@
         let blocked = self.blocked_shapes(job, &service);
         Some(QueuedJob {
             service,
+            team: job.sub.team.clone(),
             rank,
             valid_until: until.min(self.now.after(RANK_TTL)),
             work,
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -4,15 +4,17 @@
 use std::ops::Bound;
 
 use cactuswheel_model::{Map, Time};
-use cactuswheel_work::{JobId, Room, ServiceName};
+use cactuswheel_work::{JobId, Room, ServiceName, TeamName};
 
 use crate::rank::Rank;
 use crate::shape::Shape;
+use crate::team_work::TeamWork;
 
 /// Entry of a job in the queue of its service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct QueuedJob {
     pub(crate) service: ServiceName,
+    pub(crate) team: Option<TeamName>,
     pub(crate) rank: Rank,
     /// Time until which the rank is valid if the job does not change.
     pub(crate) valid_until: Time,
@@ -63,9 +65,10 @@
     queued: Map<JobId, QueuedJob>,
     /// Jobs by the time at which their rank expires.
     expiries: BTreeSet<(Time, JobId)>,
-    /// Work of the jobs that can be done while they are still useful, by service, in thousandths of
-    /// a core times milliseconds.
-    useful: Map<ServiceName, u64>,
+    /// Work of the jobs that can be done while they are still useful, by service.
+    useful: Map<ServiceName, TeamWork>,
+    /// The same for all services together.
+    all_useful: TeamWork,
     /// Number of waiting tasks of the jobs that can meet their objective.
     timely: u64,
 }
@@ -79,9 +82,11 @@
         }
         if let Some(previous) = self.queued.remove(&id) {
             self.expiries.remove(&(previous.valid_until, id));
+            let (team, work) = (previous.team.as_ref(), previous.useful_work());
             if let Some(useful) = self.useful.get_mut(&previous.service) {
-                *useful -= previous.useful_work();
+                useful.remove(team, work);
             }
+            self.all_useful.remove(team, work);
             self.timely -= previous.timely_tasks();
             self.unblock(id, &previous);
             if let Some(queue) = self.queues.get_mut(&previous.service) {
@@ -90,7 +95,10 @@
         }
         if let Some(current) = current {
             self.expiries.insert((current.valid_until, id));
-            *self.useful.entry(current.service.clone()).or_default() += current.useful_work();
+            let (team, work) = (current.team.as_ref(), current.useful_work());
+            let useful = self.useful.entry(current.service.clone()).or_default();
+            useful.add(team, work);
+            self.all_useful.add(team, work);
             self.timely += current.timely_tasks();
             if current.is_blocked() {
                 self.block(id, &current);
@@ -156,15 +164,14 @@
         self.blocked_count
     }
 
-    /// Waiting work of the jobs that can be done while they are still useful, in thousandths of a
-    /// core times milliseconds.
-    pub(crate) fn useful_work(&self) -> u64 {
-        self.useful.values().sum()
+    /// Waiting work of the jobs that can be done while they are still useful.
+    pub(crate) fn useful_work(&self) -> &TeamWork {
+        &self.all_useful
     }
 
     /// Like [`Self::useful_work`], for the jobs of one service.
-    pub(crate) fn useful_work_of(&self, service: &ServiceName) -> u64 {
-        self.useful.get(service).copied().unwrap_or_default()
+    pub(crate) fn useful_work_of(&self, service: &ServiceName) -> Option<&TeamWork> {
+        self.useful.get(service)
     }
 
     /// Number of waiting tasks of the jobs that can meet their objective.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -294,7 +294,7 @@
             Query::Job(id, reply) => self.answer_job(id, self.shared.clock.now(), reply),
             Query::Standing(id, service, team, reply) => {
                 let prospects = Prospects {
-                    delay: self.cell.start_delay(&service),
+                    delay: self.cell.start_delay(&service, team.as_ref()),
                     room: self.cell.state_room(team.as_ref()),
                 };
                 let _ = reply.send((self.cell.standing(id), prospects));
