--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -77,9 +77,11 @@
     /// When the next occurrence of each recurring job is due, in milliseconds since 1970.
     pub(crate) due_turns: BTreeSet<(u64, JobId)>,
     /// Occurrences that are due and wait until the state has room for them.
-    held_turns: BTreeSet<(u64, JobId)>,
+    pub(crate) held_turns: BTreeSet<(u64, JobId)>,
+    /// When those were last tried.
+    pub(crate) held_checked: Time,
     pub(crate) open_state: OpenState,
-    state_limits: StateLimits,
+    pub(crate) state_limits: StateLimits,
     /// Jobs whose final record is in the journal; only this record is kept.
     ///
     /// Invariant: disjoint from `jobs`.
@@ -170,6 +172,7 @@
             sweeps: Sweeps::default(),
             due_turns: BTreeSet::new(),
             held_turns: BTreeSet::new(),
+            held_checked: Time::default(),
             open_state: OpenState::default(),
             state_limits: StateLimits::default(),
             finished: Map::default(),
@@ -340,11 +343,16 @@
 
     /// Room in the state for a new job of a team.
     pub fn state_room(&self, team: Option<&TeamName>) -> StateRoom {
+        let share = self.weight_share(team);
+        self.open_state.room(&self.state_limits, team, share)
+    }
+
+    /// A team's share of all teams' weight.
+    pub(crate) fn weight_share(&self, team: Option<&TeamName>) -> f64 {
         let teams = &self.config.teams;
         let weight = team.and_then(|t| teams.get(t)).map(|t| t.weight.get());
         let all: f64 = teams.values().map(|t| t.weight.get()).sum();
-        let share = weight.filter(|_| all > 0.0).map_or(0.0, |w| w / all);
-        self.open_state.room(&self.state_limits, team, share)
+        weight.filter(|_| all > 0.0).map_or(0.0, |w| w / all)
     }
 
     /// Updates what a job counts with in the state's size.
@@ -456,53 +464,6 @@
         }
     }
 
-    /// Starts the occurrences of recurring jobs that are due.
-    fn begin_due_turns(&mut self, wall: u64) {
-        while let Some(&held) = self.held_turns.first()
-            && self.try_begin(held)
-        {
-            self.held_turns.pop_first();
-        }
-        while let Some(&next) = self.due_turns.first()
-            && next.0 <= wall
-        {
-            self.due_turns.pop_first();
-            if !self.try_begin(next) {
-                let (_, id) = next;
-                let size = self.state_size();
-                log::warn!(job:% = id, state_bytes = size; "occurrence waits: too many open jobs");
-                self.held_turns.insert(next);
-            }
-        }
-    }
-
-    /// Starts an occurrence that is due, unless it is obsolete; false if the state has no room for
-    /// it. Without this limit, jobs that become due together could exceed the memory of every node
-    /// that may own the cell.
-    fn try_begin(&mut self, (due, id): (u64, JobId)) -> bool {
-        let job = self.jobs.get(&id).filter(|j| j.is_open());
-        // A journal record of an earlier owner may already contain this occurrence.
-        let Some(job) = job.filter(|j| j.next_turn() == Some(due)) else {
-            return true;
-        };
-        if !job.record_has_room() {
-            // The job's next ended occurrence makes it due again.
-            return true;
-        }
-        let grown = self.open_state.used().saturating_add(job.turn_growth());
-        if grown > self.state_limits.grow {
-            return false;
-        }
-        if let Some(job) = self.jobs.get_mut(&id)
-            && job.begin_turn()
-        {
-            self.due_turns.extend(job.next_turn().map(|due| (due, id)));
-        }
-        self.recount(id);
-        self.reschedule = true;
-        true
-    }
-
     /// Abandons the runs of unresponsive workers whose leases have certainly expired, and removes
     /// those of these workers that are no longer registered.
     fn expire_silent_workers(&mut self) {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -46,6 +46,7 @@
 mod loads;
 mod losses;
 mod misses;
+mod occurrences;
 mod open_state;
 mod output;
 mod pacing;
--- a/crates/cell/src/open_state.rs
+++ b/crates/cell/src/open_state.rs
@@ -110,11 +110,25 @@
     /// A part of the limit is kept for teams within their share. Without it, one team
     /// could use the limit up, and all others would be refused. Jobs without a team have no share.
     pub fn room(&self, limits: &StateLimits, team: Option<&TeamName>, share: f64) -> StateRoom {
+        self.room_below(limits.accept, team, share)
+    }
+
+    /// Like [`Self::room`], for an occurrence of an accepted job.
+    pub fn growth_room(
+        &self,
+        limits: &StateLimits,
+        team: Option<&TeamName>,
+        share: f64,
+    ) -> StateRoom {
+        self.room_below(limits.grow, team, share)
+    }
+
+    fn room_below(&self, limit: u64, team: Option<&TeamName>, share: f64) -> StateRoom {
         let (over, under) = RESERVE;
-        let common = (limits.accept - limits.accept / under * over).saturating_sub(self.used);
+        let common = (limit - limit / under * over).saturating_sub(self.used);
         let own = self.teams.get(&team.cloned()).copied().unwrap_or_default();
-        let own = ((limits.accept as f64 * share) as u64).saturating_sub(own);
-        let left = limits.accept.saturating_sub(self.used);
+        let own = ((limit as f64 * share) as u64).saturating_sub(own);
+        let left = limit.saturating_sub(self.used);
         StateRoom(common.max(own.min(left)))
     }
 }
--- a/crates/cell/tests/open_state.rs
+++ b/crates/cell/tests/open_state.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactuswheel_cell::{Cell, OpenState, StateLimits, encode, new_job_size};
@@ -163,3 +164,48 @@
     cell.submit(Time::new(1_000_000), plain, Duration::ZERO);
     assert_eq!(cell.state_size(), size + other);
 }
+
+/// Guards against timed jobs that never begin because the occurrences of another team, which nobody
+/// can run, have used up what accepted jobs may grow to.
+#[test]
+fn growth_beyond_share() {
+    let mut world = World::new(6, 4);
+    let mut both = config();
+    let mut greedy = both.teams.values().next().expect("a team").clone();
+    greedy.name = "greedy".into();
+    both.teams.insert(greedy.name.clone(), greedy);
+    world.config = Arc::new(both);
+    world.take_over();
+    world.remove_old_owners();
+    world.advance(SECOND);
+    let begin = world.now.get() + 2_000;
+    for id in 1..=40 {
+        let mut sub = timed(id, 20, begin);
+        sub.team = team("greedy");
+        let hopeless = sub.steps.iter().cloned().map(|mut step| {
+            step.label = Some("none".into());
+            step
+        });
+        sub.steps = hopeless.collect();
+        world.submit(sub);
+    }
+    for id in 41..=44 {
+        world.submit(timed(id, 2, begin + 2_000));
+    }
+    world.advance(SECOND);
+    let before = world.cell().state_size();
+    world.cell().limit_state(StateLimits {
+        accept: before,
+        grow: before + before / 2,
+        takeover: 2 * before,
+    });
+    world.advance(2 * SECOND);
+    let grown = world.cell().state_size();
+    world.advance(10 * SECOND);
+    for id in 41..=44 {
+        let state = world.state(JobId::new(id));
+        assert_eq!(state, Some(JobState::Complete), "{before}, {grown} bytes");
+    }
+    assert!(grown > before, "{before}, {grown} bytes");
+    world.assert_no_violations();
+}
