--- a/crates/cell/src/blocked.rs
+++ b/crates/cell/src/blocked.rs
@@ -11,28 +11,51 @@
 use crate::shape::{Shape, sum_up_to};
 use crate::worker::Worker;
 
+/// The tasks of a job that have no attempt.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    /// Number of the tasks that the registered workers can run, now or after earlier steps.
+    pub(crate) tasks: u64,
+    /// Work of those tasks, in thousandths of a core times milliseconds.
+    pub(crate) work: u64,
+    /// What the steps that are ready require, if the registered workers can run none of them; empty
+    /// if they can run one of them.
+    pub(crate) blocked: Vec<Shape>,
+}
+
 impl Cell {
-    /// What the waiting steps of a job require, if the registered workers can run none of them;
-    /// empty if they can run one of them.
+    /// The tasks of a job that have no attempt.
     ///
-    /// Such a job waits apart from the others of its service. In the queue it would use up a part
-    /// of every scheduling cycle, and a few dozen of them would keep all other jobs from starting.
-    pub(crate) fn blocked_shapes(&self, job: &Job, service: &ServiceName) -> Vec<Shape> {
-        let mut shapes = Vec::new();
+    /// A job with nothing but blocked steps waits apart from the others of its service. In the queue
+    /// it would use up a part of every scheduling cycle, and a few dozen of them would keep all other
+    /// jobs from starting. Blocked steps and the steps after them do not delay other jobs either, so
+    /// they are not counted as work.
+    pub(crate) fn waiting(&self, job: &Job, service: &ServiceName) -> Waiting {
+        let mut waiting = Waiting::default();
+        let mut startable = false;
         for turn in &job.turns {
+            let mut reached: Vec<bool> = Vec::with_capacity(job.sub.steps.len());
             for (number, step) in job.sub.steps.iter().enumerate() {
                 let run = &turn.steps[number];
-                if run.is_done() || !turn.is_ready(step) || free_tasks(run, step).is_empty() {
-                    continue;
-                }
+                let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
                 let id = job.step_id(turn.number, number);
-                if !self.is_blocked(id, run, step, service) {
-                    return Vec::new();
+                let blocked = free > 0 && self.is_blocked(id, run, step, service);
+                let open = step.after.iter().all(|&s| reached[s as usize]);
+                reached.push(open && !blocked);
+                if open && !blocked {
+                    waiting.tasks += free;
+                    waiting.work += free * step.room.cpu * step.estimate.get();
+                }
+                if turn.is_ready(step) && !free_tasks(run, step).is_empty() {
+                    startable |= !blocked;
+                    waiting.blocked.extend(blocked.then(|| Shape::of(step)));
                 }
-                shapes.push(Shape::of(step));
             }
         }
-        shapes
+        if startable {
+            waiting.blocked.clear();
+        }
+        waiting
     }
 
     /// Whether the registered workers cannot run one more task of a step, or all tasks of a gang at
--- a/crates/cell/src/inventory.rs
+++ b/crates/cell/src/inventory.rs
@@ -32,17 +32,21 @@
 
     /// Number of a step's tasks that all instances with its label could run at once, up to `most`.
     pub(crate) fn places(&self, step: &Step, most: u64) -> u64 {
-        places(self.offers_of(step.label.as_ref()), step, most)
+        places(self.offers_of(step.label.as_deref()), step, most)
     }
 
     /// Room of all instances with a label.
-    pub(crate) fn room(&self, label: &String) -> Room {
+    pub(crate) fn room(&self, label: &str) -> Room {
         let offers = self.offers_of(Some(label));
         offers.fold(Room::default(), |sum, (room, count)| sum + room * count)
     }
 
-    fn offers_of(&self, label: Option<&String>) -> impl Iterator<Item = (Room, u64)> {
-        let rooms = self.offers.get(&label.cloned()).into_iter().flatten();
+    fn offers_of(&self, label: Option<&str>) -> impl Iterator<Item = (Room, u64)> {
+        let rooms = self
+            .offers
+            .get(&label.map(str::to_owned))
+            .into_iter()
+            .flatten();
         rooms.map(|(room, count)| (*room, *count))
     }
 }
--- a/crates/cell/src/misses.rs
+++ b/crates/cell/src/misses.rs
@@ -42,25 +42,21 @@
         self.count += 1;
     }
 
-    /// Counts a task of the step without a worker, for lack of free room on all workers with the
-    /// step's label.
-    pub(crate) fn add_shape(&mut self, step: &Step) {
-        self.count += 1;
+    /// Counts a task of the step without a worker after `placed` of its tasks got one.
+    /// `unconstrained` tells that it was for lack of free room on all workers with the step's label.
+    pub(crate) fn record(&mut self, step: &Step, unconstrained: bool, placed: usize) {
+        self.add();
         match step.label {
+            _ if !unconstrained => {}
+            _ if step.gang && placed > 0 => self.gangs.push(Gang {
+                shape: Shape::of(step),
+                tasks: step.count,
+            }),
             None => self.too_large.push(step.reserved()),
             Some(_) => self.labelled.push(Shape::of(step)),
         }
     }
 
-    /// Counts a gang for which there is room, but not for all of its tasks.
-    pub(crate) fn add_gang(&mut self, step: &Step) {
-        self.count += 1;
-        self.gangs.push(Gang {
-            shape: Shape::of(step),
-            tasks: step.count,
-        });
-    }
-
     /// Whether a task of the step cannot be placed, going by the earlier misses.
     pub(crate) fn covers(&self, step: &Step) -> bool {
         let room = step.reserved();
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -123,44 +123,18 @@
         }
         let (rank, until) = self.rank(job);
         let service = self.service_of(job);
-        let (tasks, work) = self.free_work(job, &service);
-        let blocked = self.blocked_shapes(job, &service);
+        let waiting = self.waiting(job, &service);
         Some(QueuedJob {
             service,
             team: job.sub.team.clone(),
             rank,
             valid_until: until.min(self.now.after(RANK_TTL)),
-            work,
-            tasks,
-            blocked,
+            work: waiting.work,
+            tasks: waiting.tasks,
+            blocked: waiting.blocked,
         })
     }
 
-    /// Number of a job's tasks that have no attempt, and their work in thousandths of a core times
-    /// milliseconds.
-    ///
-    /// Steps that the registered workers cannot run are left out, and so are the steps after them:
-    /// they do not delay other jobs.
-    fn free_work(&self, job: &Job, service: &ServiceName) -> (u64, u64) {
-        let (mut tasks, mut work) = (0, 0);
-        for turn in &job.turns {
-            let mut reached: Vec<bool> = Vec::with_capacity(job.sub.steps.len());
-            for (number, step) in job.sub.steps.iter().enumerate() {
-                let run = &turn.steps[number];
-                let free = run.tasks.iter().filter(|t| t.is_pending()).count() as u64;
-                let id = job.step_id(turn.number, number);
-                let runnable = step.after.iter().all(|&s| reached[s as usize])
-                    && (free == 0 || !self.is_blocked(id, run, step, service));
-                reached.push(runnable);
-                if runnable {
-                    tasks += free;
-                    work += free * step.room.cpu * step.estimate.get();
-                }
-            }
-        }
-        (tasks, work)
-    }
-
     /// Service whose workers run a job's tasks: the current service of its queue, or the one at
     /// submission if the queue was removed.
     pub(crate) fn service_of(&self, job: &Job) -> ServiceName {
@@ -300,12 +274,9 @@
                 }
                 Placement::NoFit => {
                     // A step that no registered worker can run says nothing about the room for
-                    // other tasks, and neither does a gang of which some tasks have found room.
-                    match self.is_blocked(pending.id, run, step, service) {
-                        true => {}
-                        false if !unconstrained => misses.add(),
-                        false if step.gang && !chosen.made.is_empty() => misses.add_gang(step),
-                        false => misses.add_shape(step),
+                    // other tasks.
+                    if !self.is_blocked(pending.id, run, step, service) {
+                        misses.record(step, unconstrained, chosen.made.len());
                     }
                     break;
                 }
