--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -273,8 +273,7 @@
                     continue;
                 }
                 Placement::NoFit => {
-                    // A step that no registered worker can run says nothing about the room for
-                    // other tasks.
+                    // A blocked step says nothing about the room for other tasks.
                     if !self.is_blocked(pending.id, run, step, service) {
                         misses.record(step, unconstrained, chosen.made.len());
                     }
--- a/crates/cell/src/wait_queue.rs
+++ b/crates/cell/src/wait_queue.rs
@@ -22,8 +22,7 @@
     pub(crate) work: u64,
     /// Number of the job's waiting tasks.
     pub(crate) tasks: u64,
-    /// What the job's waiting steps require, if no registered worker can run any of them; else
-    /// empty.
+    /// What the job's waiting steps require, if all of them are blocked; else empty.
     pub(crate) blocked: Vec<Shape>,
 }
 
@@ -52,12 +51,12 @@
 
 /// Jobs with at least one task that is not done and has no attempt, by service, best rank first.
 ///
-/// Jobs that no registered worker can run wait apart, until a worker with what they require is
+/// Jobs with nothing but blocked steps wait apart, until a worker with what they require is
 /// registered or the job, its permissions or the configuration change.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     queues: Map<ServiceName, BTreeSet<(Rank, JobId)>>,
-    /// Jobs that no registered worker can run.
+    /// Jobs with nothing but blocked steps.
     ///
     /// Invariant: none of them is in `queues`.
     blocked: Map<ServiceName, JobsByShape>,
@@ -159,7 +158,7 @@
         fitting.flat_map(|(_, jobs)| jobs.iter().copied())
     }
 
-    /// Number of jobs that no registered worker can run.
+    /// Number of jobs with nothing but blocked steps.
     pub(crate) fn blocked_len(&self) -> usize {
         self.blocked_count
     }
