--- a/crates/http/src/call.rs
+++ b/crates/http/src/call.rs
@@ -5,20 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
+use http_body_util::Full;
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
-use crate::Meter;
-use crate::meter::MeteredStream;
-
-/// Largest response body that a call accepts, in bytes.
-const MAX_BODY: usize = 64 << 20;
+use crate::{Connection, Meter};
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
@@ -37,6 +30,8 @@
 pub struct Answer {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The response headers.
+    pub headers: HeaderMap,
     /// The whole response body.
     pub body: Bytes,
 }
@@ -117,47 +112,18 @@
         self
     }
 
+    pub(crate) fn time_limit(&self) -> Duration {
+        self.time_limit
+    }
+
     /// Sends the request over a new connection and waits for the whole response.
     pub async fn send(self) -> Result<Answer, CallError> {
         let (peer, limit) = (self.peer, self.time_limit);
-        let stream = match timeout(limit, TcpStream::connect(peer)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(CallError::NotSent(peer, e.to_string())),
-            Err(_) => return Err(CallError::NotSent(peer, "connect timed out".into())),
-        };
-        match timeout(limit, self.exchange(stream)).await {
-            Ok(result) => result,
-            Err(_) => Err(CallError::Unknown(peer, "timed out".into())),
-        }
-    }
-
-    async fn exchange(self, stream: TcpStream) -> Result<Answer, CallError> {
-        let peer = self.peer;
-        let stream = MeteredStream::new(stream, self.meter.clone());
-        let request = self
-            .request()
-            .map_err(|e| CallError::NotSent(peer, e.to_string()))?;
-        let unknown = |e: &dyn std::fmt::Display| CallError::Unknown(peer, e.to_string());
-        let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| CallError::NotSent(peer, e.to_string()))?;
-        let driver = tokio::spawn(conn);
-        let exchange = async {
-            let answer = sender
-                .send_request(request)
-                .await
-                .map_err(|e| unknown(&e))?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), MAX_BODY);
-            let body = body.collect().await.map_err(|e| unknown(&e))?.to_bytes();
-            Ok(Answer { status, body })
-        };
-        let result = exchange.await;
-        driver.abort();
-        result
+        let mut conn = Connection::open_metered(peer, limit, self.meter.clone()).await?;
+        conn.send(self).await
     }
 
-    fn request(self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    pub(crate) fn request(self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut request = Request::builder()
             .method(self.method)
             .uri(self.path)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod body;
 mod call;
+mod connection;
 mod meter;
 mod reply;
 mod server;
 
 pub use body::{MAX_JSON_BYTES, parse_json, read_json};
 pub use call::{Answer, Call, CallError};
+pub use connection::Connection;
 pub use meter::{Meter, MeteredStream};
 pub use reply::{Body, Reply, json, text};
 pub use server::serve;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,11 +8,13 @@
 mod caller;
 mod node;
 mod proxy;
+mod session;
 mod soak;
 mod world;
 
 pub use caller::{AcceptedJob, Caller};
 pub use node::Node;
 pub use proxy::{Mode, Proxy};
+pub use session::{CLOSE_SLACK, Exchange, Outcome, Session};
 pub use soak::{Report, soak};
 pub use world::World;
