--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use cactuswheel_adapter::{DEADLINE_HEADER, KEY_HEADER, parse_job, pending_body, state_body};
 use cactuswheel_cell::encode;
-use cactuswheel_model::Code;
+use cactuswheel_model::{Code, Time};
 use cactuswheel_work::{FleetConfig, JobId, JobState, Queue, Submission, TeamName};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -25,6 +25,7 @@
 use crate::access::{Caller, KeyError};
 use crate::answer::{Answer, error_response, ok_json};
 use crate::ask;
+use crate::in_flight::InFlight;
 use crate::intake::{Intake, NotStored};
 use crate::peer::JobAnswer;
 use crate::shared::Shared;
@@ -66,6 +67,8 @@
     pub(crate) intake: Intake,
     /// Number of requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Number of idle connections that this node closed while stopping.
+    pub(crate) idle_closed: AtomicUsize,
 }
 
 /// An error response to a request.
@@ -111,18 +114,27 @@
     }
 }
 
-/// Accepts callers' connections until `stop` is cancelled; `open` tracks the connection tasks.
+/// The phases of a node's stop, as seen by its callers' connections.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Closing {
+    /// No connections are accepted, and idle ones are closed.
+    pub(crate) begun: CancellationToken,
+    /// The process exits: connections end, whatever they are waiting for.
+    pub(crate) exit: CancellationToken,
+}
+
+/// Accepts callers' connections until the closing has begun; `open` tracks the connection tasks.
 pub(crate) async fn serve(
     listener: TcpListener,
     front: Arc<Front>,
     open: TaskTracker,
-    stop: CancellationToken,
+    closing: Closing,
 ) {
     loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            () = closing.begun.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
             sleep(ACCEPT_PAUSE).await;
@@ -130,15 +142,22 @@
         };
         // Without this, small responses wait for the caller's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        open.spawn(serve_caller(stream, front.clone(), stop.clone()));
+        let (front, closing) = (front.clone(), closing.clone());
+        open.spawn(async move {
+            let exit = closing.exit.clone();
+            tokio::select! {
+                () = serve_caller(stream, front, closing.begun) => {}
+                () = exit.cancelled() => {}
+            }
+        });
     }
 }
 
-async fn serve_caller(stream: TcpStream, front: Arc<Front>, stop: CancellationToken) {
+async fn serve_caller(stream: TcpStream, front: Arc<Front>, begun: CancellationToken) {
     let count = Arc::new(AtomicUsize::new(0));
-    let counter = count.clone();
+    let (counter, server) = (count.clone(), front.clone());
     let service = service_fn(move |request| {
-        let front = front.clone();
+        let front = server.clone();
         counter.fetch_add(1, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(front.handle(request).await) }
     });
@@ -150,7 +169,7 @@
     tokio::select! {
         // The connection is closed or broken, so an error cannot be sent to the caller.
         _ = conn.as_mut() => return,
-        () = stop.cancelled() => {}
+        () = begun.cancelled() => {}
     }
     // Closing an idle connection at once would cut off a request that is already on its way. While
     // the node is stopping, each response closes its connection, and a connection is closed without
@@ -162,6 +181,7 @@
             () = sleep(IDLE_TIMEOUT) => {}
         }
         if count.load(Ordering::Relaxed) == before {
+            front.idle_closed.fetch_add(1, Ordering::Relaxed);
             conn.as_mut().graceful_shutdown();
         }
     }
@@ -170,15 +190,16 @@
 impl Front {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let start = self.shared.clock.now();
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        let mut answer = match self.route(request).await {
+        let path = request.uri().path().to_owned();
+        let in_flight = InFlight::new(&self.shared, &self.in_flight, &path);
+        let mut answer = match self.route(request, &path).await {
             Ok(answer) => answer,
             Err(refusal) => {
                 self.shared.metrics.refused(refusal.code);
                 error_response(refusal.code, &refusal.detail, refusal.retry_after)
             }
         };
-        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        in_flight.answered();
         // Otherwise the caller would send its next request to this node on the same connection.
         if !self.shared.is_ready() {
             let close = HeaderValue::from_static("close");
@@ -189,13 +210,12 @@
         answer
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    async fn route(&self, request: Request<Incoming>, path: &str) -> Result<Answer, Refusal> {
         let Some(config) = self.shared.config.load_full() else {
             return Err(Refusal::new(Code::NotReady, "no configuration yet"));
         };
-        let path = request.uri().path().to_owned();
         let host = host_name(&request);
-        let Some(queue) = config.queue_at(&host, &path) else {
+        let Some(queue) = config.queue_at(&host, path) else {
             self.check_fresh("")?;
             return Err(Refusal::new(Code::NoQueue, path));
         };
@@ -353,6 +373,7 @@
         id: JobId,
         what: &str,
     ) -> Result<JobState, Refusal> {
+        let asked = self.shared.clock.now();
         match ask::job(&self.shared, id, owner_timeout(target)).await {
             Some(JobAnswer::Known { state, team }) if target.caller.may_see(team.as_ref()) => {
                 return Ok(state);
@@ -367,7 +388,7 @@
             Some(JobAnswer::Unknown) => {
                 log::info!(job:% = id, queue:% = target.queue.name, what = what; "job not found");
             }
-            Some(JobAnswer::NotOwner) | None => return Err(self.no_owner(&id.to_string())),
+            Some(JobAnswer::NotOwner) | None => return Err(self.no_owner(&id.to_string(), asked)),
         }
         if target.caller == Caller::Unverified {
             self.check_fresh(&id.to_string())?;
@@ -383,16 +404,22 @@
         if *request.method() != Method::GET {
             return Err(Refusal::new(Code::BadRequest, "a job id is missing"));
         }
+        let asked = self.shared.clock.now();
         match ask::pending(&self.shared, &target.queue.name, owner_timeout(target)).await {
             Some(pending) => Ok(ok_json(pending_body(pending))),
-            None => Err(self.no_owner(target.queue.name.as_str())),
+            None => Err(self.no_owner(target.queue.name.as_str(), asked)),
         }
     }
 
-    fn no_owner(&self, what: &str) -> Refusal {
-        let owner = self.shared.owner.load();
-        let epoch = owner.as_ref().map_or(0, |o| o.epoch);
-        log::warn!(job = what, epoch = epoch; "request refused: the owner does not answer");
+    fn no_owner(&self, what: &str, asked: Time) -> Refusal {
+        let owner = self.shared.believed_owner();
+        let stopping = self.shared.stopping_for();
+        log::warn!(
+            job = what, owner = owner.node, epoch = owner.epoch,
+            waited_ms = self.shared.clock.now().since(asked).as_millis() as u64,
+            stopping_ms = stopping.map_or(-1, |t| t.as_millis() as i64);
+            "request refused: the owner does not answer"
+        );
         Refusal::new(Code::NoOwner, "")
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod fleet;
 mod front;
 mod hand_ins;
+mod in_flight;
 mod intake;
 mod intake_follower;
 mod journal_writer;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,6 +25,7 @@
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     refusals: Counter<u64>,
+    cuts: Counter<u64>,
     latency: Histogram<f64>,
     append_failures: Counter<u64>,
     journal_time: Histogram<f64>,
@@ -79,6 +80,7 @@
         Ok(Self {
             answers: counter("cactuswheel_node_answers"),
             refusals: counter("cactuswheel_node_refusals"),
+            cuts: counter("cactuswheel_node_requests_cut"),
             latency: seconds("cactuswheel_node_answer_seconds", &LATENCY_BUCKETS),
             append_failures: counter("cactuswheel_node_append_failures"),
             journal_time: seconds("cactuswheel_node_journal_seconds", &LATENCY_BUCKETS),
@@ -121,6 +123,11 @@
         self.refusals.add(1, &[code]);
     }
 
+    /// Counts a request whose connection ended without a response.
+    pub(crate) fn cut(&self, stopping: bool) {
+        self.cuts.add(1, &[KeyValue::new("stopping", stopping)]);
+    }
+
     pub(crate) fn append_failed(&self, topic: &'static str) {
         self.append_failures
             .add(1, &[KeyValue::new("topic", topic)]);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,11 +10,10 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::election::Election;
-use crate::front::{self, Front};
+use crate::front::{self, Closing, Front};
 use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::role::Role;
@@ -58,16 +57,22 @@
         intake: Intake::start(&shared, incarnation),
         shared: shared.clone(),
         in_flight: AtomicUsize::new(0),
+        idle_closed: AtomicUsize::new(0),
     });
-    let stop = CancellationToken::new();
+    let closing = Closing::default();
     let open = TaskTracker::new();
-    let server = front::serve(callers, front.clone(), open.clone(), stop.clone());
+    let server = front::serve(callers, front.clone(), open.clone(), closing.clone());
     let server = tokio::spawn(server);
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    log::info!(busy = front.in_flight.load(Ordering::Acquire) as u64; "node stopping");
+    let owner = shared.believed_owner();
+    log::info!(
+        busy = front.in_flight.load(Ordering::Acquire) as u64, connections = open.len() as u64,
+        owner = owner.node, epoch = owner.epoch;
+        "node stopping"
+    );
     shared.stop();
     let _ = halt.send(true);
     let finish = async {
@@ -76,14 +81,22 @@
             Election::release(&shared, epoch, incarnation).await;
         }
         sleep(BALANCER_DELAY).await;
-        stop.cancel();
+        closing.begun.cancel();
         let _ = server.await;
         drain_requests(&front, &open).await;
     };
     let grace = shared.settings.times.grace.duration();
     let complete = timeout(grace.saturating_sub(KILL_MARGIN), finish).await;
+    let (busy, connections) = (front.in_flight.load(Ordering::Acquire), open.len());
+    // Each request that is cut logs a line.
+    closing.exit.cancel();
+    open.close();
+    let _ = timeout(POLL_INTERVAL, open.wait()).await;
+    let owner = shared.believed_owner();
     log::info!(
-        whole = complete.is_ok(), busy = front.in_flight.load(Ordering::Acquire) as u64;
+        whole = complete.is_ok(), busy = busy as u64, connections = connections as u64,
+        idle_closed = front.idle_closed.load(Ordering::Relaxed) as u64,
+        owner = owner.node, epoch = owner.epoch;
         "node stopped"
     );
     // The log is written by another thread, which needs a moment for the last lines.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -82,7 +82,17 @@
     /// The ownership must be claimed under a new epoch, because this node stopped running the cell
     /// while it still held the ownership.
     pub(crate) reclaim: AtomicBool,
-    stopping: AtomicBool,
+    /// When the stop of this process began, in milliseconds; 0 before.
+    stop_began: AtomicU64,
+}
+
+/// The owner of the cell, as far as this node knows.
+#[derive(Debug)]
+pub(crate) struct BelievedOwner {
+    /// Name of the owner; empty if there is none.
+    pub(crate) node: String,
+    /// Epoch of the ownership; 0 if there is none.
+    pub(crate) epoch: u64,
 }
 
 /// Share of the key revocation bound after which an unconfirmed configuration is stale. The rest
@@ -140,7 +150,7 @@
             ownership_confirmed: AtomicU64::new(0),
             claim_pause: AtomicU64::new(0),
             reclaim: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            stop_began: AtomicU64::new(0),
         }
     }
 
@@ -260,11 +270,29 @@
         self.clock.now().get() < self.claim_pause.load(Ordering::Relaxed)
     }
 
+    /// The owner of the cell, as far as this node knows.
+    pub(crate) fn believed_owner(&self) -> BelievedOwner {
+        let owner = self.owner.load();
+        let owner = owner.as_deref();
+        BelievedOwner {
+            node: owner.map(|o| o.node.to_string()).unwrap_or_default(),
+            epoch: owner.map_or(0, |o| o.epoch),
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop_began.load(Ordering::Relaxed) != 0
+    }
+
+    /// Time since the stop of this process began; `None` if it has not.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        let began = self.stop_began.load(Ordering::Relaxed);
+        (began != 0).then(|| self.clock.now().since(Time::new(began)))
     }
 
+    /// Records that the stop of this process begins.
     pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        let now = self.clock.now().get().max(1);
+        self.stop_began.store(now, Ordering::Relaxed);
     }
 }
