--- a/crates/soak/src/session.rs
+++ b/crates/soak/src/session.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether the request was served.
+    pub fn is_ok(&self) -> bool {
+        self.status() == Some(200)
+    }
+
     /// Whether the connection ended without a response although the node had time to read the
     /// request.
     pub fn is_cut(&self) -> bool {
--- /dev/null
+++ b/crates/soak/tests/planned_stops.rs
@@ -0,0 +1,215 @@
+//! Planned stops of nodes whose callers keep using their open connections.
+
+use std::time::{Duration, Instant};
+
+use cactuswheel_soak::{AcceptedJob, Exchange, Session, World};
+use serde_json::{Value, json};
+use tokio::time::sleep_until;
+
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long after the node's SIGTERM requests are sent: most of the grace time.
+const REQUEST_TIME: Duration = Duration::from_millis(5_700);
+
+/// Time in which a load balancer that probes once a second notices that the node is not ready.
+const BALANCER_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which a stopped process has to exit by itself.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Number of tasks of each job.
+const TASKS: usize = 2;
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    State,
+    Queue,
+    Submit,
+}
+
+/// A request on a connection that was open before the stops, and how it ended.
+#[derive(Debug)]
+struct Request {
+    kind: Kind,
+    path: String,
+    /// Time from the node's SIGTERM to the request.
+    sent: Duration,
+    end: Exchange,
+}
+
+/// Stops in order, each with the time of its SIGTERM; node 0 is the owner.
+struct Stops<'a> {
+    series: &'a [(usize, Duration)],
+    /// The node that callers are connected to.
+    connected: usize,
+}
+
+fn steps() -> Value {
+    json!([{ "count": TASKS, "cpu": 100, "mem_mb": 10, "estimate_ms": 100 }])
+}
+
+/// Plays stops while callers use connections that they opened before, one request each, until the
+/// process is gone. Then checks that no request was cut or refused, that the process exited by
+/// itself, and that accepted jobs complete.
+async fn play(seed: u64, stops: Stops<'_>) {
+    let mut world = World::start(4, seed).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = |number: usize| (owner + number) % 4;
+    let mut caller = world.caller(0);
+    let read = caller.submit("/b/", 1, &steps(), "work_ms=100").await;
+    let connected = node(stops.connected);
+    let mut sessions = Vec::new();
+    for _ in 0..REQUEST_TIME.as_millis() / REQUEST_INTERVAL.as_millis() {
+        sessions.push(Session::open(world.nodes[connected].callers).await);
+    }
+    let start = Instant::now();
+    let own = stops.series.iter().find(|(n, _)| *n == stops.connected);
+    let stopped = start + own.expect("the node is stopped").1;
+    let signals = async {
+        for (number, at) in stops.series {
+            sleep_until((start + *at).into()).await;
+            world.nodes[node(*number)].signal("TERM");
+        }
+        sleep_until((stopped + GRACE).into()).await;
+    };
+    let ((), requests) = tokio::join!(signals, send_all(sessions, &read.path, stopped));
+    check_served(&requests);
+    let node = &mut world.nodes[connected];
+    assert!(!node.is_running(), "no exit within {GRACE:?}");
+    assert!(!node.has_failed());
+    let last = node.log("node stopped").pop().expect("it is logged");
+    assert_eq!(last["whole"], "true", "{last}");
+    let accepted = requests
+        .iter()
+        .filter(|r| r.kind == Kind::Submit && r.end.is_ok());
+    for request in accepted {
+        let (path, tasks) = (request.path.clone(), TASKS);
+        let id = path["/a/".len()..].to_owned();
+        let job = AcceptedJob { path, id, tasks };
+        assert_eq!(caller.wait(&job).await.as_deref(), Ok("complete"));
+    }
+    let violations = world.platform.ledger(|l| l.violations.clone());
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Sends one request on each session, in turn from the time `stopped` on.
+async fn send_all(sessions: Vec<Session>, read: &str, stopped: Instant) -> Vec<Request> {
+    let requests = sessions.into_iter().zip(0..).map(|(session, number)| {
+        let read = read.to_owned();
+        tokio::spawn(async move {
+            sleep_until((stopped + REQUEST_INTERVAL * number).into()).await;
+            send(session, number, read, stopped).await
+        })
+    });
+    let mut ended = Vec::new();
+    for request in requests.collect::<Vec<_>>() {
+        ended.push(request.await.expect("a request does not panic"));
+    }
+    ended
+}
+
+async fn send(mut session: Session, number: u32, read: String, stopped: Instant) -> Request {
+    let sent = stopped.elapsed();
+    let (kind, path) = match number % 4 {
+        0 | 1 => (Kind::State, read),
+        2 => (Kind::Queue, "/b/".to_owned()),
+        _ => (Kind::Submit, format!("/a/{:016x}", 0x1000 + number)),
+    };
+    let body = json!({ "spec": "work_ms=50", "steps": steps() });
+    let end = match kind {
+        Kind::Submit => session.post(&path, &body).await,
+        Kind::State | Kind::Queue => session.get(&path).await,
+    };
+    Request {
+        kind,
+        path,
+        sent,
+        end,
+    }
+}
+
+/// Checks that each request was served or found its connection closed, the latter only once the
+/// load balancer sends no callers to the node.
+fn check_served(requests: &[Request]) {
+    let broken: Vec<&Request> = requests
+        .iter()
+        .filter(|r| match r.end.status() {
+            Some(status) => status != 200,
+            None => r.end.is_cut() || r.sent < BALANCER_TIME,
+        })
+        .collect();
+    let cut = broken.iter().filter(|r| r.end.is_cut()).count();
+    let ends = (broken.first(), broken.last());
+    assert!(
+        broken.is_empty(),
+        "{cut} cut, {} refused or closed early of {}: {ends:#?}",
+        broken.len() - cut,
+        requests.len()
+    );
+}
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against a stopped owner that goes on asking itself: its callers' reads are refused, and
+/// cut when it exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_stopped() {
+    let series = &[(0, ms(0))];
+    play(
+        31,
+        Stops {
+            series,
+            connected: 0,
+        },
+    )
+    .await;
+}
+
+/// Guards against a stopping node that still asks the owner of the time of its SIGTERM, which is
+/// stopped after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_follows() {
+    let series = &[(1, ms(0)), (0, ms(300))];
+    play(
+        32,
+        Stops {
+            series,
+            connected: 1,
+        },
+    )
+    .await;
+}
+
+/// Guards against reads that are cut at the owner, when it is the last of nodes that are stopped
+/// one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_last() {
+    let series = &[(2, ms(0)), (1, ms(1_200)), (0, ms(2_400))];
+    play(
+        33,
+        Stops {
+            series,
+            connected: 0,
+        },
+    )
+    .await;
+}
+
+/// Guards against reads that are cut at a node that is stopped while the ownership passes through
+/// nodes that are stopped too.
+#[tokio::test(flavor = "multi_thread")]
+async fn stops_overlap() {
+    let series = &[(3, ms(0)), (0, ms(300)), (1, ms(600))];
+    play(
+        34,
+        Stops {
+            series,
+            connected: 3,
+        },
+    )
+    .await;
+}
