--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -110,11 +110,14 @@
         }
     }
 
-    /// Takes part in the election until `stop` is set. The caller then releases the ownership with
-    /// [`Self::release`] if this node holds it.
+    /// Takes part in the election until `stop` is set. From then on, releases the ownership and
+    /// follows it until the task is dropped.
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
-        while let Err(e) = self.read_newest().await {
-            log::info!(error:% = e; "cannot read the ownership yet; retrying");
+        while !*stop.borrow() {
+            match self.read_newest().await {
+                Ok(()) => break,
+                Err(e) => log::info!(error:% = e; "cannot read the ownership yet; retrying"),
+            }
             sleep(RETRY_PAUSE).await;
         }
         while !*stop.borrow() {
@@ -135,6 +138,24 @@
                 }
             }
         }
+        // The cell stops renewing leases before the ownership is released.
+        self.role.send_replace(Role::Idle);
+        loop {
+            self.follow().await;
+        }
+    }
+
+    /// Releases the ownership if this node holds it, and waits for the next record.
+    ///
+    /// Callers send requests to a stopping node until it exits, so it has to know each new owner.
+    /// It may still find that it won: a claim was under way when the stop began.
+    async fn follow(&mut self) {
+        if self.is_owner() && !self.release().await {
+            sleep(RETRY_PAUSE).await;
+            self.resync().await;
+            return;
+        }
+        self.read_records(OBSERVATION_PERIOD).await;
     }
 
     /// Renews the ownership. If the node has stopped running the cell while it held the ownership,
@@ -156,9 +177,7 @@
     /// take over. The ownership is not renewed until it has been released, so it expires at the
     /// latest.
     async fn relinquish(&mut self) {
-        if let Some(last) = &self.newest {
-            Self::release(&self.shared, last.epoch, self.incarnation).await;
-        }
+        self.release().await;
         sleep(RETRY_PAUSE).await;
         self.resync().await;
         if self.is_owner() {
@@ -166,27 +185,28 @@
         }
     }
 
-    /// Releases the ownership with this epoch, so that another node can claim it before it expires.
-    pub(crate) async fn release(shared: &Shared, epoch: u64, incarnation: u64) {
-        let Ok(page) = shared.store.newest(OWNER, None, STORE_TIMEOUT).await else {
-            return;
-        };
-        let last = page
-            .items
-            .iter()
-            .find_map(|i| decode::<Ownership>(&i.value).ok());
-        let mine = last.filter(|o| o.epoch == epoch && o.life == incarnation);
-        let Some(mut record) = mine else {
-            return;
+    /// Releases the ownership that this node holds, so that another node can claim it before it
+    /// expires. Returns whether it is released.
+    async fn release(&mut self) -> bool {
+        let Some(mut record) = self.newest.clone() else {
+            return false;
         };
         record.released = true;
+        let epoch = record.epoch;
         let records = [KeyedRecord::new(RECORD_KEY, encode(&record))];
-        let done = shared
-            .store
-            .append(OWNER, None, Some(page.end), &records, STORE_TIMEOUT);
+        let store = &self.shared.store;
+        let done = store.append(OWNER, None, Some(self.end_offset), &records, STORE_TIMEOUT);
         match done.await {
-            Ok(_) => log::info!(epoch = epoch; "ownership released"),
-            Err(e) => log::warn!(epoch = epoch, error:% = e; "failed to release ownership"),
+            Ok(done) => {
+                log::info!(epoch = epoch; "ownership released");
+                self.end_offset = done.end;
+                self.accept_record(record);
+                true
+            }
+            Err(e) => {
+                log::warn!(epoch = epoch, error:% = e; "failed to release ownership");
+                false
+            }
         }
     }
 
@@ -435,7 +455,7 @@
         self.shared.owner.store(address);
         self.newest = Some(record);
         let role = match (self.is_owner(), &self.newest) {
-            (true, Some(o)) => {
+            (true, Some(o)) if !self.shared.is_stopping() => {
                 let claimed = self.claims.for_epoch(o.epoch);
                 Role::Owner {
                     epoch: o.epoch,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,9 +50,9 @@
     let (halt, halted) = watch::channel(false);
     spawn_services(&shared, ready_listener, peers, metrics_listener);
     tokio::spawn(watch_settings(hangup, path, shared.clone()));
-    tokio::spawn(owner::run(shared.clone(), roles.clone()));
+    tokio::spawn(owner::run(shared.clone(), roles));
     let election = Election::new(shared.clone(), incarnation, role);
-    let election = tokio::spawn(election.run(halted));
+    tokio::spawn(election.run(halted));
     let front = Arc::new(Front {
         intake: Intake::start(&shared, incarnation),
         shared: shared.clone(),
@@ -76,10 +76,6 @@
     shared.stop();
     let _ = halt.send(true);
     let finish = async {
-        let _ = election.await;
-        if let Role::Owner { epoch, .. } = *roles.borrow() {
-            Election::release(&shared, epoch, incarnation).await;
-        }
         sleep(BALANCER_DELAY).await;
         closing.begun.cancel();
         let _ = server.await;
