--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -19,9 +19,14 @@
 /// Pause before a query is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// Queries the state of a job; `None` if no owner answers within `limit`.
+/// Queries the state of a job; `None` if no owner answers within `limit`, or within one attempt if
+/// that is longer.
 pub(crate) async fn job(shared: &Shared, id: JobId, limit: Duration) -> Option<JobAnswer> {
-    let deadline = shared.clock.now().after(limit);
+    let limit = limit.max(ATTEMPT_TIMEOUT);
+    timeout(limit, find_job(shared, id)).await.ok()
+}
+
+async fn find_job(shared: &Shared, id: JobId) -> JobAnswer {
     loop {
         let answer = match shared.local_owner.load_full() {
             Some(own) => Some(own.job(id).await),
@@ -32,19 +37,21 @@
         };
         match answer {
             Some(JobAnswer::NotOwner) => shared.owner_unreachable.notify_one(),
-            Some(known) => return Some(known),
+            Some(known) => return known,
             None => drop_link(shared),
         }
-        if shared.clock.now() >= deadline {
-            return None;
-        }
         sleep(RETRY_DELAY).await;
     }
 }
 
-/// Number of jobs in a queue that have not started; `None` if no owner answers within `limit`.
+/// Number of jobs in a queue that have not started; `None` if no owner answers within `limit`, or
+/// within one attempt if that is longer.
 pub(crate) async fn pending(shared: &Shared, queue: &QueueName, limit: Duration) -> Option<u64> {
-    let deadline = shared.clock.now().after(limit);
+    let limit = limit.max(ATTEMPT_TIMEOUT);
+    timeout(limit, count_pending(shared, queue)).await.ok()
+}
+
+async fn count_pending(shared: &Shared, queue: &QueueName) -> u64 {
     loop {
         let answer = match shared.local_owner.load_full() {
             Some(own) => Some(own.queue(queue.clone()).await),
@@ -54,13 +61,10 @@
             },
         };
         match answer {
-            Some(QueueAnswer::Pending(n)) => return Some(n),
+            Some(QueueAnswer::Pending(n)) => return n,
             Some(QueueAnswer::NotOwner) => shared.owner_unreachable.notify_one(),
             None => drop_link(shared),
         }
-        if shared.clock.now() >= deadline {
-            return None;
-        }
         sleep(RETRY_DELAY).await;
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -69,6 +69,8 @@
     pub(crate) in_flight: AtomicUsize,
     /// Number of idle connections that this node closed while stopping.
     pub(crate) idle_closed: AtomicUsize,
+    /// Cancelled when every request has to be answered because the process exits.
+    pub(crate) answers_due: CancellationToken,
 }
 
 /// An error response to a request.
@@ -173,16 +175,23 @@
     }
     // Closing an idle connection at once would cut off a request that is already on its way. While
     // the node is stopping, each response closes its connection, and a connection is closed without
-    // a response only when it has been idle for `IDLE_TIMEOUT`.
+    // a response only when it has been idle for `IDLE_TIMEOUT`, or when a request could not be
+    // answered any more before the process exits.
     loop {
         let before = count.load(Ordering::Relaxed);
+        let left = front.shared.idle_time_left().unwrap_or(IDLE_TIMEOUT);
         tokio::select! {
+            // First, so that a request that has arrived is read before its connection is closed.
+            biased;
             _ = conn.as_mut() => return,
-            () = sleep(IDLE_TIMEOUT) => {}
+            () = sleep(IDLE_TIMEOUT.min(left)) => {}
         }
-        if count.load(Ordering::Relaxed) == before {
+        if left <= IDLE_TIMEOUT || count.load(Ordering::Relaxed) == before {
             front.idle_closed.fetch_add(1, Ordering::Relaxed);
             conn.as_mut().graceful_shutdown();
+            // Ends with the response to the request in flight, if there is one.
+            let _ = conn.await;
+            return;
         }
     }
 }
@@ -192,7 +201,13 @@
         let start = self.shared.clock.now();
         let path = request.uri().path().to_owned();
         let in_flight = InFlight::new(&self.shared, &self.in_flight, &path);
-        let mut answer = match self.route(request, &path).await {
+        let reads = *request.method() == Method::GET;
+        let routed = tokio::select! {
+            biased;
+            routed = self.route(request, &path) => routed,
+            () = self.answers_due.cancelled() => Err(self.give_up(&path, reads)),
+        };
+        let mut answer = match routed {
             Ok(answer) => answer,
             Err(refusal) => {
                 self.shared.metrics.refused(refusal.code);
@@ -223,7 +238,7 @@
         let target = Target {
             queue,
             caller: self.authenticate(&config, queue, &request, &rest)?,
-            max_wait: requested_timeout(&request).min(queue.timeout.duration()),
+            max_wait: self.max_wait(&request, queue),
         };
         if rest.is_empty() {
             return self.pending(&request, &target).await;
@@ -239,6 +254,39 @@
         }
     }
 
+    /// How long the caller waits, or the time until the process exits if that is shorter.
+    fn max_wait(&self, request: &Request<Incoming>, queue: &Queue) -> Duration {
+        let wait = requested_timeout(request).min(queue.timeout.duration());
+        wait.min(self.shared.time_left().unwrap_or(wait))
+    }
+
+    /// The answer to a request that is still in flight shortly before the process exits. A job or a
+    /// cancel may have been stored already.
+    fn give_up(&self, path: &str, reads: bool) -> Refusal {
+        let owner = self.shared.believed_owner();
+        log::warn!(
+            path = path, owner = owner.node, epoch = owner.epoch;
+            "request given up: the process is about to exit"
+        );
+        match reads {
+            true => Refusal::new(Code::Stopping, ""),
+            false => Refusal::new(Code::StoreDoubt, "the node is stopping"),
+        }
+    }
+
+    /// Refuses to store a record if the node stops before the store usually answers: the outcome
+    /// would be unknown.
+    fn check_time_to_store(&self, id: JobId, left: Duration) -> Result<(), Refusal> {
+        if !self.shared.is_stopping() || left >= self.shared.append_rtt.retry_timeout() {
+            return Ok(());
+        }
+        log::info!(
+            job:% = id, left_ms = left.as_millis() as u64;
+            "request refused: the process exits before it could be stored"
+        );
+        Err(Refusal::new(Code::Stopping, ""))
+    }
+
     /// Identifies the caller by the request's key, which a public queue does not require.
     fn authenticate(
         &self,
@@ -319,6 +367,7 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.max_wait.saturating_sub(spent + RESPONSE_MARGIN);
+        self.check_time_to_store(id, left)?;
         match self.intake.accept(&self.shared, &sub, record, left).await {
             Ok(()) => Ok(ok_json(Vec::new())),
             Err(e) => Err(self.not_stored(id, "submit", e)),
@@ -353,6 +402,7 @@
         self.find_job(target, id, "cancel").await?;
         let spent = self.shared.clock.now().since(start);
         let left = target.max_wait.saturating_sub(spent + RESPONSE_MARGIN);
+        self.check_time_to_store(id, left)?;
         // A record without a value would delete the key.
         let record = vec![1];
         match self
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -205,7 +205,8 @@
             return settled;
         }
         let record = Bytes::from(record);
-        let handed = ask::hand_in(shared, record.clone(), limit).await;
+        let left = limit.saturating_sub(shared.clock.now().since(start));
+        let handed = ask::hand_in(shared, record.clone(), left).await;
         match handed {
             HandInAnswer::Accepted(room) => {
                 shared.owner_outage.answered(shared.clock.now());
@@ -296,7 +297,8 @@
         }
         let deadline = self.shared.clock.now().after(limit);
         loop {
-            if let Ok(answer) = timeout(MAX_DOUBT, &mut answer).await {
+            let left = deadline.since(self.shared.clock.now());
+            if let Ok(answer) = timeout(MAX_DOUBT.min(left), &mut answer).await {
                 return answer.unwrap_or(Err(NotStored::Doubt));
             }
             let expired = self.shared.clock.now() >= deadline;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,11 +5,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use cactuswheel_model::Time;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::election::Election;
@@ -20,13 +22,6 @@
 use crate::shared::Shared;
 use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_server, view};
 
-/// Time from the stop signal until the node stops accepting connections. The load balancer probes
-/// once a second and removes a node after the second failed probe.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_300);
-
-/// Time reserved for exiting before the platform kills the process.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
-
 /// How often a stopping node checks whether requests are still in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -58,6 +53,7 @@
         shared: shared.clone(),
         in_flight: AtomicUsize::new(0),
         idle_closed: AtomicUsize::new(0),
+        answers_due: CancellationToken::new(),
     });
     let closing = Closing::default();
     let open = TaskTracker::new();
@@ -73,16 +69,24 @@
         owner = owner.node, epoch = owner.epoch;
         "node stopping"
     );
-    shared.stop();
+    let stop = shared.begin_stop();
     let _ = halt.send(true);
+    let until = |time: Time| sleep(time.since(shared.clock.now()));
     let finish = async {
-        sleep(BALANCER_DELAY).await;
+        until(stop.refuses_connections()).await;
         closing.begun.cancel();
         let _ = server.await;
         drain_requests(&front, &open).await;
     };
-    let grace = shared.settings.times.grace.duration();
-    let complete = timeout(grace.saturating_sub(KILL_MARGIN), finish).await;
+    let answer_all = async {
+        until(stop.answers_all()).await;
+        front.answers_due.cancel();
+        until(stop.exits()).await;
+    };
+    let complete = tokio::select! {
+        () = finish => true,
+        () = answer_all => false,
+    };
     let (busy, connections) = (front.in_flight.load(Ordering::Acquire), open.len());
     // Each request that is cut logs a line.
     closing.exit.cancel();
@@ -90,7 +94,7 @@
     let _ = timeout(POLL_INTERVAL, open.wait()).await;
     let owner = shared.believed_owner();
     log::info!(
-        whole = complete.is_ok(), busy = busy as u64, connections = connections as u64,
+        whole = complete, busy = busy as u64, connections = connections as u64,
         idle_closed = front.idle_closed.load(Ordering::Relaxed) as u64,
         owner = owner.node, epoch = owner.epoch;
         "node stopped"
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared between the tasks of a node. State on the request path is read without a lock.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -24,6 +24,7 @@
 use crate::peer::{OwnerAddress, PeerLink};
 use crate::settings::Settings;
 use crate::state_room::KnownRoom;
+use crate::stop_schedule::StopSchedule;
 
 /// State shared between the tasks of a node.
 #[derive(Debug)]
@@ -82,8 +83,8 @@
     /// The ownership must be claimed under a new epoch, because this node stopped running the cell
     /// while it still held the ownership.
     pub(crate) reclaim: AtomicBool,
-    /// When the stop of this process began, in milliseconds; 0 before.
-    stop_began: AtomicU64,
+    /// Set when the stop of this process begins.
+    stop: OnceLock<StopSchedule>,
 }
 
 /// The owner of the cell, as far as this node knows.
@@ -150,7 +151,7 @@
             ownership_confirmed: AtomicU64::new(0),
             claim_pause: AtomicU64::new(0),
             reclaim: AtomicBool::new(false),
-            stop_began: AtomicU64::new(0),
+            stop: OnceLock::new(),
         }
     }
 
@@ -281,18 +282,33 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stop_began.load(Ordering::Relaxed) != 0
+        self.stop.get().is_some()
     }
 
     /// Time since the stop of this process began; `None` if it has not.
     pub(crate) fn stopping_for(&self) -> Option<Duration> {
-        let began = self.stop_began.load(Ordering::Relaxed);
-        (began != 0).then(|| self.clock.now().since(Time::new(began)))
+        let stop = self.stop.get()?;
+        Some(self.clock.now().since(stop.began()))
     }
 
-    /// Records that the stop of this process begins.
-    pub(crate) fn stop(&self) {
-        let now = self.clock.now().get().max(1);
-        self.stop_began.store(now, Ordering::Relaxed);
+    /// Time until every request has to be answered because the process exits; `None` if it is not
+    /// stopping.
+    pub(crate) fn time_left(&self) -> Option<Duration> {
+        let stop = self.stop.get()?;
+        Some(stop.answers_all().since(self.clock.now()))
+    }
+
+    /// Time until idle connections of callers are closed; `None` if the process is not stopping.
+    pub(crate) fn idle_time_left(&self) -> Option<Duration> {
+        let stop = self.stop.get()?;
+        Some(stop.closes_idle().since(self.clock.now()))
+    }
+
+    /// Begins the stop of this process. A second stop changes nothing.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let grace = self.settings.times.grace.duration();
+        *self
+            .stop
+            .get_or_init(|| StopSchedule::new(self.clock.now(), grace))
     }
 }
