--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -454,3 +454,23 @@
     stopped.check(&mut world, false, true);
     stopped.check_reads_after(outage);
 }
+
+/// Guards against a stopping owner that goes on refusing reads once its link to the store, which
+/// carried nothing at its SIGTERM, is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_back() {
+    let mut world = World::start(3, 47).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let callers = Callers::open(&world, owner, &job).await;
+    world.proxies[owner].set_mode(Mode::Stall);
+    world.nodes[owner].signal("TERM");
+    let stopping = callers.start(&world);
+    wait_next_owner(&world, owner, CRASH_OUTAGE).await;
+    world.proxies[owner].set_mode(Mode::Pass);
+    let back = stopping.since.elapsed();
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, false, true);
+    stopped.check_reads_after(back);
+}
