--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -474,3 +474,27 @@
     stopped.check(&mut world, false, true);
     stopped.check_reads_after(back);
 }
+
+/// Guards against a stopping node that loses track of the owner, or cuts reads, when the owner is
+/// stopped 1.2 s after it while the store is slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn series_slow() {
+    let mut world = World::start(3, 48).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = (owner + 1) % 3;
+    let callers = Callers::open(&world, node, &job).await;
+    for proxy in &world.proxies {
+        proxy.set_mode(Mode::Delay);
+    }
+    world.nodes[node].signal("TERM");
+    let stopping = callers.start(&world);
+    sleep(Duration::from_millis(1_200)).await;
+    world.nodes[owner].signal("TERM");
+    wait_next_owner(&world, owner, SLOW_OUTAGE).await;
+    let back = stopping.since.elapsed();
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, false, true);
+    stopped.check_reads_after(back);
+}
