--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -498,3 +498,26 @@
     stopped.check(&mut world, false, true);
     stopped.check_reads_after(back);
 }
+
+/// Guards against a node that never closes its listener because it waits for its first read of the
+/// ownership while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_at_start() {
+    let mut world = World::start(3, 38).await;
+    let job = completed_job(&world).await;
+    let node = (world.owner().expect("a node owns the cell") + 1) % 3;
+    world.nodes[node].signal("KILL");
+    while world.nodes[node].is_running() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    world.proxies[node].set_mode(Mode::Reset);
+    world.nodes[node].start();
+    let waiting = "cannot read the ownership yet; retrying";
+    while world.nodes[node].log(waiting).is_empty() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let callers = Callers::open(&world, node, &job).await;
+    world.nodes[node].signal("TERM");
+    let stopped = callers.start(&world).end(&mut world).await;
+    stopped.check(&mut world, false, false);
+}
