--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -521,3 +521,28 @@
     let stopped = callers.start(&world).end(&mut world).await;
     stopped.check(&mut world, false, false);
 }
+
+/// Guards against a cell that stays with a stopping owner because the answer to a renewal that was
+/// under way at the stop is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_renewal() {
+    let mut world = World::start(3, 39).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let callers = Callers::open(&world, owner, &job).await;
+    world.platform.set_faults(Faults {
+        lost_writes: 100,
+        ..Faults::default()
+    });
+    // A renewal is sent every 220 ms.
+    sleep(Duration::from_millis(230)).await;
+    world.nodes[owner].signal("TERM");
+    let stopping = callers.start(&world);
+    world.platform.set_faults(Faults::default());
+    wait_next_owner(&world, owner, CRASH_OUTAGE).await;
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, true, true);
+    let released = world.nodes[owner].log("ownership released").len();
+    assert_eq!(released, 1, "ownership released");
+}
