--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -546,3 +546,47 @@
     let released = world.nodes[owner].log("ownership released").len();
     assert_eq!(released, 1, "ownership released");
 }
+
+/// Waits until the nodes other than `except` have seen `epoch`; returns its owner.
+async fn wait_claim(world: &World, epoch: u64, except: usize) -> usize {
+    let start = Instant::now();
+    loop {
+        let nodes = world.nodes.iter().enumerate().filter(|(n, _)| *n != except);
+        let seen = nodes.flat_map(|(_, n)| n.log("new owner of the cell"));
+        if let Some(line) = seen.into_iter().find(|l| l["epoch"] == epoch) {
+            let name = line["owner"].as_str().unwrap_or_default();
+            return name[1..].parse().expect("nodes are named by their number");
+        }
+        assert!(start.elapsed() < Duration::from_secs(10), "no claim");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a cell that stays with a stopping node whose claim succeeds without its knowledge:
+/// the answer is lost, and the node is stopped before it can read the ownership.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_claim() {
+    let mut world = World::start(3, 40).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    world.platform.set_faults(Faults {
+        lost_writes: 100,
+        ..Faults::default()
+    });
+    world.nodes[owner].signal("KILL");
+    let node = wait_claim(&world, 2, owner).await;
+    world.platform.set_faults(Faults::default());
+    let callers = Callers::open(&world, node, &job).await;
+    world.nodes[node].signal("TERM");
+    let stopping = callers.start(&world);
+    let start = Instant::now();
+    wait_claim(&world, 3, node).await;
+    let gap = start.elapsed();
+    println!("next claim after {gap:?}");
+    assert!(gap < CRASH_OUTAGE, "{gap:?}");
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, false, true);
+    let released = world.nodes[node].log("ownership released").len();
+    assert_eq!(released, 1, "ownership released");
+}
