--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -590,3 +590,37 @@
     let released = world.nodes[node].log("ownership released").len();
     assert_eq!(released, 1, "ownership released");
 }
+
+/// Guards against a cell that stays with a node that is stopped during its takeover, and against
+/// requests cut there.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_in_takeover() {
+    let mut world = World::with_settings(3, 41, |_| json!({ "link_mbps": 1 })).await;
+    let job = completed_job(&world).await;
+    let mut caller = world.caller(0);
+    let unplaceable = json!([{ "count": 1, "cpu": 99_000, "mem_mb": 100, "estimate_ms": 200 }]);
+    let spec = "x".repeat(4_000);
+    for id in 10..70 {
+        caller.submit("/a/", id, &unplaceable, &spec).await;
+    }
+    for proxy in &world.proxies {
+        proxy.limit_rate(125_000);
+    }
+    let owner = world.owner().expect("a node owns the cell");
+    world.nodes[owner].signal("KILL");
+    let node = wait_claim(&world, 2, owner).await;
+    sleep(Duration::from_millis(300)).await;
+    let callers = Callers::open(&world, node, &job).await;
+    world.nodes[node].signal("TERM");
+    let stopping = callers.start(&world);
+    assert_ne!(world.owner(), Some(node), "the takeover was over");
+    let start = Instant::now();
+    wait_claim(&world, 3, node).await;
+    let gap = start.elapsed();
+    println!("next claim after {gap:?}");
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, false, true);
+    let released = world.nodes[node].log("ownership released").len();
+    assert_eq!(released, 1, "ownership released");
+}
