--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -624,3 +624,26 @@
     let released = world.nodes[node].log("ownership released").len();
     assert_eq!(released, 1, "ownership released");
 }
+
+/// Guards against a stopping node that claims the cell of a killed owner, or that cuts reads because
+/// it does not learn who took the cell over.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed() {
+    let mut world = World::start(3, 46).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = (owner + 1) % 3;
+    let callers = Callers::open(&world, node, &job).await;
+    world.nodes[node].signal("TERM");
+    let stopping = callers.start(&world);
+    sleep(Duration::from_millis(500)).await;
+    world.nodes[owner].signal("KILL");
+    let next = wait_claim(&world, 2, owner).await;
+    assert_ne!(next, node, "a stopping node has claimed the cell");
+    wait_next_owner(&world, owner, CRASH_OUTAGE).await;
+    let back = stopping.since.elapsed();
+    let stopped = stopping.end(&mut world).await;
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, false, true);
+    stopped.check_reads_after(back);
+}
