--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -16,7 +16,8 @@
 #[derive(Debug)]
 pub struct Node {
     name: String,
-    settings: PathBuf,
+    /// The settings file.
+    pub settings: PathBuf,
     /// Address for callers' requests.
     pub callers: SocketAddr,
     /// Address of the readiness check.
--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -647,3 +647,33 @@
     stopped.check(&mut world, false, true);
     stopped.check_reads_after(back);
 }
+
+/// Guards against a stop that further signals cut short, delay, or begin anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_again() {
+    let mut world = World::start(3, 42).await;
+    let job = completed_job(&world).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let callers = Callers::open(&world, owner, &job).await;
+    world.nodes[owner].signal("TERM");
+    world.nodes[owner].signal("TERM");
+    let stopping = callers.start(&world);
+    let settings = world.nodes[owner].settings.clone();
+    let text = std::fs::read_to_string(&settings).expect("the settings can be read");
+    let changed = text.replace(r#""grace_s":6"#, r#""grace_s":7"#);
+    assert_ne!(changed, text);
+    for (signal, text) in [
+        ("HUP", changed.as_str()),
+        ("HUP", "{"),
+        ("INT", &text),
+        ("TERM", &text),
+    ] {
+        std::fs::write(&settings, text).expect("the settings can be written");
+        world.nodes[owner].signal(signal);
+        sleep(Duration::from_millis(600)).await;
+    }
+    let stopped = stopping.end(&mut world).await;
+    assert_eq!(world.nodes[owner].log("node stopping").len(), 1);
+    stopped.check_jobs(&world).await;
+    stopped.check(&mut world, true, false);
+}
