--- a/crates/soak/tests/stop_store.rs
+++ b/crates/soak/tests/stop_store.rs
@@ -677,3 +677,33 @@
     stopped.check_jobs(&world).await;
     stopped.check(&mut world, true, false);
 }
+
+/// Guards against requests that are cut, instead of refused, when all nodes are stopped at the same
+/// time, and against accepted jobs that are lost until the nodes are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_stopped() {
+    let mut world = World::start(3, 43).await;
+    let job = completed_job(&world).await;
+    let mut callers = Vec::new();
+    for node in 0..3 {
+        callers.push(Callers::open(&world, node, &job).await);
+    }
+    let mut stopping = Vec::new();
+    for callers in callers {
+        world.nodes[callers.node].signal("TERM");
+        stopping.push(callers.start(&world));
+    }
+    let mut stopped = Vec::new();
+    for node in stopping {
+        stopped.push(node.end(&mut world).await);
+    }
+    for node in &mut world.nodes {
+        node.start();
+    }
+    for node in &stopped {
+        node.check_jobs(&world).await;
+    }
+    for node in &stopped {
+        node.check(&mut world, false, false);
+    }
+}
