--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use serde_json::Map;
+use tokio::time::{sleep, timeout};
 
 use crate::NodeError;
 
@@ -22,19 +23,27 @@
 /// Number of lines dropped since the last line that was queued.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// Number of lines that are queued or being written.
+static PENDING: AtomicU64 = AtomicU64::new(0);
+
+/// How often a flush checks for pending lines.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Installs the logger, which writes to standard output.
 pub fn init_log() -> Result<(), NodeError> {
     let (queue, lines) = sync_channel::<String>(MAX_QUEUED);
     thread::spawn(move || {
         while let Ok(first) = lines.recv() {
-            let mut text = first;
+            let (mut text, mut count) = (first, 1);
             while text.len() < MAX_WRITE_BYTES
                 && let Ok(next) = lines.try_recv()
             {
                 text.push_str(&next);
+                count += 1;
             }
             // If standard output is closed, there is no other place to report the error.
             let _ = stdout().write_all(text.as_bytes());
+            PENDING.fetch_sub(count, Ordering::Release);
         }
     });
     fern::Dispatch::new()
@@ -50,9 +59,23 @@
     Ok(())
 }
 
+/// Waits until all lines are written, at most for `limit`: a process that exits earlier loses its
+/// last lines.
+pub(crate) async fn flush_log(limit: Duration) {
+    let written = async {
+        while PENDING.load(Ordering::Acquire) > 0 {
+            sleep(FLUSH_INTERVAL).await;
+        }
+    };
+    // The lines that are left are lost with the process.
+    let _ = timeout(limit, written).await;
+}
+
 fn push(queue: &SyncSender<String>, record: &Record<'_>) {
     let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    PENDING.fetch_add(1, Ordering::Relaxed);
     if queue.try_send(line(record, dropped)).is_err() {
+        PENDING.fetch_sub(1, Ordering::Relaxed);
         DROPPED.fetch_add(dropped + 1, Ordering::Relaxed);
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::election::Election;
 use crate::front::{self, Closing, Front};
 use crate::intake::Intake;
+use crate::logging::flush_log;
 use crate::metrics::Metrics;
 use crate::role::Role;
 use crate::shared::Shared;
@@ -25,6 +26,9 @@
 /// How often a stopping node checks whether requests are still in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for writing the last lines of the log, part of the time reserved for exiting.
+const LOG_LIMIT: Duration = Duration::from_millis(300);
+
 /// Runs a node until it receives SIGTERM or SIGINT.
 pub async fn run(path: PathBuf, settings: Settings) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate())?;
@@ -99,8 +103,7 @@
         owner = owner.node, epoch = owner.epoch;
         "node stopped"
     );
-    // The log is written by another thread, which needs a moment for the last lines.
-    sleep(POLL_INTERVAL).await;
+    flush_log(LOG_LIMIT).await;
     Ok(())
 }
 
