--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -138,13 +138,19 @@
                 }
             }
         }
-        // The cell stops renewing leases before the ownership is released.
-        self.role.send_replace(Role::Idle);
+        self.stop_cell().await;
         loop {
             self.follow().await;
         }
     }
 
+    /// Stops the cell, which renews leases that must not be renewed once the ownership is released.
+    async fn stop_cell(&self) {
+        self.role.send_replace(Role::Idle);
+        let mut active = self.shared.cell_active.subscribe();
+        let _ = timeout(STORE_TIMEOUT, active.wait_for(|a| !*a)).await;
+    }
+
     /// Releases the ownership if this node holds it, and waits for the next record.
     ///
     /// Callers send requests to a stopping node until it exits, so it has to know each new owner.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -43,6 +43,7 @@
         } = current
         {
             let mut changed = role.clone();
+            shared.cell_active.send_replace(true);
             tokio::select! {
                 () = run_cell(shared.clone(), epoch, alone, before) => {
                     // Without this, the node would keep renewing its ownership although it no
@@ -56,6 +57,7 @@
                 }
             }
             shared.local_owner.store(None);
+            shared.cell_active.send_replace(false);
             shared.metrics.set_epoch(0);
         }
         if role.wait_for(|r| *r != current).await.is_err() {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,7 +11,7 @@
 use cactuswheel_relay::SpecCache;
 use cactuswheel_rtt::RttEstimator;
 use cactuswheel_work::{FleetConfig, Wave, ZoneName};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::call_health::CallHealth;
 use crate::clock::Clock;
@@ -56,6 +56,8 @@
     pub(crate) accept_rtt: RttEstimator,
     /// Whether a task is connecting to the owner.
     pub(crate) connecting: AtomicBool,
+    /// Whether this node takes the cell over or runs it.
+    pub(crate) cell_active: watch::Sender<bool>,
     /// Handle of the owner, while this node owns the cell.
     pub(crate) local_owner: ArcSwapOption<OwnerHandle>,
     /// Whether an owner answers when this node hands in jobs.
@@ -143,6 +145,7 @@
             owner_link: ArcSwapOption::empty(),
             accept_rtt: RttEstimator::new(MIN_ACCEPT_TIMEOUT, MAX_ACCEPT_TIMEOUT),
             connecting: AtomicBool::new(false),
+            cell_active: watch::Sender::new(false),
             local_owner: ArcSwapOption::empty(),
             owner_outage: OwnerOutage::default(),
             probe_turn: tokio::sync::Mutex::default(),
