--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cactuswheel_cell::Standing;
+use cactuswheel_model::Time;
 use cactuswheel_work::{JobId, QueueName, Submission};
 use tokio::time::{sleep, timeout};
 
@@ -22,11 +23,11 @@
 /// Queries the state of a job; `None` if no owner answers within `limit`, or within one attempt if
 /// that is longer.
 pub(crate) async fn job(shared: &Shared, id: JobId, limit: Duration) -> Option<JobAnswer> {
-    let limit = limit.max(ATTEMPT_TIMEOUT);
-    timeout(limit, find_job(shared, id)).await.ok()
+    let query = find_job(shared, id, last_retry(shared, limit));
+    timeout(limit.max(ATTEMPT_TIMEOUT), query).await.ok()?
 }
 
-async fn find_job(shared: &Shared, id: JobId) -> JobAnswer {
+async fn find_job(shared: &Shared, id: JobId, last_retry: Time) -> Option<JobAnswer> {
     loop {
         let answer = match shared.local_owner.load_full() {
             Some(own) => Some(own.job(id).await),
@@ -37,21 +38,24 @@
         };
         match answer {
             Some(JobAnswer::NotOwner) => shared.owner_unreachable.notify_one(),
-            Some(known) => return known,
+            Some(known) => {
+                shared.owner_health.answered(shared.clock.now());
+                return Some(known);
+            }
             None => drop_link(shared),
         }
-        sleep(RETRY_DELAY).await;
+        pause(shared, last_retry).await?;
     }
 }
 
 /// Number of jobs in a queue that have not started; `None` if no owner answers within `limit`, or
 /// within one attempt if that is longer.
 pub(crate) async fn pending(shared: &Shared, queue: &QueueName, limit: Duration) -> Option<u64> {
-    let limit = limit.max(ATTEMPT_TIMEOUT);
-    timeout(limit, count_pending(shared, queue)).await.ok()
+    let query = count_pending(shared, queue, last_retry(shared, limit));
+    timeout(limit.max(ATTEMPT_TIMEOUT), query).await.ok()?
 }
 
-async fn count_pending(shared: &Shared, queue: &QueueName) -> u64 {
+async fn count_pending(shared: &Shared, queue: &QueueName, last_retry: Time) -> Option<u64> {
     loop {
         let answer = match shared.local_owner.load_full() {
             Some(own) => Some(own.queue(queue.clone()).await),
@@ -61,14 +65,39 @@
             },
         };
         match answer {
-            Some(QueueAnswer::Pending(n)) => return n,
+            Some(QueueAnswer::Pending(n)) => {
+                shared.owner_health.answered(shared.clock.now());
+                return Some(n);
+            }
             Some(QueueAnswer::NotOwner) => shared.owner_unreachable.notify_one(),
             None => drop_link(shared),
         }
-        sleep(RETRY_DELAY).await;
+        pause(shared, last_retry).await?;
     }
 }
 
+/// Until when a query is retried. Once a takeover would usually be over, a stopping node does not
+/// wait for an owner any more: its callers find another node sooner.
+fn last_retry(shared: &Shared, limit: Duration) -> Time {
+    let now = shared.clock.now();
+    let outage = shared.owner_health.failing_for(now);
+    match shared.is_stopping() && outage > shared.usual_takeover() {
+        true => now,
+        false => now.after(limit),
+    }
+}
+
+/// Pauses after a failed query; `None` if it is not to be retried.
+async fn pause(shared: &Shared, last_retry: Time) -> Option<()> {
+    let now = shared.clock.now();
+    shared.owner_health.failed(now);
+    if now >= last_retry {
+        return None;
+    }
+    sleep(RETRY_DELAY).await;
+    Some(())
+}
+
 /// What the owner knows of a job without reading the intake, and its prospects for such a job if it
 /// is new; `None` if no owner answers.
 pub(crate) async fn standing(
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -81,9 +81,10 @@
 }
 
 fn outlook(shared: &Shared, slack: Slack) -> Outlook {
-    let usual = TAKEOVER_TIME + shared.min_expiry;
     let now = shared.clock.now();
-    shared.owner_outage.outlook(now, usual, slack)
+    shared
+        .owner_outage
+        .outlook(now, shared.usual_takeover(), slack)
 }
 
 /// Probes the owner before a job is refused for its absence, unless another job's probe has just
@@ -141,10 +142,6 @@
     }
 }
 
-/// Usual duration of a takeover with little state to read, counted from the expiry of the previous
-/// ownership.
-const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
-
 /// State of a record: queued, part of an append, or withdrawn by its caller.
 #[derive(Debug, Default)]
 struct Stage(AtomicU8);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -60,6 +60,8 @@
     pub(crate) cell_active: watch::Sender<bool>,
     /// Handle of the owner, while this node owns the cell.
     pub(crate) local_owner: ArcSwapOption<OwnerHandle>,
+    /// Whether the owner answers callers' reads.
+    pub(crate) owner_health: CallHealth,
     /// Whether an owner answers when this node hands in jobs.
     pub(crate) owner_outage: OwnerOutage,
     /// Held while this front end probes whether the owner takes jobs; one probe runs at a time.
@@ -115,6 +117,10 @@
 const MIN_ACCEPT_TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_ACCEPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Usual duration of a takeover with little state to read, counted from the expiry of the previous
+/// ownership.
+const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
+
 /// Maximum wait for the answer to an append, for a store that takes most of a second.
 const MAX_APPEND_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -147,6 +153,7 @@
             connecting: AtomicBool::new(false),
             cell_active: watch::Sender::new(false),
             local_owner: ArcSwapOption::empty(),
+            owner_health: CallHealth::default(),
             owner_outage: OwnerOutage::default(),
             probe_turn: tokio::sync::Mutex::default(),
             overload: Overload::default(),
@@ -274,6 +281,11 @@
         self.clock.now().get() < self.claim_pause.load(Ordering::Relaxed)
     }
 
+    /// How long the cell is usually without an owner that answers after the loss of one.
+    pub(crate) fn usual_takeover(&self) -> Duration {
+        TAKEOVER_TIME + self.min_expiry
+    }
+
     /// The owner of the cell, as far as this node knows.
     pub(crate) fn believed_owner(&self) -> BelievedOwner {
         let owner = self.owner.load();
