--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -51,6 +51,10 @@
 /// Idle time after which a stopping node closes a caller's connection.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time in which requests are read that came while the process was suspended. Its timers may fire
+/// before the runtime has looked at the sockets.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// When a caller may come back whose job had no room in the state of the open jobs: jobs end at any
 /// time.
 const FULL_RETRY: Duration = Duration::from_secs(5);
@@ -180,11 +184,13 @@
     loop {
         let before = count.load(Ordering::Relaxed);
         let left = front.shared.idle_time_left().unwrap_or(IDLE_TIMEOUT);
+        let idle = async {
+            sleep(IDLE_TIMEOUT.min(left)).await;
+            sleep(SETTLE_TIME).await;
+        };
         tokio::select! {
-            // First, so that a request that has arrived is read before its connection is closed.
-            biased;
             _ = conn.as_mut() => return,
-            () = sleep(IDLE_TIMEOUT.min(left)) => {}
+            () = idle => {}
         }
         if left <= IDLE_TIMEOUT || count.load(Ordering::Relaxed) == before {
             front.idle_closed.fetch_add(1, Ordering::Relaxed);
--- a/crates/soak/tests/planned_stops.rs
+++ b/crates/soak/tests/planned_stops.rs
@@ -18,6 +18,9 @@
 /// Time in which a stopped process has to exit by itself.
 const GRACE: Duration = Duration::from_secs(6);
 
+/// When a stopping node closes connections that were idle since its SIGTERM.
+const IDLE_CLOSE: Duration = Duration::from_millis(4_800);
+
 /// Time without an owner after which a stopping node does not wait for one any more: more than an
 /// ownership takes to expire and a takeover usually lasts.
 const OWNER_GONE: Duration = Duration::from_secs(3);
@@ -227,3 +230,32 @@
     let slow: Vec<_> = late.filter(|r| r.end.took > AT_ONCE).collect();
     assert!(slow.is_empty(), "{} waited: {slow:#?}", slow.len());
 }
+
+/// Guards against requests that are closed over unread: they come while the process is suspended,
+/// over the time at which it closes its idle connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_at_close() {
+    let mut world = World::start(3, 36).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = (owner + 1) % 3;
+    let mut sessions = Vec::new();
+    for _ in 0..40 {
+        sessions.push(Session::open(world.nodes[node].callers).await);
+    }
+    let start = Instant::now();
+    world.nodes[node].signal("TERM");
+    sleep_until((start + IDLE_CLOSE - ms(200)).into()).await;
+    world.nodes[node].signal("STOP");
+    let requests = sessions
+        .into_iter()
+        .map(|mut session| tokio::spawn(async move { session.get("/a/").await }));
+    let requests: Vec<_> = requests.collect();
+    sleep_until((start + IDLE_CLOSE + ms(200)).into()).await;
+    world.nodes[node].signal("CONT");
+    let mut unserved = 0;
+    for request in requests {
+        let end = request.await.expect("a request does not panic");
+        unserved += usize::from(!end.is_ok());
+    }
+    assert_eq!(unserved, 0, "of 40");
+}
