--- a/crates/soak/tests/stop_review.rs
+++ b/crates/soak/tests/stop_review.rs
@@ -73,6 +73,13 @@
     (head, body)
 }
 
+/// Sends a request with this deadline at once.
+async fn send_now(peer: SocketAddr, method: &str, path: &str, deadline: u64) -> Reply {
+    let (head, body) = job_request(peer, method, path, Some(deadline));
+    let pieces = vec![(Duration::ZERO, head + &body)];
+    send_pieces(peer, Instant::now(), pieces).await
+}
+
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -296,3 +303,30 @@
     let reply = caller.await.expect("a caller does not panic");
     assert!(reply.text.contains("\"not-run\""), "{reply:#?}");
 }
+
+/// Guards against jobs and cancels that a node without a stop gives up at once because their caller
+/// waits for a short time only, although the owner and the store answer within milliseconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_deadlines() {
+    let world = World::start(3, 41).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let mut ends = Vec::new();
+    for number in [owner, (owner + 1) % 3] {
+        let peer = world.nodes[number].callers;
+        for (id, deadline) in [(1, 3_000), (2, 200), (3, 140), (4, 100), (5, 50)] {
+            let path = format!("/b/{:016x}", 16 * (number + 1) + id);
+            for method in ["POST", "DELETE"] {
+                let reply = send_now(peer, method, &path, deadline).await;
+                ends.push((
+                    number == owner,
+                    method,
+                    deadline,
+                    reply.status(),
+                    reply.took,
+                ));
+            }
+        }
+    }
+    let refused: Vec<_> = ends.iter().filter(|e| e.3 != Some(200)).collect();
+    assert!(refused.is_empty(), "{refused:#?}");
+}
