--- a/crates/soak/tests/stop_review.rs
+++ b/crates/soak/tests/stop_review.rs
@@ -330,3 +330,17 @@
     let refused: Vec<_> = ends.iter().filter(|e| e.3 != Some(200)).collect();
     assert!(refused.is_empty(), "{refused:#?}");
 }
+
+/// Guards against a stopping node that refuses a job as too late to store seconds before the exit,
+/// because its caller waits for a short time only.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_deadline_in_stop() {
+    let mut world = World::start(3, 42).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let stopped = (owner + 1) % 3;
+    let peer = world.nodes[stopped].callers;
+    world.nodes[stopped].signal("TERM");
+    sleep(ms(300)).await;
+    let reply = send_now(peer, "POST", "/b/0000000000000001", 300).await;
+    assert_eq!(reply.status(), Some(200), "{reply:#?}");
+}
