--- a/crates/soak/tests/stop_review.rs
+++ b/crates/soak/tests/stop_review.rs
@@ -344,3 +344,35 @@
     let reply = send_now(peer, "POST", "/b/0000000000000001", 300).await;
     assert_eq!(reply.status(), Some(200), "{reply:#?}");
 }
+
+/// Guards against a job whose body is still arriving when the process has to exit, and that is
+/// rejected as malformed: its caller would not send it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_at_exit() {
+    let mut world = World::start(3, 43).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let stopped = (owner + 1) % 3;
+    let peer = world.nodes[stopped].callers;
+    let start = Instant::now();
+    let mut callers = Vec::new();
+    for number in 0..40 {
+        let path = format!("/b/{number:016x}");
+        let (head, body) = job_request(peer, "POST", &path, None);
+        let (first, rest) = body.split_at(body.len() / 2);
+        let pieces = vec![
+            (ms(4_000 + 17 * number), head + first),
+            (ms(5_600), rest.to_owned()),
+        ];
+        callers.push(tokio::spawn(send_pieces(peer, start, pieces)));
+    }
+    sleep(ms(20)).await;
+    world.nodes[stopped].signal("TERM");
+    let mut ends = Vec::new();
+    for caller in callers {
+        let reply = caller.await.expect("a caller does not panic");
+        if !matches!(reply.status(), Some(503 | 504)) {
+            ends.push(reply);
+        }
+    }
+    assert!(ends.is_empty(), "{} of 40: {:#?}", ends.len(), ends.first());
+}
