--- a/crates/soak/tests/stop_review.rs
+++ b/crates/soak/tests/stop_review.rs
@@ -376,3 +376,33 @@
     }
     assert!(ends.is_empty(), "{} of 40: {:#?}", ends.len(), ends.first());
 }
+
+/// Guards against an owner that releases the ownership before its cell has stopped renewing leases:
+/// the next owner counts on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_ends_first() {
+    let mut early = Vec::new();
+    for seed in 46..50 {
+        let mut world = World::start(4, seed).await;
+        let steps = json!([{ "count": 200, "cpu": 100, "mem_mb": 10, "estimate_ms": 100 }]);
+        let mut caller = world.caller(0);
+        for id in 0..60 {
+            caller.submit("/a/", id, &steps, "work_ms=20").await;
+        }
+        for _ in 0..3 {
+            let owner = world.owner().expect("a node owns the cell");
+            let taken = world.log("cell taken over").len();
+            world.nodes[owner].signal("TERM");
+            while world.log("cell taken over").len() == taken {
+                sleep(ms(20)).await;
+            }
+            let lines = world.nodes[owner].lines();
+            let at = |message: &str| lines.iter().position(|l| l.contains(message));
+            let (ended, released) = (at("ownership ended"), at("ownership released"));
+            if released.is_some() && ended.is_none_or(|e| Some(e) > released) {
+                early.push((seed, owner, ended, released));
+            }
+        }
+    }
+    assert!(early.is_empty(), "{early:?}");
+}
