--- a/crates/soak/tests/stop_review.rs
+++ b/crates/soak/tests/stop_review.rs
@@ -406,3 +406,34 @@
     }
     assert!(early.is_empty(), "{early:?}");
 }
+
+/// Guards against an exit that comes at once after a suspension: reads whose time has passed
+/// meanwhile would be cut, although the platform kills the process later.
+#[tokio::test(flavor = "multi_thread")]
+async fn suspended_before_exit() {
+    let mut world = World::start(2, 45).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let stopped = (owner + 1) % 2;
+    let peer = world.nodes[stopped].callers;
+    let start = Instant::now();
+    let mut callers = Vec::new();
+    for number in 0..40 {
+        let (head, _) = job_request(peer, "GET", "/b/0000000000000001", None);
+        let pieces = vec![(ms(4_000 + 20 * number), head)];
+        callers.push(tokio::spawn(send_pieces(peer, start, pieces)));
+    }
+    sleep(ms(20)).await;
+    for node in &mut world.nodes {
+        node.signal("TERM");
+    }
+    sleep_until((start + ms(5_100)).into()).await;
+    world.nodes[stopped].signal("STOP");
+    sleep(ms(600)).await;
+    world.nodes[stopped].signal("CONT");
+    let mut cut = 0;
+    for caller in callers {
+        let reply = caller.await.expect("a caller does not panic");
+        cut += usize::from(reply.status().is_none());
+    }
+    assert_eq!(cut, 0, "{:#?}", world.nodes[stopped].log("node stopped"));
+}
