--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -202,8 +202,7 @@
             return settled;
         }
         let record = Bytes::from(record);
-        let left = limit.saturating_sub(shared.clock.now().since(start));
-        let handed = ask::hand_in(shared, record.clone(), left).await;
+        let handed = ask::hand_in(shared, record.clone(), limit).await;
         match handed {
             HandInAnswer::Accepted(room) => {
                 shared.owner_outage.answered(shared.clock.now());
@@ -276,8 +275,8 @@
         }
     }
 
-    /// Appends a record. A record that waits behind an append in doubt is withdrawn, so that its
-    /// caller learns at once that nothing was stored.
+    /// Appends a record, within `limit` or [`MAX_DOUBT`] if that is longer. A record that waits behind
+    /// an append in doubt is withdrawn, so that its caller learns at once that nothing was stored.
     async fn store(&self, record: KeyedRecord, limit: Duration) -> Result<(), NotStored> {
         if self.is_stuck() {
             return Err(NotStored::Refused);
@@ -292,7 +291,7 @@
         if self.queue.try_send(entry).is_err() {
             return Err(NotStored::Refused);
         }
-        let deadline = self.shared.clock.now().after(limit);
+        let deadline = self.shared.clock.now().after(limit.max(MAX_DOUBT));
         loop {
             let left = deadline.since(self.shared.clock.now());
             if let Ok(answer) = timeout(MAX_DOUBT.min(left), &mut answer).await {
