--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -280,10 +280,13 @@
         }
     }
 
-    /// Refuses to store a record if the node stops before the store usually answers: the outcome
+    /// Refuses to store a record if the process exits before the store usually answers: the outcome
     /// would be unknown.
-    fn check_time_to_store(&self, id: JobId, left: Duration) -> Result<(), Refusal> {
-        if !self.shared.is_stopping() || left >= self.shared.append_rtt.retry_timeout() {
+    fn check_time_to_store(&self, id: JobId) -> Result<(), Refusal> {
+        let Some(left) = self.shared.time_left() else {
+            return Ok(());
+        };
+        if left >= self.shared.append_rtt.retry_timeout() + RESPONSE_MARGIN {
             return Ok(());
         }
         log::info!(
@@ -373,7 +376,7 @@
         }
         let spent = self.shared.clock.now().since(start);
         let left = target.max_wait.saturating_sub(spent + RESPONSE_MARGIN);
-        self.check_time_to_store(id, left)?;
+        self.check_time_to_store(id)?;
         match self.intake.accept(&self.shared, &sub, record, left).await {
             Ok(()) => Ok(ok_json(Vec::new())),
             Err(e) => Err(self.not_stored(id, "submit", e)),
@@ -408,7 +411,7 @@
         self.find_job(target, id, "cancel").await?;
         let spent = self.shared.clock.now().since(start);
         let left = target.max_wait.saturating_sub(spent + RESPONSE_MARGIN);
-        self.check_time_to_store(id, left)?;
+        self.check_time_to_store(id)?;
         // A record without a value would delete the key.
         let record = vec![1];
         match self
