--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -351,7 +351,11 @@
         id: JobId,
     ) -> Result<Answer, Refusal> {
         let start = self.shared.clock.now();
-        let body = read_body(request, config.limits.body, target.max_wait).await?;
+        let body = read_body(request, config.limits.body, target.max_wait).await;
+        let body = body.map_err(|e| match e.code {
+            Code::BadRequest if self.shared.is_stopping() => Refusal::new(Code::Stopping, e.detail),
+            _ => e,
+        })?;
         let job = parse_job(&body).map_err(|e| Refusal::new(Code::BadJob, e.to_string()))?;
         let sub = Submission {
             job: id,
