--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,9 @@
 /// How often a stopping node checks whether requests are still in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time in which the last responses are written, however late it is.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Time for writing the last lines of the log, part of the time reserved for exiting.
 const LOG_LIMIT: Duration = Duration::from_millis(300);
 
@@ -85,7 +88,9 @@
     let answer_all = async {
         until(stop.answers_all()).await;
         front.answers_due.cancel();
-        until(stop.exits()).await;
+        // A process that was suspended may find that this time has passed.
+        let left = stop.exits().since(shared.clock.now());
+        sleep(left.max(MIN_ANSWER_TIME)).await;
     };
     let complete = tokio::select! {
         () = finish => true,
