--- a/crates/daemon/src/proxy/traffic.rs
+++ b/crates/daemon/src/proxy/traffic.rs
@@ -13,6 +13,12 @@
 /// Quiet times after which part of a request counts as given up.
 const ROUNDS: u32 = 5;
 
+/// Time in which what came during a quiet time is read.
+///
+/// After a time without a processor, the quiet time is over before the runtime looks at the
+/// sockets: requests that came meanwhile would be lost.
+const SETTLE: Duration = Duration::from_millis(20);
+
 /// Counts of a connection.
 #[derive(Debug, Default)]
 pub(super) struct Traffic {
@@ -45,6 +51,7 @@
         while rounds < ROUNDS {
             let before = self.reads.load(Ordering::Acquire);
             sleep(time).await;
+            sleep(SETTLE).await;
             let idle = self.busy.load(Ordering::Acquire) == 0;
             let after = self.reads.load(Ordering::Acquire);
             if !idle || after != before {
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -116,3 +116,32 @@
     }
     assert!(fleet.entries[0].wait().success());
 }
+
+#[tokio::test]
+async fn suspended_close() {
+    // The process gets no processor time while idle connections become due to be closed and
+    // requests arrive on them. They were sent before the close, so each is answered.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(1_000).await;
+    let mut callers = Vec::new();
+    for _ in 0..40 {
+        let mut caller = Caller::connect(fleet.callers[0]).await;
+        caller.send("POST", &[], "first").await.unwrap();
+        callers.push(caller);
+    }
+    fleet.entries[0].signal("TERM");
+    sleep(Duration::from_millis(2_300)).await;
+    fleet.entries[0].signal("STOP");
+    let calls = callers
+        .into_iter()
+        .map(|mut caller| tokio::spawn(async move { caller.send("POST", &[], "second").await }));
+    let calls: Vec<_> = calls.collect();
+    sleep(HALF_SECOND).await;
+    fleet.entries[0].signal("CONT");
+    let mut cut = 0;
+    for call in calls {
+        cut += usize::from(call.await.unwrap().is_err());
+    }
+    assert_eq!(cut, 0, "requests cut");
+    assert!(fleet.entries[0].wait().success());
+}
