--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,9 @@
 /// Time between two looks whether the entry may start work.
 const OPEN_LOOK: Duration = Duration::from_millis(20);
 
+/// Time for the refusals of what is still under way when a stop waits no longer.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -116,6 +119,8 @@
             .is_err()
         {
             log::error!("stopping with {} connections still busy", self.open.len());
+            self.shared.drained_out.cancel();
+            let _ = timeout(REFUSAL_LIMIT, self.open.wait()).await;
         }
         holding::hand_back(&self.shared).await;
     }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -11,6 +11,7 @@
 mod lines;
 mod live;
 mod payload;
+mod progress;
 mod relay;
 mod request;
 mod server;
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -65,6 +65,7 @@
             self.job.address(&mut request, upstream.addr)?;
             let copy = copy(&request);
             self.exchange.start_attempt();
+            self.job.progress.hand_over();
             let until = Instant::now() + self.job.left();
             match attempt::send(&self.job.shared, request, unit, lease, until).await {
                 Ok(answered) => return Ok(answered),
@@ -119,6 +120,9 @@
         copy: Option<Request<Payload>>,
     ) -> Result<(Permit, Request<Payload>), Refusal> {
         let code = failure.refusal.code;
+        if self.exchange.ran(failure.ran) == Ran::NotRun {
+            self.job.progress.take_back();
+        }
         let request = failure.request.map(|r| *r).or(copy);
         if !self.may_retry(code, failure.ran, request.is_some()) {
             return Err(failure.refusal);
--- a/crates/daemon/src/proxy/job.rs
+++ b/crates/daemon/src/proxy/job.rs
@@ -10,6 +10,7 @@
 
 use super::headers::{DEADLINE, IDEMPOTENT, PRIORITY, REQUEST_ID, TEAM, strip_request};
 use super::payload::Payload;
+use super::progress::Progress;
 use crate::shared::Shared;
 
 /// Who asks for what, and until when.
@@ -30,6 +31,8 @@
     pub(super) idempotent: bool,
     /// When the answer's head has to be there.
     pub(super) deadline: Time,
+    /// What a stop may say of it.
+    pub(super) progress: Progress,
 }
 
 impl Job {
--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -16,6 +16,7 @@
 use super::job::{Job, deadline, is_idempotent, is_urgent};
 use super::lines;
 use super::payload::Payload;
+use super::progress::Progress;
 use crate::shared::Shared;
 use crate::{Phase, jobs};
 
@@ -25,7 +26,7 @@
     let id = request_id(&shared, request.headers());
     let key = request.headers().get(AUTHORIZATION).cloned();
     let answered = match check_size(&shared, &request) {
-        Ok(()) => admit(shared.clone(), request, &id).await,
+        Ok(()) => admit_in_time(shared.clone(), request, &id).await,
         Err(refusal) => Err(refusal),
     };
     let code = answered.as_ref().map_or_else(|r| r.code, |_| Code::Ok);
@@ -71,19 +72,37 @@
     log::info!(request = id, team, code, ran:%, suppressed; "refused: {refusal}");
 }
 
+/// Admits a request, or refuses it once a stop waits no longer.
+///
+/// Otherwise the exit would cut it, and its caller would not learn whether it ran.
+async fn admit_in_time(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Answer>, Refusal> {
+    let (drained, progress) = (shared.drained_out.clone(), Progress::default());
+    tokio::select! {
+        biased;
+        () = drained.cancelled() => Err(progress.refusal()),
+        answered = admit(shared, request, id, progress.clone()) => answered,
+    }
+}
+
 async fn admit(
     shared: Arc<Shared>,
     request: Request<Incoming>,
     id: &str,
+    progress: Progress,
 ) -> Result<Response<Answer>, Refusal> {
     if shared.phase.get() == Phase::Starting {
         return Err(Refusal::new(Code::NotReady));
     }
     check_version(&request)?;
     if request.uri().path().starts_with("/jobs") {
+        progress.hand_over();
         return answer_jobs(shared, request, id).await;
     }
-    let job = job(shared, &request, id)?;
+    let job = job(shared, &request, id, progress)?;
     let (head, body) = request.into_parts();
     let most = job.shared.settings.limits.body_bytes.get();
     // Before a slot is taken: a slow caller holds nothing that others wait for.
@@ -116,7 +135,12 @@
     }
 }
 
-fn job(shared: Arc<Shared>, request: &Request<Incoming>, id: &str) -> Result<Job, Refusal> {
+fn job(
+    shared: Arc<Shared>,
+    request: &Request<Incoming>,
+    id: &str,
+    progress: Progress,
+) -> Result<Job, Refusal> {
     let state = shared.state.load();
     let headers = request.headers();
     let (service, rest) = find_service(&state, request.uri().path())?;
@@ -139,6 +163,7 @@
             shared.now(),
             shared.settings.limits.run_ms.duration(),
         )?,
+        progress,
         shared,
     })
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use cactuswheel_routing::{Presences, Routes, Upstream};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::appender::Appender;
 use crate::basis::Basis;
@@ -29,6 +30,8 @@
     pub(crate) settings: Settings,
     pub(crate) platform: Client,
     pub(crate) phase: PhaseCell,
+    /// Cancelled once a stop waits for requests no longer.
+    pub(crate) drained_out: CancellationToken,
     /// The newest state; only `intake` stores here.
     pub(crate) state: ArcSwap<State>,
     /// The newest sightings; only the roster's task stores here, and `catch_up` while there are
@@ -81,6 +84,7 @@
             platform: Client::new(settings.platform),
             settings,
             phase: PhaseCell::default(),
+            drained_out: CancellationToken::new(),
             state: ArcSwap::default(),
             sightings: ArcSwap::default(),
             routes: ArcSwap::default(),
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -3,14 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactuswheel_e2e::{Caller, Fleet};
+use cactuswheel_e2e::{Caller, Fleet, Reply};
 use cactuswheel_http::Call;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
 
 const HALF_SECOND: Duration = Duration::from_millis(500);
 
+/// How long after it was sent a request's connection may end without an answer: the caller cannot
+/// know yet that the entry is closing the connection.
+const SLACK: Duration = Duration::from_millis(200);
+
 /// Sends on one connection until the entry says that an answer is the last one; how many.
 async fn chat(at: SocketAddr, pause: Duration) -> usize {
     let mut caller = Caller::connect(at).await;
@@ -145,3 +151,78 @@
     assert_eq!(cut, 0, "requests cut");
     assert!(fleet.entries[0].wait().success());
 }
+
+/// A fleet whose entries drain for a second, and callers that each send one long request.
+async fn start_draining(requests: usize) -> (Fleet, Vec<JoinHandle<Result<Reply, hyper::Error>>>) {
+    let mut fleet = Fleet::start(1, 0);
+    fleet.limits = json!({ "drain_ms": 1000 });
+    fleet.add_entry();
+    fleet.open(100).await;
+    let at = fleet.callers[0];
+    let calls = (0..requests).map(|_| {
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(at).await;
+            caller.send("POST", &[("x-sleep-ms", "8000")], "long").await
+        })
+    });
+    let calls = calls.collect();
+    sleep(HALF_SECOND).await;
+    (fleet, calls)
+}
+
+#[tokio::test]
+async fn drain_over() {
+    // Requests run or wait for a slot when the time of the drain is over: each is refused, with
+    // the truth on whether it ran, instead of being cut by the exit.
+    let (mut fleet, calls) = start_draining(12).await;
+    fleet.entries[0].signal("TERM");
+    let mut codes = Vec::new();
+    for call in calls {
+        let reply = call.await.unwrap();
+        let reply = reply.unwrap_or_else(|e| panic!("cut: {e}"));
+        assert_eq!(reply.header("connection"), "close");
+        codes.push((reply.code().to_owned(), reply.ran().to_owned()));
+    }
+    let unrun = codes.iter().filter(|(_, ran)| ran == "not-run").count();
+    assert_eq!(fleet.runs(0).await.len(), calls_run(&codes), "{codes:?}");
+    assert!(unrun > 0 && unrun < 12, "{codes:?}");
+    assert!(fleet.entries[0].wait().success());
+}
+
+/// Requests that are not said to have not run.
+fn calls_run(codes: &[(String, String)]) -> usize {
+    codes.iter().filter(|(_, ran)| ran != "not-run").count()
+}
+
+#[tokio::test]
+async fn late_request() {
+    // The log is absent, so units cannot be handed back and the exit comes 3 s after the drain.
+    // Requests on connections that are still open then are answered or refused, not cut.
+    let (mut fleet, _) = start_draining(0).await;
+    let mut callers = Vec::new();
+    for _ in 0..40 {
+        callers.push(Caller::connect(fleet.callers[0]).await);
+    }
+    fleet.fault(&json!({ "down": true })).await;
+    fleet.entries[0].signal("TERM");
+    let calls = callers.into_iter().enumerate().map(|(n, mut caller)| {
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(n as u64 * 125)).await;
+            let sent = Instant::now();
+            let reply = caller.send("POST", &[("x-sleep-ms", "3000")], "late").await;
+            (n, sent.elapsed(), reply)
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut answered = 0;
+    for call in calls {
+        let (n, took, reply) = call.await.unwrap();
+        match reply {
+            Ok(_) => answered += 1,
+            // The caller could not know yet that the connection is being closed.
+            Err(e) => assert!(took < SLACK, "request {n} was cut after {took:?}: {e}"),
+        }
+    }
+    assert!(answered > 8, "{answered} answered");
+    assert!(fleet.entries[0].wait().success());
+}
