--- a/crates/daemon/src/proxy/request.rs
+++ b/crates/daemon/src/proxy/request.rs
@@ -17,8 +17,8 @@
 use super::lines;
 use super::payload::Payload;
 use super::progress::Progress;
+use crate::jobs;
 use crate::shared::Shared;
-use crate::{Phase, jobs};
 
 /// Answers a request; a refusal is an answer too.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Answer> {
@@ -94,7 +94,7 @@
     id: &str,
     progress: Progress,
 ) -> Result<Response<Answer>, Refusal> {
-    if shared.phase.get() == Phase::Starting {
+    if !shared.phase.is_usable() {
         return Err(Refusal::new(Code::NotReady));
     }
     check_version(&request)?;
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -226,3 +226,23 @@
     assert!(answered > 8, "{answered} answered");
     assert!(fleet.entries[0].wait().success());
 }
+
+#[tokio::test]
+async fn stopped_early() {
+    // An entry that has no state yet is stopped: until it exits, its refusals say that it is not
+    // in service, and not that the service or the key is unknown.
+    let mut fleet = Fleet::start(1, 0);
+    fleet.fault(&json!({ "down": true })).await;
+    fleet.add_entry();
+    let mut callers = Vec::new();
+    for _ in 0..2 {
+        callers.push(Caller::connect(fleet.callers[0]).await);
+    }
+    let before = callers[0].send("POST", &[], "early").await.unwrap();
+    assert_eq!((before.status.as_u16(), before.code()), (503, "206"));
+    fleet.entries[0].signal("TERM");
+    sleep(Duration::from_millis(100)).await;
+    let after = callers[1].send("POST", &[], "early").await.unwrap();
+    assert_eq!(after.status, 503, "code {}", after.code());
+    assert!(fleet.entries[0].wait().success());
+}
