--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -246,3 +246,24 @@
     assert_eq!(after.status, 503, "code {}", after.code());
     assert!(fleet.entries[0].wait().success());
 }
+
+#[tokio::test]
+async fn second_signal() {
+    // The platform repeats its signal, and an operator presses Ctrl-C, while a request runs: it
+    // is answered whole.
+    let mut fleet = Fleet::start(1, 1);
+    fleet.open(100).await;
+    let at = fleet.callers[0];
+    let long = tokio::spawn(async move {
+        let mut caller = Caller::connect(at).await;
+        caller.send("POST", &[("x-sleep-ms", "3000")], "long").await
+    });
+    sleep(HALF_SECOND).await;
+    for name in ["TERM", "TERM", "INT", "TERM"] {
+        fleet.entries[0].signal(name);
+        sleep(HALF_SECOND).await;
+    }
+    let reply = long.await.unwrap().unwrap();
+    assert_eq!(reply.body.as_deref(), Some(b"long".as_slice()));
+    assert!(fleet.entries[0].wait().success());
+}
