--- a/crates/relay/src/relays.rs
+++ b/crates/relay/src/relays.rs
@@ -144,7 +144,9 @@
             return Reply::NotYet;
         };
         let needed = workers > self.own_capacity.workers();
-        let offered = self.relays.values().map(|r| r.offer.capacity);
+        // A relay that is about to stop is replaced before it exits.
+        let staying = self.relays.values().filter(|r| !r.offer.leaving);
+        let offered = staying.map(|r| r.offer.capacity);
         let offered = offered.sum::<Capacity>().workers() as f64;
         let registered = self.relays.contains_key(&offer.node);
         if offer.leaving || registered || !needed || offered >= workers as f64 * CAPACITY_FACTOR {
--- a/crates/relay/tests/relays.rs
+++ b/crates/relay/tests/relays.rs
@@ -190,6 +190,28 @@
     assert_eq!(relays.count(), 2);
 }
 
+/// Guards against relays with more workers than they offered to serve while nodes are restarted two
+/// at a time: half of the relays are about to stop, and no other node replaces them until they have
+/// exited and their heartbeats have timed out.
+#[test]
+fn leaving_replaced() {
+    let mut relays = relays_of(130, &[]);
+    let is_wanted = |relays: &mut Relays, n: usize, leaving: bool| {
+        let offer = offer(&format!("n{n}"), "a");
+        relays.handle_offer(NOW, Offer { leaving, ..offer }) == Reply::Wanted
+    };
+    let before: Vec<usize> = (0..40)
+        .filter(|n| is_wanted(&mut relays, *n, false))
+        .collect();
+    let leaving = &before[..before.len() / 2];
+    for n in leaving {
+        assert!(is_wanted(&mut relays, *n, true));
+    }
+    let others = before.len()..40;
+    let replaced = others.filter(|n| is_wanted(&mut relays, *n, false));
+    assert_eq!(replaced.count(), leaving.len());
+}
+
 /// Guards against tasks that run twice, when a relay is suspended with a start order in its queue
 /// and sends it after another owner has settled the run. The time of the last confirmation of the
 /// ownership, on the relay's clock, must never be later than the actual one, however long the
