--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -51,6 +51,9 @@
 /// Idle time after which a stopping node closes a caller's connection.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time in which the runtime reads what arrived while the process had no processor time.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// When a caller may come back whose job had no room in the state of the open jobs: jobs end at any
 /// time.
 const FULL_RETRY: Duration = Duration::from_secs(5);
@@ -184,7 +187,7 @@
             // First, so that a request that has arrived is read before its connection is closed.
             biased;
             _ = conn.as_mut() => return,
-            () = sleep(IDLE_TIMEOUT.min(left)) => {}
+            () = idle(IDLE_TIMEOUT.min(left)) => {}
         }
         if left <= IDLE_TIMEOUT || count.load(Ordering::Relaxed) == before {
             front.idle_closed.fetch_add(1, Ordering::Relaxed);
@@ -196,6 +199,15 @@
     }
 }
 
+/// Waits for `time`, and then until the runtime has read what arrived meanwhile.
+///
+/// After a time without a processor, the timer fires before the runtime looks at the sockets, and
+/// requests that arrived would be closed over unread.
+async fn idle(time: Duration) {
+    sleep(time).await;
+    sleep(SETTLE_TIME).await;
+}
+
 impl Front {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let start = self.shared.clock.now();
--- a/crates/soak/tests/stop_paths.rs
+++ b/crates/soak/tests/stop_paths.rs
@@ -497,6 +497,36 @@
     sleep(at.saturating_duration_since(Instant::now())).await;
 }
 
+/// Guards against requests that are closed over unread because the node had no processor time while
+/// their idle connections became due to be closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn suspended_close() {
+    let mut world = World::start(2, 49).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = 1 - owner;
+    let mut caller = world.caller_of(owner);
+    let job = caller.submit("/a/", 1, &TINY.steps(), &TINY.spec()).await;
+    let mut sessions = Vec::new();
+    for _ in 0..40 {
+        sessions.push(Session::open(world.nodes[node].callers).await);
+    }
+    let start = Instant::now();
+    world.nodes[node].signal("TERM");
+    // Idle connections are due to be closed 4.8 s after the SIGTERM.
+    sleep_until(start, 4_650).await;
+    world.nodes[node].signal("STOP");
+    let mut reads = JoinSet::new();
+    for mut session in sessions {
+        let path = job.path.clone();
+        reads.spawn(async move { session.get(&path).await });
+    }
+    sleep_until(start, 4_880).await;
+    world.nodes[node].signal("CONT");
+    let reads = reads.join_all().await;
+    let cut: Vec<&Exchange> = reads.iter().filter(|r| r.is_cut()).collect();
+    assert!(cut.is_empty(), "{} cut: {:?}", cut.len(), cut.first());
+}
+
 /// Where a slow caller pauses in its request.
 #[derive(Debug, Clone, Copy)]
 enum Pause {
