--- a/crates/e2e/src/hosts.rs
+++ b/crates/e2e/src/hosts.rs
@@ -6,6 +6,9 @@
 /// Fleets started by this process.
 static FLEETS: AtomicU8 = AtomicU8::new(0);
 
+/// Hosts that a fleet may use while a process has more than 16 fleets.
+const HOSTS_PER_FLEET: u8 = 31;
+
 /// Hands out addresses under one prefix of 127.0.0.0/8.
 ///
 /// The prefix comes from the process id and a counter, so tests that run side by side cannot
@@ -25,7 +28,7 @@
         let c = ((pid / 250) % 16) as u8 * 16 + fleet % 16;
         Self {
             prefix: [127, b, c],
-            last: 0,
+            last: fleet / 16 % 8 * HOSTS_PER_FLEET,
         }
     }
 }
