--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -20,11 +20,14 @@
 /// Pause before a query is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Shortest limit of a query: one attempt, and the time to record its outcome.
+const MIN_LIMIT: Duration = Duration::from_millis(400);
+
 /// Queries the state of a job; `None` if no owner answers within `limit`, or within one attempt if
 /// that is longer.
 pub(crate) async fn job(shared: &Shared, id: JobId, limit: Duration) -> Option<JobAnswer> {
     let query = find_job(shared, id, last_retry(shared, limit));
-    timeout(limit.max(ATTEMPT_TIMEOUT), query).await.ok()?
+    timeout(limit.max(MIN_LIMIT), query).await.ok()?
 }
 
 async fn find_job(shared: &Shared, id: JobId, last_retry: Time) -> Option<JobAnswer> {
@@ -52,7 +55,7 @@
 /// within one attempt if that is longer.
 pub(crate) async fn pending(shared: &Shared, queue: &QueueName, limit: Duration) -> Option<u64> {
     let query = count_pending(shared, queue, last_retry(shared, limit));
-    timeout(limit.max(ATTEMPT_TIMEOUT), query).await.ok()?
+    timeout(limit.max(MIN_LIMIT), query).await.ok()?
 }
 
 async fn count_pending(shared: &Shared, queue: &QueueName, last_retry: Time) -> Option<u64> {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -159,13 +159,26 @@
     }
 }
 
+/// Counts of a connection's requests.
+#[derive(Debug, Default)]
+struct Requests {
+    /// Requests received so far.
+    received: AtomicUsize,
+    /// Requests that have their response, as far as it is handed to the connection.
+    answered: AtomicUsize,
+}
+
 async fn serve_caller(stream: TcpStream, front: Arc<Front>, begun: CancellationToken) {
-    let count = Arc::new(AtomicUsize::new(0));
-    let (counter, server) = (count.clone(), front.clone());
+    let requests = Arc::new(Requests::default());
+    let (counts, server) = (requests.clone(), front.clone());
     let service = service_fn(move |request| {
-        let front = server.clone();
-        counter.fetch_add(1, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(front.handle(request).await) }
+        let (counts, front) = (counts.clone(), server.clone());
+        counts.received.fetch_add(1, Ordering::Relaxed);
+        async move {
+            let answer = front.handle(request).await;
+            counts.answered.fetch_add(1, Ordering::Relaxed);
+            Ok::<_, Infallible>(answer)
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -182,23 +195,28 @@
     // a response only when it has been idle for `IDLE_TIMEOUT`, or when a request could not be
     // answered any more before the process exits.
     loop {
-        let before = count.load(Ordering::Relaxed);
+        let before = requests.received.load(Ordering::Relaxed);
         let left = front.shared.idle_time_left().unwrap_or(IDLE_TIMEOUT);
-        let idle = async {
+        let last_chance = left <= IDLE_TIMEOUT;
+        let wait = async {
             sleep(IDLE_TIMEOUT.min(left)).await;
             sleep(SETTLE_TIME).await;
         };
         tokio::select! {
             _ = conn.as_mut() => return,
-            () = idle => {}
+            () = wait => {}
+        }
+        let received = requests.received.load(Ordering::Relaxed);
+        if received != before && !last_chance {
+            continue;
         }
-        if left <= IDLE_TIMEOUT || count.load(Ordering::Relaxed) == before {
+        if received == requests.answered.load(Ordering::Relaxed) {
             front.idle_closed.fetch_add(1, Ordering::Relaxed);
-            conn.as_mut().graceful_shutdown();
-            // Ends with the response to the request in flight, if there is one.
-            let _ = conn.await;
-            return;
         }
+        conn.as_mut().graceful_shutdown();
+        // Ends with the response to the request in flight, if there is one.
+        let _ = conn.await;
+        return;
     }
 }
 
