--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,20 +2,18 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
-use cactuswheel_model::Time;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
+use crate::callers::Callers;
 use crate::election::Election;
-use crate::front::{self, Closing, Front};
+use crate::front::Front;
 use crate::intake::Intake;
 use crate::logging::flush_log;
 use crate::metrics::Metrics;
@@ -23,12 +21,6 @@
 use crate::shared::Shared;
 use crate::{NodeError, Settings, config_follower, owner, peer, ready, relay_server, view};
 
-/// How often a stopping node checks whether requests are still in flight.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Time in which the last responses are written, however late it is.
-const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
-
 /// Time for writing the last lines of the log, part of the time reserved for exiting.
 const LOG_LIMIT: Duration = Duration::from_millis(300);
 
@@ -62,52 +54,14 @@
         idle_closed: AtomicUsize::new(0),
         answers_due: CancellationToken::new(),
     });
-    let closing = Closing::default();
-    let open = TaskTracker::new();
-    let server = front::serve(callers, front.clone(), open.clone(), closing.clone());
-    let server = tokio::spawn(server);
+    let callers = Callers::accept(callers, front);
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let owner = shared.believed_owner();
-    log::info!(
-        busy = front.in_flight.load(Ordering::Acquire) as u64, connections = open.len() as u64,
-        owner = owner.node, epoch = owner.epoch;
-        "node stopping"
-    );
     let stop = shared.begin_stop();
     let _ = halt.send(true);
-    let until = |time: Time| sleep(time.since(shared.clock.now()));
-    let finish = async {
-        until(stop.refuses_connections()).await;
-        closing.begun.cancel();
-        let _ = server.await;
-        drain_requests(&front, &open).await;
-    };
-    let answer_all = async {
-        until(stop.answers_all()).await;
-        front.answers_due.cancel();
-        // A process that was suspended may find that this time has passed.
-        let left = stop.exits().since(shared.clock.now());
-        sleep(left.max(MIN_ANSWER_TIME)).await;
-    };
-    let complete = tokio::select! {
-        () = finish => true,
-        () = answer_all => false,
-    };
-    let (busy, connections) = (front.in_flight.load(Ordering::Acquire), open.len());
-    // Each request that is cut logs a line.
-    closing.exit.cancel();
-    open.close();
-    let _ = timeout(POLL_INTERVAL, open.wait()).await;
-    let owner = shared.believed_owner();
-    log::info!(
-        whole = complete, busy = busy as u64, connections = connections as u64,
-        idle_closed = front.idle_closed.load(Ordering::Relaxed) as u64,
-        owner = owner.node, epoch = owner.epoch;
-        "node stopped"
-    );
+    callers.wind_down(stop).await;
     flush_log(LOG_LIMIT).await;
     Ok(())
 }
@@ -126,15 +80,6 @@
     tokio::spawn(relay_server::offer_relay(shared.clone()));
 }
 
-/// Waits until every request is answered and every caller's connection is closed.
-async fn drain_requests(front: &Front, open: &TaskTracker) {
-    open.close();
-    open.wait().await;
-    while front.in_flight.load(Ordering::Acquire) > 0 {
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
 async fn serve_metrics(listener: TcpListener, shared: Arc<Shared>) {
     cactuswheel_http::serve(listener, move |request| {
         view::answer(shared.clone(), request.uri().path().to_owned())
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use crate::front::ACCEPT_PAUSE;
+use crate::connections::ACCEPT_PAUSE;
 use crate::shared::Shared;
 
 /// Serves readiness probes until the task is dropped.
