--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
 
 use cactuswheel_e2e::Process;
 use serde_json::{Value, json};
@@ -27,6 +28,10 @@
     /// Address that serves the metrics.
     pub metrics: SocketAddr,
     child: Option<Child>,
+    /// Reads the output of `child` to its end.
+    reader: Option<JoinHandle<()>>,
+    /// Number of lines before the first line of `child`.
+    started_at: usize,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -65,6 +70,8 @@
             peers: addr(2),
             metrics: addr(3),
             child: None,
+            reader: None,
+            started_at: 0,
             lines: Arc::default(),
         }
     }
@@ -82,7 +89,8 @@
             .expect("the program starts");
         let out = child.stdout.take().expect("standard output is piped");
         let lines = self.lines.clone();
-        std::thread::spawn(move || {
+        self.started_at = lines.lock().unwrap_or_else(PoisonError::into_inner).len();
+        let reader = std::thread::spawn(move || {
             for line in BufReader::new(out).lines().map_while(Result::ok) {
                 let mut log = lines.lock().unwrap_or_else(PoisonError::into_inner);
                 if log.len() < MAX_LINES {
@@ -91,6 +99,7 @@
             }
         });
         self.child = Some(child);
+        self.reader = Some(reader);
     }
 
     /// Whether the process has been started and has not exited.
@@ -124,10 +133,30 @@
         status.is_some_and(|s| s.code().is_some_and(|c| c != 0))
     }
 
+    /// Whether the process has exited with status 0.
+    pub fn has_succeeded(&mut self) -> bool {
+        let status = self.child.as_mut().and_then(|c| c.try_wait().ok()?);
+        status.is_some_and(|s| s.success())
+    }
+
+    /// The last line with `message` that the process wrote, once it has exited.
+    pub fn last_words(&mut self, message: &str) -> Value {
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("the output is read to its end");
+        }
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let own = lines[self.started_at..].iter().rev();
+        let mut parsed = own.filter_map(|l| serde_json::from_str(l).ok());
+        let found = parsed.find(|l: &Value| l["message"] == message);
+        found.unwrap_or_default()
+    }
+
     /// The parsed log lines whose message equals `message`, oldest first.
     pub fn log(&self, message: &str) -> Vec<Value> {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        let parsed = lines.iter().filter_map(|l| serde_json::from_str(l).ok());
+        // Only lines that may match are parsed: a run with many nodes reads its logs often.
+        let likely = lines.iter().filter(|l| l.contains(message));
+        let parsed = likely.filter_map(|l| serde_json::from_str(l).ok());
         parsed.filter(|l: &Value| l["message"] == message).collect()
     }
 
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -7,7 +7,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::{AcceptedJob, Mode, World};
+use crate::job_book::Fate;
+use crate::{AcceptedJob, Complaint, Mode, Trail, World};
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 4;
@@ -23,6 +24,49 @@
     pub violations: Vec<String>,
     /// Log lines of all nodes; empty if the run passed.
     pub logs: Vec<String>,
+    /// Number of processes stopped by a planned stop.
+    pub stops: usize,
+    /// What callers on open connections have seen.
+    pub trail: Trail,
+}
+
+impl Report {
+    /// Adds what callers on open connections saw; the complaints for which `counts` is true are
+    /// violations.
+    pub(crate) fn add_trail(
+        &mut self,
+        mut trail: Trail,
+        start: Instant,
+        stops: &[(usize, Instant)],
+        counts: impl Fn(&Complaint) -> bool,
+    ) {
+        trail.complaints.sort_by_key(|c| (c.flaw, c.sent));
+        let counted = trail.complaints.iter().filter(|c| counts(c));
+        let lines = counted.map(|c| c.describe(start, stops));
+        self.violations.extend(lines);
+        self.trail = trail;
+    }
+
+    /// Waits for the jobs and checks them and all runs; keeps the nodes' logs of a run that did not
+    /// pass.
+    pub(crate) async fn finish(&mut self, world: &mut World) {
+        self.violations.extend(self.trail.jobs.settle(world).await);
+        self.jobs = self.trail.jobs.accepted();
+        // The end of a run is acknowledged to its worker shortly after its job is reported as
+        // complete.
+        sleep(Duration::from_secs(1)).await;
+        let broken = world.platform.ledger(|l| l.violations.clone());
+        self.violations.extend(broken);
+        for node in &mut world.nodes {
+            if node.has_failed() {
+                let line = "a node exited with an error".to_owned();
+                self.violations.push(line);
+            }
+        }
+        if !self.violations.is_empty() {
+            self.logs = world.nodes.iter().flat_map(|n| n.lines()).collect();
+        }
+    }
 }
 
 /// Runs callers for `time` under faults drawn from `seed`, ends all faults, and then checks that
@@ -33,11 +77,8 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
             let caller = world.caller(number as usize);
-            tokio::spawn(submit_jobs(
-                caller,
-                Rng::new(seed ^ (number + 1) << 32),
-                time,
-            ))
+            let rng = Rng::new(seed ^ (number + 1) << 32);
+            tokio::spawn(submit_jobs(caller, rng, time))
         })
         .collect();
     let mut report = Report::default();
@@ -48,46 +89,16 @@
         report.faults.push(format!("{:?} {fault}", start.elapsed()));
     }
     heal(&mut world);
-    let mut accepted: Vec<AcceptedJob> = Vec::new();
     for caller in callers {
         match caller.await {
-            Ok(jobs) => accepted.extend(jobs),
+            Ok(jobs) => {
+                let accepted = jobs.iter();
+                accepted.for_each(|j| report.trail.jobs.submitted(j, Fate::Accepted));
+            }
             Err(e) => report.violations.push(format!("a caller task failed: {e}")),
         }
     }
-    report.jobs = accepted.len();
-    let mut caller = world.caller(0);
-    for job in &accepted {
-        match caller.wait(job).await {
-            Ok(state) if state == "complete" => {}
-            Ok(state) => report.violations.push(format!("{} is {state}", job.path)),
-            Err(e) => report.violations.push(e),
-        }
-    }
-    // The end of a run is acknowledged to its worker shortly after its job is reported as complete.
-    sleep(Duration::from_secs(1)).await;
-    report
-        .violations
-        .extend(world.platform.ledger(|l| l.violations.clone()));
-    for job in &accepted {
-        let starts = world.platform.ledger(|l| l.start_count(&job.id));
-        if (starts as usize) < job.tasks {
-            report.violations.push(format!(
-                "{}: {starts} starts, {} tasks",
-                job.path, job.tasks
-            ));
-        }
-    }
-    for node in &mut world.nodes {
-        if node.has_failed() {
-            report
-                .violations
-                .push("a node exited with an error".to_owned());
-        }
-    }
-    if !report.violations.is_empty() {
-        report.logs = world.nodes.iter().flat_map(|n| n.lines()).collect();
-    }
+    report.finish(&mut world).await;
     report
 }
 
