--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,12 +1,13 @@
 //! Randomized fault soak: runs real nodes as separate processes on loopback and injects faults
 //! from outside them: signals to nodes, proxies that stall, delay and reset connections, worker
 //! crashes, and a store that compacts its history, loses replies and rejects requests. A rolling
-//! run has planned stops alone, while callers hold connections open until a node closes them.
+//! run has planned stops alone. In both, callers hold connections open until a node closes them.
 //!
 //! Test support only. Whether a run passes is decided by what callers and workers observe. It
 //! terminates only processes that it has started.
 
 mod caller;
+mod disturbances;
 mod job_book;
 mod line;
 mod node;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,5 +1,6 @@
 //! Injects random faults while callers submit jobs, then checks the results.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use cactuswheel_local::Faults;
@@ -7,12 +8,17 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::disturbances::Disturbances;
 use crate::job_book::Fate;
-use crate::{AcceptedJob, Complaint, Mode, Trail, World};
+use crate::line::{Lines, Targets};
+use crate::{AcceptedJob, Complaint, Flaw, Mode, Trail, World};
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 4;
 
+/// Number of open connections.
+const LINES: usize = 60;
+
 /// Result of one soak run.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -71,6 +77,10 @@
 
 /// Runs callers for `time` under faults drawn from `seed`, ends all faults, and then checks that
 /// each accepted job completes and that no guarantee was violated.
+///
+/// A request on an open connection may be cut only where an unplanned fault disturbed its node.
+/// Refusals and closes are counted, not judged: a fault of one node may leave the cell without an
+/// owner.
 pub async fn soak(seed: u64, nodes: usize, time: Duration) -> Report {
     let mut world = World::start(nodes, seed).await;
     let mut rng = Rng::new(seed);
@@ -81,23 +91,42 @@
             tokio::spawn(submit_jobs(caller, rng, time))
         })
         .collect();
+    let targets = Targets::new((0..nodes).collect::<Vec<_>>().into());
+    let lines = Lines::start(&world, &targets, LINES, Rng::new(!seed), time);
     let mut report = Report::default();
+    let mut disturbances = Disturbances::default();
+    let mut disturbed = BTreeSet::new();
     let start = Instant::now();
     while start.elapsed() < time {
         sleep(Duration::from_millis(200 + rng.below(900))).await;
-        let fault = inject_fault(&mut world, &mut rng);
+        let since = Instant::now();
+        let fault = inject_fault(&mut world, &mut rng, &mut disturbed);
+        disturbances.record(since, disturbed.clone());
+        // Restores nodes after half of the faults, so that most faults end before the next but one
+        // is injected, as most faults at customers do.
+        if rng.chance(50) {
+            restore_nodes(&mut world);
+            disturbed.clear();
+        }
         report.faults.push(format!("{:?} {fault}", start.elapsed()));
     }
     heal(&mut world);
+    let mut trail = lines.join().await;
     for caller in callers {
         match caller.await {
             Ok(jobs) => {
                 let accepted = jobs.iter();
-                accepted.for_each(|j| report.trail.jobs.submitted(j, Fate::Accepted));
+                accepted.for_each(|j| trail.jobs.submitted(j, Fate::Accepted));
             }
             Err(e) => report.violations.push(format!("a caller task failed: {e}")),
         }
     }
+    let counts = |c: &Complaint| match c.flaw {
+        Flaw::Cut => !disturbances.excuse(c),
+        Flaw::Wrong => true,
+        Flaw::Refused | Flaw::Closed => false,
+    };
+    report.add_trail(trail, start, &[], counts);
     report.finish(&mut world).await;
     report
 }
@@ -126,8 +155,9 @@
 }
 
 /// Injects one random fault, or ends all faults; returns its description. Each call replaces the
-/// faults of the platform that the call before it has set.
-fn inject_fault(world: &mut World, rng: &mut Rng) -> String {
+/// faults of the platform that the call before it has set. Adds the nodes that the fault disturbs
+/// to `disturbed`.
+fn inject_fault(world: &mut World, rng: &mut Rng, disturbed: &mut BTreeSet<usize>) -> String {
     let index = rng.below(world.nodes.len() as u64) as usize;
     let mut faults = Faults::default();
     let fault = match rng.below(12) {
@@ -181,10 +211,10 @@
         }
     };
     world.platform.set_faults(faults);
-    // Restores nodes after half of the faults, so that most faults end before the next but one is
-    // injected, as most faults at customers do.
-    if rng.chance(50) {
-        restore_nodes(world);
+    match fault {
+        "kill" | "stop" | "store's link" => disturbed.extend([index]),
+        "store down" | "lost writes" => disturbed.extend(0..world.nodes.len()),
+        _ => {}
     }
     format!("{fault} at n{index}")
 }
