--- a/crates/soak/src/trail.rs
+++ b/crates/soak/src/trail.rs
@@ -136,8 +136,8 @@
     }
 }
 
-/// What is wrong with the end of a request. New jobs may be refused, and the outcome of new jobs
-/// and cancels may be unknown, if the response says so.
+/// What is wrong with the end of a request. The outcome of new jobs and cancels may be unknown, if
+/// the response says so. The callers' jobs leave room on the workers, so none is refused for that.
 fn find_flaw(request: Request, exchange: &Exchange) -> Option<Flaw> {
     let writes = matches!(request, Request::Submit | Request::Cancel);
     match exchange.status() {
@@ -145,7 +145,6 @@
         None => Some(Flaw::Closed),
         Some(200) => None,
         Some(503) if !exchange.is_refusal() => Some(Flaw::Wrong),
-        Some(503) if request == Request::Submit => None,
         Some(503) => Some(Flaw::Refused),
         Some(504) if writes => None,
         Some(_) => Some(Flaw::Wrong),
