--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -20,6 +20,12 @@
 /// Pause before a query is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Attempts of a probe of an owner that cannot be reached.
+const PROBE_ATTEMPTS: u32 = 2;
+
+/// Usual time from the release of the ownership until the next owner answers.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
+
 /// Shortest limit of a query: one attempt, and the time to record its outcome.
 const MIN_LIMIT: Duration = Duration::from_millis(400);
 
@@ -120,23 +126,34 @@
 }
 
 /// Whether the owner answers, on a new connection if there is none or the current one is broken.
+/// While the ownership changes hands, waits for the next owner.
 pub(crate) async fn probe(shared: &Shared, sub: &Submission) -> bool {
-    if shared.local_owner.load().is_some() {
-        return true;
-    }
-    for _ in 0..2 {
-        let Some(link) = owner_link(shared).await else {
-            break;
-        };
-        let (id, service, team) = (sub.job, sub.service.clone(), sub.team.clone());
-        let answer = link.standing(id, service, team, ATTEMPT_TIMEOUT).await;
-        if answer.is_some() {
+    let handed_over = shared.clock.now().after(HANDOVER_TIME);
+    let mut attempts = 0;
+    loop {
+        if shared.local_owner.load().is_some() {
             return true;
         }
-        drop_link(shared);
+        attempts += 1;
+        let link = owner_link(shared).await;
+        if let Some(link) = &link {
+            let (id, service, team) = (sub.job, sub.service.clone(), sub.team.clone());
+            let answer = link.standing(id, service, team, ATTEMPT_TIMEOUT).await;
+            if answer.is_some() {
+                return true;
+            }
+            drop_link(shared);
+        }
+        let unreachable = link.is_none() && shared.owner.load().is_some();
+        let late = unreachable || shared.clock.now() >= handed_over;
+        if late && attempts >= PROBE_ATTEMPTS {
+            shared.owner_unreachable.notify_one();
+            return false;
+        }
+        if !late {
+            sleep(RETRY_DELAY).await;
+        }
     }
-    shared.owner_unreachable.notify_one();
-    false
 }
 
 /// Hands in a job to the owner, within `limit`.
--- a/crates/soak/tests/planned_stops.rs
+++ b/crates/soak/tests/planned_stops.rs
@@ -259,3 +259,42 @@
     }
     assert_eq!(unserved, 0, "of 40");
 }
+
+/// Guards against new jobs that a quiet node refuses during a planned hand-over: it takes the time
+/// since its last hand-in for an outage of the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn quiet_node() {
+    let mut world = World::start(3, 37).await;
+    let owner = world.owner().expect("a node owns the cell");
+    let node = (owner + 1) % 3;
+    let body = json!({ "spec": "work_ms=50", "steps": steps() });
+    let mut caller = world.caller_of(node);
+    caller.submit("/a/", 1, &steps(), "work_ms=50").await;
+    let mut sessions = Vec::new();
+    for _ in 0..30 {
+        sessions.push(Session::open(world.nodes[node].callers).await);
+    }
+    sleep_until((Instant::now() + ms(4_000)).into()).await;
+    world.nodes[owner].signal("TERM");
+    let start = Instant::now();
+    let requests = sessions.into_iter().zip(0..).map(|(mut session, number)| {
+        let body = body.clone();
+        tokio::spawn(async move {
+            sleep_until((start + ms(4) * number).into()).await;
+            session
+                .post(&format!("/a/{:016x}", 0x2000 + number), &body)
+                .await
+        })
+    });
+    let mut refused = Vec::new();
+    for request in requests.collect::<Vec<_>>() {
+        let end = request.await.expect("a request does not panic");
+        refused.extend((!end.is_ok()).then_some(end));
+    }
+    assert!(
+        refused.is_empty(),
+        "{} of 30: {:#?}",
+        refused.len(),
+        refused[0]
+    );
+}
