--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -148,7 +148,10 @@
     async fn stop_cell(&self) {
         self.role.send_replace(Role::Idle);
         let mut active = self.shared.cell_active.subscribe();
-        let _ = timeout(STORE_TIMEOUT, active.wait_for(|a| !*a)).await;
+        let stopped = timeout(STORE_TIMEOUT, active.wait_for(|a| !*a)).await;
+        if stopped.is_err() {
+            log::error!("the cell has not stopped; releasing the ownership all the same");
+        }
     }
 
     /// Releases the ownership if this node holds it, and waits for the next record.
