--- a/crates/soak/src/supervisor.rs
+++ b/crates/soak/src/supervisor.rs
@@ -91,6 +91,8 @@
         let up = self.up();
         let stops = up.len() > 1 && up.contains(&node);
         if stops {
+            // Signals may take long on a busy machine.
+            self.update_targets();
             let now = Instant::now();
             self.phases[node] = Phase::Stopping(now);
             self.stops.push((node, now));
@@ -133,6 +135,11 @@
         for index in 0..self.phases.len() {
             self.phases[index] = self.next_phase(world, index).await;
         }
+        self.update_targets();
+    }
+
+    /// Lists the nodes that the load balancer gives new connections to.
+    fn update_targets(&self) {
         let listed = self.nodes_where(|p| match p {
             Phase::Up => true,
             Phase::Stopping(since) => since.elapsed() < BALANCER_DELAY,
