--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod outage;
 mod paused;
 mod pending;
+mod reborn;
 mod spent;
 mod worker;
 
@@ -64,6 +65,7 @@
         match case {
             "paused" => paused::play(program(), &folder, &ledger, trouble).await,
             "outage" => outage::play(program(), &folder, &ledger, trouble).await,
+            "reborn" => reborn::play(program(), &folder, &ledger, trouble).await,
             "spent" => spent::play(program(), &folder, &ledger, trouble).await,
             "pending" => pending::play(program(), &folder, &ledger, trouble).await,
             _ => None,
