--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/cactuswheeld ] || exit 2
 [ -x target/review-2/release/review-standin-2 ] || exit 2
-exec target/review-2/release/review-standin-2 spent review/6/record.txt
+exec target/review-2/release/review-standin-2 sick review/6/record.txt
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod paused;
 mod pending;
 mod reborn;
+mod sick;
 mod spent;
 mod worker;
 
@@ -66,6 +67,7 @@
             "paused" => paused::play(program(), &folder, &ledger, trouble).await,
             "outage" => outage::play(program(), &folder, &ledger, trouble).await,
             "reborn" => reborn::play(program(), &folder, &ledger, trouble).await,
+            "sick" => sick::play(program(), &folder, &ledger, trouble).await,
             "spent" => spent::play(program(), &folder, &ledger, trouble).await,
             "pending" => pending::play(program(), &folder, &ledger, trouble).await,
             _ => None,
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -194,6 +194,11 @@
         state.expiry.saturating_sub(Self::clock(&state))
     }
 
+    /// The cores in use, in thousandths.
+    pub fn used(&self) -> u64 {
+        self.lock().running.values().map(|r| r.cpu).sum()
+    }
+
     /// How many work units are on the worker.
     pub fn busy(&self) -> usize {
         self.lock().running.len()
