--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -68,6 +68,7 @@
                 run,
                 spec,
                 expiry,
+                born,
                 fence,
                 checkpoint,
                 ticket,
@@ -88,7 +89,7 @@
         let Some(attempt) = self.attempt_mut(task, run, id) else {
             return;
         };
-        let phase = attempt.phase;
+        let (phase, ordered) = (attempt.phase, attempt.phase_since);
         match outcome {
             StartOutcome::Started => {
                 attempt.start_confirmed = true;
@@ -109,7 +110,9 @@
                 self.poll_soon(id);
                 self.release_unstarted(task, run, id, phase);
             }
-            StartOutcome::Refused(refusal) => self.start_refused(task, run, id, phase, refusal),
+            StartOutcome::Refused(refusal) => {
+                self.start_refused((task, run), id, (phase, ordered), refusal);
+            }
             StartOutcome::Unknown => {
                 if phase == Phase::Ordered {
                     attempt.enter(Phase::Unknown, now);
@@ -122,10 +125,9 @@
 
     fn start_refused(
         &mut self,
-        task: TaskId,
-        run: u32,
+        (task, run): (TaskId, u32),
         id: &WorkerId,
-        phase: Phase,
+        (phase, ordered): (Phase, Time),
         refusal: StartRefusal,
     ) {
         let now = self.now;
@@ -142,6 +144,7 @@
                     worker.health.pause(now);
                 }
             }
+            StartRefusal::OtherLife if self.is_newer_incarnation(id, ordered) => {}
             StartRefusal::Fence | StartRefusal::Late | StartRefusal::OtherLife => {
                 self.poll_soon(id);
             }
@@ -150,6 +153,14 @@
         self.release_unstarted(task, run, id, phase);
     }
 
+    /// Whether the worker's incarnation first answered after `ordered`. An order of that time was
+    /// meant for an earlier one, and its refusal says nothing about the worker as it is known now.
+    fn is_newer_incarnation(&self, id: &WorkerId, ordered: Time) -> bool {
+        let worker = self.workers.get(id);
+        let answer = worker.and_then(|w| w.first_answer);
+        answer.is_some_and(|at| at >= ordered)
+    }
+
     /// Releases a run that its start order certainly did not start, unless a poll has shown it
     /// running.
     fn release_unstarted(&mut self, task: TaskId, run: u32, id: &WorkerId, phase: Phase) {
--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -9,7 +9,9 @@
 use cactuswheel_model::{Map, Time};
 use cactuswheel_relay::NewestPoll;
 use cactuswheel_rtt::RttEstimator;
-use cactuswheel_work::{PaceOrder, PollOrder, StartOrder, StartOutcome, StopOrder, WorkerId};
+use cactuswheel_work::{
+    PaceOrder, PollOrder, StartOrder, StartOutcome, StopOrder, WorkerId, WorkerStatus,
+};
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
@@ -87,7 +89,7 @@
     slots: Arc<Semaphore>,
     /// Newest fencing token of any poll; start orders with an older one are not sent.
     fence: Arc<AtomicU64>,
-    newest_poll: NewestPoll,
+    newest_poll: Arc<NewestPoll>,
     /// The poll in flight.
     poll: Option<AbortHandle>,
     last_used: Time,
@@ -160,7 +162,7 @@
             orders: Arc::new(WorkerClient::new(id.clone(), HttpClient::new(addr))),
             slots: Arc::new(Semaphore::new(MAX_PER_WORKER)),
             fence: Arc::new(AtomicU64::new(0)),
-            newest_poll: NewestPoll::default(),
+            newest_poll: Arc::default(),
             poll: None,
             last_used: now,
         };
@@ -204,7 +206,7 @@
         let (window, start_rtt) = (self.window.clone(), self.start_rtt.clone());
         let conn = self.conn(&worker, addr);
         let (orders, slots) = (conn.orders.clone(), conn.slots.clone());
-        let fence = conn.fence.clone();
+        let (fence, newest_poll) = (conn.fence.clone(), conn.newest_poll.clone());
         self.tasks.spawn(async move {
             let (Ok(_slot), Ok(_order)) = (slots.acquire().await, window.acquire().await) else {
                 return;
@@ -218,11 +220,24 @@
             // the ownership is confirmed suffices, since the confirmation expires before another
             // node can claim the ownership.
             let superseded = superseded || !sink.holds_ownership();
-            let outcome = match superseded {
-                true => StartOutcome::NotSent,
+            let poll = newest_poll.get();
+            let (outcome, status) = match superseded {
+                true => (StartOutcome::NotSent, None),
                 false => send_start(&orders, &order, &start_rtt).await,
             };
             shared.metrics.ordered("start", outcome_name(outcome));
+            if let Some(status) = status {
+                log::info!(
+                    task:% = order.task, run = order.run, worker:% = worker,
+                    born = order.born, found = status.born, poll = poll;
+                    "start order not sent: another incarnation is at the address"
+                );
+                // The incarnation to which the newest poll went is gone, so that poll would only be
+                // answered with its timeout. The new status answers it, and the task can start
+                // again at once.
+                sink.deliver(Report::Polled(worker.clone(), poll, Ok(status)))
+                    .await;
+            }
             let report = Report::Started(worker, order.task, order.run, outcome);
             sink.deliver(report).await;
         });
@@ -269,20 +284,21 @@
     }
 }
 
-/// Sends a start order, and updates the round-trip time estimate.
+/// Sends a start order, and updates the round-trip time estimate. The status is that of another
+/// incarnation which responded instead of the intended one.
 async fn send_start(
     orders: &WorkerClient,
     order: &StartOrder,
     start_rtt: &RttEstimator,
-) -> StartOutcome {
+) -> (StartOutcome, Option<WorkerStatus>) {
     let sent = Instant::now();
-    let outcome = orders.start(order, start_rtt.retry_timeout()).await;
+    let (outcome, status) = orders.start(order, start_rtt.retry_timeout()).await;
     match outcome {
         StartOutcome::Started | StartOutcome::Refused(_) => start_rtt.record_answer(sent.elapsed()),
         StartOutcome::Unknown => start_rtt.record_timeout(),
         StartOutcome::NotSent => {}
     }
-    outcome
+    (outcome, status)
 }
 
 /// Label of an outcome in the metrics.
--- a/crates/work/src/poll_order.rs
+++ b/crates/work/src/poll_order.rs
@@ -13,9 +13,9 @@
     pub fence: u64,
     /// Acknowledges the ends of runs up to this number; the worker removes them from its list.
     pub seen: u64,
-    /// Incarnation of the worker that `seen` refers to, as its start in milliseconds since 1970.
-    /// Another incarnation numbers its ends independently, and must not remove ends that no owner
-    /// has received.
+    /// Incarnation of the worker that `expiry` and `seen` refer to, as its start in milliseconds
+    /// since 1970. Another incarnation has a clock of its own and numbers its ends independently:
+    /// it must neither renew the lease nor remove ends that no owner has received.
     pub born: u64,
     /// How long the worker may delay its answer while no run ends.
     pub wait: Duration,
--- a/crates/work/src/start_order.rs
+++ b/crates/work/src/start_order.rs
@@ -17,6 +17,9 @@
     pub spec: Arc<str>,
     /// When the lease of all runs on the worker expires, in milliseconds on the worker's clock.
     pub expiry: u64,
+    /// Incarnation of the worker that the order is meant for, as its start in milliseconds since
+    /// 1970. `expiry` is a time on its clock; another incarnation must not receive the order.
+    pub born: u64,
     /// Fencing token.
     pub fence: u64,
     /// Checkpoint to resume from; empty if there is none.
