--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -406,6 +406,7 @@
         self.reschedule |= self.release_holds();
         self.evacuate();
         self.prune_finished();
+        self.reschedule |= self.workers.take_opened(now);
         if self.in_flight.is_none() {
             if self.reschedule {
                 self.reschedule = false;
@@ -426,7 +427,9 @@
     pub fn next_wake(&self) -> Time {
         let soon = self.now.after(Duration::from_millis(100));
         let poll = self.workers.next_poll();
-        let events = [poll, self.sweeps.next()].into_iter().flatten();
+        let reopening = self.workers.next_reopening();
+        let events = [poll, reopening, self.sweeps.next()];
+        let events = events.into_iter().flatten();
         events.fold(soon, |earliest, at| earliest.min(at))
     }
 
--- a/crates/cell/src/health.rs
+++ b/crates/cell/src/health.rs
@@ -60,6 +60,11 @@
         self.pauses += 1;
     }
 
+    /// When the last pause is over; `None` if there was none since the last success.
+    pub(crate) fn paused_until(&self) -> Option<Time> {
+        self.paused_until
+    }
+
     /// Whether the worker is not paused.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.paused_until.is_none_or(|t| t <= now)
--- a/crates/cell/src/polls.rs
+++ b/crates/cell/src/polls.rs
@@ -199,7 +199,7 @@
         if worker.missed_polls > 0 {
             log::info!(worker:% = id, missed = worker.missed_polls, born = look.born; "worker answers polls again");
         }
-        if worker.missed_polls > 0 || worker.born == 0 {
+        if worker.missed_polls > 0 || worker.is_silent(now) {
             self.reschedule = true;
         }
         worker.missed_polls = 0;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -245,14 +245,26 @@
             && !self.renewal_barred
     }
 
-    /// Whether the worker may get new tasks now.
+    /// Whether the worker may get new tasks now. A condition that ends by time alone is part of
+    /// [`Self::reopening`], too; silence ends with the answer to a poll.
     pub(crate) fn is_schedulable(&self, now: Time) -> bool {
         self.can_accept()
             && self.full_until <= now
             && self.health.is_usable(now)
-            && self
-                .clock_reading
-                .is_some_and(|f| now.since(f.at) < MAX_SILENCE)
+            && !self.is_silent(now)
+    }
+
+    /// Whether the last answer arrived so long ago that the worker gets no new tasks.
+    pub(crate) fn is_silent(&self, now: Time) -> bool {
+        self.clock_reading
+            .is_none_or(|f| now.since(f.at) >= MAX_SILENCE)
+    }
+
+    /// When the last of the conditions of [`Self::is_schedulable`] is over that end by time alone;
+    /// `None` if there was none.
+    pub(crate) fn reopening(&self) -> Option<Time> {
+        let full = Some(self.full_until).filter(|at| *at > Time::default());
+        full.max(self.health.paused_until())
     }
 
     /// Whether the worker is only briefly closed to new tasks because it refused one for lack of
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactuswheel_model::{Map, Set, Time};
-use cactuswheel_work::{ServiceName, TaskId, WorkerEntry, WorkerId};
+use cactuswheel_work::{Room, ServiceName, TaskId, WorkerEntry, WorkerId};
 
 use crate::free_index::{FreeIndex, Place};
 use crate::roster::{Roster, accepting, offers_same};
@@ -22,6 +22,10 @@
     /// The worker may have changed since its entries were computed.
     touched: bool,
     place: Option<(ServiceName, Place)>,
+    /// Room that is not allocated.
+    free: Room,
+    /// When the last condition that ends by time alone is over.
+    reopening: Option<Time>,
     /// The entry in the roster.
     listed: Option<WorkerEntry>,
     poll: Option<Time>,
@@ -46,6 +50,14 @@
     roster: Roster,
     /// When each worker is to be polled next, or its poll in flight counts as lost.
     polls: BTreeSet<(Time, u32)>,
+    /// When each worker may take tasks again that is closed to them for a time.
+    ///
+    /// Invariant: holds every worker that would take tasks but for a condition that ends by time
+    /// alone. Nothing else would run the scheduler at that time, and a task that only this worker
+    /// can run would wait until some other event.
+    reopenings: BTreeSet<(Time, u32)>,
+    /// A worker has been opened to tasks, or has more room, since this was last taken.
+    opened: bool,
     /// Workers that missed a poll or are no longer registered.
     silent: Set<WorkerId>,
     /// Workers on which long-running tasks have to be stopped.
@@ -100,6 +112,9 @@
         if let Some(at) = indexed.poll {
             self.polls.remove(&(at, worker.number));
         }
+        if let Some(at) = indexed.reopening {
+            self.reopenings.remove(&(at, worker.number));
+        }
         self.silent.remove(id);
         self.evacuating.remove(id);
         self.unjournaled.remove(id);
@@ -166,7 +181,10 @@
     pub(crate) fn cancel_allocation(&mut self, id: &WorkerId, task: TaskId, run: u32) {
         if let Some(worker) = self.all.get_mut(id) {
             worker.deallocate(task, run);
+            // The scheduler gives back what it has just allocated, which is no reason to run again.
+            let opened = self.opened;
             self.reindex(id);
+            self.opened = opened;
         }
     }
 
@@ -223,6 +241,25 @@
         self.polls.first().map(|(at, _)| *at)
     }
 
+    /// Whether a worker may take more tasks than when this was last called: it was opened to them, has
+    /// more room, or the time is over for which it was closed.
+    pub(crate) fn take_opened(&mut self, now: Time) -> bool {
+        self.update_indexes();
+        while let Some(first) = self.reopenings.first().copied() {
+            if first.0 > now {
+                break;
+            }
+            self.reopenings.remove(&first);
+            self.opened = true;
+        }
+        std::mem::take(&mut self.opened)
+    }
+
+    /// When the next worker may take tasks again that is closed to them for a time.
+    pub(crate) fn next_reopening(&self) -> Option<Time> {
+        self.reopenings.first().map(|(at, _)| *at)
+    }
+
     /// Recomputes the index entries of the workers that changed.
     pub(crate) fn update_indexes(&mut self) {
         for id in std::mem::take(&mut self.touched) {
@@ -237,6 +274,16 @@
         let number = worker.number;
         worker.indexed.touched = false;
         let place = worker.place();
+        let free = worker.free();
+        let grown = !free.fits(std::mem::replace(&mut worker.indexed.free, free));
+        self.opened |= place.is_some() && (grown || worker.indexed.place.is_none());
+        let reopening = worker.reopening();
+        if reopening != worker.indexed.reopening {
+            if let Some(at) = std::mem::replace(&mut worker.indexed.reopening, reopening) {
+                self.reopenings.remove(&(at, number));
+            }
+            self.reopenings.extend(reopening.map(|at| (at, number)));
+        }
         if place != worker.indexed.place {
             let before = std::mem::replace(&mut worker.indexed.place, place.clone());
             if let Some((service, place)) = before
