--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -47,6 +47,10 @@
 /// Base of the backoff between polls of a worker that does not answer.
 pub(crate) const POLL_RETRY: Duration = Duration::from_millis(200);
 
+/// Interval of checks for held start orders: a confirmation of the ownership is no event of the
+/// cell.
+const HELD_START_CHECK: Duration = Duration::from_millis(10);
+
 /// The jobs assigned to one owner, the workers of their services and the runs on these workers.
 #[derive(Debug)]
 pub struct Cell {
@@ -122,6 +126,10 @@
     pub(crate) deferred: Set<JobId>,
     /// Runs whose start order waits until the journal holds them.
     pub(crate) planned: Vec<PlannedStart>,
+    /// Runs in the journal whose start order waits until the ownership is confirmed.
+    pub(crate) unsent: Vec<PlannedStart>,
+    /// Start orders are held back.
+    pub(crate) hold_starts: bool,
     /// The batch being appended, and what takes effect once the append is confirmed.
     pub(crate) in_flight: Option<(BatchId, BatchEffects)>,
     /// When the append of that batch was requested.
@@ -195,6 +203,8 @@
             dirty: Set::default(),
             deferred: Set::default(),
             planned: Vec::new(),
+            unsent: Vec::new(),
+            hold_starts: false,
             in_flight: None,
             append_sent: Time::default(),
             next_batch: 1,
@@ -331,6 +341,13 @@
         self.renew_leases = age < RENEW_WITHOUT_STORE;
     }
 
+    /// Sets whether start orders are held back, because they would not be sent while the ownership is
+    /// not confirmed. An order that is dropped costs a new plan and another append to the journal,
+    /// and closes its worker for a while although it says nothing about that worker.
+    pub fn hold_starts(&mut self, hold: bool) {
+        self.hold_starts = hold;
+    }
+
     /// Sets the limits of the open jobs' state.
     pub fn limit_state(&mut self, limits: StateLimits) {
         self.state_limits = limits;
@@ -407,6 +424,7 @@
         self.evacuate();
         self.prune_finished();
         self.reschedule |= self.workers.take_opened(now);
+        self.send_held_starts();
         if self.in_flight.is_none() {
             if self.reschedule {
                 self.reschedule = false;
@@ -428,7 +446,8 @@
         let soon = self.now.after(Duration::from_millis(100));
         let poll = self.workers.next_poll();
         let reopening = self.workers.next_reopening();
-        let events = [poll, reopening, self.sweeps.next()];
+        let held = (!self.unsent.is_empty()).then(|| self.now.after(HELD_START_CHECK));
+        let events = [poll, reopening, held, self.sweeps.next()];
         let events = events.into_iter().flatten();
         events.fold(soon, |earliest, at| earliest.min(at))
     }
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -50,9 +50,8 @@
         for id in &effects.answering {
             self.silence_removed(id);
         }
-        for start in effects.starts {
-            self.send_start(start);
-        }
+        self.unsent.extend(effects.starts);
+        self.send_held_starts();
     }
 
     /// Reduces a job to its final record, which the journal now holds, and lists its submission for
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -16,8 +16,18 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
 impl Cell {
+    /// Sends the start orders of the runs that the journal holds, unless they are held back.
+    pub(crate) fn send_held_starts(&mut self) {
+        if self.hold_starts {
+            return;
+        }
+        for start in std::mem::take(&mut self.unsent) {
+            self.send_start(start);
+        }
+    }
+
     /// Sends the start order of a run that the journal holds.
-    pub(crate) fn send_start(&mut self, start: PlannedStart) {
+    fn send_start(&mut self, start: PlannedStart) {
         let (now, lease) = (self.now, self.bounds.lease);
         let PlannedStart { task, run, worker } = start;
         let Some(attempt) = self.attempt_mut(task, run, &worker) else {
--- a/crates/cell/tests/reopened_workers.rs
+++ b/crates/cell/tests/reopened_workers.rs
@@ -38,6 +38,37 @@
     assert_eq!(world.state(JobId::new(1)), Some(JobState::Complete));
 }
 
+/// Guards against start orders that are given, not sent and planned anew for one worker after the
+/// other while the ownership is not confirmed.
+#[test]
+fn held_starts() {
+    let mut world = idle_world(3);
+    world.cell().hold_starts(true);
+    world.submit(job(1, steps(1, 1, 500)));
+    world.advance(Duration::from_millis(400));
+    assert_eq!(world.sent_starts.len(), 0);
+    world.cell().hold_starts(false);
+    world.advance(Duration::from_millis(20));
+    let runs = world.workers.values().flat_map(|w| &w.started);
+    let runs: Vec<u32> = runs.map(|(_, run, _)| *run).collect();
+    assert_eq!(runs, [1], "the first plan is carried out");
+}
+
+/// Guards against a cancelled job that starts when held start orders are sent.
+#[test]
+fn cancelled_while_held() {
+    let mut world = idle_world(3);
+    world.cell().hold_starts(true);
+    world.submit(job(1, steps(1, 1, 500)));
+    world.advance(Duration::from_millis(100));
+    world.cancel(JobId::new(1));
+    world.advance(Duration::from_millis(100));
+    world.cell().hold_starts(false);
+    world.advance(Duration::from_millis(100));
+    assert_eq!(starts(&world), 0);
+    assert_eq!(world.state(JobId::new(1)), Some(JobState::Cancelled));
+}
+
 /// Guards against jobs that stand still after a worker was paused for failed runs.
 #[test]
 fn paused_worker() {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -192,6 +192,7 @@
                 fleet.plan(&mut self.cell);
             }
             self.cell.set_ownership_age(self.shared.ownership_age());
+            self.cell.hold_starts(!self.shared.holds_ownership());
             self.cell.set_link_full(self.dispatcher.is_link_full());
             self.cell.omit_specs(self.dispatcher.omits_specs());
             let outputs = self
