--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -142,6 +142,28 @@
             let born = self.workers.get(&id).map_or(0, |w| w.born);
             let expiry = now.after(valid.mul_f64(USABLE_SHARE));
             tickets.granted.insert(id, Ticket { text, born, expiry });
+            self.ticket_ends.insert((expiry, step));
+        }
+    }
+
+    /// Drops expired tickets. If their step still waits, runs the scheduler, which asks for new ones:
+    /// while a ticket is valid no other worker is asked for, however long those with a ticket stay
+    /// full.
+    pub(crate) fn expire_tickets(&mut self) {
+        let now = self.now;
+        while let Some((end, step)) = self.ticket_ends.first().copied() {
+            if end > now {
+                return;
+            }
+            self.ticket_ends.pop_first();
+            if let Some(tickets) = self.tickets.get_mut(&step) {
+                tickets.granted.retain(|_, t| t.expiry > now);
+            }
+            if self.is_waiting(step) {
+                self.reschedule = true;
+                // Without tickets the job may leave the queue, or return to it.
+                self.jobs.get_mut(&step.job);
+            }
         }
     }
 
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -116,6 +116,8 @@
     pub(crate) usage: Usage,
     pub(crate) shares: Shares,
     pub(crate) tickets: Map<StepId, Tickets>,
+    /// When tickets of each step expire.
+    pub(crate) ticket_ends: BTreeSet<(Time, StepId)>,
     /// Jobs whose cancellation arrived before their submission.
     pub(crate) cancelled: Set<JobId>,
     /// Encoded submissions that still have to be written to the journal.
@@ -198,6 +200,7 @@
             usage: Usage::default(),
             shares: Shares::default(),
             tickets: Map::default(),
+            ticket_ends: BTreeSet::new(),
             cancelled: Set::default(),
             encoded_submissions: Map::default(),
             dirty: Set::default(),
@@ -425,6 +428,7 @@
         self.prune_finished();
         self.reschedule |= self.workers.take_opened(now);
         self.send_held_starts();
+        self.expire_tickets();
         if self.in_flight.is_none() {
             if self.reschedule {
                 self.reschedule = false;
@@ -447,7 +451,8 @@
         let poll = self.workers.next_poll();
         let reopening = self.workers.next_reopening();
         let held = (!self.unsent.is_empty()).then(|| self.now.after(HELD_START_CHECK));
-        let events = [poll, reopening, held, self.sweeps.next()];
+        let ticket = self.ticket_ends.first().map(|(at, _)| *at);
+        let events = [poll, reopening, held, ticket, self.sweeps.next()];
         let events = events.into_iter().flatten();
         events.fold(soon, |earliest, at| earliest.min(at))
     }
--- a/crates/cell/src/preempt.rs
+++ b/crates/cell/src/preempt.rs
@@ -154,7 +154,7 @@
     }
 
     /// Whether a task of the step waits for a worker.
-    fn is_waiting(&self, step: StepId) -> bool {
+    pub(crate) fn is_waiting(&self, step: StepId) -> bool {
         let job = self.jobs.get(&step.job).filter(|j| j.is_open());
         let run = job.and_then(|j| j.step_run(TaskId { step, index: 0 }));
         run.is_some_and(|r| r.tasks.iter().any(|t| t.is_pending()))
