--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -1,5 +1,7 @@
 //! Processing of end records, in which workers report how runs ended.
 
+use std::time::Duration;
+
 use cactuswheel_model::Time;
 use cactuswheel_work::{End, EndReason, JobState, Step, TaskId, WorkerId};
 
@@ -52,7 +54,10 @@
                 self.learn_run(task, step, started);
                 self.task_done(id, task, step.gang);
             }
-            EndReason::Failed => self.task_failed(id, task, run, step),
+            EndReason::Failed => {
+                let ran = self.now.since(started);
+                self.task_failed(id, task, run, step, ran);
+            }
             EndReason::Stopped | EndReason::Expired | EndReason::Broken | EndReason::Alone => {}
         }
     }
@@ -112,7 +117,7 @@
                     self.stop(task, run, &worker);
                 }
             }
-            EndReason::Failed => self.task_failed(id, task, run, &step),
+            EndReason::Failed => self.task_failed(id, task, run, &step, Duration::ZERO),
             EndReason::Stopped | EndReason::Expired | EndReason::Broken | EndReason::Alone => {}
         }
     }
@@ -189,13 +194,13 @@
         self.finish(task.job(), JobState::Complete);
     }
 
-    fn task_failed(&mut self, id: &WorkerId, task: TaskId, run: u32, step: &Step) {
+    fn task_failed(&mut self, id: &WorkerId, task: TaskId, run: u32, step: &Step, ran: Duration) {
         let now = self.now;
         let (gang, lasting) = (step.gang, step.lasting);
         if !lasting
             && self.policy.health
             && let Some(worker) = self.workers.get_mut(id)
-            && worker.health.record_failure(task.job(), now)
+            && worker.record_failure(task.job(), ran, now)
         {
             log::warn!(worker:% = id, job:% = task.job(); "worker paused after failed runs");
         }
--- a/crates/cell/src/health.rs
+++ b/crates/cell/src/health.rs
@@ -18,11 +18,32 @@
 /// Longest pause.
 const MAX_PAUSE: Duration = Duration::from_secs(12);
 
+/// Shortest time that a run has to be at work on a worker after its pause to count as a sign that
+/// the worker is well. Long-running tasks start up in less.
+const MIN_TRIAL: Duration = Duration::from_secs(1);
+
+/// Longest such time. A run that fails late may fail by its own fault, and meanwhile the worker gets
+/// hardly any tasks.
+const MAX_TRIAL: Duration = Duration::from_secs(3);
+
+/// What a run says about its worker, if that has been paused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Trial {
+    /// Nothing yet: it started after the last pause, and not long ago.
+    Open,
+    /// The worker is well: the run has been at work for longer than those that failed.
+    Passed,
+    /// Nothing: it started before the last pause.
+    Earlier,
+}
+
 /// Failures and pauses of one worker.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     /// Distinct jobs that failed on the worker since its last success.
     failed_jobs: Vec<JobId>,
+    /// Longest time after which a run failed on the worker since its last success.
+    longest: Duration,
     /// Number of consecutive pauses.
     pauses: u32,
     /// The worker gets no tasks until this time.
@@ -35,8 +56,10 @@
         *self = Self::default();
     }
 
-    /// Records that a run of `job` failed; returns whether this paused the worker.
-    pub(crate) fn record_failure(&mut self, job: JobId, now: Time) -> bool {
+    /// Records that a run of `job` failed after the time `ran`; returns whether this paused the
+    /// worker.
+    pub(crate) fn record_failure(&mut self, job: JobId, ran: Duration, now: Time) -> bool {
+        self.longest = self.longest.max(ran);
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
@@ -70,9 +93,15 @@
         self.paused_until.is_none_or(|t| t <= now)
     }
 
-    /// Whether the worker was paused and has not completed a run since; it then gets one task at
-    /// a time.
+    /// Whether the worker was paused and has not completed a run since. It then gets one task at a
+    /// time, and more as runs pass their trial.
     pub(crate) fn is_recovering(&self) -> bool {
         self.pauses > 0
     }
+
+    /// How long a run has to be at work on the worker after a pause to pass its trial. A worker that
+    /// is still faulty has most likely failed it by then.
+    pub(crate) fn trial_time(&self) -> Duration {
+        self.longest.clamp(MIN_TRIAL, MAX_TRIAL)
+    }
 }
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -163,7 +163,7 @@
     step.reserved().fits(available(w, constraints, now))
         && w.is_schedulable(now)
         && (constraints.suspect || !w.is_reserved(now))
-        && (!w.health.is_recovering() || w.allocations.is_empty())
+        && w.has_trial_slot()
         && step.label.as_ref().is_none_or(has_label)
         && spread_ok()
         && constraints.allowed.is_none_or(|a| a.contains(&w.id))
--- a/crates/cell/src/running.rs
+++ b/crates/cell/src/running.rs
@@ -7,7 +7,9 @@
 
 use crate::attempt::{Attempt, Phase};
 use crate::cell::Cell;
+use crate::health::Trial;
 use crate::progress::{Expected, Progress};
+use crate::worker::Allocation;
 
 /// Time after which a stop order is repeated if the worker still lists the run.
 const STOP_RETRY: Duration = Duration::from_millis(400);
@@ -44,12 +46,46 @@
                 }
             }
         }
+        self.pass_trials(id);
         if let Some(worker) = self.workers.get_mut(id) {
             self.reschedule |= worker.stray_run && !stray;
             worker.stray_run = stray;
         }
     }
 
+    /// Finds the runs on a worker after its pause that show it to be well.
+    fn pass_trials(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(id).filter(|w| w.health.is_recovering()) else {
+            return;
+        };
+        let time = worker.health.trial_time();
+        let at_work = |task: TaskId, run: &Allocation| {
+            let attempt = self.attempt(task, run.run, id);
+            attempt.is_some_and(|a| match run.lasting {
+                true => a.is_active() && now.since(a.started) >= time,
+                false => a.progress.percent > 0 && now.since(a.started) >= time,
+            })
+        };
+        let open = worker.allocations.iter();
+        let open = open.filter(|(_, run)| run.trial == Trial::Open);
+        let passed = open.filter(|(task, run)| at_work(**task, run));
+        let passed: Vec<TaskId> = passed.map(|(task, _)| *task).collect();
+        let Some(worker) = self.workers.get_mut(id).filter(|_| !passed.is_empty()) else {
+            return;
+        };
+        log::info!(
+            worker:% = id, runs = passed.len() as u64, trial_ms = time.as_millis() as u64;
+            "runs are at work on a worker that was paused"
+        );
+        for task in passed {
+            if let Some(run) = worker.allocations.get_mut(&task) {
+                run.trial = Trial::Passed;
+            }
+        }
+        self.reschedule = true;
+    }
+
     fn apply_row(&mut self, id: &WorkerId, row: &Running) -> Option<RunAction> {
         let now = self.now;
         let job_id = row.task.job();
@@ -109,7 +145,7 @@
         }
         // Runs of a task that stall on one worker after the other say nothing about the workers.
         if !repeated && let Some(worker) = self.workers.get_mut(id) {
-            worker.health.pause(now);
+            worker.pause(now);
         }
         self.stop(task, run, id);
     }
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -11,6 +11,7 @@
 use crate::cell::Cell;
 use crate::choices::{Choice, Choices};
 use crate::finished::Redone;
+use crate::health::Trial;
 use crate::job::Job;
 use crate::learned::QueueStats;
 use crate::misses::Misses;
@@ -390,6 +391,7 @@
         lasting: step.lasting,
         serves: step.serves(),
         filler: step.filler,
+        trial: Trial::Open,
     }
 }
 
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -151,7 +151,7 @@
             StartRefusal::Ticket => self.forget_ticket(task.step, id),
             StartRefusal::Unhealthy => {
                 if let Some(worker) = self.workers.get_mut(id) {
-                    worker.health.pause(now);
+                    worker.pause(now);
                 }
             }
             StartRefusal::OtherLife if self.is_newer_incarnation(id, ordered) => {}
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -10,7 +10,7 @@
     JobId, Presence, Room, ServiceName, StepId, TaskId, WorkerEntry, WorkerId, ZoneName,
 };
 
-use crate::health::Health;
+use crate::health::{Health, Trial};
 use crate::pacing::Throttle;
 use crate::workers::IndexedState;
 
@@ -76,6 +76,7 @@
     pub(crate) lasting: bool,
     pub(crate) serves: bool,
     pub(crate) filler: bool,
+    pub(crate) trial: Trial,
 }
 
 /// Room on a worker that is held for one task of a step, because runs were stopped for it.
@@ -267,6 +268,39 @@
         full.max(self.health.paused_until())
     }
 
+    /// Records that a run of `job` failed after the time `ran`; returns whether this paused the
+    /// worker.
+    pub(crate) fn record_failure(&mut self, job: JobId, ran: Duration, now: Time) -> bool {
+        let paused = self.health.record_failure(job, ran, now);
+        if paused {
+            self.end_trials();
+        }
+        paused
+    }
+
+    /// Gives the worker no tasks for some time.
+    pub(crate) fn pause(&mut self, now: Time) {
+        self.health.pause(now);
+        self.end_trials();
+    }
+
+    fn end_trials(&mut self) {
+        for run in self.allocations.values_mut() {
+            run.trial = Trial::Earlier;
+        }
+    }
+
+    /// Whether the worker's health allows one more run. After a pause there are as many runs in trial
+    /// as have passed it, and one if none has.
+    ///
+    /// The completion of a run ends the recovery, but a run may last for ever, and would then keep
+    /// all other tasks off the worker.
+    pub(crate) fn has_trial_slot(&self) -> bool {
+        let runs = self.allocations.values();
+        let count = |trial| runs.clone().filter(|r| r.trial == trial).count();
+        !self.health.is_recovering() || count(Trial::Open) < count(Trial::Passed).max(1)
+    }
+
     /// Whether the worker is only briefly closed to new tasks because it refused one for lack of
     /// room.
     pub(crate) fn is_full(&self, now: Time) -> bool {
