--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -323,11 +323,10 @@
         }
     }
 
-    /// Number of jobs of a queue that have not started any task yet.
+    /// Number of jobs of a queue of which no task is known to have started.
     pub fn pending_jobs(&self, queue: &QueueName) -> u64 {
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
-        let waiting =
-            jobs.filter(|j| j.sub.queue == *queue && j.reported_state() == JobState::Queued);
+        let waiting = jobs.filter(|j| j.sub.queue == *queue && !j.started);
         waiting.count() as u64
     }
 
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -5,6 +5,7 @@
 use cactuswheel_model::Time;
 use cactuswheel_work::{JobState, Step, StepId, Submission, TaskId};
 
+use crate::attempt::Phase;
 use crate::finished::{Finished, Redone};
 use crate::footprint::{Footprint, packed_size};
 use crate::journal::{decode, encode};
@@ -241,12 +242,19 @@
         if let Some(journaled) = self.journaled {
             return journaled;
         }
-        match self.started {
+        match self.may_have_started() {
             true => JobState::Running,
             false => JobState::Queued,
         }
     }
 
+    /// Whether a task has started, or an earlier owner may have started one. Nobody knows the latter
+    /// until the worker answers, and the state that callers see does not go back meanwhile.
+    pub(crate) fn may_have_started(&self) -> bool {
+        let mut attempts = self.attempts();
+        self.started || attempts.any(|(_, a)| a.phase == Phase::Unknown && !a.is_own())
+    }
+
     /// Identifier of a step of an occurrence.
     pub(crate) fn step_id(&self, turn: u32, number: usize) -> StepId {
         StepId {
--- a/crates/cell/src/journal.rs
+++ b/crates/cell/src/journal.rs
@@ -50,6 +50,7 @@
 /// first run or are done.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenRecord {
+    /// Whether a task of an open job is known to have started, else the job's final state.
     state: JobState,
     redone: Vec<Redone>,
     /// Workers that hold runs of the job; task records refer to them by index.
@@ -143,8 +144,12 @@
     fn new(job: &Job) -> Self {
         let mut places = Vec::new();
         let turns = job.turns.iter();
+        let state = match job.is_open() && job.started {
+            true => JobState::Running,
+            false => job.state,
+        };
         Self {
-            state: job.state,
+            state,
             redone: job.redone.clone(),
             begun: job.begun,
             ended: job.ended_turns.clone(),
@@ -157,9 +162,10 @@
     /// record may or may not exist, since an earlier owner had sent its start order or was about
     /// to.
     pub(crate) fn apply(self, job: &mut Job, now: Time) {
-        job.state = self.state;
         job.redone = self.redone;
+        job.started = self.state == JobState::Running;
         if self.state.is_final() {
+            job.state = self.state;
             job.journaled = Some(self.state);
             job.ended = Some(now);
         }
@@ -178,12 +184,18 @@
             .iter()
             .flat_map(|t| &t.steps)
             .flat_map(|s| &s.tasks);
-        job.started = !self.ended.is_empty() || tasks.any(|t| t.run > 0);
+        job.started |= !self.ended.is_empty() || tasks.any(has_run);
         job.begun = self.begun;
         job.ended_turns = self.ended;
     }
 }
 
+/// Whether a task's record shows that it has run. A run that was planned may never have started: the
+/// journal holds it before its start order is sent.
+fn has_run(task: &Task) -> bool {
+    task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty()
+}
+
 /// The workers that a record refers to.
 struct Places<'a> {
     known: &'a [PlaceRecord],
--- a/crates/cell/src/rank.rs
+++ b/crates/cell/src/rank.rs
@@ -138,7 +138,7 @@
                 false => Class::Timely,
             },
             priority,
-            not_started: !job.started,
+            not_started: !job.may_have_started(),
             at,
         };
         return (rank, Time::new(at.get() + 1));
@@ -152,7 +152,7 @@
     let rank = Rank {
         class,
         priority,
-        not_started: !job.started,
+        not_started: !job.may_have_started(),
         at: job.arrived,
     };
     let useful_left = (objective * LATE_FACTOR - remaining - waited).max(0.0);
