--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -149,6 +149,29 @@
 /// Whether a worker can take the task now: it has the room, the label and the permission, is open
 /// for work, and is below the step's spread limit.
 pub(crate) fn fits(w: &Worker, constraints: &Constraints<'_>, now: Time) -> bool {
+    w.is_schedulable(now) && has_room(w, constraints, now)
+}
+
+/// Returns an unusable worker that is fit for a task but for its withheld end records.
+///
+/// Its lease is left to expire on the task, which then starts again. Without this, a task that no
+/// other worker can run would wait until the instance is moved, and a fleet without a spare pool
+/// has no place to move it to.
+pub(crate) fn pick_redeemable(
+    workers: &Workers,
+    service: &ServiceName,
+    constraints: &Constraints<'_>,
+    now: Time,
+) -> Option<WorkerId> {
+    if constraints.step.gang {
+        return None;
+    }
+    let mut spent = workers.spent().filter(|w| w.belongs_to(service));
+    let found = spent.find(|w| w.is_redeemable(now) && has_room(w, constraints, now));
+    found.map(|w| w.id.clone())
+}
+
+fn has_room(w: &Worker, constraints: &Constraints<'_>, now: Time) -> bool {
     let step = constraints.step;
     let labels = w.entry.as_ref().map(|e| e.labels.as_slice());
     let has_label = |label: &String| labels.is_some_and(|l| l.contains(label));
@@ -161,7 +184,6 @@
         step.spread == 0 || per_worker < step.spread
     };
     step.reserved().fits(available(w, constraints, now))
-        && w.is_schedulable(now)
         && (constraints.suspect || !w.is_reserved(now))
         && w.has_trial_slot()
         && step.label.as_ref().is_none_or(has_label)
--- a/crates/cell/src/polls.rs
+++ b/crates/cell/src/polls.rs
@@ -35,7 +35,7 @@
 const WARMUP_WAIT: Duration = Duration::from_millis(200);
 
 /// Delay between polls of a worker that is reserved for a task which may crash it, or whose lease
-/// cannot be renewed yet.
+/// cannot be renewed yet or has to expire.
 const TRIAL_POLL_DELAY: Duration = Duration::from_millis(50);
 
 /// How long the lease of a worker that does not answer is renewed while the owner's link is
@@ -227,6 +227,7 @@
         for end in look.ended.iter().filter(|e| e.number > seen_end) {
             self.apply_end(id, end);
         }
+        self.redeem(id);
         if let Some(worker) = self.workers.get_mut(id) {
             let new_ends = look.ended.iter().filter(|e| e.number > seen_end);
             worker
@@ -238,7 +239,10 @@
         self.apply_running(id, &look.running);
         self.end_trial(id);
         if let Some(worker) = self.workers.get_mut(id).filter(|w| w.is_spent()) {
-            worker.poll_state = PollState::Due(now.after(MAX_POLL_DELAY));
+            worker.poll_state = PollState::Due(now.after(match worker.allocations.is_empty() {
+                true => MAX_POLL_DELAY,
+                false => TRIAL_POLL_DELAY,
+            }));
         }
         self.pace_fillers(id);
         if look.ended.len() < MAX_LISTED_ENDS {
@@ -246,6 +250,17 @@
         }
     }
 
+    /// Allows the acknowledgement of a worker's withheld end records, if its lease has expired on a run
+    /// since: such an acknowledgement no longer counts the work as done twice.
+    fn redeem(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.redeem() {
+            log::info!(worker:% = id, expired = worker.expired_end; "worker usable again: its lease has expired on a run");
+        }
+    }
+
     /// Releases runs that the worker should list and does not.
     fn release_absent(&mut self, id: &WorkerId, sent: Time, fence: u64, look: &WorkerStatus) {
         let Some(worker) = self.workers.get(id) else {
--- a/crates/cell/src/schedule.rs
+++ b/crates/cell/src/schedule.rs
@@ -15,7 +15,7 @@
 use crate::job::Job;
 use crate::learned::QueueStats;
 use crate::misses::Misses;
-use crate::place::{Affinity, Constraints, Placement, pick_worker};
+use crate::place::{Affinity, Constraints, Placement, pick_redeemable, pick_worker};
 use crate::rank::{Rank, rank};
 use crate::run_state::StepRun;
 use crate::sweep::Position;
@@ -312,7 +312,8 @@
         if constraints.suspect {
             return self.place_suspect(service, constraints);
         }
-        let worker = pick_worker(&self.workers, service, constraints, self.now);
+        let worker = pick_worker(&self.workers, service, constraints, self.now)
+            .or_else(|| pick_redeemable(&self.workers, service, constraints, self.now));
         worker.map_or(Placement::NoFit, Placement::At)
     }
 
--- a/crates/cell/src/starts.rs
+++ b/crates/cell/src/starts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuswheel_model::Time;
+use cactuswheel_model::{Millis, Time};
 use cactuswheel_work::{StartOrder, StartOutcome, StartRefusal, TaskId, WorkerId};
 
 use crate::attempt::Phase;
@@ -15,6 +15,10 @@
 /// How long a worker that refused a task for lack of room gets no new tasks.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Lease of a run on an unusable worker, which is not renewed: when it expires on the run, the
+/// worker's end records may be acknowledged. The work until then is lost.
+const REDEEMING_LEASE: Millis = Millis::new(500);
+
 impl Cell {
     /// Sends the start orders of the runs that the journal holds, unless they are held back.
     pub(crate) fn send_held_starts(&mut self) {
@@ -53,6 +57,10 @@
             return;
         }
         let fence = target.fence;
+        let lease = match target.is_spent() {
+            true => REDEEMING_LEASE,
+            false => lease,
+        };
         let Some(expiry) = target.renew(lease, now) else {
             self.release(task, run, &worker);
             return;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -138,7 +138,8 @@
     /// Such a record appears when a worker does not answer for longer than its lease, its runs
     /// are abandoned and restarted elsewhere, and the worker then reports one of them as done
     /// before the lease expired. Acknowledging the record would count the work as done twice.
-    /// This incarnation of the worker gets no more tasks, and it ends when its instance is moved.
+    /// This incarnation of the worker gets tasks only to let a lease expire on one of them, which
+    /// allows the acknowledgement; else it ends when its instance is moved.
     pub(crate) withheld_end: Option<u64>,
     /// Highest number of an end record in the current list that shows the lease as expired.
     pub(crate) expired_end: u64,
@@ -234,6 +235,12 @@
 
     /// Whether the worker may get new tasks, apart from conditions that depend on the time.
     pub(crate) fn can_accept(&self) -> bool {
+        self.is_open() && !self.is_spent()
+    }
+
+    /// Whether nothing but withheld end records keeps new tasks off the worker, apart from
+    /// conditions that depend on the time.
+    fn is_open(&self) -> bool {
         let listed = self.entry.as_ref();
         listed.is_some_and(|e| e.presence == Presence::Ready)
             && !self.closed
@@ -241,7 +248,6 @@
             && self.missed_polls == 0
             && self.fence_settled()
             && self.born != 0
-            && self.withheld_end.is_none()
             && !self.stray_run
             && !self.renewal_barred
     }
@@ -249,10 +255,16 @@
     /// Whether the worker may get new tasks now. A condition that ends by time alone is part of
     /// [`Self::reopening`], too; silence ends with the answer to a poll.
     pub(crate) fn is_schedulable(&self, now: Time) -> bool {
-        self.can_accept()
-            && self.full_until <= now
-            && self.health.is_usable(now)
-            && !self.is_silent(now)
+        self.can_accept() && self.is_open_at(now)
+    }
+
+    /// Whether the worker may get one task now, on which its lease expires.
+    pub(crate) fn is_redeemable(&self, now: Time) -> bool {
+        self.is_spent() && self.is_open() && self.is_open_at(now) && self.allocations.is_empty()
+    }
+
+    fn is_open_at(&self, now: Time) -> bool {
+        self.full_until <= now && self.health.is_usable(now) && !self.is_silent(now)
     }
 
     /// Whether the last answer arrived so long ago that the worker gets no new tasks.
@@ -331,12 +343,21 @@
         })
     }
 
-    /// Whether the worker's incarnation is unusable: it gets no more tasks, and some of its end
-    /// records must never be acknowledged.
+    /// Whether the worker's incarnation is unusable, since some of its end records must not be
+    /// acknowledged.
     pub(crate) fn is_spent(&self) -> bool {
         self.withheld_end.is_some()
     }
 
+    /// Allows the acknowledgement of withheld end records if a lease has expired on a run since;
+    /// returns whether there were any.
+    pub(crate) fn redeem(&mut self) -> bool {
+        let expired = self.expired_end;
+        self.withheld_end
+            .take_if(|first| *first < expired)
+            .is_some()
+    }
+
     /// Whether the worker has answered a poll and missed none since.
     pub(crate) fn is_responsive(&self) -> bool {
         self.missed_polls == 0 && self.born != 0
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -30,6 +30,7 @@
     listed: Option<WorkerEntry>,
     poll: Option<Time>,
     silent: bool,
+    spent: bool,
     evacuating: bool,
     unjournaled: bool,
 }
@@ -60,6 +61,8 @@
     opened: bool,
     /// Workers that missed a poll or are no longer registered.
     silent: Set<WorkerId>,
+    /// Workers with withheld end records.
+    spent: Set<WorkerId>,
     /// Workers on which long-running tasks have to be stopped.
     evacuating: Set<WorkerId>,
     /// Workers with end records that are not in the journal yet.
@@ -116,6 +119,7 @@
             self.reopenings.remove(&(at, worker.number));
         }
         self.silent.remove(id);
+        self.spent.remove(id);
         self.evacuating.remove(id);
         self.unjournaled.remove(id);
     }
@@ -219,6 +223,11 @@
         self.silent.iter().filter_map(|id| self.all.get(id))
     }
 
+    /// Workers with withheld end records.
+    pub(crate) fn spent(&self) -> impl Iterator<Item = &Worker> {
+        self.spent.iter().filter_map(|id| self.all.get(id))
+    }
+
     /// Workers on which long-running tasks have to be stopped.
     pub(crate) fn evacuating(&self) -> impl Iterator<Item = &Worker> {
         self.evacuating.iter().filter_map(|id| self.all.get(id))
@@ -313,12 +322,14 @@
             self.polls.extend(poll.map(|at| (at, number)));
         }
         let silent = worker.missed_polls > 0 || worker.entry.is_none();
-        let (evacuating, unjournaled) = (
+        let (spent, evacuating, unjournaled) = (
+            worker.is_spent(),
             worker.evacuating,
             worker.acknowledgeable_end() != worker.journaled_end,
         );
         let indexed = &mut worker.indexed;
         update_membership(&mut self.silent, id, &mut indexed.silent, silent);
+        update_membership(&mut self.spent, id, &mut indexed.spent, spent);
         update_membership(
             &mut self.evacuating,
             id,
