--- a/crates/cell/src/ends.rs
+++ b/crates/cell/src/ends.rs
@@ -13,7 +13,7 @@
     /// Processes an end record.
     pub(crate) fn apply_end(&mut self, id: &WorkerId, end: &End) {
         let (task, run) = (end.task, end.run);
-        if end.how == EndReason::Done && self.was_restarted(task, run) {
+        if end.how == EndReason::Done && self.may_have_restarted(task, run) {
             self.withhold_end(id, end);
         }
         let attempt = self.attempt_mut(task, run, id);
@@ -123,12 +123,13 @@
     }
 
     /// Whether a run was abandoned because its worker did not answer, and its task was then
-    /// restarted.
-    fn was_restarted(&self, task: TaskId, run: u32) -> bool {
+    /// restarted. So it may be for a job that is not known any more: the ends of all its other runs
+    /// were acknowledged long before it was forgotten.
+    fn may_have_restarted(&self, task: TaskId, run: u32) -> bool {
         let finished = self.finished.get(&task.job()).map(|k| &k.job.redone);
         let open = self.jobs.get(&task.job()).map(|j| &j.redone);
-        let redone = finished.or(open).into_iter().flatten();
-        redone.into_iter().any(|r| r.task == task && run < r.run)
+        let redone = finished.or(open);
+        redone.is_none_or(|all| all.iter().any(|r| r.task == task && run < r.run))
     }
 
     /// Keeps an end record from ever being acknowledged, unless the worker's lease is known to
