--- a/crates/cell/src/health.rs
+++ b/crates/cell/src/health.rs
@@ -15,8 +15,8 @@
 /// First pause; each further pause is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Longest pause.
-const MAX_PAUSE: Duration = Duration::from_secs(12);
+/// Longest pause. Work that only this worker can do waits for as long when the worker is well again.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
 
 /// Shortest time that a run has to be at work on a worker after its pause to count as a sign that
 /// the worker is well. Long-running tasks start up in less.
--- a/crates/cell/tests/recovering_workers.rs
+++ b/crates/cell/tests/recovering_workers.rs
@@ -94,3 +94,32 @@
     world.advance(Duration::from_secs(8));
     assert_eq!(world.worker(0).max_runs, 1);
 }
+
+/// Guards against a job that waits for longer on a worker that has been faulty for long: seven seconds
+/// after the fault is over, work that only this worker can do has to run.
+#[test]
+fn long_fault() {
+    let mut world = World::new(13, 1);
+    world.worker(0).failing = true;
+    for id in 1..30 {
+        world.submit(job(id, steps(1, 1, 500)));
+        world.advance(Duration::from_secs(1));
+    }
+    let mut longest = 0;
+    for id in 30..60 {
+        world.worker(0).failing = false;
+        let started = world.worker(0).started.len();
+        let mut waited = 0;
+        while world.worker(0).started.len() == started {
+            world.advance(Duration::from_millis(100));
+            waited += 100;
+        }
+        longest = longest.max(waited);
+        world.worker(0).failing = true;
+        for late in 0..4 {
+            world.submit(job(id + 100 * (late + 1), steps(1, 1, 500)));
+        }
+        world.advance(Duration::from_millis(1_700));
+    }
+    assert!(longest <= 4_500, "waited {longest} ms");
+}
