--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -52,12 +52,11 @@
         self.reschedule = true;
     }
 
-    /// Restores a finished job. Its submission may still be stored, since dropping submissions is
-    /// best effort; in that case it is dropped again.
+    /// Restores a finished job. Its submission may still be stored; in that case it is dropped.
     fn restore_finished(&mut self, id: JobId, job: Finished) {
         if let Some(known) = self.jobs.remove(&id) {
             self.discount(&known);
-            self.obsolete.push(id);
+            self.drop_later(id);
         }
         self.open.remove(&id);
         self.cancelled.remove(&id);
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -94,6 +94,11 @@
     pub(crate) finished_order: VecDeque<JobId>,
     /// Finished jobs whose submission is still in the intake and can be dropped.
     pub(crate) obsolete: Vec<JobId>,
+    /// Finished jobs whose submission the intake may still hold.
+    ///
+    /// Invariant: they are not forgotten. A new owner that finds a submission without a final record
+    /// would run the job again.
+    pub(crate) undropped: Set<JobId>,
     pub(crate) last_drop: Time,
     pub(crate) workers: Workers,
     pub(crate) silences: Silences,
@@ -188,6 +193,7 @@
             finished: Map::default(),
             finished_order: VecDeque::new(),
             obsolete: Vec::new(),
+            undropped: Set::default(),
             last_drop: Time::default(),
             workers: Workers::default(),
             silences: Silences::default(),
@@ -516,7 +522,8 @@
         let now = self.now;
         while let Some(id) = self.finished_order.front() {
             let known = self.finished.get(id);
-            if known.is_some_and(|k| now.since(k.ended) <= retention) {
+            let queried = known.is_some_and(|k| now.since(k.ended) <= retention);
+            if queried || self.undropped.contains(id) {
                 return;
             }
             self.finished.remove(id);
--- a/crates/cell/src/commit.rs
+++ b/crates/cell/src/commit.rs
@@ -74,7 +74,24 @@
         self.wait_queue.update(id, None);
         self.tickets.retain(|step, _| step.job != id);
         if cancelled || !journal_only {
-            self.obsolete.push(id);
+            self.drop_later(id);
+        }
+    }
+
+    /// Notes that the intake may hold the submission of a finished job, to be dropped.
+    pub(crate) fn drop_later(&mut self, id: JobId) {
+        self.obsolete.push(id);
+        self.undropped.insert(id);
+    }
+
+    /// Processes the outcome of a request to drop submissions. Those that were not dropped are
+    /// requested again.
+    pub fn submissions_dropped(&mut self, jobs: &[JobId], dropped: bool) {
+        match dropped {
+            true => jobs.iter().for_each(|id| {
+                self.undropped.remove(id);
+            }),
+            false => self.obsolete.extend(jobs),
         }
     }
 
--- a/crates/cell/tests/finished.rs
+++ b/crates/cell/tests/finished.rs
@@ -84,3 +84,33 @@
     assert_eq!(world.state(JobId::new(1)), None);
     assert_eq!(world.record_count(), 0);
 }
+
+/// Guards against a job that runs again after it was forgotten: its submission could not be dropped,
+/// and a new owner finds it without a final record.
+#[test]
+fn submission_left() {
+    let mut world = World::new(2, 2);
+    world.intake_away = true;
+    world.submit(job(1, steps(1, 1, 300)));
+    world.advance(200 * SECOND);
+    let starts = |world: &World| {
+        world
+            .workers
+            .values()
+            .map(|w| w.started.len())
+            .sum::<usize>()
+    };
+    assert_eq!(starts(&world), 1);
+    world.take_over();
+    world.remove_old_owners();
+    world.advance(5 * SECOND);
+    assert_eq!(starts(&world), 1, "the job runs again");
+    world.intake_away = false;
+    world.advance(200 * SECOND);
+    assert!(world.intake.is_empty());
+    assert_eq!(
+        world.state(JobId::new(1)),
+        None,
+        "the job is forgotten in the end"
+    );
+}
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -79,6 +79,8 @@
     pub store_slow: bool,
     /// Appends to the journal are lost: neither applied nor confirmed.
     pub store_away: bool,
+    /// Submissions cannot be dropped from the intake.
+    pub intake_away: bool,
     /// Lease duration that new owners request.
     pub lease: Millis,
     /// Limit in bytes of a batch and its start orders, for new owners.
@@ -161,6 +163,7 @@
             polls_unreported: false,
             store_slow: false,
             store_away: false,
+            intake_away: false,
             lease: bounds().lease,
             max_batch: bounds().max_batch,
             policy: WorkPolicy::default(),
@@ -422,7 +425,11 @@
         match output {
             Output::Append(batch) => self.append(owner, batch),
             Output::Accepted(jobs) => self.accepted.extend(jobs),
+            Output::DropSubmissions(jobs) if self.intake_away => {
+                owner.cell.submissions_dropped(&jobs, false);
+            }
             Output::DropSubmissions(jobs) => {
+                owner.cell.submissions_dropped(&jobs, true);
                 self.intake.retain(|s| !jobs.contains(&s.job));
                 self.cancels.retain(|c| !jobs.contains(c));
             }
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -346,9 +346,12 @@
     }
 
     fn drop_submissions(&mut self, jobs: Vec<JobId>) {
-        let journal = self.journal.clone();
-        self.tasks
-            .spawn(async move { journal.clear_intake(&jobs).await });
+        let (journal, events) = (self.journal.clone(), self.events.clone());
+        self.tasks.spawn(async move {
+            let (dropped, left) = journal.clear_intake(&jobs).await;
+            // A failed send means that the owner has stopped.
+            let _ = events.send(Event::Dropped(dropped, left)).await;
+        });
     }
 
     /// Asks the policy service which of these workers may run a step.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -42,6 +42,9 @@
     RelayLost(NodeName, RelayTerm, &'static str),
     /// A batch was written to the journal.
     Appended(BatchId),
+    /// A request to drop submissions from the intake has ended: the jobs whose submission was
+    /// dropped, and those whose submission may still be there.
+    Dropped(Vec<JobId>, Vec<JobId>),
     /// The journal is fenced by a newer owner.
     Deposed,
     /// The platform's list of instances, and when it was requested.
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -103,7 +103,8 @@
             .metrics
             .journaled(self.shared.clock.now().since(start));
         let _ = self.events.send(Event::Appended(batch.number)).await;
-        self.clear_intake(&finished).await;
+        // They were removed before their final record was, so this is only to be sure.
+        let _ = self.clear_intake(&finished).await;
     }
 
     /// Appends records. If the store refuses them for good, appends them one by one and gives up
@@ -204,29 +205,39 @@
         }
     }
 
-    /// Removes the intake records of jobs that are finished or fully in the journal. Failures are
-    /// not retried, since a leftover record is harmless.
-    pub(crate) async fn clear_intake(&self, jobs: &[JobId]) {
+    /// Removes the intake records of jobs that are finished or fully in the journal. Returns the jobs
+    /// whose records are removed, and those whose records may still be there.
+    pub(crate) async fn clear_intake(&self, jobs: &[JobId]) -> (Vec<JobId>, Vec<JobId>) {
         let parts = self.shared.settings.parts;
+        let (mut removed, mut left) = (Vec::new(), Vec::new());
         for part in 0..parts {
             let here = jobs.iter().filter(|id| intake_part(**id, parts) == part);
-            let keys = here.flat_map(|id| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)]);
+            let here: Vec<JobId> = here.copied().collect();
+            let keys = here
+                .iter()
+                .flat_map(|id| [IntakeKey::Submitted(*id), IntakeKey::Cancelled(*id)]);
             let records: Vec<KeyedRecord> = keys
                 .map(|k| KeyedRecord::tombstone(k.to_string()))
                 .collect();
-            self.drop_keys(part, &records).await;
+            match self.drop_keys(part, &records).await {
+                true => removed.extend(here),
+                false => left.extend(here),
+            }
         }
+        (removed, left)
     }
 
-    /// Drops keys from an intake partition.
-    async fn drop_keys(&self, part: u32, records: &[KeyedRecord]) {
+    /// Drops keys from an intake partition; returns whether they are certainly dropped.
+    async fn drop_keys(&self, part: u32, records: &[KeyedRecord]) -> bool {
         if records.is_empty() {
-            return;
+            return true;
         }
         let store = &self.shared.store;
         let done = store.append(intake(part), None, None, records, DROP_TIMEOUT);
-        if let Err(e) = done.await {
+        let done = done.await;
+        if let Err(e) = &done {
             log::info!(part = part, error:% = e; "failed to remove jobs from the intake");
         }
+        done.is_ok()
     }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -268,6 +268,10 @@
                 }
             }
             Event::Appended(batch) => self.cell.appended(now, batch),
+            Event::Dropped(dropped, left) => {
+                self.cell.submissions_dropped(&dropped, true);
+                self.cell.submissions_dropped(&left, false);
+            }
             Event::Deposed => return true,
             Event::Instances(instances, sent) => {
                 self.cell.list_instances(&instances);
