--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -21,6 +21,9 @@
     pub(crate) confirmed: bool,
     /// The order was sent, and no response has arrived yet.
     pub(crate) in_flight: bool,
+    /// When the outcome of the order was last unknown: it may still be carried out, whatever the
+    /// response to a repetition is.
+    pub(crate) doubt: Option<Time>,
     pub(crate) worker: Option<cactuswheel_work::WorkerId>,
 }
 
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -27,6 +27,9 @@
 /// Delay before an order without a response is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Delay before an order is sent again of which a repetition was refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Interval between log lines on every pool.
 const LOG_EVERY: Duration = Duration::from_millis(1_000);
 
@@ -70,6 +73,16 @@
     last_logged: Time,
 }
 
+impl PendingOrder {
+    /// Whether the order may still be carried out although a repetition of it was refused.
+    ///
+    /// If it counted as given up, another instance would be sent into maintenance in its place, one
+    /// more than the wave allows, or a worker would be opened whose instance is about to move.
+    fn is_doubtful(&self, now: Time) -> bool {
+        self.doubt.is_some_and(|at| now.since(at) < ORDER_TTL)
+    }
+}
+
 impl Planner {
     /// Creates a planner that knows only what earlier planners stored.
     pub fn new(times: Timings, past: History) -> Self {
@@ -119,10 +132,16 @@
         &self.maintenance_due
     }
 
-    /// Handles the outcome of an order.
-    pub fn record_outcome(&mut self, now: Time, instance: &InstanceName, outcome: InstanceOutcome) {
+    /// Handles the outcome of an order. Returns whether the order is still pending; if not, it is
+    /// certainly not carried out any more, unless the outcome says that it was.
+    pub fn record_outcome(
+        &mut self,
+        now: Time,
+        instance: &InstanceName,
+        outcome: InstanceOutcome,
+    ) -> bool {
         let Some(pending) = self.pending_orders.get_mut(instance) else {
-            return;
+            return false;
         };
         pending.in_flight = false;
         match outcome {
@@ -130,7 +149,13 @@
                 pending.confirmed = true;
                 pending.updated = now;
             }
-            InstanceOutcome::Unknown => pending.updated = now,
+            InstanceOutcome::Unknown => {
+                pending.updated = now;
+                pending.doubt = Some(now);
+            }
+            InstanceOutcome::Busy | InstanceOutcome::Refused(_) if pending.is_doubtful(now) => {
+                pending.updated = now;
+            }
             InstanceOutcome::Invalid => {
                 if let InstanceOrder::Move { pool, .. } = &pending.order {
                     let unfit = self.unfit.entry(pool.clone()).or_default();
@@ -150,6 +175,7 @@
                 self.pending_orders.remove(instance);
             }
         }
+        self.pending_orders.contains_key(instance)
     }
 
     /// Returns the actions to execute now.
@@ -311,7 +337,11 @@
                 continue;
             }
             if !pending.confirmed {
-                if now.since(pending.updated) >= RETRY_PAUSE {
+                let pause = match pending.doubt == Some(pending.updated) {
+                    true => RETRY_PAUSE,
+                    false => REFUSED_PAUSE,
+                };
+                if now.since(pending.updated) >= pause {
                     pending.in_flight = true;
                     actions.push(Action::Order {
                         order: pending.order.clone(),
@@ -365,6 +395,7 @@
                 updated: now,
                 confirmed: false,
                 in_flight: true,
+                doubt: None,
                 worker: worker.clone(),
             });
     }
--- a/crates/capacity/tests/fleet/mod.rs
+++ b/crates/capacity/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A small simulated fleet that executes the planner's actions.
 #![allow(dead_code, unused_imports)] // Each test file uses its own part.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use cactuswheel_capacity::{Action, History, Planner, Snapshot, Timings};
@@ -36,6 +37,8 @@
     pub evacuated: Set<ZoneName>,
     /// All orders so far.
     pub orders: Vec<InstanceOrder>,
+    /// Outcomes of the next orders, which are not carried out; later ones are done at once.
+    pub outcomes: VecDeque<InstanceOutcome>,
     /// Whether the wave last reported to the operators was complete.
     pub complete: Option<bool>,
     /// Start times of waves, as stored.
@@ -63,6 +66,7 @@
             reserved: Map::default(),
             evacuated: Set::default(),
             orders: Vec::new(),
+            outcomes: VecDeque::new(),
             complete: None,
             wave_starts: Vec::new(),
             blockage: None,
@@ -231,6 +235,17 @@
             InstanceOrder::Move { instance, pool } => (instance.clone(), Some(pool.clone())),
             InstanceOrder::Maintain { instance, .. } => (instance.clone(), None),
         };
+        if let Some(outcome) = self.outcomes.pop_front() {
+            self.orders.push(order);
+            let pending = self.planner.record_outcome(self.now, &name, outcome);
+            // A worker that is open again gets work at once.
+            let opened = worker.filter(|_| !pending);
+            if let Some(view) = opened.and_then(|w| self.workers.get_mut(&w)) {
+                view.closing = false;
+                view.runs += 1;
+            }
+            return;
+        }
         if let Some(worker) = worker {
             let view = self.workers.remove(&worker).expect("the worker exists");
             assert_eq!(view.runs, 0, "an order terminated tasks running on {name}");
--- a/crates/capacity/tests/waves.rs
+++ b/crates/capacity/tests/waves.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cactuswheel_capacity::Action;
-use cactuswheel_model::Millis;
-use cactuswheel_work::{InstanceName, InstanceOrder, InstanceState, Wave};
+use cactuswheel_model::{Millis, Set};
+use cactuswheel_work::{InstanceName, InstanceOrder, InstanceOutcome, InstanceState, Wave};
 use fleet::{Fleet, planner};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -218,3 +218,28 @@
         assert_eq!(maintained, 6, "{cap} at a time");
     }
 }
+
+/// Guards against one instance more in maintenance than allowed: the first try of an order has an
+/// unknown outcome and may still be carried out, although a repetition is refused.
+#[test]
+fn refused_in_doubt() {
+    let mut fleet = Fleet::new(1, 1, 4);
+    fleet.waves = vec![wave(&fleet, 1)];
+    let refused = InstanceOutcome::Refused(429);
+    fleet.outcomes = [InstanceOutcome::Unknown, refused, InstanceOutcome::Busy].into();
+    for _ in 0..50 {
+        fleet.plan();
+        if fleet.outcomes.is_empty() {
+            break;
+        }
+        fleet.now = fleet.now.after(Duration::from_millis(100));
+    }
+    fleet.now = fleet.now.after(SECOND);
+    fleet.plan();
+    let maintained = fleet.orders.iter().filter_map(|o| match o {
+        InstanceOrder::Maintain { instance, .. } => Some(instance.clone()),
+        InstanceOrder::Move { .. } => None,
+    });
+    let maintained: Set<InstanceName> = maintained.collect();
+    assert_eq!(maintained.len(), 1, "{maintained:?}");
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -181,14 +181,16 @@
             }
             _ => self.backoff.accepted(),
         }
-        self.planner
-            .record_outcome(self.shared.clock.now(), instance_of(order), outcome);
+        let now = self.shared.clock.now();
+        let pending = self
+            .planner
+            .record_outcome(now, instance_of(order), outcome);
         let Some(worker) = worker else {
             return;
         };
         match outcome {
             InstanceOutcome::Done => cell.retire(worker),
-            InstanceOutcome::Unknown => {}
+            _ if pending => {}
             _ => cell.reopen(worker),
         }
     }
