--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -1,8 +1,8 @@
 //! Sends orders from this node to workers, for the owner on this node or on another one.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use cactuswheel_adapter::{HttpClient, WorkerClient};
@@ -89,12 +89,22 @@
     slots: Arc<Semaphore>,
     /// Newest fencing token of any poll; start orders with an older one are not sent.
     fence: Arc<AtomicU64>,
-    newest_poll: Arc<NewestPoll>,
+    newest_poll: NewestPoll,
+    /// The newest poll that was sent.
+    sent_poll: Arc<Mutex<SentPoll>>,
     /// The poll in flight.
     poll: Option<AbortHandle>,
     last_used: Time,
 }
 
+/// A poll that was sent to a worker.
+#[derive(Debug, Clone, Copy, Default)]
+struct SentPoll {
+    number: u64,
+    /// Incarnation of the worker that it was meant for.
+    born: u64,
+}
+
 impl<C: OrderSink> OrderSender<C> {
     /// Creates a sender that reports outcomes to `sink`.
     pub(crate) fn new(shared: Arc<Shared>, sink: C) -> Self {
@@ -162,7 +172,8 @@
             orders: Arc::new(WorkerClient::new(id.clone(), HttpClient::new(addr))),
             slots: Arc::new(Semaphore::new(MAX_PER_WORKER)),
             fence: Arc::new(AtomicU64::new(0)),
-            newest_poll: Arc::default(),
+            newest_poll: NewestPoll::default(),
+            sent_poll: Arc::default(),
             poll: None,
             last_used: now,
         };
@@ -190,6 +201,10 @@
             log::info!(worker:% = worker, poll = number; "poll ignored: a newer one was sent before");
             return;
         }
+        *lock(&conn.sent_poll) = SentPoll {
+            number,
+            born: order.born,
+        };
         if let Some(previous) = conn.poll.take() {
             previous.abort();
         }
@@ -206,11 +221,14 @@
         let (window, start_rtt) = (self.window.clone(), self.start_rtt.clone());
         let conn = self.conn(&worker, addr);
         let (orders, slots) = (conn.orders.clone(), conn.slots.clone());
-        let (fence, newest_poll) = (conn.fence.clone(), conn.newest_poll.clone());
+        let (fence, sent_poll) = (conn.fence.clone(), conn.sent_poll.clone());
         self.tasks.spawn(async move {
             let (Ok(_slot), Ok(_order)) = (slots.acquire().await, window.acquire().await) else {
                 return;
             };
+            // Read before the fencing token is compared, so that the order has at least the token of
+            // that poll.
+            let poll = *lock(&sent_poll);
             // The worker would refuse a superseded order anyway. Not sending it gives the outcome
             // sooner.
             let superseded = fence.load(Ordering::Acquire) > order.fence || sink.is_disconnected();
@@ -220,7 +238,6 @@
             // the ownership is confirmed suffices, since the confirmation expires before another
             // node can claim the ownership.
             let superseded = superseded || !sink.holds_ownership();
-            let poll = newest_poll.get();
             let (outcome, status) = match superseded {
                 true => (StartOutcome::NotSent, None),
                 false => send_start(&orders, &order, &start_rtt).await,
@@ -229,14 +246,15 @@
             if let Some(status) = status {
                 log::info!(
                     task:% = order.task, run = order.run, worker:% = worker,
-                    born = order.born, found = status.born, poll = poll;
+                    born = order.born, found = status.born, poll = poll.number;
                     "start order not sent: another incarnation is at the address"
                 );
-                // The incarnation to which the newest poll went is gone, so that poll would only be
-                // answered with its timeout. The new status answers it, and the task can start
-                // again at once.
-                sink.deliver(Report::Polled(worker.clone(), poll, Ok(status)))
-                    .await;
+                // If the newest poll was meant for the same incarnation, it would only be answered
+                // with its timeout. The new status answers it, and the task can start again at once.
+                if poll.born == order.born {
+                    sink.deliver(Report::Polled(worker.clone(), poll.number, Ok(status)))
+                        .await;
+                }
             }
             let report = Report::Started(worker, order.task, order.run, outcome);
             sink.deliver(report).await;
@@ -301,6 +319,10 @@
     (outcome, status)
 }
 
+fn lock(poll: &Mutex<SentPoll>) -> MutexGuard<'_, SentPoll> {
+    poll.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Label of an outcome in the metrics.
 fn outcome_name(outcome: StartOutcome) -> &'static str {
     match outcome {
