--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -73,6 +73,8 @@
             return;
         }
         if self.finished.contains_key(&id) {
+            // A repeated submission, which the intake holds again.
+            self.drop_later(id);
             return;
         }
         let arrived = Time::new(now.get().saturating_sub(waited.as_millis() as u64));
--- a/crates/cell/tests/finished.rs
+++ b/crates/cell/tests/finished.rs
@@ -114,3 +114,20 @@
         "the job is forgotten in the end"
     );
 }
+
+/// Guards against the same for a submission that a caller repeated after the job's end.
+#[test]
+fn repetition_left() {
+    let mut world = World::new(2, 2);
+    world.submit(job(1, steps(1, 1, 300)));
+    world.advance(8 * SECOND);
+    assert!(world.intake.is_empty());
+    world.intake_away = true;
+    world.submit(job(1, steps(1, 1, 300)));
+    world.advance(200 * SECOND);
+    world.take_over();
+    world.remove_old_owners();
+    world.advance(5 * SECOND);
+    let starts = world.workers.values().map(|w| w.started.len());
+    assert_eq!(starts.sum::<usize>(), 1, "the job runs again");
+}
--- a/crates/node/src/journal_writer.rs
+++ b/crates/node/src/journal_writer.rs
@@ -103,7 +103,7 @@
             .metrics
             .journaled(self.shared.clock.now().since(start));
         let _ = self.events.send(Event::Appended(batch.number)).await;
-        // They were removed before their final record was, so this is only to be sure.
+        // Their submissions were dropped before; only a repetition that no owner has read can be left.
         let _ = self.clear_intake(&finished).await;
     }
 
